Lay out the package, the ports and the message types

Cause: the parts of the system are to be worked on side by side. Change: package layout, wire schema, result codes, ports for the platform, the targets and the clock, and the one test command with linter. Conclusion: the decision packages can be filled independently.

--- /dev/null
+++ b/redwingpost/admission/__init__.py
@@ -0,0 +1,1 @@
+"""admission."""
--- /dev/null
+++ b/redwingpost/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""configuration."""
--- /dev/null
+++ b/redwingpost/core/requests.py
@@ -0,0 +1,78 @@
+"""A caller's request as the decision modules see it."""
+
+from enum import Enum
+from typing import NamedTuple
+
+from redwingpost.core.codes import ResultCode
+from redwingpost.core.positions import Position
+
+
+class StatementClass(Enum):
+    """What a statement may do, as far as routing and retries care."""
+
+    READ = "read"
+    WRITE = "write"
+    BEGIN = "begin"
+    COMMIT = "commit"
+    ROLLBACK = "rollback"
+    SESSION = "session"
+    REFUSED = "refused"
+
+
+#: Name of a request kind (``order``, ``catalogue``, ``long-job``);
+#: the configuration gives each its weight and its cost.
+RequestKind = str
+
+
+class Marks(NamedTuple):
+    """Per-request marks: query attributes or the leading comment.
+
+    ``max_staleness_ms`` and ``deadline_ms`` are milliseconds, relative
+    to the arrival of the request; zero stands for unset.
+    """
+
+    kind: RequestKind = ""
+    idempotency_key: str = ""
+    max_staleness_ms: int = 0
+    session: str = ""
+    token: str = ""
+    non_idempotent: bool = False
+    deadline_ms: int = 0
+
+
+class Request(NamedTuple):
+    """One statement with everything a decision may ask of it.
+
+    Times are seconds on the clock of the process that holds it.
+    """
+
+    request: int
+    organisation: str
+    group: str
+    session: str
+    statement_class: StatementClass
+    marks: Marks
+    arrived_at: float
+    deadline_at: float
+    after: Position
+    cost: float
+    in_transaction: bool
+
+
+class Refusal(NamedTuple):
+    """Why a request was not served; the error side of a Result.
+
+    ``retry_after_ms`` is zero where coming back does not help.
+    """
+
+    code: ResultCode
+    detail: str = ""
+    retry_after_ms: int = 0
+
+    def describe(self) -> str:
+        """Return the message that the caller's driver shows."""
+        parts = [f"{self.code.name}: {self.detail or self.code.meaning}"]
+        parts.append(f"outcome={self.code.outcome.value}")
+        if self.retry_after_ms:
+            parts.append(f"retry_after_ms={self.retry_after_ms}")
+        return "; ".join(parts)
--- /dev/null
+++ b/redwingpost/membership/__init__.py
@@ -0,0 +1,1 @@
+"""membership."""
--- /dev/null
+++ b/redwingpost/ports/__init__.py
@@ -0,0 +1,48 @@
+"""Ports: what the system needs from outside, as abstract types.
+
+Adapters implement them over real protocols; tests pass small fakes.
+"""
+
+from redwingpost.ports.clock import Clock, MonotonicClock, VirtualClock
+from redwingpost.ports.platform import (
+    Condition,
+    ObjectStore,
+    Row,
+    TableService,
+    TransactResult,
+    VmEntry,
+    VmList,
+    Write,
+)
+from redwingpost.ports.target import (
+    Columns,
+    ColumnInfo,
+    MemberStatus,
+    StatementResult,
+    TargetConnection,
+    TargetDialler,
+    TargetError,
+    TargetLost,
+)
+
+__all__ = [
+    "Clock",
+    "ColumnInfo",
+    "Columns",
+    "Condition",
+    "MemberStatus",
+    "MonotonicClock",
+    "ObjectStore",
+    "Row",
+    "StatementResult",
+    "TableService",
+    "TargetConnection",
+    "TargetDialler",
+    "TargetError",
+    "TargetLost",
+    "TransactResult",
+    "VirtualClock",
+    "VmEntry",
+    "VmList",
+    "Write",
+]
--- /dev/null
+++ b/redwingpost/promotion/__init__.py
@@ -0,0 +1,1 @@
+"""promotion."""
--- /dev/null
+++ b/redwingpost/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""scheduling."""
--- /dev/null
+++ b/redwingpost/wire/node.capnp
@@ -0,0 +1,125 @@
+@0xb3c5d1c1f0a9e7d2;
+# Messages between the processes of the system. Each interface belongs to
+# one concern; Node, the bootstrap interface, hands them out.
+
+struct Position {
+  term @0 :UInt64;
+  index @1 :UInt64;
+}
+
+struct GroupView {
+  group @0 :Text;
+  term @1 :UInt64;
+  primary @2 :Text;
+  history @3 :List(Position);
+}
+
+struct Beat {
+  # What a VM says of itself; the higher (incarnation, sequence) wins.
+  vm @0 :Text;
+  dataCentre @1 :Text;
+  ip @2 :Text;
+  agentPort @3 :UInt16;
+  proxyPort @4 :UInt16;
+  incarnation @5 :UInt64;
+  sequence @6 :UInt64;
+  configVersion @7 :UInt64;
+  configHash @8 :Text;
+  withdrawals @9 :UInt32;
+  draining @10 :Bool;
+  ageMs @11 :UInt32;
+}
+
+struct Withdrawal {
+  organisation @0 :Text;
+  keyHash @1 :Text;
+}
+
+struct Digest {
+  configVersion @0 :UInt64;
+  configHash @1 :Text;
+  withdrawals @2 :UInt32;
+  views @3 :List(GroupView);
+}
+
+struct Configuration {
+  version @0 :UInt64;
+  hash @1 :Text;
+  body @2 :Data;
+}
+
+interface Fleet {
+  # Membership, configuration, withdrawals (between agents).
+  beat @0 (beats :List(Beat), digest :Digest)
+      -> (beats :List(Beat), digest :Digest);
+  configuration @1 (above :UInt64) -> (configuration :Configuration);
+  withdrawals @2 (known :List(Withdrawal))
+      -> (known :List(Withdrawal));
+  accepted @3 (configuration :Configuration) -> ();
+}
+
+struct Observation {
+  member @0 :Text;
+  silentMs @1 :UInt32;
+  term @2 :UInt64;
+  role @3 :Text;
+}
+
+interface Watch {
+  # Health of group members and promotions (between agents).
+  observations @0 (group :Text)
+      -> (vm :Text, dataCentre :Text, seen :List(Observation));
+  announce @1 (views :List(GroupView)) -> ();
+}
+
+struct Feed {
+  # What an agent tells the proxy of its VM.
+  configuration @0 :Configuration;
+  withdrawals @1 :List(Withdrawal);
+  views @2 :List(GroupView);
+  peers @3 :List(Beat);
+  shares @4 :List(BaseShare);
+  draining @5 :Bool;
+  confirmedMs @6 :UInt32;
+  revision @7 :UInt64;
+}
+
+struct BaseShare {
+  # A part of an organisation's rate that the table service granted.
+  organisation @0 :Text;
+  partsPerMillion @1 :UInt32;
+  epoch @2 :UInt64;
+  validMs @3 :UInt32;
+}
+
+interface Local {
+  # Between a VM's agent and its proxy.
+  feed @0 (revision :UInt64, waitMs :UInt32) -> (feed :Feed);
+  report @1 (suspects :List(Text), ready :Bool, connections :UInt32,
+             activeOrganisations :List(Text)) -> ();
+}
+
+struct Loan {
+  loan @0 :UInt64;
+  organisation @1 :Text;
+  partsPerMillion @2 :UInt32;
+  microTokens @3 :UInt64;
+  validMs @4 :UInt32;
+}
+
+interface Lending {
+  # Shares of rates and knowledge of sessions (between proxies).
+  borrow @0 (vm :Text, incarnation :UInt64, organisation :Text,
+             partsPerMillion :UInt32, microTokens :UInt64) -> (loan :Loan);
+  giveBack @1 (vm :Text, loan :UInt64, partsPerMillion :UInt32,
+               microTokens :UInt64) -> ();
+  renew @2 (vm :Text, loan :UInt64) -> (validMs :UInt32);
+}
+
+interface Node {
+  # The bootstrap interface of every process.
+  fleet @0 () -> (fleet :Fleet);
+  watch @1 () -> (watch :Watch);
+  local @2 () -> (local :Local);
+  lending @3 () -> (lending :Lending);
+}
