--- /dev/null
+++ b/redwingpost/configuration/tests/test_keys.py
@@ -0,0 +1,72 @@
+"""Tests of which keys are honoured."""
+
+from json import dumps
+from unittest import TestCase
+
+from redwingpost.configuration import (
+    KeyRing,
+    Withdrawal,
+    parse_configuration,
+)
+from redwingpost.configuration.tests.test_parse import GOOD
+from redwingpost.core import Code
+
+FIRST, SECOND, THIRD = "a" * 40, "d" * 40, "c" * 40
+PUNO = "diocese-puno"
+
+
+def make_ring(**changes):
+    """Return a confirmed ring; PUNO has two keys."""
+    keys = [{"name": "a", "hash": FIRST}, {"name": "b", "hash": SECOND}]
+    puno = {**GOOD["organisations"][PUNO], "keys": keys}
+    organisations = {**GOOD["organisations"], PUNO: puno}
+    body = dumps({**GOOD, "organisations": organisations, **changes})
+    ring = KeyRing(confirmation_s=600.0)
+    ring.grant(parse_configuration(body.encode()).ok)
+    ring.confirm(0.0)
+    return ring
+
+
+class KeyRingTest(TestCase):
+    def test_who_is_honoured(self):
+        ring = make_ring()
+        table = [
+            (PUNO, FIRST, None),
+            (PUNO, SECOND, None),
+            (PUNO, THIRD, Code.KEY_WITHDRAWN),
+            (PUNO, "b" * 40, Code.WRONG_KEY),
+            ("parish-cusco", "b" * 40, None),
+            ("parish-cusco", FIRST, Code.WRONG_KEY),
+            ("nobody", FIRST, Code.WRONG_KEY),
+            (PUNO, "", Code.WRONG_KEY),
+        ]
+        for organisation, key_hash, code in table:
+            with self.subTest(organisation=organisation, key_hash=key_hash):
+                refusal = ring.check(organisation, key_hash, now=1.0)
+                self.assertEqual(refusal and refusal.code, code)
+
+    def test_an_older_copy_never_brings_a_key_back(self):
+        # A peer that was cut off sends an old configuration, in which
+        # the key is granted and not withdrawn. Without the union the
+        # withdrawn caller would be let in again.
+        ring = make_ring()
+        new = ring.withdraw([Withdrawal(PUNO, FIRST)])
+        self.assertEqual(new, {Withdrawal(PUNO, FIRST)})
+        ring.grant(parse_configuration(dumps(GOOD).encode()).ok)
+        self.assertEqual(
+            ring.check(PUNO, FIRST, now=1.0).code, Code.KEY_WITHDRAWN
+        )
+        self.assertFalse(ring.withdraw([Withdrawal(PUNO, FIRST)]))
+
+    def test_keys_go_unconfirmed_for_so_long_only(self):
+        # The VM is cut off from everyone, so that a withdrawal can't
+        # reach it. Callers are told so once the bound is passed, and
+        # served again as soon as the VM is back in touch.
+        ring = make_ring()
+        self.assertIsNone(ring.check(PUNO, FIRST, now=600.0))
+        self.assertEqual(
+            ring.check(PUNO, FIRST, now=600.1).code, Code.KEY_UNCONFIRMED
+        )
+        ring.confirm(601.0)
+        ring.confirm(30.0)
+        self.assertIsNone(ring.check(PUNO, FIRST, now=602.0))
