Add the bench's sites, history and oracle

The two users' sites, a typed record of what callers sent and received, and a checker that proves violations of each promise from that record and the targets' final contents alone.

--- /dev/null
+++ b/redwingpost/bench/checks/__init__.py
@@ -0,0 +1,20 @@
+"""Checks of a run against the promises, registered by promise."""
+
+from redwingpost.bench.checks.grants import (
+    WITHDRAWAL_GRACE_S,
+    over_rate_by_organisation,
+    statements_of,
+)
+from redwingpost.bench.checks.reads import check_read_your_writes
+from redwingpost.bench.checks.registry import CHECKS, CLOCK_TOLERANCE_S
+from redwingpost.bench.checks.writes import check_at_most_once
+
+__all__ = [
+    "CHECKS",
+    "CLOCK_TOLERANCE_S",
+    "WITHDRAWAL_GRACE_S",
+    "check_at_most_once",
+    "check_read_your_writes",
+    "over_rate_by_organisation",
+    "statements_of",
+]
