--- /dev/null
+++ b/redwingpost/bench/service.py
@@ -0,0 +1,215 @@
+"""How each organisation was served: from a run's attempts alone.
+
+What an organisation may ask for is what a full bucket of its rate and
+burst lets pass of the times at which its callers wanted to send. What
+it got is what was answered; above its rate an organisation can't ask
+for particular requests, so there only the sums count.
+"""
+
+from collections import defaultdict
+from typing import NamedTuple
+
+from redwingpost.bench.history import (
+    Attempt,
+    Grant,
+    Operation,
+    Verdict,
+    said_not_run,
+)
+from redwingpost.bench.token_bucket import conforming
+
+
+class RequestFate(NamedTuple):
+    """One request over all its attempts."""
+
+    organisation: str
+    kind: str
+    operation: Operation
+    group: str
+    due_at: float
+    answered: bool
+    refused: bool
+    code: int
+
+
+class OrganisationService(NamedTuple):
+    """What one organisation offered, was due, and got.
+
+    ``entitled`` counts the offered requests that fit its rate; the
+    weights are by request kind.
+    """
+
+    organisation: str
+    offered: int
+    entitled: int
+    answered: int
+    refused: int
+    entitled_weight: float
+    answered_weight: float
+
+    @property
+    def ratio(self) -> float:
+        """Weighted service within the rate, at most one."""
+        if not self.entitled_weight:
+            return 1.0
+        return min(1.0, self.answered_weight / self.entitled_weight)
+
+    @property
+    def wrongful(self) -> int:
+        """Refusals that the rate does not explain."""
+        if self.entitled == self.offered:
+            return self.refused
+        unserved = max(0, self.entitled - self.answered)
+        return min(self.refused, unserved)
+
+
+def fates(attempts: tuple[Attempt, ...]) -> list[RequestFate]:
+    """Return what became of each request, by the time it was due."""
+    attempts_by_request = defaultdict(list)
+    for attempt in attempts:
+        name = (attempt.organisation, attempt.request)
+        attempts_by_request[name].append(attempt)
+    found = [_fate(tries) for tries in attempts_by_request.values()]
+    return sorted(found, key=lambda fate: fate.due_at)
+
+
+def _fate(tries: list[Attempt]) -> RequestFate:
+    last = max(tries, key=lambda attempt: attempt.number)
+    answered = any(t.verdict is Verdict.ANSWERED for t in tries)
+    return RequestFate(
+        organisation=last.organisation,
+        kind=last.kind,
+        operation=last.operation,
+        group=last.group,
+        due_at=tries[0].due_at,
+        answered=answered,
+        refused=not answered and all(said_not_run(t) for t in tries),
+        code=0 if answered else last.code,
+    )
+
+
+def tokens_of(operation: Operation) -> int:
+    """Return what a request costs: ``BEGIN`` and two statements, or one."""
+    return 3 if operation is Operation.PAIR else 1
+
+
+def _entitled(requests: list[RequestFate], grant: Grant) -> list[bool]:
+    """Say for each request whether the rate covers all its statements."""
+    due = [r.due_at for r in requests for _ in range(tokens_of(r.operation))]
+    passed = iter(conforming(due, grant.rate, grant.burst))
+    return [
+        all([next(passed) for _ in range(tokens_of(r.operation))])
+        for r in requests
+    ]
+
+
+def serve_by_organisation(
+    requests: list[RequestFate],
+    grants_by_organisation: dict[str, Grant],
+    weights_by_kind: dict[str, float],
+) -> dict[str, OrganisationService]:
+    """Return the service of every organisation that offered something.
+
+    Parameters
+    ----------
+    requests : list of RequestFate
+        In order of their due times.
+    grants_by_organisation : dict of str to Grant
+        Organisations without a grant are left out.
+    weights_by_kind : dict of str to float
+        Kinds that are not listed weigh 1.
+
+    Returns
+    -------
+    dict of str to OrganisationService
+        By organisation.
+    """
+    requests_by_organisation = defaultdict(list)
+    for request in requests:
+        if request.organisation in grants_by_organisation:
+            requests_by_organisation[request.organisation].append(request)
+    return {
+        organisation: _serve(
+            organisation,
+            offered,
+            grants_by_organisation[organisation],
+            weights_by_kind,
+        )
+        for organisation, offered in requests_by_organisation.items()
+    }
+
+
+def _serve(
+    organisation: str,
+    offered: list[RequestFate],
+    grant: Grant,
+    weights_by_kind: dict[str, float],
+) -> OrganisationService:
+    entitled = _entitled(offered, grant)
+    weights = [weights_by_kind.get(r.kind, 1.0) for r in offered]
+    return OrganisationService(
+        organisation=organisation,
+        offered=len(offered),
+        entitled=sum(entitled),
+        answered=sum(r.answered for r in offered),
+        refused=sum(r.refused for r in offered),
+        entitled_weight=sum(w for w, ok in zip(weights, entitled) if ok),
+        answered_weight=sum(w for w, r in zip(weights, offered) if r.answered),
+    )
+
+
+def fair_shares(
+    demand_by_organisation: dict[str, float],
+    weight_by_organisation: dict[str, float],
+    capacity: float,
+) -> dict[str, float]:
+    """Return the weighted max-min fair division of a capacity.
+
+    Nobody gets more than it demands; what that leaves is divided among
+    the others by weight (Bertsekas and Gallager, "Data Networks", 1992,
+    section 6.5.2).
+
+    Examples
+    --------
+    >>> fair_shares({"a": 1.0, "b": 9.0}, {"a": 1.0, "b": 1.0}, 6.0)
+    {'a': 1.0, 'b': 5.0}
+    """
+    shares = {}
+    left = capacity
+    weights_left = sum(weight_by_organisation.values())
+    by_need = sorted(
+        demand_by_organisation,
+        key=lambda o: demand_by_organisation[o] / weight_by_organisation[o],
+    )
+    for organisation in by_need:
+        weight = weight_by_organisation[organisation]
+        fair = left * weight / weights_left
+        shares[organisation] = min(demand_by_organisation[organisation], fair)
+        left -= shares[organisation]
+        weights_left -= weight
+    return shares
+
+
+def worst_fair_share_ratio(
+    services_by_organisation: dict[str, OrganisationService],
+    weight_by_organisation: dict[str, float],
+) -> float:
+    """Return the smallest answered part of a fair share.
+
+    The capacity is what all organisations together were answered, so
+    that the ratio judges the division alone.
+    """
+    services = services_by_organisation.values()
+    demands = {s.organisation: float(s.entitled) for s in services}
+    answered = float(sum(min(s.answered, s.entitled) for s in services))
+    shares = fair_shares(
+        demands,
+        {name: weight_by_organisation.get(name, 1.0) for name in demands},
+        answered,
+    )
+    ratios = [
+        min(1.0, s.answered / shares[s.organisation])
+        for s in services
+        if shares[s.organisation]
+    ]
+    return min(ratios, default=1.0)
