--- /dev/null
+++ b/redwingpost/promotion/tests/test_detection.py
@@ -0,0 +1,192 @@
+"""Tests of the detection of a lost primary and of its observers."""
+
+from random import Random
+from unittest import TestCase
+
+from redwingpost.core import VmAddress
+from redwingpost.promotion import (
+    PROBE_INTERVAL_S,
+    Report,
+    Sighting,
+    SilenceMeter,
+    Verdict,
+    choose_observers,
+    judge_office,
+    judge_primary,
+    may_propose,
+    rank_of,
+)
+
+MEMBERS = ("a", "b", "c")
+
+
+def report(number, primary_silent_s, others_silent_s=0.1, age_s=9.0):
+    """Return the report of observer ``number``; two per data centre."""
+    return Report(
+        f"vm-{number}",
+        f"dc-{number // 2}",
+        (
+            Sighting("a", primary_silent_s, 1, True),
+            Sighting("b", others_silent_s, 1, False, age_s),
+            Sighting("c", others_silent_s, 1, False, age_s),
+        ),
+    )
+
+
+class JudgePrimaryTest(TestCase):
+    def judge(self, *reports):
+        return judge_primary("a", MEMBERS, reports, 3)
+
+    def test_table(self):
+        silent, heard = 0.8, 0.1
+        everyone = [report(n, silent) for n in range(6)]
+        majority = [report(n, silent) for n in range(4)]
+        majority += [report(n, heard) for n in range(4, 6)]
+        half = [report(n, silent) for n in range(3)]
+        half += [report(n, heard) for n in range(3, 6)]
+        paused = [report(n, 0.3 + PROBE_INTERVAL_S) for n in range(6)]
+        table = [
+            ("all", everyone, Verdict.PRIMARY_LOST),
+            ("most, from two data centres", majority, Verdict.PRIMARY_LOST),
+            ("only half", half, Verdict.TOO_FEW_OBSERVERS),
+            ("a pause of 300 ms", paused, Verdict.HEALTHY),
+            ("one alone", everyone[:1], Verdict.TOO_FEW_OBSERVERS),
+            ("one data centre", everyone[:2], Verdict.TOO_FEW_OBSERVERS),
+        ]
+        for name, reports, verdict in table:
+            with self.subTest(name):
+                self.assertIs(self.judge(*reports), verdict)
+
+    def test_cut_off_vm_orders_nothing(self):
+        """One VM loses its network and hears no member at all.
+
+        If its word counted, a healthy primary would be fenced and every
+        write of the group would stall for a second.
+        """
+        cut_off = report(0, 5.0, others_silent_s=5.0)
+        self.assertIs(self.judge(cut_off), Verdict.MEMBERS_AWAY)
+
+    def test_replica_that_hears_the_primary_delays(self):
+        """The way from the VMs to the primary is lossy; replicas hear it.
+
+        A promotion at once would be needless; one that never comes
+        would leave callers without writes for as long as the cut lasts.
+        """
+        table = [(0.8, Verdict.TOO_FEW_OBSERVERS)]
+        table += [(1.6, Verdict.PRIMARY_LOST)]
+        for silent_s, verdict in table:
+            with self.subTest(silent_s=silent_s):
+                reports = [report(n, silent_s, age_s=0.1) for n in range(6)]
+                self.assertIs(self.judge(*reports), verdict)
+
+    def test_packet_loss_of_five_percent(self):
+        """Each probe's segments are lost with five in a hundred.
+
+        TCP sends again after 200 ms, 400 ms, 800 ms. A promotion for
+        that would stall writes although the primary is well.
+        """
+        random = Random(4)
+        lost = 0
+        for _ in range(20_000):
+            reports = [report(n, self.stall(random)) for n in range(6)]
+            lost += self.judge(*reports) is Verdict.PRIMARY_LOST
+        self.assertEqual(lost, 0)
+
+    def stall(self, random):
+        """Return the longest silence of an exchange under 5% loss."""
+        old = self.exchange(random)
+        # A second connection's probe starts after 0.3 s of silence.
+        new = 0.3 + PROBE_INTERVAL_S + self.exchange(random)
+        return PROBE_INTERVAL_S + min(old, new)
+
+    def exchange(self, random):
+        seconds = 0.0
+        for _ in ("there", "back"):
+            timeout = 0.2
+            while random.random() < 0.05:
+                seconds += timeout
+                timeout *= 2
+        return seconds
+
+
+class SilenceMeterTest(TestCase):
+    def test_pause_of_the_observer_adds_no_silence(self):
+        """An observer VM is frozen for a minute and wakes up.
+
+        To it every member seems to have been silent for a minute; if
+        that counted it would ask for promotions of every group.
+        """
+        meter = SilenceMeter(0.0)
+        meter.answered(0.15)
+        meter.tick(60.0)
+        self.assertLess(meter.silent_s(60.0), 0.5)
+
+    def test_silence_grows_while_awake(self):
+        meter = SilenceMeter(0.0)
+        for tick in range(1, 11):
+            meter.tick(tick * PROBE_INTERVAL_S)
+        silent_s = meter.silent_s(10 * PROBE_INTERVAL_S)
+        self.assertAlmostEqual(silent_s, 10 * PROBE_INTERVAL_S)
+
+
+class JudgeOfficeTest(TestCase):
+    def test_table(self):
+        led = Sighting("a", 0.1, 2, True)
+        unled = Sighting("a", 0.1, 3, False)
+        away = Sighting("a", 9.0, 2, True)
+        follower = Sighting("b", 0.1, 2, False)
+        claimed = Sighting("c", 0.1, 3, False)
+        other = Sighting("c", 0.1, 2, False)
+        table = [
+            ("in office", (led, follower, other), 9.0, Verdict.HEALTHY),
+            ("just claimed", (unled, follower, claimed), 0.1, None),
+            ("dead proposer", (unled, follower, claimed), 0.8, "LEADERLESS"),
+            ("stranded", (led, follower, claimed), 3.1, "STRANDED"),
+            ("not yet stranded", (led, follower, claimed), 0.8, None),
+            ("primary away", (away, follower, claimed), 0.8, "LEADERLESS"),
+            ("alone", (follower,), 9.0, Verdict.MEMBERS_AWAY),
+        ]
+        for name, sightings, since, expected in table:
+            if isinstance(expected, str):
+                expected = Verdict[expected]
+            with self.subTest(name):
+                verdict = judge_office(MEMBERS, sightings, since)
+                self.assertIs(verdict, expected or Verdict.HEALTHY)
+
+
+class ObserversTest(TestCase):
+    def vms(self, count, data_centres):
+        return [
+            VmAddress(f"vm-{n}", f"dc-{n % data_centres}", "", 0, 0, 1)
+            for n in range(count)
+        ]
+
+    def test_spread_over_data_centres(self):
+        for count, data_centres in ((6, 4), (12, 4), (1_000, 14)):
+            with self.subTest(count=count):
+                chosen = choose_observers("g", self.vms(count, data_centres))
+                self.assertEqual(len(chosen), 6)
+                spread = {vm.data_centre for vm in chosen}
+                self.assertEqual(len(spread), min(6, data_centres))
+
+    def test_work_is_spread_at_full_size(self):
+        """One VM that watched most groups would be overloaded by probes."""
+        vms = self.vms(1_000, 14)
+        watched_by_vm = {}
+        for number in range(130):
+            for vm in choose_observers(f"group-{number}", vms):
+                watched_by_vm[vm.vm] = watched_by_vm.get(vm.vm, 0) + 1
+        self.assertLessEqual(max(watched_by_vm.values()), 8)
+
+    def test_order_of_the_list_does_not_matter(self):
+        vms = self.vms(9, 3)
+        self.assertEqual(
+            choose_observers("g", vms), choose_observers("g", vms[::-1])
+        )
+
+    def test_ranks(self):
+        vms = self.vms(6, 4)
+        ranks = sorted(rank_of(vm.vm, "g", vms) for vm in vms)
+        self.assertEqual(ranks, [0, 1, 2, 3, 4, 5])
+        self.assertTrue(may_propose(1, 0.4))
+        self.assertFalse(may_propose(1, 0.3))
--- a/redwingpost/retries/__init__.py
+++ b/redwingpost/retries/__init__.py
@@ -1,1 +1,55 @@
-"""retries."""
+"""What becomes of a request that failed: retry, ask, or answer truly."""
+
+from redwingpost.retries.budget import RetryBudget
+from redwingpost.retries.idempotency import (
+    MAX_KEY_CHARS,
+    Duplicate,
+    DuplicateAnswer,
+    PurgeCounter,
+    Record,
+    create_table_sql,
+    decode_record,
+    fingerprint,
+    insert_sql,
+    judge_duplicate,
+    purge_sql,
+    select_sql,
+    update_sql,
+)
+from redwingpost.retries.table import (
+    RULES_BY_CLASS,
+    Action,
+    Failure,
+    NextStep,
+    RequestClass,
+    Rule,
+    failure_of_error,
+    may_have_run,
+    next_step,
+)
+
+__all__ = [
+    "Action",
+    "Duplicate",
+    "DuplicateAnswer",
+    "Failure",
+    "MAX_KEY_CHARS",
+    "NextStep",
+    "PurgeCounter",
+    "RULES_BY_CLASS",
+    "Record",
+    "RequestClass",
+    "RetryBudget",
+    "Rule",
+    "create_table_sql",
+    "decode_record",
+    "failure_of_error",
+    "fingerprint",
+    "insert_sql",
+    "judge_duplicate",
+    "may_have_run",
+    "next_step",
+    "purge_sql",
+    "select_sql",
+    "update_sql",
+]
