Carry callers' statements from driver to target and back

Cause: nothing served a caller yet. Change: marks, statement classes, local answers, the callers' side over mysql-mimic with the key proven before the command phase, the target port over asyncmy, reads on replicas proven fresh, writes acknowledged by a second member, transactions pinned to one connection, health and metrics. Conclusion: the path is in place; it has not met a member yet.

--- a/redwingpost/adapters/__init__.py
+++ b/redwingpost/adapters/__init__.py
@@ -1,1 +1,1 @@
-"""adapters."""
+"""Adapters: the ports over real protocols."""
--- /dev/null
+++ b/redwingpost/adapters/mysql_server.py
@@ -0,0 +1,401 @@
+"""The callers' side over mysql-mimic: connections, keys, errors.
+
+One connection carries one caller. Statements go to a
+:class:`StatementHandler`; what comes back is written as MySQL packets.
+"""
+
+from asyncio import (
+    AbstractServer,
+    CancelledError,
+    IncompleteReadError,
+    StreamReader,
+    StreamWriter,
+    Task,
+    create_task,
+    current_task,
+    gather,
+    start_server,
+    timeout as time_limit,
+)
+from collections.abc import AsyncGenerator, Callable
+from hashlib import sha1
+from secrets import choice
+from ssl import SSLContext
+from string import ascii_letters, digits
+from typing import Any, Protocol
+
+from expression import Result
+from loguru import logger
+from mode import Service
+from mysql_mimic import Session
+from mysql_mimic.auth import (
+    AuthInfo,
+    Forbidden,
+    IdentityProvider,
+    NativePasswordAuthPlugin,
+    Success,
+    User,
+)
+from mysql_mimic.connection import Connection
+from mysql_mimic.control import LocalControl
+from mysql_mimic.errors import MysqlError
+from mysql_mimic.stream import ConnectionClosed, MysqlStream
+from mysql_mimic.types import ServerStatus
+
+from redwingpost.adapters.mysql_values import make_result_set
+from redwingpost.core import Code, MemberError, Refusal
+from redwingpost.ports import StatementResult
+
+#: Seconds a client has for the handshake. Without a limit a scanner that
+#: connects and says nothing would hold a connection for ever.
+HANDSHAKE_LIMIT_S = 10.0
+
+#: Bytes of one caller packet; MySQL's own default for a replica-safe
+#: statement is 64 MiB, plans and schedules stay far below 16 MiB.
+MAX_PACKET_BYTES = 16 * 1024 * 1024
+
+#: Bytes of a packet before the key is checked: a stranger gets no more.
+MAX_HANDSHAKE_BYTES = 64 * 1024
+
+_NONCE_LETTERS = ascii_letters + digits
+_NONCE_LENGTH = 20
+_ACCESS_DENIED = 1045
+_HEADER_BYTES = 4
+
+#: Answer to a statement: a result, a refusal of ours, a member's error.
+Answer = Result[StatementResult, Refusal | MemberError]
+
+
+class StatementHandler(Protocol):
+    """What the proxy does for one caller's connection."""
+
+    async def handle(self, sql: str, attributes: dict[str, str]) -> Answer:
+        """Run a statement."""
+
+    async def use(self, group: str) -> Result[None, Refusal]:
+        """Change the connection's database group."""
+
+    async def reset(self) -> None:
+        """Forget the connection's state, as COM_RESET_CONNECTION asks."""
+
+    async def close(self) -> None:
+        """Roll back what is open: the client is gone."""
+
+    @property
+    def in_transaction(self) -> bool:
+        """Say whether a transaction is open."""
+
+
+class Authenticator(Protocol):
+    """Looks up an organisation's keys."""
+
+    def key_hashes(self, organisation: str) -> tuple[str, ...]:
+        """Return SHA1(SHA1(key)) in hex of each valid key."""
+
+
+#: Makes the handler: organisation, key hash, database group, connection.
+HandlerFactory = Callable[[str, str, str, int], StatementHandler]
+
+
+class KeyAuthPlugin(NativePasswordAuthPlugin):
+    """MySQL's native password check against all valid keys.
+
+    The name it reports carries the hash of the key that matched, so that
+    a later withdrawal can be told from the organisation's other keys.
+    """
+
+    def __init__(self, authenticator: Authenticator) -> None:
+        self._authenticator = authenticator
+
+    async def auth(
+        self, auth_info: AuthInfo | None = None
+    ) -> AsyncGenerator[Any, AuthInfo]:
+        """Drive the exchange; yields what the library sends."""
+        if auth_info and auth_info.handshake_auth_data:
+            nonce = auth_info.handshake_auth_data.rstrip(b"\x00")
+        else:
+            nonce = _make_nonce()
+            auth_info = yield nonce + b"\x00"
+        name = auth_info.user.name
+        key_hash = self._match(name, auth_info.data, nonce)
+        if key_hash is None:
+            yield Forbidden(Refusal(Code.WRONG_KEY).describe())
+        else:
+            yield Success(f"{key_hash}:{name}")
+
+    def _match(self, name: str, scramble: bytes, nonce: bytes) -> str | None:
+        for key_hash in self._authenticator.key_hashes(name):
+            if _scramble_matches(key_hash, scramble, nonce):
+                return key_hash
+        return None
+
+
+def _make_nonce() -> bytes:
+    return "".join(
+        choice(_NONCE_LETTERS) for _ in range(_NONCE_LENGTH)
+    ).encode()
+
+
+def _scramble_matches(key_hash: str, scramble: bytes, nonce: bytes) -> bool:
+    if len(scramble) != _NONCE_LENGTH:
+        return False
+    stored = bytes.fromhex(key_hash)
+    mask = sha1(nonce + stored).digest()
+    stage_one = bytes(a ^ b for a, b in zip(scramble, mask))
+    return sha1(stage_one).digest() == stored
+
+
+class KeyIdentityProvider(IdentityProvider):
+    """Every user name is asked for its key; unknown ones never match.
+
+    Telling unknown organisations apart would let a stranger list them.
+    """
+
+    def __init__(self, authenticator: Authenticator) -> None:
+        self._plugin = KeyAuthPlugin(authenticator)
+
+    def get_plugins(self) -> list[KeyAuthPlugin]:
+        """Return the one plugin."""
+        return [self._plugin]
+
+    async def get_user(self, username: str) -> User:
+        """Return a user of that name."""
+        return User(name=username, auth_plugin=self._plugin.name)
+
+
+class BoundedStream(MysqlStream):
+    """Packets of bounded size.
+
+    The library joins continuation packets without limit, so that one
+    client could fill the memory; it is cut off instead.
+    """
+
+    limit = MAX_HANDSHAKE_BYTES
+
+    async def read(self) -> bytes:
+        """Return one packet's payload."""
+        data = b""
+        while True:
+            header = await self.reader.read(_HEADER_BYTES)
+            if not header:
+                raise ConnectionClosed()
+            if len(header) < _HEADER_BYTES:
+                rest = _HEADER_BYTES - len(header)
+                header += await self.reader.readexactly(rest)
+            length = int.from_bytes(header[:3], "little")
+            if header[3] != next(self.seq):
+                raise ConnectionClosed()
+            if len(data) + length > self.limit:
+                raise ConnectionClosed()
+            data += await self.reader.readexactly(length)
+            if length < 0xFFFFFF:
+                return data
+
+
+class CallerConnection(Connection):
+    """A connection that checks its key and reports writes whole."""
+
+    async def authenticate(self, *args: Any, **kwargs: Any) -> None:
+        """Check the key; an unproven caller gets no further.
+
+        The library goes on to the command phase after a failed check.
+        Without the second check a stranger could send statements: the
+        connection is cut instead.
+        """
+        self.session.username = None
+        await super().authenticate(*args, **kwargs)
+        if self.session.username is None:
+            raise ConnectionClosed()
+
+    async def connection_phase(self) -> None:
+        """Run the handshake within its time and size limits."""
+        async with time_limit(HANDSHAKE_LIMIT_S):
+            await super().connection_phase()
+        self.stream.limit = MAX_PACKET_BYTES
+
+    async def handle_change_user(self, data: bytes) -> None:
+        """Change the caller: nothing of the former one is kept."""
+        await self.session.abandon()
+        await super().handle_change_user(data)
+        self.session.begin()
+
+    async def handle_reset_connection(self, data: bytes) -> None:
+        """Forget the state; the library would only answer OK."""
+        await self.session.handler.reset()
+        await self.stream.write(self.ok())
+
+    def ok(self, **kwargs: Any) -> bytes:
+        """Return an OK packet with what the last write reported."""
+        result = self.session.take_result()
+        if result is not None and "affected_rows" not in kwargs:
+            kwargs["affected_rows"] = result.affected_rows
+            kwargs["last_insert_id"] = result.last_insert_id
+        return super().ok(**kwargs)
+
+
+class CallerSession(Session):
+    """The library's session, delegating to a statement handler."""
+
+    handler: StatementHandler
+
+    def __init__(self, make_handler: HandlerFactory) -> None:
+        super().__init__()
+        self._make_handler = make_handler
+        self._result: StatementResult | None = None
+        self._started = False
+
+    async def init(self, connection: Connection) -> None:
+        """Start the caller's handler once the key has been proven."""
+        await super().init(connection)
+        self.begin()
+
+    def begin(self) -> None:
+        """Make a handler for the organisation whose key was proven."""
+        key_hash, _, organisation = self.username.partition(":")
+        self.handler = self._make_handler(
+            organisation,
+            key_hash,
+            self.database or "",
+            self.connection.connection_id,
+        )
+        self._started = True
+
+    def take_result(self) -> StatementResult | None:
+        """Return the last plain result once."""
+        result, self._result = self._result, None
+        return result
+
+    async def handle_query(self, sql: str, attrs: dict[str, str]) -> Any:
+        """Run a statement through the handler."""
+        answer = await self.handler.handle(sql, attrs)
+        self._show_transaction()
+        if answer.is_error():
+            raise _make_error(answer.error)
+        result = answer.ok
+        self._result = None if result.columns else result
+        return make_result_set(result)
+
+    def _show_transaction(self) -> None:
+        flags = ServerStatus.SERVER_STATUS_AUTOCOMMIT
+        if self.handler.in_transaction:
+            flags |= ServerStatus.SERVER_STATUS_IN_TRANS
+        self.connection.status_flags = flags
+
+    async def use(self, database: str) -> None:
+        """Change the database group."""
+        used = await self.handler.use(database)
+        if used.is_error():
+            raise _make_error(used.error)
+        self.database = database
+
+    async def abandon(self) -> None:
+        """Drop the handler with whatever it has open."""
+        if self._started:
+            self._started = False
+            await self.handler.close()
+
+    async def close(self) -> None:
+        """Drop the handler: the client is gone."""
+        await self.abandon()
+        await super().close()
+
+
+def _make_error(error: Refusal | MemberError) -> MysqlError:
+    if isinstance(error, MemberError):
+        return MysqlError(error.message, error.number)
+    return MysqlError(error.describe(), error.code.number)
+
+
+class CallerServer(Service):
+    """Listens for callers.
+
+    Parameters
+    ----------
+    ip, port : str, int
+        Where to listen; port 0 takes a free one.
+    authenticator : Authenticator
+        The valid keys.
+    make_handler : callable
+        Makes the handler of a connection.
+    tls : SSLContext, optional
+        Offers TLS to callers.
+    """
+
+    def __init__(
+        self,
+        ip: str,
+        port: int,
+        authenticator: Authenticator,
+        make_handler: HandlerFactory,
+        tls: SSLContext | None = None,
+        **kwargs: Any,
+    ) -> None:
+        super().__init__(**kwargs)
+        self._ip = ip
+        self._port = port
+        self._make_handler = make_handler
+        self._identities = KeyIdentityProvider(authenticator)
+        self._control = LocalControl(server_id=1)
+        self._tls = tls
+        self._server: AbstractServer | None = None
+        self._tasks: set[Task] = set()
+
+    @property
+    def port(self) -> int:
+        """Return the port in use."""
+        return self._server.sockets[0].getsockname()[1]
+
+    @property
+    def connections(self) -> int:
+        """Return the number of open connections."""
+        return len(self._tasks)
+
+    async def on_start(self) -> None:
+        """Open the listening socket."""
+        self._server = await start_server(
+            self._accept, self._ip, self._port, backlog=4096
+        )
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket; open connections go on."""
+        if self._server is not None:
+            self._server.close()
+
+    async def on_stop(self) -> None:
+        """Close the socket and every connection."""
+        self.stop_accepting()
+        tasks = tuple(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await gather(*tasks, return_exceptions=True)
+
+    def _accept(self, reader: StreamReader, writer: StreamWriter) -> None:
+        # A plain function: the stream library logs a traceback for each
+        # coroutine of its own that is cancelled, which a planned stop
+        # does to every connection.
+        task = create_task(self._serve(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        connection = CallerConnection(
+            stream=BoundedStream(reader, writer),
+            session=CallerSession(self._make_handler),
+            control=self._control,
+            identity_provider=self._identities,
+            ssl=self._tls,
+        )
+        connection.connection_id = await self._control.add(connection)
+        try:
+            await connection.start()
+        except (ConnectionClosed, OSError, EOFError, IncompleteReadError):
+            logger.debug("connection {} ended", connection.connection_id)
+        except (TimeoutError, MysqlError):
+            logger.info("connection {}: no handshake", current_task())
+        except CancelledError:
+            logger.debug("connection {} stopped", connection.connection_id)
+        except Exception:
+            logger.exception("connection {}", connection.connection_id)
+        finally:
+            writer.close()
+            await self._control.remove(connection.connection_id)
--- a/redwingpost/cli/__init__.py
+++ b/redwingpost/cli/__init__.py
@@ -1,1 +1,1 @@
-"""cli."""
+"""Command lines of the programs."""
--- /dev/null
+++ b/redwingpost/cli/running.py
@@ -0,0 +1,58 @@
+"""Run one service until it is asked to stop."""
+
+from asyncio import Event, get_running_loop, run
+from collections.abc import Awaitable, Callable
+from logging import CRITICAL, getLogger
+from signal import SIGINT, SIGTERM
+from sys import stderr
+
+from capnp import kj_loop
+from loguru import logger
+from mode import Service
+
+from redwingpost.settings import LogSettings
+
+
+def configure_logs(settings: LogSettings) -> None:
+    """Send JSON lines to standard error.
+
+    The protocol library logs statements and failed logins in its own
+    words; what callers sent never belongs in a log, so it is silenced
+    and the adapters log numbers instead.
+    """
+    logger.remove()
+    logger.add(stderr, level=settings.level, serialize=True, diagnose=False)
+    getLogger("mysql_mimic").setLevel(CRITICAL)
+
+
+def run_service(
+    make: Callable[[], Service],
+    drain: Callable[[Service], Awaitable[None]] | None = None,
+) -> None:
+    """Run a service until SIGTERM or SIGINT, then drain and stop it.
+
+    Parameters
+    ----------
+    make : callable
+        Makes the service, inside the running loop.
+    drain : callable, optional
+        Awaited before the stop.
+    """
+    run(_run(make, drain))
+
+
+async def _run(
+    make: Callable[[], Service],
+    drain: Callable[[Service], Awaitable[None]] | None,
+) -> None:
+    async with kj_loop():
+        stop = Event()
+        loop = get_running_loop()
+        for number in (SIGTERM, SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        service = make()
+        await service.start()
+        await stop.wait()
+        if drain is not None:
+            await drain(service)
+        await service.stop()
--- a/redwingpost/core/__init__.py
+++ b/redwingpost/core/__init__.py
@@ -8,6 +8,7 @@
     ResultCode,
     render_code_table,
 )
+from redwingpost.core.marks import NO_MARKS, MarkedStatement, read_marks
 from redwingpost.core.positions import (
     ZERO_POSITION,
     History,
@@ -17,6 +18,7 @@
 from redwingpost.core.registry import Registry
 from redwingpost.core.requests import (
     Marks,
+    MemberError,
     Refusal,
     Request,
     RequestKind,
@@ -35,7 +37,10 @@
     "GroupView",
     "History",
     "Marks",
+    "MarkedStatement",
     "MemberAddress",
+    "MemberError",
+    "NO_MARKS",
     "Outcome",
     "Position",
     "Refusal",
@@ -47,5 +52,6 @@
     "VmAddress",
     "ZERO_POSITION",
     "lost_by",
+    "read_marks",
     "render_code_table",
 ]
--- a/redwingpost/core/requests.py
+++ b/redwingpost/core/requests.py
@@ -44,6 +44,8 @@
     """One statement with everything a decision may ask of it.
 
     Times are seconds on the clock of the process that holds it.
+    ``after`` is the position a read must follow; None means that nothing
+    is known of the session, so that only the primary can tell.
     """
 
     request: int
@@ -54,11 +56,18 @@
     marks: Marks
     arrived_at: float
     deadline_at: float
-    after: Position
+    after: Position | None
     cost: float
     in_transaction: bool
 
 
+class MemberError(NamedTuple):
+    """A member's own MySQL error, passed on to the caller as it is."""
+
+    number: int
+    message: str
+
+
 class Refusal(NamedTuple):
     """Why a request was not served; the error side of a Result.
 
--- /dev/null
+++ b/redwingpost/proxy/parts.py
@@ -0,0 +1,30 @@
+"""The parts of a proxy that its sessions share."""
+
+from typing import Any, NamedTuple
+
+from redwingpost.configuration import KeyRing
+from redwingpost.ports import Clock
+from redwingpost.proxy.directory import Directory
+from redwingpost.proxy.gate import Gate
+from redwingpost.proxy.metrics import ProxyMetrics
+from redwingpost.proxy.reads import Reader
+from redwingpost.proxy.status_board import StatusBoard
+from redwingpost.proxy.transactions import Transactions
+from redwingpost.proxy.writes import Writer
+from redwingpost.sessions import TokenMinter
+
+
+class Parts(NamedTuple):
+    """What one statement may need; ``sessions`` are the open ones."""
+
+    clock: Clock
+    keys: KeyRing
+    tokens: TokenMinter
+    directory: Directory
+    board: StatusBoard
+    gate: Gate
+    reader: Reader
+    writer: Writer
+    transactions: Transactions
+    metrics: ProxyMetrics
+    sessions: set[Any]
--- /dev/null
+++ b/redwingpost/proxy/service.py
@@ -0,0 +1,168 @@
+"""The proxy process: its parts, put together."""
+
+from pathlib import Path
+from typing import Any
+
+from loguru import logger
+from mode import Service
+
+from redwingpost.adapters.mysql_server import CallerServer
+from redwingpost.adapters.mysql_target import MySQLTargetDialler
+from redwingpost.configuration import KeyRing, parse_configuration
+from redwingpost.ports import Clock, MonotonicClock
+from redwingpost.proxy.caller import Caller
+from redwingpost.proxy.confirm import Confirmer
+from redwingpost.proxy.directory import Directory
+from redwingpost.proxy.gate import Gate
+from redwingpost.proxy.http import StatusServer
+from redwingpost.proxy.metrics import ProxyMetrics
+from redwingpost.proxy.parts import Parts
+from redwingpost.proxy.pools import ConnectionPool
+from redwingpost.proxy.reads import Reader
+from redwingpost.proxy.session import StatementSession
+from redwingpost.proxy.status_board import StatusBoard
+from redwingpost.proxy.transactions import Transactions
+from redwingpost.proxy.writes import Writer
+from redwingpost.sessions import TokenMinter
+from redwingpost.settings import Settings
+
+#: Seconds between checks whether running statements have ended.
+_DRAIN_POLL_S = 0.05
+
+#: Seconds a planned stop waits for running statements and transactions:
+#: longer than the default deadline, so that none is cut.
+DRAIN_LIMIT_S = 10.0
+
+
+class _KeyLookup:
+    """The server adapter's view of the key ring."""
+
+    def __init__(self, keys: KeyRing) -> None:
+        self._keys = keys
+
+    def key_hashes(self, organisation: str) -> tuple[str, ...]:
+        return self._keys.hashes(organisation)
+
+
+class Proxy(Service):
+    """Serves callers on one VM.
+
+    Parameters
+    ----------
+    settings : Settings
+        The VM's settings.
+    clock : Clock, optional
+        Source of time.
+    """
+
+    def __init__(
+        self, settings: Settings, clock: Clock | None = None, **kwargs: Any
+    ) -> None:
+        super().__init__(**kwargs)
+        self.settings = settings
+        self.clock = clock or MonotonicClock()
+        self.directory = Directory()
+        self.keys = KeyRing(settings.fleet.key_confirmation_s)
+        self.metrics = ProxyMetrics()
+        self.sessions: set[StatementSession] = set()
+        self._draining = False
+        self._build()
+
+    def _build(self) -> None:
+        settings = self.settings
+        dialler = MySQLTargetDialler(
+            settings.targets.user, settings.targets.password
+        )
+        self.board = StatusBoard(
+            self.directory, dialler, self.clock, loop=self.loop
+        )
+        self.pool = ConnectionPool(dialler)
+        self.confirmer = Confirmer(self.directory, dialler)
+        core = (self.directory, self.pool, self.confirmer, self.clock)
+        self.parts = Parts(
+            clock=self.clock,
+            keys=self.keys,
+            tokens=TokenMinter(settings.fleet.token_secrets),
+            directory=self.directory,
+            board=self.board,
+            gate=Gate(self.directory, self.clock, share=1.0),
+            reader=Reader(
+                self.directory,
+                self.board,
+                self.pool,
+                self.confirmer,
+                self.clock,
+            ),
+            writer=Writer(*core),
+            transactions=Transactions(*core),
+            metrics=self.metrics,
+            sessions=self.sessions,
+        )
+        self.callers = CallerServer(
+            settings.vm.ip,
+            settings.proxy.caller_port,
+            _KeyLookup(self.keys),
+            self._make_session,
+            loop=self.loop,
+        )
+        self.http = StatusServer(
+            settings.vm.ip,
+            settings.proxy.http_port,
+            self.metrics.registry,
+            lambda: self.ready,
+            loop=self.loop,
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Say whether the balancer may send callers here."""
+        return not self._draining and self.directory.configuration is not None
+
+    def _make_session(
+        self,
+        organisation: str,
+        key_hash: str,
+        group: str,
+        connection_id: int,
+    ) -> StatementSession:
+        caller = Caller(organisation, key_hash, group, connection_id)
+        session = StatementSession(caller, self.parts)
+        self.sessions.add(session)
+        return session
+
+    async def on_start(self) -> None:
+        """Load what is given and start the parts."""
+        if self.settings.proxy.configuration_file:
+            self._load_file(Path(self.settings.proxy.configuration_file))
+        await self.add_runtime_dependency(self.board)
+        await self.add_runtime_dependency(self.callers)
+        await self.add_runtime_dependency(self.http)
+        logger.bind(vm=self.settings.vm.name).info(
+            "proxy listens on {}:{}",
+            self.settings.vm.ip,
+            self.callers.port,
+        )
+
+    def _load_file(self, path: Path) -> None:
+        parsed = parse_configuration(path.read_bytes())
+        if parsed.is_error():
+            raise ValueError(parsed.error.describe())
+        self.directory.configure(parsed.ok, version=1)
+        self.keys.grant(parsed.ok)
+        self.keys.confirm(self.clock.now())
+
+    async def drain(self) -> None:
+        """Finish what runs; new callers are sent elsewhere."""
+        self._draining = True
+        self.callers.stop_accepting()
+        started_at = self.clock.now()
+        while any(session.busy for session in self.sessions):
+            if self.clock.now() - started_at > DRAIN_LIMIT_S:
+                logger.warning("stopped with statements running")
+                break
+            await self.sleep(_DRAIN_POLL_S)
+
+    async def on_stop(self) -> None:
+        """Close what is open."""
+        await self.confirmer.close()
+        await self.pool.close()
--- /dev/null
+++ b/redwingpost/proxy/session.py
@@ -0,0 +1,390 @@
+"""One caller's statements: checked, sorted, sent on, answered."""
+
+from itertools import count
+from typing import Any
+
+from expression import Error, Ok, Result
+from loguru import logger
+
+from redwingpost.core import (
+    Code,
+    MarkedStatement,
+    MemberError,
+    Refusal,
+    Request,
+    StatementClass,
+    read_marks,
+)
+from redwingpost.ports import StatementResult
+from redwingpost.proxy.caller import Caller, CallerSessionState, SeenAt
+from redwingpost.proxy.classify import classify
+from redwingpost.proxy.local_answers import (
+    EMPTY_RESULT,
+    answer_select,
+    apply_set,
+    read_use,
+)
+from redwingpost.proxy.parts import Parts
+from redwingpost.proxy.transactions import Transaction
+
+Answer = Result[StatementResult, Refusal | MemberError]
+
+#: Seconds a request may take where its caller names no deadline. A
+#: primary change is over within 3 s, so that a waiting write outlives
+#: it; a caller that waits longer than 5 s has mostly gone.
+DEFAULT_DEADLINE_S = 5.0
+
+_request_numbers = count(1)
+
+
+class StatementSession:
+    """Handles the statements of one connection, one after another.
+
+    Parameters
+    ----------
+    caller : Caller
+        Who it is.
+    parts : Parts
+        The proxy's shared parts.
+    """
+
+    def __init__(self, caller: Caller, parts: Parts) -> None:
+        self.caller = caller
+        self._parts = parts
+        self._transaction: Transaction | None = None
+        self._request: Request | None = None
+        self._cut: Refusal | None = None
+        self.organisation = caller.organisation
+        self.connection_id = caller.connection_id
+
+    @property
+    def in_transaction(self) -> bool:
+        """Say whether a transaction is open."""
+        return self._transaction is not None
+
+    @property
+    def busy(self) -> bool:
+        """Say whether a planned stop has to wait for this connection."""
+        return self._request is not None or self._transaction is not None
+
+    @property
+    def autocommit(self) -> bool:
+        """Say whether each statement commits by itself."""
+        return self.caller.autocommit
+
+    @autocommit.setter
+    def autocommit(self, value: bool) -> None:
+        self.caller.autocommit = value
+
+    @property
+    def group(self) -> str:
+        """Return the connection's database group."""
+        return self.caller.group
+
+    @property
+    def last_insert_id(self) -> int:
+        """Return the id that the last INSERT was given."""
+        return self.caller.last_insert_id
+
+    async def handle(self, sql: str, attributes: dict[str, str]) -> Answer:
+        """Run one statement."""
+        arrived_at = self._parts.clock.now()
+        kind = classify("")
+        marked = read_marks(sql, attributes)
+        if marked.is_error():
+            answer = Error(marked.error)
+        else:
+            kind = classify(marked.ok.sql)
+            answer = await self._handle_marked(marked.ok, arrived_at)
+        self._request = None
+        self._account(kind.statement_class, answer, arrived_at)
+        return answer
+
+    async def _handle_marked(
+        self, marked: MarkedStatement, arrived_at: float
+    ) -> Answer:
+        refusal = await self._check_key()
+        if refusal is not None:
+            return Error(refusal)
+        classified = classify(marked.sql)
+        if classified.refusal is not None:
+            return Error(Refusal(classified.refusal))
+        if classified.statement_class is StatementClass.SESSION:
+            return await self._run_session(marked.sql)
+        self.caller.current_session = marked.marks.session
+        token = self._take_token(marked)
+        if token is not None:
+            return Error(token)
+        if classified.statement_class is StatementClass.READ:
+            local = answer_select(marked.sql, self)
+            if local is not None:
+                return local
+        request = self._make_request(
+            marked, classified.statement_class, arrived_at
+        )
+        refusal = self._check_group(request)
+        if refusal is not None:
+            return Error(refusal)
+        self._request = request
+        return await self._dispatch(request, marked.sql)
+
+    async def _check_key(self) -> Refusal | None:
+        """Check the key at each request, not only at the handshake.
+
+        A caller that stays connected would otherwise keep a withdrawn
+        key for as long as its connection lasts.
+        """
+        refusal = self._cut or self._parts.keys.check(
+            self.caller.organisation,
+            self.caller.key_hash,
+            self._parts.clock.now(),
+        )
+        if refusal is not None:
+            await self._abandon_transaction()
+        return refusal
+
+    def _take_token(self, marked: MarkedStatement) -> Refusal | None:
+        if not marked.marks.token:
+            return None
+        read = self._parts.tokens.read(
+            marked.marks.token, self.caller.organisation
+        )
+        if read.is_error():
+            return read.error
+        token = read.ok
+        if marked.marks.session and token.session != marked.marks.session:
+            return Refusal(Code.TOKEN_INVALID, "of another session")
+        self.caller.current_session = token.session
+        state = self.caller.state(token.session)
+        state.positions.merge(token.positions_by_group, token.whole)
+        return None
+
+    def _check_group(self, request: Request) -> Refusal | None:
+        configuration = self._parts.directory.configuration
+        if not request.group:
+            return Refusal(Code.UNKNOWN_GROUP, "no database selected")
+        if request.group not in configuration.groups_by_name:
+            return Refusal(Code.UNKNOWN_GROUP, f"no group {request.group!r}")
+        known = configuration.organisations_by_name[request.organisation]
+        if request.group not in known.groups:
+            return Refusal(Code.GROUP_NOT_ALLOWED)
+        return None
+
+    def _make_request(
+        self,
+        marked: MarkedStatement,
+        statement_class: StatementClass,
+        arrived_at: float,
+    ) -> Request:
+        marks = marked.marks
+        limit_s = marks.deadline_ms / 1000 or DEFAULT_DEADLINE_S
+        kind = self._parts.directory.configuration.kind(marks.kind)
+        return Request(
+            request=next(_request_numbers),
+            organisation=self.caller.organisation,
+            group=self.caller.group,
+            session=self.caller.current_session,
+            statement_class=statement_class,
+            marks=marks,
+            arrived_at=arrived_at,
+            deadline_at=arrived_at + limit_s,
+            after=self._after(marked),
+            cost=kind.cost,
+            in_transaction=self.in_transaction,
+        )
+
+    def _after(self, marked: MarkedStatement) -> Any:
+        # A named session may write through other proxies at any time;
+        # without its token nothing is known of it.
+        if marked.marks.session and not marked.marks.token:
+            return None
+        state = self.caller.state(self.caller.current_session)
+        return state.positions.after(self.caller.group)
+
+    async def _dispatch(self, request: Request, sql: str) -> Answer:
+        ends = {
+            StatementClass.BEGIN: self._begin,
+            StatementClass.COMMIT: self._commit,
+            StatementClass.ROLLBACK: self._rollback,
+        }
+        if request.statement_class in ends:
+            return await ends[request.statement_class](request, sql)
+        entered = await self._parts.gate.enter(request)
+        if entered.is_error():
+            return entered
+        try:
+            return await self._run(request, sql)
+        finally:
+            self._parts.gate.leave(entered.ok)
+
+    async def _run(self, request: Request, sql: str) -> Answer:
+        if self._transaction is not None:
+            return await self._run_in_transaction(request, sql)
+        if request.statement_class is StatementClass.READ:
+            return await self._read(request, sql)
+        if not self.caller.autocommit:
+            begun = await self._begin(request, "BEGIN")
+            if begun.is_error():
+                return begun
+            return await self._run_in_transaction(request, sql)
+        return await self._write(request, sql)
+
+    async def _read(self, request: Request, sql: str) -> Answer:
+        answer = await self._parts.reader.read(request, sql)
+        if answer.is_error():
+            return answer
+        read = answer.ok
+        state = self._state(request)
+        state.advance(request.group, read.follows)
+        state.seen_by_group[request.group] = SeenAt(read.member, read.until)
+        return Ok(read.result)
+
+    async def _write(self, request: Request, sql: str) -> Answer:
+        answer = await self._parts.writer.write(request, sql)
+        if answer.is_error():
+            return answer
+        self._note_write(request, answer.ok.result, answer.ok.position)
+        return Ok(answer.ok.result)
+
+    def _note_write(
+        self, request: Request, result: StatementResult, position: Any
+    ) -> None:
+        self._state(request).advance(request.group, position)
+        if result.last_insert_id:
+            self.caller.last_insert_id = result.last_insert_id
+
+    def _state(self, request: Request) -> CallerSessionState:
+        return self.caller.state(request.session)
+
+    async def _begin(self, request: Request, sql: str) -> Answer:
+        if self._transaction is not None:
+            # MySQL commits the open transaction at a second BEGIN.
+            committed = await self._commit(request, "COMMIT")
+            if committed.is_error():
+                return committed
+        begun = await self._parts.transactions.begin(request, sql)
+        if begun.is_error():
+            return begun
+        self._transaction = begun.ok
+        return Ok(EMPTY_RESULT)
+
+    async def _run_in_transaction(self, request: Request, sql: str) -> Answer:
+        answer = await self._parts.transactions.execute(
+            self._transaction, request, sql
+        )
+        if answer.is_error() and isinstance(answer.error, Refusal):
+            self._transaction = None
+        elif answer.is_ok() and answer.ok.last_insert_id:
+            self.caller.last_insert_id = answer.ok.last_insert_id
+        return answer
+
+    async def _commit(self, request: Request, _sql: str) -> Answer:
+        if self._transaction is None:
+            return Ok(EMPTY_RESULT)
+        transaction, self._transaction = self._transaction, None
+        answer = await self._parts.transactions.commit(transaction, request)
+        if answer.is_error():
+            return answer
+        self._note_write(request, answer.ok.result, answer.ok.position)
+        return Ok(answer.ok.result)
+
+    async def _rollback(self, _request: Request, sql: str) -> Answer:
+        if " TO " in sql.upper() and self._transaction is not None:
+            return await self._run_in_transaction(_request, sql)
+        await self._abandon_transaction()
+        return Ok(EMPTY_RESULT)
+
+    async def _abandon_transaction(self) -> None:
+        if self._transaction is not None:
+            transaction, self._transaction = self._transaction, None
+            await self._parts.transactions.rollback(transaction)
+
+    async def _run_session(self, sql: str) -> Answer:
+        group = read_use(sql)
+        if group is not None:
+            used = await self.use(group)
+            return used if used.is_error() else Ok(EMPTY_RESULT)
+        was_autocommit = self.caller.autocommit
+        answer = apply_set(sql, self)
+        turned_on = self.caller.autocommit and not was_autocommit
+        if turned_on and self._transaction is not None:
+            # MySQL commits what is open when autocommit is turned on.
+            return await self._commit(self._end_request(), "COMMIT")
+        return answer
+
+    def _end_request(self) -> Request:
+        marked = MarkedStatement("COMMIT", read_marks("", {}).ok.marks)
+        return self._make_request(
+            marked, StatementClass.COMMIT, self._parts.clock.now()
+        )
+
+    async def use(self, group: str) -> Result[None, Refusal]:
+        """Change the connection's database group."""
+        if self._transaction is not None:
+            detail = "USE inside a transaction is not carried"
+            return Error(Refusal(Code.UNSUPPORTED, detail))
+        self.caller.group = group
+        return Ok(None)
+
+    def make_token(self) -> str:
+        """Return the current session's token."""
+        state = self.caller.state(self.caller.current_session)
+        self._settle(state)
+        return self._parts.tokens.mint(
+            self.caller.organisation,
+            self.caller.current_session,
+            state.positions.by_group,
+            state.positions.whole,
+        )
+
+    def _settle(self, state: CallerSessionState) -> None:
+        """Cover what the session's last reads saw by known positions."""
+        for group, seen in tuple(state.seen_by_group.items()):
+            board = self._parts.board
+            position = board.applied_since(seen.member, seen.until)
+            if position is not None:
+                state.advance(group, position)
+                del state.seen_by_group[group]
+
+    async def cut(self, refusal: Refusal) -> None:
+        """Refuse all further statements and roll back what is open."""
+        self._cut = refusal
+        if self._request is None:
+            await self._abandon_transaction()
+
+    async def reset(self) -> None:
+        """Forget the connection's state."""
+        await self._abandon_transaction()
+        self.caller.forget()
+
+    async def close(self) -> None:
+        """Roll back what is open: the client is gone."""
+        await self._abandon_transaction()
+        self._parts.sessions.discard(self)
+
+    def _account(
+        self,
+        statement_class: StatementClass,
+        answer: Answer,
+        arrived_at: float,
+    ) -> None:
+        name = statement_class.value
+        metrics = self._parts.metrics
+        code = "0"
+        if answer.is_error():
+            code = _code_label(answer.error)
+            logger.bind(
+                organisation=self.caller.organisation,
+                connection=self.caller.connection_id,
+                session=self.caller.current_session,
+            ).debug("statement ended with code {}", code)
+        metrics.requests.labels(name, code).inc()
+        elapsed = self._parts.clock.now() - arrived_at
+        metrics.duration.labels(name).observe(elapsed)
+
+
+def _code_label(error: Refusal | MemberError) -> str:
+    if isinstance(error, Refusal):
+        return str(error.code.number)
+    # A member's own numbers are many; one label keeps the set bounded.
+    return "member"
