--- /dev/null
+++ b/redwingpost/bench/load.py
@@ -0,0 +1,226 @@
+"""The load generator: sends a schedule and records the history."""
+
+from asyncio import Task, create_task, gather, sleep
+from collections import defaultdict
+from random import Random
+from time import monotonic
+from typing import NamedTuple
+
+from redwingpost.bench.balancer import Balancer
+from redwingpost.bench.callers import (
+    CONNECT_FAILED,
+    GO_ELSEWHERE,
+    CallerSession,
+    Credential,
+    Outcome,
+    ProxyEndpoint,
+    Request,
+)
+from redwingpost.bench.history import Attempt, Operation, Verdict
+from redwingpost.bench.schedule import Arrival
+from redwingpost.bench.statements import SHARED_DOCUMENTS, Target
+
+#: Probability that a session's next request goes to another proxy.
+ROAM = 0.15
+
+#: Attempts of a keyed request whose outcome its caller does not know.
+KEYED_ATTEMPTS = 3
+
+#: Attempts of any request that was told to connect elsewhere.
+ELSEWHERE_ATTEMPTS = 4
+
+#: Seconds a caller waits before it asks for an unknown outcome again.
+RETRY_AFTER_S = 0.3
+
+_UNKNOWN_CODES = frozenset({20303, 20304, 20306, 20308})
+
+
+class ServedBy(NamedTuple):
+    """Which member answered a read."""
+
+    group: str
+    member: str
+    operation: Operation
+    received_at: float
+
+
+class LoadGenerator:
+    """Sends arrivals at their times through sessions that it reuses.
+
+    Parameters
+    ----------
+    balancer : Balancer
+        Names the proxies that take requests.
+    credentials_by_organisation : dict of str to Credential
+        The key that each organisation's callers present.
+    client_delay_s : float
+        One way between callers and proxies, in seconds.
+    seed : int
+        Of the sessions' choices.
+    """
+
+    def __init__(
+        self,
+        balancer: Balancer,
+        credentials_by_organisation: dict[str, Credential],
+        client_delay_s: float,
+        seed: int,
+    ) -> None:
+        self.attempts: list[Attempt] = []
+        self.served: list[ServedBy] = []
+        self.max_late_s = 0.0
+        self.started_at = 0.0
+        self._balancer = balancer
+        self._credentials = credentials_by_organisation
+        self._delay_s = client_delay_s
+        self._random = Random(seed)
+        self._idle: dict[tuple[str, str], list[CallerSession]] = defaultdict(
+            list
+        )
+        self._sessions: list[CallerSession] = []
+        self._shared_revisions: dict[tuple[str, str, str], int] = defaultdict(
+            int
+        )
+        self._running: set[Task] = set()
+
+    async def run(self, arrivals: list[Arrival]) -> None:
+        """Send every arrival when it is due, then wait for all answers."""
+        self.started_at = monotonic()
+        for arrival in arrivals:
+            wait_s = self.started_at + arrival.due_s - monotonic()
+            if wait_s > 0.0:
+                await sleep(wait_s)
+            else:
+                self.max_late_s = max(self.max_late_s, -wait_s)
+            task = create_task(self._serve(arrival))
+            self._running.add(task)
+            task.add_done_callback(self._running.discard)
+        await gather(*self._running)
+
+    async def close(self) -> None:
+        """Close every session's connections."""
+        await gather(*(session.close() for session in self._sessions))
+
+    async def _serve(self, arrival: Arrival) -> None:
+        session = self._take_session(arrival)
+        request = self._make_request(session, arrival)
+        number = 0
+        while True:
+            number += 1
+            proxy = self._balancer.choose(
+                self._random, arrival.vms, session.vm, ROAM
+            )
+            outcome = await self._attempt(
+                session, proxy, request, arrival, number
+            )
+            if not _tries_again(request.operation, outcome, number):
+                break
+            if outcome.code not in GO_ELSEWHERE:
+                await sleep(RETRY_AFTER_S)
+        key = (arrival.organisation, arrival.group)
+        self._idle[key].append(session)
+
+    def _take_session(self, arrival: Arrival) -> CallerSession:
+        key = (arrival.organisation, arrival.group)
+        idle = self._idle[key]
+        if idle:
+            return idle.pop(self._random.randrange(len(idle)))
+        session = CallerSession(
+            name=f"s{len(self._sessions)}",
+            credential=self._credentials[arrival.organisation],
+            group=arrival.group,
+            client_delay_s=self._delay_s,
+        )
+        self._sessions.append(session)
+        return session
+
+    def _make_request(
+        self, session: CallerSession, arrival: Arrival
+    ) -> Request:
+        operation = arrival.entry.operation
+        document, revision = "", 0
+        if operation in (Operation.READ_OWN, Operation.EDIT):
+            document = f"plan-{session.name}"
+        elif operation.reads or operation is Operation.EDIT_SHARED:
+            document = f"notice-{self._random.randrange(SHARED_DOCUMENTS)}"
+        if operation is Operation.EDIT:
+            session.revision += 1
+            revision = session.revision
+        elif operation is Operation.EDIT_SHARED:
+            shared = (arrival.organisation, arrival.group, document)
+            self._shared_revisions[shared] += 1
+            revision = self._shared_revisions[shared]
+        target = Target(
+            arrival.request, arrival.organisation, document, revision
+        )
+        return Request(
+            operation,
+            arrival.entry.kind,
+            target,
+            arrival.entry.max_staleness_ms,
+        )
+
+    async def _attempt(
+        self,
+        session: CallerSession,
+        proxy: ProxyEndpoint,
+        request: Request,
+        arrival: Arrival,
+        number: int,
+    ) -> Outcome:
+        sent_at = monotonic()
+        outcome = await session.send(proxy, request)
+        received_at = monotonic()
+        answer = outcome.answer
+        self.attempts.append(
+            Attempt(
+                request=arrival.request,
+                number=number,
+                organisation=arrival.organisation,
+                credential=session.credential.name,
+                session=session.name,
+                group=session.group,
+                proxy=proxy.vm,
+                operation=request.operation,
+                kind=request.kind,
+                document=request.target.document,
+                revision=request.target.revision,
+                max_staleness_ms=request.max_staleness_ms,
+                due_at=self.started_at + arrival.due_s,
+                sent_at=sent_at,
+                received_at=received_at,
+                verdict=outcome.verdict,
+                code=outcome.code,
+                seen=answer.seen if answer else None,
+                detail=outcome.detail,
+            )
+        )
+        if answer is not None:
+            self.served.append(
+                ServedBy(
+                    session.group,
+                    answer.member,
+                    request.operation,
+                    received_at,
+                )
+            )
+        return outcome
+
+
+def _tries_again(operation: Operation, outcome: Outcome, number: int) -> bool:
+    """Say whether a caller sends its request once more.
+
+    A proxy that is not there or asks to connect elsewhere took nothing,
+    so any request may go to the next. An unknown outcome is only asked
+    for again under the same idempotency key, or for a read.
+    """
+    if outcome.verdict is Verdict.ANSWERED:
+        return False
+    if outcome.code in GO_ELSEWHERE or outcome.code == CONNECT_FAILED:
+        return number < ELSEWHERE_ATTEMPTS
+    unknown = outcome.verdict is Verdict.LOST or outcome.code in _UNKNOWN_CODES
+    return (
+        unknown
+        and operation is Operation.KEYED_ORDER
+        and number < KEYED_ATTEMPTS
+    )
--- a/redwingpost/bench/measures.py
+++ b/redwingpost/bench/measures.py
@@ -122,9 +122,9 @@
 
 
 def refusals_by_code(run: Run) -> dict[str, int]:
-    """Count the attempts without an answer by code; 0 is a lost one."""
+    """Count the attempts without an answer by code, or as ``lost``."""
     codes = Counter(
-        str(attempt.code)
+        "lost" if attempt.verdict is Verdict.LOST else str(attempt.code)
         for attempt in run.attempts
         if attempt.verdict is not Verdict.ANSWERED
     )
