Add stand-ins for database groups and the platform

A group runs its members in one process: MySQL protocol, SQLite data, a pulled statement log with terms, promises and a diverged tail set aside.

--- /dev/null
+++ b/redwingpost/standin/faults.py
@@ -0,0 +1,93 @@
+"""Fault orders over HTTP: ``POST /faults {"fault": NAME, …}``."""
+
+from collections.abc import Awaitable, Callable
+from inspect import getdoc, signature
+from typing import Any
+
+from aiohttp.web import (
+    AppRunner,
+    Application,
+    Request,
+    Response,
+    TCPSite,
+    json_response,
+)
+from msgspec import DecodeError
+from msgspec.json import Decoder, Encoder
+
+from redwingpost.core import Registry
+from redwingpost.standin.settings import Endpoint
+
+Fault = Callable[..., Awaitable[dict[str, Any] | None]]
+
+_DECODER = Decoder(dict[str, Any])
+_ENCODER = Encoder()
+
+
+def describe_faults(registry: Registry[Fault]) -> list[dict[str, str]]:
+    """Return each fault's name, arguments and first line of its doc."""
+    return [
+        {
+            "fault": name,
+            "arguments": ", ".join(list(signature(fault).parameters)[1:]),
+            "does": (getdoc(fault) or "").splitlines()[0],
+        }
+        for name, fault in registry.items()
+    ]
+
+
+class FaultServer:
+    """The fault port of a stand-in.
+
+    Parameters
+    ----------
+    registry : Registry
+        The faults that this stand-in knows.
+    standin : object
+        Passed to each fault as its first argument.
+    endpoint : Endpoint
+        Where to listen.
+    """
+
+    def __init__(
+        self,
+        registry: Registry[Fault],
+        standin: Any,
+        endpoint: Endpoint,
+        link_faults: bool = False,
+    ) -> None:
+        self._registry = registry
+        self._standin = standin
+        self._endpoint = endpoint
+        self._link_faults = link_faults
+        self._runner: AppRunner | None = None
+        self.address = (endpoint.ip, endpoint.port)
+
+    async def start(self) -> None:
+        """Listen for orders."""
+        application = Application()
+        application.router.add_get("/faults", self._list)
+        application.router.add_post("/faults", self._order)
+        self._runner = AppRunner(application, access_log=None)
+        await self._runner.setup()
+        site = TCPSite(self._runner, self._endpoint.ip, self._endpoint.port)
+        await site.start()
+        self.address = self._runner.addresses[0][:2]
+
+    async def stop(self) -> None:
+        """Close the port."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _list(self, request: Request) -> Response:
+        return json_response({"faults": describe_faults(self._registry)})
+
+    async def _order(self, request: Request) -> Response:
+        try:
+            order = _DECODER.decode(await request.read())
+            fault = self._registry.get(str(order.pop("fault", "")))
+            answer = await fault(self._standin, **order)
+        except (DecodeError, KeyError, TypeError, ValueError) as broken:
+            return json_response({"error": str(broken)}, status=400)
+        body = _ENCODER.encode(answer or {})
+        return Response(body=body, content_type="application/json")
--- /dev/null
+++ b/redwingpost/standin/session_statements.py
@@ -0,0 +1,160 @@
+"""Statements about the session itself: BEGIN, COMMIT, SET, SHOW …."""
+
+from collections.abc import Awaitable, Callable
+from re import IGNORECASE, compile as compile_pattern, match as match_pattern
+from sqlite3 import Error as StoreError
+from typing import Any
+
+from mysql_mimic import ResultColumn, ResultSet
+from mysql_mimic.types import ColumnType
+
+from redwingpost.core import Registry
+from redwingpost.standin.ddl import split_list
+from redwingpost.standin.dialect import translate
+from redwingpost.standin.mysql_errors import from_store
+
+Handler = Callable[[Any, str], Awaitable[ResultSet | None]]
+
+STATEMENTS: Registry[Handler] = Registry("session statement")
+
+_FIRST = compile_pattern(r"(?:\s|/\*.*?\*/)*(\w+)", IGNORECASE)
+_ASSIGNMENT = compile_pattern(
+    r"(?is)^\s*(?P<scope>@@(?:session|global)?\.?|@|session\s+|global\s+)?"
+    r"(?P<name>[\w.$]+)\s*:?=\s*(?P<value>.+?)\s*$"
+)
+
+_ISOLATION = compile_pattern(
+    r"(?is)(?:session\s+|global\s+)?transaction\s+isolation" r"\s+level\s+(.+)"
+)
+
+
+def find_session_statement(text: str) -> Handler | None:
+    """Return the handler of a statement about the session, or None."""
+    match = _FIRST.match(text)
+    word = match.group(1).upper() if match else ""
+    return STATEMENTS.get(word) if word in _WORDS else None
+
+
+@STATEMENTS.register("BEGIN")
+async def begin(session: Any, text: str) -> None:
+    """Open a transaction; MySQL commits an open one first."""
+    await commit(session, text)
+    session.transaction.begin()
+
+
+STATEMENTS.register("START")(begin)
+
+
+@STATEMENTS.register("COMMIT")
+async def commit(session: Any, text: str) -> None:
+    """Commit; the member's time for it counts if anything was written."""
+    if session.transaction.commit():
+        await session.member.serve_write(0.0, False)
+
+
+@STATEMENTS.register("ROLLBACK")
+async def rollback(session: Any, text: str) -> None:
+    """Undo the transaction, or back to a savepoint."""
+    partial = match_pattern(
+        r"(?is)\s*ROLLBACK\s+(?:WORK\s+)?TO\s+(?:SAVEPOINT\s+)?`?(\w+)", text
+    )
+    if partial is None:
+        session.transaction.rollback()
+        return
+    await _savepoint(session, f"ROLLBACK TO `{partial.group(1)}`")
+
+
+@STATEMENTS.register("SAVEPOINT")
+async def savepoint(session: Any, text: str) -> None:
+    """Set a savepoint inside the open transaction."""
+    name = text.split()[-1].strip("`;")
+    if session.transaction.is_open:
+        await _savepoint(session, f"SAVEPOINT `{name}`")
+
+
+@STATEMENTS.register("RELEASE")
+async def release(session: Any, text: str) -> None:
+    """Forget a savepoint."""
+    name = text.split()[-1].strip("`;")
+    await _savepoint(session, f"RELEASE `{name}`")
+
+
+async def _savepoint(session: Any, sql: str) -> None:
+    await session.transaction.lock()
+    try:
+        session.transaction.execute(sql, ())
+    except StoreError as error:
+        raise from_store(error) from error
+
+
+@STATEMENTS.register("SET")
+async def assign(session: Any, text: str) -> None:
+    """Set user and system variables; what isn't known is kept."""
+    body = text.strip().rstrip(";")[3:].strip()
+    isolation = _ISOLATION.match(body)
+    if isolation is not None:
+        level = "-".join(isolation.group(1).upper().split())
+        session.system_variables["transaction_isolation"] = level
+        return
+    if match_pattern(r"(?i)(names|character\s+set)\b", body):
+        return
+    for part in split_list(body):
+        match = _ASSIGNMENT.match(part)
+        if match is not None:
+            _assign(session, match)
+
+
+def _assign(session: Any, match) -> None:
+    name = match["name"].lower().rpartition(".")[2]
+    value = _evaluate(session, match["value"])
+    if (match["scope"] or "") == "@":
+        session.user_variables[match["name"].lower()] = value
+    elif name == "autocommit":
+        _set_autocommit(session, str(value).upper() in ("1", "ON", "TRUE"))
+    else:
+        session.system_variables[name] = value
+
+
+def _set_autocommit(session: Any, wanted: bool) -> None:
+    if wanted and not session.autocommit:
+        session.transaction.commit()
+    session.autocommit = wanted
+
+
+def _evaluate(session: Any, expression: str) -> Any:
+    statement = translate(f"SELECT {expression}", session.values())
+    sql = statement.plan.statements[0]
+    try:
+        row = session.transaction.store.execute(sql, statement.parameters)
+        return row.fetchone()[0]
+    except StoreError:
+        return expression.strip("'\"")
+
+
+@STATEMENTS.register("USE")
+async def use(session: Any, text: str) -> None:
+    """Choose a database; a member has one, so any name will do."""
+    session.database = text.split()[-1].strip("`;")
+
+
+@STATEMENTS.register("SHOW")
+async def show(session: Any, text: str) -> ResultSet:
+    """Answer SHOW TABLES; other kinds are empty."""
+    rows = []
+    if match_pattern(r"(?i)\s*SHOW\s+(?:FULL\s+)?TABLES", text):
+        rows = session.transaction.store.execute(
+            "SELECT name FROM sqlite_master WHERE type = 'table'"
+            " AND name NOT LIKE 'sqlite_%' ORDER BY name"
+        ).fetchall()
+    column = ResultColumn("Tables_in_group", ColumnType.VAR_STRING)
+    return ResultSet(rows, [column])
+
+
+@STATEMENTS.register("DO")
+async def do(session: Any, text: str) -> None:
+    """Evaluate for the effect, ``DO SLEEP(1)``: holds a slot that long."""
+    statement = translate(f"SELECT {text.strip()[2:]}", session.values())
+    await session.member.serve_read(statement.sleep)
+
+
+_WORDS = frozenset(STATEMENTS.names())
--- /dev/null
+++ b/redwingpost/standin/tests/test_group.py
@@ -0,0 +1,283 @@
+"""A database group's stand-in, asked by a real driver."""
+
+from asyncio import gather
+from datetime import datetime
+from decimal import Decimal
+from logging import CRITICAL, getLogger
+from unittest import IsolatedAsyncioTestCase
+
+from asyncmy.errors import MySQLError
+
+from redwingpost.standin import GroupStandin
+from redwingpost.standin.tests.support import (
+    changed,
+    dial,
+    order,
+    quick_settings,
+    rows,
+)
+
+CREATE = (
+    "CREATE TABLE plans (id BIGINT AUTO_INCREMENT PRIMARY KEY,"
+    " name VARCHAR(50) NOT NULL, price DECIMAL(10,2), at DATETIME(6),"
+    " body BLOB, stock BIGINT, UNIQUE KEY by_name (name))"
+)
+
+
+class GroupCase(IsolatedAsyncioTestCase):
+    """Starts a group whose statements cost no time."""
+
+    settings = quick_settings()
+
+    async def asyncSetUp(self):
+        getLogger("mysql_mimic").setLevel(CRITICAL)
+        self.group = GroupStandin(self.settings)
+        await self.group.start()
+        self.addAsyncCleanup(self.group.stop)
+
+    async def dial(self, name):
+        connection = await dial(self.group, name)
+        self.addCleanup(connection.close)
+        return connection
+
+    async def error(self, connection, sql):
+        with self.assertRaises(MySQLError) as caught:
+            await rows(connection, sql)
+        return caught.exception.args[0]
+
+    async def write_point(self, connection):
+        return (await rows(connection, "REDWING POSITION"))[0]
+
+    async def promote(self, name, term):
+        members = list(self.group.members_by_name)
+        for member in members:
+            connection = await self.dial(member)
+            await rows(connection, f"REDWING CLAIM {term} vm-1")
+        connection = await self.dial(name)
+        answer = await rows(connection, f"REDWING PROMOTE {term} vm-1")
+        self.assertEqual(answer[0][0], 1)
+        for member in members:
+            if member != name:
+                other = await self.dial(member)
+                await rows(other, f"REDWING FOLLOW {term} {name} 127.0.0.1 1")
+
+
+class StatementsTest(GroupCase):
+    async def test_types_pass_whole(self):
+        primary = await self.dial("a")
+        await rows(primary, CREATE)
+        values = (
+            "José 書 \U0001f600 \\ ' \n",
+            Decimal("12.50"),
+            datetime(2026, 1, 2, 3, 4, 5, 678),
+            b"\x00\xff'\\\x80\n",
+            2**63 - 1,
+        )
+        insert = (
+            "INSERT INTO plans (name, price, at, body, stock)"
+            " VALUES (%s, %s, %s, %s, %s)"
+        )
+        self.assertEqual(await changed(primary, insert, *values), (1, 1))
+        found = await rows(primary, "SELECT * FROM plans")
+        self.assertEqual(found, [(1, *values)])
+
+    async def test_affected_rows_and_ids(self):
+        primary = await self.dial("a")
+        await rows(primary, CREATE)
+        table = [
+            ("INSERT INTO plans (name) VALUES ('a'), ('b')", (2, 1)),
+            ("INSERT IGNORE INTO plans (name) VALUES ('a')", (0, 0)),
+            ("UPDATE plans SET stock = 3 WHERE name = 'a'", (1, 0)),
+            (
+                "INSERT INTO plans (name, stock) VALUES ('a', 9)"
+                " ON DUPLICATE KEY UPDATE stock = VALUES(stock) + 1",
+                (2, 0),
+            ),
+            ("DELETE FROM plans WHERE stock = 10", (1, 0)),
+        ]
+        for sql, expected in table:
+            with self.subTest(sql=sql):
+                affected, inserted = await changed(primary, sql)
+                self.assertEqual(affected, expected[0])
+                if expected[1]:
+                    self.assertEqual(inserted, expected[1])
+
+    async def test_errors_have_mysql_numbers(self):
+        primary = await self.dial("a")
+        replica = await self.dial("b")
+        await rows(primary, CREATE)
+        await rows(primary, "INSERT INTO plans (name) VALUES ('x')")
+        table = [
+            (primary, "INSERT INTO plans (name) VALUES ('x')", 1062),
+            (primary, "SELEC 1", 1064),
+            (primary, "SELECT * FROM absent", 1146),
+            (primary, "INSERT INTO plans (name) VALUES (NULL)", 1048),
+            (primary, "REDWING NONSENSE", 1064),
+            (primary, "REDWING CLAIM", 1064),
+            (replica, "DELETE FROM plans", 1290),
+        ]
+        for connection, sql, number in table:
+            with self.subTest(sql=sql):
+                self.assertEqual(await self.error(connection, sql), number)
+
+    async def test_failed_statement_leaves_transaction_open(self):
+        """A duplicate inside a transaction undoes only its statement."""
+        primary = await self.dial("a")
+        await rows(primary, CREATE)
+        await rows(primary, "BEGIN")
+        await rows(primary, "INSERT INTO plans (name) VALUES ('x')")
+        duplicate = "INSERT INTO plans (name) VALUES ('x')"
+        self.assertEqual(await self.error(primary, duplicate), 1062)
+        await rows(primary, "COMMIT")
+        found = await rows(primary, "SELECT name FROM plans")
+        self.assertEqual(found, [("x",)])
+
+    async def test_reset_clears_the_connection(self):
+        primary = await self.dial("a")
+        await rows(primary, "SET @seat = 4")
+        await rows(primary, "CREATE TEMPORARY TABLE seats (n INT)")
+        await rows(primary, "BEGIN")
+        await rows(primary, "REDWING RESET")
+        self.assertEqual(await rows(primary, "SELECT @seat"), [(None,)])
+        wanted = "SELECT * FROM seats"
+        self.assertEqual(await self.error(primary, wanted), 1146)
+
+
+class LimitsTest(GroupCase):
+    settings = quick_settings(connections=2, lock_wait_ms=50)
+
+    async def test_one_connection_too_many(self):
+        await self.dial("a")
+        await self.dial("a")
+        with self.assertRaises(MySQLError) as caught:
+            await self.dial("a")
+        self.assertEqual(caught.exception.args[0], 1040)
+
+    async def test_second_writer_waits_and_fails(self):
+        first, second = await gather(self.dial("a"), self.dial("a"))
+        await rows(first, CREATE)
+        await rows(first, "BEGIN")
+        await rows(first, "INSERT INTO plans (name) VALUES ('x')")
+        insert = "INSERT INTO plans (name) VALUES ('y')"
+        self.assertEqual(await self.error(second, insert), 1205)
+        await rows(first, "COMMIT")
+        await rows(second, insert)
+
+
+class ReplicationTest(GroupCase):
+    async def test_replicas_follow(self):
+        primary = await self.dial("a")
+        replica = await self.dial("b")
+        await rows(primary, CREATE)
+        await rows(primary, "INSERT INTO plans (name) VALUES ('x')")
+        term, index = await self.write_point(primary)
+        waited = await rows(
+            replica, f"REDWING WAIT APPLIED {term} {index} 5000"
+        )
+        self.assertEqual(waited[0][0], 1)
+        found = await rows(replica, "SELECT name FROM plans")
+        self.assertEqual(found, [("x",)])
+
+    async def test_fence_rolls_an_open_transaction_back(self):
+        """A promotion begins while a caller's transaction is open.
+
+        The old primary must not commit it any more; the caller sees
+        error 1290 at its commit instead of an acknowledgement.
+        """
+        primary = await self.dial("a")
+        await rows(primary, CREATE)
+        await rows(primary, "BEGIN")
+        await rows(primary, "INSERT INTO plans (name) VALUES ('x')")
+        other = await self.dial("a")
+        await rows(other, "REDWING CLAIM 2 vm-1")
+        self.assertEqual(await self.error(primary, "COMMIT"), 1290)
+        self.assertEqual(await rows(primary, "SELECT * FROM plans"), [])
+
+    async def test_diverged_tail_is_set_aside(self):
+        """A primary commits alone, is replaced and comes back.
+
+        What only it held must not be merged: a caller would see a
+        reservation that the group doesn't hold.
+        """
+        primary = await self.dial("a")
+        await rows(primary, CREATE)
+        term, index = await self.write_point(primary)
+        for name in ("b", "c"):
+            other = await self.dial(name)
+            await rows(other, f"REDWING WAIT APPLIED {term} {index} 5000")
+            await rows(other, "REDWING CLAIM 2 vm-1")
+        await rows(primary, "INSERT INTO plans (name) VALUES ('lost')")
+        await self.promote("b", 3)
+        leader = await self.dial("b")
+        await rows(leader, "INSERT INTO plans (name) VALUES ('kept')")
+        term, index = await self.write_point(leader)
+        old = await self.dial("a")
+        await rows(old, f"REDWING WAIT APPLIED {term} {index} 5000")
+        found = await rows(old, "SELECT name FROM plans")
+        self.assertEqual(found, [("kept",)])
+        aside = await rows(old, "REDWING DIVERGED")
+        self.assertEqual([row[:2] for row in aside], [(1, 3)])
+
+
+class FaultsTest(GroupCase):
+    async def order(self, fault, **arguments):
+        status, answer = await order(
+            self.group.fault_address, fault, **arguments
+        )
+        self.assertEqual(status, 200, answer)
+        return answer
+
+    async def test_lost_answer_took_effect(self):
+        """The member commits, but the answer never arrives.
+
+        The caller can't tell this from a write that didn't run.
+        """
+        primary = await self.dial("a")
+        await rows(primary, CREATE)
+        await self.order("lose-answer", member="a", match="INSERT")
+        with self.assertRaises(MySQLError):
+            await rows(primary, "INSERT INTO plans (name) VALUES ('x')")
+        other = await self.dial("a")
+        found = await rows(other, "SELECT name FROM plans")
+        self.assertEqual(found, [("x",)])
+
+    async def test_death_keeps_promises_and_data(self):
+        """A member dies and comes back: its promises must hold."""
+        primary = await self.dial("a")
+        await rows(primary, CREATE)
+        await rows(primary, "REDWING CLAIM 7 vm-9")
+        await self.order("die", member="a")
+        with self.assertRaises(MySQLError):
+            await rows(primary, "SELECT 1")
+        with self.assertRaises(MySQLError):
+            await self.dial("a")
+        await self.order("restart", member="a")
+        again = await self.dial("a")
+        status = await rows(again, "REDWING STATUS")
+        self.assertEqual(status[0][1:3], ("replica", 7))
+        self.assertEqual(await rows(again, "SELECT * FROM plans"), [])
+
+    async def test_unknown_orders_are_refused(self):
+        table = [
+            ("explode", {}),
+            ("die", {}),
+            ("die", {"member": "z"}),
+            ("lag", {"member": "a", "ms": "soon"}),
+        ]
+        for fault, arguments in table:
+            with self.subTest(fault=fault, arguments=arguments):
+                status, answer = await order(
+                    self.group.fault_address, fault, **arguments
+                )
+                self.assertEqual(status, 400)
+                self.assertIn("error", answer)
+
+    async def test_dump_and_statements(self):
+        primary = await self.dial("a")
+        await rows(primary, CREATE)
+        await rows(primary, "INSERT INTO plans (name) VALUES ('x')")
+        dump = await self.order("dump", member="a")
+        self.assertEqual(len(dump["tables"]["plans"]["rows"]), 1)
+        self.assertEqual(len(dump["log"]), 3)
+        kept = await self.order("statements", member="a")
+        self.assertIn(CREATE, kept["statements"])
