Add the agent: exchanges, news, relays at the store, the proxy's feed

One exchange brings two agents level, all calls in the caller's direction, so that it works where only one can dial the other; news is an exchange with whoever is to be told.

--- a/redwingpost/adapters/tests/test_platform_http.py
+++ b/redwingpost/adapters/tests/test_platform_http.py
@@ -33,6 +33,8 @@
         await reader.readuntil(b"\r\n\r\n")
         if sent is None:
             await done.wait()
+            writer.close()
+            return
         writer.write(sent)
         await writer.drain()
         writer.close()
--- /dev/null
+++ b/redwingpost/agent/interfaces.py
@@ -0,0 +1,176 @@
+"""The interfaces that an agent serves: Fleet to agents, Local to its proxy."""
+
+from typing import Any
+
+from redwingpost.wire.codec import (
+    decode_digest,
+    decode_version,
+    decode_views,
+    decode_withdrawals,
+    encode_beat,
+    encode_digest,
+    encode_version,
+    encode_views,
+    encode_withdrawals,
+    to_age_ms,
+)
+from redwingpost.agent.context import AgentContext
+from redwingpost.agent.exchange import Exchanger
+from redwingpost.configuration import Offer
+from redwingpost.membership import Tell
+from redwingpost.wire import SCHEMA
+
+#: Longest wait of the feed (seconds), whatever the proxy asks for: the
+#: age of the key confirmation has to reach it now and then.
+LONGEST_FEED_S = 5.0
+
+
+class FleetServer(SCHEMA.Fleet.Server):
+    """Answers other agents and ``redwingctl``."""
+
+    def __init__(self, context: AgentContext, exchanger: Exchanger) -> None:
+        self._context = context
+        self._state = context.state
+        self._exchanger = exchanger
+
+    async def beat(
+        self, beats: Any, digest: Any, _context: Any, **kwargs: Any
+    ) -> None:
+        """Exchange heartbeats; the first is the caller's own."""
+        caller = beats[0].vm if len(beats) else ""
+        now = self._context.clock.now()
+        decode_digest(digest)
+        self._exchanger.incoming(beats, caller, now)
+        results = _context.results
+        results.beats = self._exchanger.outgoing(caller)
+        results.digest = encode_digest(self._state.digest())
+
+    async def configuration(
+        self, above: int, _context: Any, **kwargs: Any
+    ) -> None:
+        """Hand out the version held, if it is above the caller's."""
+        current = self._state.configuration.current
+        if current.version > above:
+            _context.results.configuration = encode_version(current)
+
+    async def withdrawals(
+        self, known: Any, _context: Any, **kwargs: Any
+    ) -> None:
+        """Union the caller's withdrawals in and answer with all."""
+        if self._state.withdraw(decode_withdrawals(known)):
+            self._spread(_context)
+        _context.results.known = encode_withdrawals(
+            self._state.configuration.withdrawn
+        )
+
+    async def accepted(
+        self, configuration: Any, _context: Any, **kwargs: Any
+    ) -> None:
+        """Take a version that was accepted."""
+        offer = self._state.offer(decode_version(configuration))
+        if offer is Offer.TAKEN:
+            self._spread(_context)
+
+    async def members(self, _context: Any, **kwargs: Any) -> None:
+        """Show all members, for operators."""
+        now = self._context.clock.now()
+        results = _context.results
+        results.beats = [
+            encode_beat(member.beat, member.silent_s(now))
+            for _, member in sorted(self._state.members.by_vm.items())
+        ]
+        results.digest = encode_digest(self._state.digest())
+
+    async def views(self, known: Any, _context: Any, **kwargs: Any) -> None:
+        """Exchange views of groups."""
+        if self._state.observe_views(decode_views(known)):
+            self._spread(_context)
+        _context.results.known = encode_views(
+            self._state.views.by_group.values()
+        )
+
+    async def drain(self, vm: str, _context: Any, **kwargs: Any) -> None:
+        """Drain this VM's proxy; ``vm`` guards against a wrong address."""
+        if vm != self._state.vm:
+            raise ValueError(f"this is {self._state.vm}, not {vm}")
+        self._state.drain()
+        self._exchanger.spread(Tell.HERE)
+
+    def _spread(self, _context: Any) -> None:
+        # Who called isn't known at this level. Told as if it had arisen
+        # here, news reaches everyone; those who know already answer with
+        # equal digests.
+        self._exchanger.spread(Tell.HERE)
+
+
+class LocalServer(SCHEMA.Local.Server):
+    """Answers the proxy of the same VM."""
+
+    def __init__(self, context: AgentContext) -> None:
+        self._context = context
+        self._state = context.state
+
+    async def feed(
+        self, revision: int, waitMs: int, _context: Any, **kwargs: Any
+    ) -> None:
+        """Answer with what changed after ``revision``, or after a wait."""
+        state = self._state
+        state.proxy_polls(revision)
+        timeout = min(waitMs / 1000.0, LONGEST_FEED_S)
+        await state.wait_beyond(revision, timeout)
+        feed = _context.results.init("feed")
+        self._fill(feed, revision)
+
+    def _fill(self, feed: Any, revision: int) -> None:
+        state = self._state
+        if state.is_news("configuration", revision):
+            feed.configuration = encode_version(state.configuration.current)
+        if state.is_news("withdrawals", revision):
+            feed.withdrawals = encode_withdrawals(
+                state.configuration.withdrawn
+            )
+        if state.is_news("views", revision):
+            feed.views = encode_views(state.views.by_group.values())
+        if state.is_news("peers", revision):
+            feed.peers = self._peers()
+        if state.is_news("shares", revision):
+            feed.shares = self._shares()
+        feed.draining = state.draining
+        feed.confirmedMs = to_age_ms(state.confirmed_age_s())
+        feed.revision = state.revision
+
+    def _peers(self) -> list[dict[str, Any]]:
+        """Return the other VMs that are not gone, with their ages."""
+        now = self._context.clock.now()
+        return [
+            encode_beat(member.beat, member.silent_s(now))
+            for vm, member in sorted(self._state.members.by_vm.items())
+            if vm != self._state.vm
+            and not member.beat.gone
+            and member.beat.incarnation > 0
+        ]
+
+    def _shares(self) -> list[dict[str, Any]]:
+        now = self._context.clock.now()
+        return [
+            {
+                "organisation": share.organisation,
+                "partsPerMillion": share.parts_per_million,
+                "epoch": share.epoch,
+                "validMs": to_age_ms(share.valid_until - now),
+            }
+            for share in self._state.shares
+        ]
+
+    async def report(
+        self,
+        suspects: Any,
+        ready: bool,
+        connections: int,
+        activeOrganisations: Any,
+        _context: Any,
+        **kwargs: Any,
+    ) -> None:
+        """Take in what the proxy sees: suspect members, demand."""
+        self._state.suspects = frozenset(suspects)
+        self._state.active_organisations = frozenset(activeOrganisations)
--- /dev/null
+++ b/redwingpost/agent/parts.py
@@ -0,0 +1,12 @@
+"""Import the modules that register parts of the agent."""
+
+from importlib import import_module
+
+#: Modules whose import fills ``AGENT_PARTS``.
+MODULES = ("redwingpost.agent.fleet",)
+
+
+def load_parts() -> None:
+    """Import every module that registers a part."""
+    for name in MODULES:
+        import_module(name)
--- /dev/null
+++ b/redwingpost/agent/service.py
@@ -0,0 +1,116 @@
+"""The agent process: its parts, put together."""
+
+from time import time
+from typing import Any
+
+from loguru import logger
+from mode import Service
+
+from redwingpost.adapters.peer import PeerAddress, PeerClients, PeerServer
+from redwingpost.adapters.platform_http import HttpPlatform
+from redwingpost.adapters.tls import TlsContexts
+from redwingpost.agent.context import AGENT_PARTS, AgentContext
+from redwingpost.agent.parts import load_parts
+from redwingpost.agent.state import FleetState
+from redwingpost.ports import Clock, MonotonicClock
+from redwingpost.proxy.http import StatusServer
+from redwingpost.settings import Settings
+
+#: Seconds that a planned stop waits for the VM's proxy, which drains at
+#: the same time and takes views of groups from here until its end.
+PROXY_LIMIT_S = 12.0
+
+_DRAIN_POLL_S = 0.1
+
+
+class Agent(Service):
+    """The agent of one VM.
+
+    Parameters
+    ----------
+    settings : Settings
+        The VM's settings.
+    clock : Clock, optional
+        Source of time.
+    platform : Any, optional
+        The platform's ports, for tests; else over HTTP.
+    incarnation : int, optional
+        Grows with each start; by default wall-clock milliseconds.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock | None = None,
+        platform: Any = None,
+        incarnation: int = 0,
+        **kwargs: Any,
+    ) -> None:
+        super().__init__(**kwargs)
+        load_parts()
+        self.settings = settings
+        self.clock = clock or MonotonicClock()
+        self._own_platform = platform is None
+        if platform is None:
+            platform = HttpPlatform(settings.platform, settings.vm.ip)
+        self._platform = platform
+        incarnation = incarnation or int(time() * 1000)
+        tls = TlsContexts(settings.tls)
+        self.context = AgentContext(
+            settings,
+            self.clock,
+            platform,
+            PeerClients(settings.vm.ip, tls, self.clock),
+            FleetState(settings, self.clock, incarnation),
+        )
+        self.parts_by_name = {
+            name: make(self.context) for name, make in AGENT_PARTS.items()
+        }
+        self.server = PeerServer(
+            PeerAddress(settings.vm.ip, settings.agent.peer_port),
+            self.context.interfaces,
+            tls,
+        )
+        self.http = StatusServer(
+            settings.vm.ip,
+            settings.agent.http_port,
+            self.context.registry,
+            lambda: self.ready,
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Say whether this VM's agent does its work."""
+        state = self.context.state
+        has_configuration = state.configuration.version > 0
+        return has_configuration and not (state.draining or state.stopping)
+
+    async def on_start(self) -> None:
+        """Start the parts; peers are served from the first moment on."""
+        if self._own_platform:
+            await self.add_runtime_dependency(self._platform)
+        await self.add_runtime_dependency(self.server)
+        self.context.state.agent_port = self.server.port
+        for part in self.parts_by_name.values():
+            await self.add_runtime_dependency(part)
+        await self.add_runtime_dependency(self.http)
+        logger.bind(vm=self.settings.vm.name).info(
+            "agent listens on {}:{}", self.settings.vm.ip, self.server.port
+        )
+
+    async def drain(self) -> None:
+        """Leave: no longer ready, and wait for the VM's proxy to go."""
+        state = self.context.state
+        state.stopping = True
+        state.beat_again()
+        started_at = self.clock.now()
+        while state.proxy_attached:
+            if self.clock.now() - started_at > PROXY_LIMIT_S:
+                logger.warning("stopped before the VM's proxy")
+                break
+            await self.sleep(_DRAIN_POLL_S)
+
+    async def on_shutdown(self) -> None:
+        """Close what the parts shared, once they have stopped."""
+        self.context.cancel_spawned()
+        self.context.peers.close()
--- /dev/null
+++ b/redwingpost/agent/tests/fleet.py
@@ -0,0 +1,148 @@
+"""Several agents in one process, on real sockets, for tests."""
+
+from asyncio import sleep
+from collections.abc import Callable
+from typing import Any
+
+from expression import Ok, Result
+
+from redwingpost.adapters.peer import PeerAddress, PeerClients
+from redwingpost.adapters.tls import TlsContexts
+from redwingpost.agent import Agent
+from redwingpost.configuration import (
+    Change,
+    ConfigurationLog,
+    Versioned,
+    Withdrawal,
+)
+from redwingpost.configuration.tests.fake_store import FakeStore
+from redwingpost.core import Refusal
+from redwingpost.ports import VmEntry
+from redwingpost.settings import (
+    AgentSettings,
+    Settings,
+    VmSettings,
+)
+
+#: Rounds of waiting before a test gives up: 30 s, which only a machine
+#: that stands still uses up.
+ROUNDS = 600
+ROUND_S = 0.05
+
+
+class FakePlatform(FakeStore):
+    """The store, with a list of VMs."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.entries: list[VmEntry] = []
+
+    async def vms(self) -> Result[tuple[VmEntry, ...], Refusal]:
+        """Return the list; it is there even while the store is away."""
+        return Ok(tuple(self.entries))
+
+
+class TestFleet:
+    """Agents by VM; ``vms`` maps names to data centres."""
+
+    __test__ = False
+
+    def __init__(self, vms: dict[str, str], net: int) -> None:
+        self.platform = FakePlatform()
+        self.agents: dict[str, Agent] = {}
+        self._data_centres = vms
+        self._ips = {
+            vm: f"127.{net}.{number + 1}.1" for number, vm in enumerate(vms)
+        }
+        self._clients = PeerClients("", TlsContexts(None))
+        self._log = ConfigurationLog(self.platform, self.platform)
+
+    async def start(self, *vms: str) -> None:
+        """Start agents, all by default."""
+        for vm in vms or tuple(self._data_centres):
+            await self.start_one(vm)
+
+    async def start_one(self, vm: str) -> Agent:
+        """Start an agent, in place of an earlier one of that name."""
+        data_centre, ip = self._data_centres[vm], self._ips[vm]
+        settings = Settings(
+            vm=VmSettings(vm, data_centre, ip), agent=AgentSettings()
+        )
+        agent = Agent(settings, platform=self.platform)
+        await agent.start()
+        self.agents[vm] = agent
+        entry = VmEntry(vm, data_centre, ip, agent.server.port, 0, "live")
+        kept = [e for e in self.platform.entries if e.vm != vm]
+        self.platform.entries = kept + [entry]
+        return agent
+
+    async def stop(self, *vms: str) -> None:
+        """Stop agents, all by default."""
+        for vm in vms or tuple(self.agents):
+            await self.agents.pop(vm).stop()
+        if not self.agents:
+            self._clients.close()
+
+    async def kill(self, vm: str) -> None:
+        """End an agent without a word to the others."""
+        agent = self.agents.pop(vm)
+        agent.parts_by_name["fleet"].say_goodbye = False
+        await agent.stop()
+
+    async def submit(self, body: bytes, base: int) -> None:
+        """Have a version accepted, and tell nobody."""
+        change = Change(body, base, "ana", "2030-01-01", f"s-{base}")
+        accepted = await self._log.submit(change)
+        assert accepted.is_ok(), accepted
+
+    async def tell(self, vm: str, version: Versioned) -> None:
+        """Give one agent a version, as an operator's tool does."""
+        copy = version._asdict()
+        struct = {
+            "version": copy["version"],
+            "hash": copy["body_hash"],
+            "body": copy["body"],
+        }
+        await self.call(
+            vm, lambda n: n.fleet().fleet.accepted(configuration=struct)
+        )
+
+    async def withdraw(self, vm: str, key: Withdrawal) -> None:
+        """Withdraw a key at one agent."""
+        known = [{"organisation": key.organisation, "keyHash": key.key_hash}]
+        await self.call(vm, lambda n: n.fleet().fleet.withdrawals(known=known))
+
+    async def call(self, vm: str, method: Callable[[Any], Any]) -> Any:
+        """Call an agent as another process would."""
+        address = PeerAddress(self._ips[vm], self.agents[vm].server.port)
+        answer = await self._clients.call(address, method, 20.0)
+        assert answer.is_ok(), answer
+        return answer.ok
+
+    async def until(self, holds: Callable[[Agent], bool]) -> None:
+        """Wait until something holds at every agent."""
+        for _ in range(ROUNDS):
+            if all(holds(agent) for agent in self.agents.values()):
+                return
+            await sleep(ROUND_S)
+        missing = [vm for vm, a in self.agents.items() if not holds(a)]
+        raise AssertionError(f"still missing: {missing}")
+
+    async def until_met(self) -> None:
+        """Wait until every agent has heard of every other."""
+        count = len(self.agents)
+        await self.until(lambda agent: len(heard(agent)) == count)
+
+
+def state_of(agent: Agent) -> Any:
+    """Return what an agent knows."""
+    return agent.context.state
+
+
+def heard(agent: Agent) -> list[str]:
+    """Return the VMs that an agent has heard of and not lost."""
+    return [
+        vm
+        for vm, member in state_of(agent).members.by_vm.items()
+        if member.beat.incarnation > 0 and not member.beat.gone
+    ]
--- a/redwingpost/membership/__init__.py
+++ b/redwingpost/membership/__init__.py
@@ -1,1 +1,38 @@
-"""membership."""
+"""Who is in the fleet, who relays, and who tells whom."""
+
+from redwingpost.membership.beats import Beat, Evidence, Member
+from redwingpost.membership.confirmation import ConfirmationClock
+from redwingpost.membership.dissemination import (
+    BeatCursors,
+    Tell,
+    whom_to_tell,
+)
+from redwingpost.membership.relays import (
+    RelayRole,
+    rank_relays,
+    relay_of,
+)
+from redwingpost.membership.suspicion import (
+    BeatSchedule,
+    judge_silence,
+)
+from redwingpost.membership.table import MemberTable
+from redwingpost.membership.views import ViewBoard, is_newer
+
+__all__ = [
+    "Beat",
+    "BeatCursors",
+    "BeatSchedule",
+    "ConfirmationClock",
+    "Evidence",
+    "Member",
+    "MemberTable",
+    "RelayRole",
+    "Tell",
+    "ViewBoard",
+    "is_newer",
+    "judge_silence",
+    "rank_relays",
+    "relay_of",
+    "whom_to_tell",
+]
--- /dev/null
+++ b/redwingpost/membership/tests/test_dissemination.py
@@ -0,0 +1,144 @@
+"""Tests of who tells whom: everyone hears, and nobody says much."""
+
+from collections import Counter, deque
+from unittest import TestCase
+
+from redwingpost.membership import (
+    Beat,
+    BeatCursors,
+    Evidence,
+    MemberTable,
+    Tell,
+    rank_relays,
+    whom_to_tell,
+)
+from redwingpost.membership.dissemination import IN_TURN, MAX_CHANGES
+
+
+def fleet(data_centres, per_data_centre):
+    """Return heartbeats of a fleet whose relays are the first by rank."""
+    beats = {}
+    for number in range(data_centres):
+        centre = f"dc-{number}"
+        vms = [f"vm-{number}-{index}" for index in range(per_data_centre)]
+        relay = rank_relays(centre, vms)[0]
+        for vm in vms:
+            beats[vm] = Beat(
+                vm=vm,
+                data_centre=centre,
+                ip="127.1.1.1",
+                agent_port=1,
+                proxy_port=2,
+                incarnation=1,
+                sequence=1,
+                relay=vm == relay,
+            )
+    return beats
+
+
+def table_of(vm, beats):
+    """Return a member table that knows everyone; "" for nobody's."""
+    table = MemberTable(vm)
+    if vm:
+        table.set_own(beats[vm], 0.0)
+    for beat in beats.values():
+        table.merge(beat, 0.0, Evidence.PASSED_ON)
+    return table
+
+
+def spread(beats, origin, dead=frozenset()):
+    """Return who heard of news, how deep, and who sent how many.
+
+    Calls to dead VMs fail, and the sender then asks again whom to tell.
+    """
+    hops = {origin: 0}
+    sent = Counter()
+    queue = deque([(origin, Tell.HERE, "")])
+    table = table_of("", beats)
+    while queue:
+        vm, came, source = queue.popleft()
+        avoid, asked = frozenset(), set()
+        while True:
+            told = whom_to_tell(
+                table, vm, beats[vm].relay, came, source, avoid
+            )
+            fresh = [name for name in told if name not in asked]
+            if not fresh:
+                break
+            asked.update(fresh)
+            sent[vm] += len(fresh)
+            avoid |= dead.intersection(fresh)
+            for name in fresh:
+                if name in dead or name in hops:
+                    continue
+                hops[name] = hops[vm] + 1
+                same = beats[name].data_centre == beats[vm].data_centre
+                how = Tell.OWN_DATA_CENTRE if same else Tell.OTHER_DATA_CENTRE
+                queue.append((name, how, vm))
+    return hops, sent
+
+
+class WhomToTellTest(TestCase):
+    def test_everyone_hears_whoever_begins(self):
+        for size in ((1, 1), (1, 3), (4, 1), (4, 2), (14, 5)):
+            beats = fleet(*size)
+            for origin in beats:
+                with self.subTest(size=size, origin=origin):
+                    hops, _ = spread(beats, origin)
+                    self.assertEqual(set(hops), set(beats))
+                    self.assertLessEqual(max(hops.values()), 3)
+
+    def test_everyone_hears_past_dead_relays(self):
+        # Relays are paused when a key is withdrawn. Their data centres
+        # must hear of it all the same, or the caller stays served there
+        # until the role has moved.
+        beats = fleet(4, 3)
+        relays = [vm for vm, beat in beats.items() if beat.relay]
+        for origin in sorted(set(beats) - set(relays)):
+            for dead in (relays[:1], relays[1:3], relays):
+                with self.subTest(origin=origin, dead=dead):
+                    hops, _ = spread(beats, origin, frozenset(dead))
+                    self.assertEqual(set(hops), set(beats) - set(dead))
+
+    def test_messages_at_a_thousand_vms(self):
+        # Were each VM to tell each other one, a change would cost a
+        # million messages. Here a VM that doesn't relay sends at most
+        # one, a relay as many as its data centre has VMs and the fleet
+        # has data centres.
+        beats = fleet(14, 72)
+        plain = next(vm for vm, beat in beats.items() if not beat.relay)
+        hops, sent = spread(beats, plain)
+        self.assertEqual(len(hops), 1008)
+        for vm, count in sent.items():
+            most = 72 + 13 if beats[vm].relay else 1
+            self.assertLessEqual(count, most)
+        self.assertLessEqual(sum(sent.values()), 1008 + 14)
+
+
+class BeatCursorsTest(TestCase):
+    def test_messages_stay_bounded_and_bring_everything(self):
+        beats = fleet(14, 72)
+        table = table_of("vm-0-0", beats)
+        cursors, heard, messages = BeatCursors(), set(), 0
+        while len(heard) < len(beats) - 1:
+            message = cursors.next_beats(table, "vm-0-1", own=["vm-0-0"])
+            self.assertLessEqual(len(message), 1 + MAX_CHANGES + IN_TURN)
+            heard.update(beat.vm for beat in message)
+            messages += 1
+        self.assertLessEqual(messages, 16)
+
+    def test_a_lost_message_is_made_good_in_turn(self):
+        beats = fleet(1, 6)
+        table, cursors = table_of("vm-0-0", beats), BeatCursors()
+        cursors.next_beats(table, "vm-0-1")
+        heard = set()
+        for _ in range(2):
+            heard.update(b.vm for b in cursors.next_beats(table, "vm-0-1"))
+        self.assertEqual(heard, set(beats) - {"vm-0-1"})
+
+    def test_a_replaced_peer_is_told_everything_again(self):
+        table, cursors = table_of("vm-0-0", fleet(2, 6)), BeatCursors()
+        cursors.next_beats(table, "vm-0-1")
+        self.assertLessEqual(len(cursors.next_beats(table, "vm-0-1")), IN_TURN)
+        cursors.rewind("vm-0-1")
+        self.assertEqual(len(cursors.next_beats(table, "vm-0-1")), 11)
--- /dev/null
+++ b/redwingpost/membership/tests/test_membership.py
@@ -0,0 +1,226 @@
+"""Tests of the member table, silence, relays and confirmation."""
+
+from itertools import permutations
+from unittest import TestCase
+
+from redwingpost.membership import (
+    Beat,
+    BeatSchedule,
+    ConfirmationClock,
+    Evidence,
+    Member,
+    MemberTable,
+    RelayRole,
+    judge_silence,
+    rank_relays,
+    relay_of,
+)
+from redwingpost.ports import VmEntry
+
+
+def beat(vm, sequence=1, incarnation=7, data_centre="lima-1", **fields):
+    """Return a heartbeat."""
+    return Beat(
+        vm=vm,
+        data_centre=data_centre,
+        ip="127.1.1.1",
+        agent_port=7002,
+        proxy_port=7001,
+        incarnation=incarnation,
+        sequence=sequence,
+        **fields,
+    )
+
+
+def entry(vm, state="live"):
+    """Return a VM of the platform's list."""
+    return VmEntry(vm, "lima-1", "127.1.1.1", 7002, 7001, state)
+
+
+def member(vm, heard_at=0.0, **fields):
+    """Return a member of lima-1."""
+    return Member(beat(vm, **fields), heard_at, 1, True)
+
+
+class MemberTableTest(TestCase):
+    def test_the_order_of_arrival_does_not_matter(self):
+        # Heartbeats come over detours: late, twice and out of order.
+        # Two VMs that disagreed for good would send work to a VM that
+        # was replaced.
+        beats = [
+            beat("b", sequence=9, incarnation=6),
+            beat("b", sequence=1, incarnation=7),
+            beat("b", sequence=2, incarnation=7, gone=True),
+            beat("b", sequence=2, incarnation=7),
+            beat("b", sequence=3, incarnation=7, draining=True),
+        ]
+        results = set()
+        for order in permutations(beats):
+            table = MemberTable("a")
+            for item in order:
+                table.merge(item, 1.0, Evidence.PASSED_ON)
+            results.add(table.by_vm["b"].beat)
+        self.assertEqual(results, {beats[-1]})
+
+    def test_a_vm_refutes_that_it_is_gone(self):
+        table = MemberTable("a")
+        table.merge(beat("b"), 1.0, Evidence.DIRECT)
+        gone = beat("b", gone=True)
+        self.assertTrue(table.merge(gone, 9.0, Evidence.PASSED_ON))
+        self.assertEqual(table.by_vm["b"].heard_at, 1.0)
+        table.merge(beat("b", sequence=2), 10.0, Evidence.DIRECT)
+        self.assertFalse(table.by_vm["b"].beat.gone)
+        self.assertEqual(table.by_vm["b"].heard_at, 10.0)
+
+    def test_only_substance_counts_as_change(self):
+        table = MemberTable("a")
+        table.merge(beat("b"), 1.0, Evidence.DIRECT)
+        table_of_changes = [
+            (beat("b", sequence=2), False),
+            (beat("b", sequence=3, config_version=9), False),
+            (beat("b", sequence=4, draining=True), True),
+            (beat("b", sequence=5, relay=True), True),
+            (beat("b", sequence=1, incarnation=8), True),
+        ]
+        for item, changed in table_of_changes:
+            with self.subTest(item=item):
+                heard = table.merge(item, 2.0, Evidence.DIRECT)
+                self.assertEqual(heard, changed)
+
+    def test_the_list_lags(self):
+        # The platform's list still holds a VM that left and lacks one
+        # that has just started. Heartbeats decide; a listed VM that was
+        # never heard is known by its address only, and one that beats
+        # is kept although the list lacks it.
+        table = MemberTable("a")
+        table.merge(beat("new"), 0.0, Evidence.DIRECT)
+        table.take_list([entry("a"), entry("old")], now=1.0)
+        self.assertEqual(table.by_vm["old"].beat.incarnation, 0)
+        table.merge(beat("new", sequence=2), 70.0, Evidence.DIRECT)
+        table.take_list([entry("a"), entry("old")], now=71.0)
+        self.assertIn("new", table.by_vm)
+        table.take_list([entry("a")], now=72.0)
+        self.assertIn("old", table.by_vm)
+        table.take_list([entry("a")], now=140.0)
+        self.assertNotIn("old", table.by_vm)
+        self.assertNotIn("new", table.by_vm)
+
+    def test_vouching_spares_those_that_are_gone(self):
+        table = MemberTable("a")
+        table.merge(beat("b"), 1.0, Evidence.DIRECT)
+        table.merge(beat("c"), 1.0, Evidence.DIRECT)
+        table.merge(beat("c", gone=True), 2.0, Evidence.PASSED_ON)
+        table.vouch("lima-1", heard_at=5.0)
+        self.assertEqual(table.by_vm["b"].heard_at, 5.0)
+        self.assertEqual(table.by_vm["c"].heard_at, 1.0)
+
+    def test_what_others_say_of_this_vm(self):
+        table = MemberTable("a")
+        table.set_own(beat("a"), 0.0)
+        gone = beat("a", gone=True, sequence=9)
+        self.assertFalse(table.merge(gone, 1.0, Evidence.PASSED_ON))
+        self.assertFalse(table.by_vm["a"].beat.gone)
+
+
+class SilenceTest(TestCase):
+    def test_who_counts_as_gone(self):
+        schedule = BeatSchedule.for_size(3)
+        table = [
+            (member("a", heard_at=0.0), False),
+            (member("b", heard_at=0.0), True),
+            (member("c", heard_at=6.5), False),
+            (member("d", heard_at=0.0, gone=True), False),
+            (member("e", heard_at=0.0, incarnation=0), False),
+        ]
+        for item, silent in table:
+            with self.subTest(vm=item.beat.vm):
+                gone = judge_silence([item], "a", schedule, now=10.0)
+                self.assertEqual(bool(gone), silent)
+
+
+class RelayTest(TestCase):
+    def test_whom_to_turn_to(self):
+        first, second, third = rank_relays("lima-1", ["a", "b", "c"])
+        plain = [member(vm) for vm in "abc"]
+        table = [
+            (plain, (), first),
+            (plain, {first}, second),
+            (plain, {first, second, third}, ""),
+            ([member("a"), member("b", relay=True)], (), "b"),
+            ([member("a"), member("b", relay=True)], {"b"}, "a"),
+            ([member("a", draining=True), member("b")], (), "b"),
+            ([member("a", draining=True)], (), "a"),
+            (
+                [
+                    member("a", heard_at=2.0, relay=True),
+                    member("b", heard_at=1.0, relay=True),
+                ],
+                (),
+                "a",
+            ),
+        ]
+        for members, avoid, expected in table:
+            with self.subTest(members=members, avoid=avoid):
+                relay = relay_of("lima-1", members, avoid)
+                self.assertEqual(relay, expected)
+
+    def test_who_takes_the_role_over(self):
+        # The relay dies or is paused. Exactly the next by rank asks the
+        # store for the lease, and once the store is away too it does
+        # the relay's work without one; the others wait for it.
+        relay = rank_relays("lima-1", ["a", "b", "c"])[0]
+        rest = [vm for vm in "abc" if vm != relay]
+        second, third = rank_relays("lima-1", rest)
+        members = [member(vm, relay=vm == relay) for vm in "abc"]
+        table = [
+            (second, 0.0, False, False, False),
+            (second, 2.0, False, True, False),
+            (second, 2.0, True, True, True),
+            (third, 2.0, False, False, False),
+            (third, 2.0, True, False, False),
+            (relay, 0.0, True, True, True),
+        ]
+        for vm, unreached_s, store_away, wants, acts in table:
+            role = RelayRole(
+                vm=vm,
+                data_centre="lima-1",
+                holds_lease=False,
+                held_lease_before=False,
+                store_away=store_away,
+                draining=False,
+                unreached_s=unreached_s,
+            )
+            with self.subTest(role=role):
+                self.assertEqual(role.wants_lease(relay, members), wants)
+                self.assertEqual(role.acts(relay, members), acts)
+
+    def test_a_relay_that_stops_gives_the_role_up(self):
+        role = RelayRole("a", "lima-1", True, True, False, True, 0.0)
+        self.assertFalse(role.wants_lease("a", [member("a", relay=True)]))
+
+
+class ConfirmationTest(TestCase):
+    def test_a_majority_of_data_centres(self):
+        # A data centre is cut off with one neighbour. Two of four are
+        # no majority: a withdrawal may stand on the other side.
+        all_four = {"1", "2", "3", "4"}
+        table = [
+            ((), float("-inf")),
+            ((("2", 5.0),), float("-inf")),
+            ((("2", 5.0), ("3", 4.0)), 4.0),
+            ((("2", 5.0), ("3", 4.0), ("4", 9.0)), 5.0),
+        ]
+        for reached, expected in table:
+            clock = ConfirmationClock("1")
+            for data_centre, at in reached:
+                clock.reached(data_centre, at)
+            with self.subTest(reached=reached):
+                confirmed = clock.confirmed_at(all_four, now=10.0)
+                self.assertEqual(confirmed, expected)
+
+    def test_one_data_centre_alone_needs_the_store(self):
+        clock = ConfirmationClock("1")
+        self.assertEqual(clock.confirmed_at({"1"}, 9.0), float("-inf"))
+        clock.store_read(3.0)
+        clock.relayed(2.0)
+        self.assertEqual(clock.confirmed_at({"1"}, 9.0), 3.0)
--- /dev/null
+++ b/redwingpost/wire/codec.py
@@ -0,0 +1,167 @@
+"""Between the wire's structs and the records of the decision modules.
+
+Structs are written as plain dicts, which pycapnp copies into a message;
+readers are copied out at once, since they hold their whole message.
+"""
+
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+from redwingpost.configuration import Versioned, Withdrawal
+from redwingpost.core import GroupView, Position
+from redwingpost.membership import Beat
+
+#: Largest age that the wire carries (milliseconds); stands for "never".
+MAX_AGE_MS = 2**32 - 1
+
+
+class Digest(NamedTuple):
+    """What an agent holds, in a few numbers, to compare with another.
+
+    ``confirmed_ms`` is the age of its last key confirmation.
+    """
+
+    version: int
+    withdrawals_mark: int
+    views_mark: int
+    confirmed_ms: int = MAX_AGE_MS
+
+
+def to_age_ms(seconds: float) -> int:
+    """Return an age for the wire.
+
+    Examples
+    --------
+    >>> to_age_ms(1.5), to_age_ms(-0.1), to_age_ms(float("inf"))
+    (1500, 0, 4294967295)
+    """
+    return int(max(0.0, min(seconds * 1000.0, float(MAX_AGE_MS))))
+
+
+def from_age_ms(age_ms: int) -> float:
+    """Return an age in seconds; infinite for "never"."""
+    return float("inf") if age_ms == MAX_AGE_MS else age_ms / 1000.0
+
+
+def encode_beat(beat: Beat, age_s: float) -> dict[str, Any]:
+    """Return a heartbeat's struct."""
+    return {
+        "vm": beat.vm,
+        "dataCentre": beat.data_centre,
+        "ip": beat.ip,
+        "agentPort": beat.agent_port,
+        "proxyPort": beat.proxy_port,
+        "incarnation": beat.incarnation,
+        "sequence": beat.sequence,
+        "configVersion": beat.config_version,
+        "withdrawals": beat.withdrawals,
+        "draining": beat.draining,
+        "ageMs": to_age_ms(age_s),
+        "proxyVersion": beat.proxy_version,
+        "proxyAttached": beat.proxy_attached,
+        "gone": beat.gone,
+        "relay": beat.relay,
+    }
+
+
+def decode_beat(reader: Any) -> tuple[Beat, float]:
+    """Return a heartbeat and its age in seconds."""
+    beat = Beat(
+        vm=reader.vm,
+        data_centre=reader.dataCentre,
+        ip=reader.ip,
+        agent_port=reader.agentPort,
+        proxy_port=reader.proxyPort,
+        incarnation=reader.incarnation,
+        sequence=reader.sequence,
+        config_version=reader.configVersion,
+        withdrawals=reader.withdrawals,
+        draining=reader.draining,
+        proxy_version=reader.proxyVersion,
+        proxy_attached=reader.proxyAttached,
+        gone=reader.gone,
+        relay=reader.relay,
+    )
+    return beat, from_age_ms(reader.ageMs)
+
+
+def encode_digest(digest: Digest) -> dict[str, Any]:
+    """Return a digest's struct."""
+    return {
+        "configVersion": digest.version,
+        "withdrawals": digest.withdrawals_mark,
+        "viewsMark": digest.views_mark,
+        "confirmedMs": digest.confirmed_ms,
+    }
+
+
+def decode_digest(reader: Any) -> Digest:
+    """Return a digest."""
+    return Digest(
+        reader.configVersion,
+        reader.withdrawals,
+        reader.viewsMark,
+        reader.confirmedMs,
+    )
+
+
+def encode_version(version: Versioned) -> dict[str, Any]:
+    """Return a configuration's struct."""
+    return {
+        "version": version.version,
+        "hash": version.body_hash,
+        "body": version.body,
+    }
+
+
+def decode_version(reader: Any) -> Versioned:
+    """Return a configuration as it travels."""
+    return Versioned(reader.version, reader.hash, bytes(reader.body))
+
+
+def encode_withdrawals(
+    withdrawals: Iterable[Withdrawal],
+) -> list[dict[str, Any]]:
+    """Return withdrawals' structs."""
+    return [
+        {"organisation": item.organisation, "keyHash": item.key_hash}
+        for item in sorted(withdrawals)
+    ]
+
+
+def decode_withdrawals(readers: Any) -> frozenset[Withdrawal]:
+    """Return withdrawals."""
+    return frozenset(
+        Withdrawal(item.organisation, item.keyHash) for item in readers
+    )
+
+
+def encode_views(views: Iterable[GroupView]) -> list[dict[str, Any]]:
+    """Return views' structs."""
+    return [
+        {
+            "group": view.group,
+            "term": view.term,
+            "primary": view.primary,
+            "history": [
+                {"term": first.term, "index": first.index}
+                for first in view.history
+            ],
+        }
+        for view in views
+    ]
+
+
+def decode_views(readers: Any) -> tuple[GroupView, ...]:
+    """Return views."""
+    return tuple(
+        GroupView(
+            group=view.group,
+            term=view.term,
+            primary=view.primary,
+            history=tuple(
+                Position(first.term, first.index) for first in view.history
+            ),
+        )
+        for view in readers
+    )
--- a/redwingpost/wire/node.capnp
+++ b/redwingpost/wire/node.capnp
@@ -28,6 +28,10 @@
   withdrawals @9 :UInt32;
   draining @10 :Bool;
   ageMs @11 :UInt32;
+  proxyVersion @12 :UInt64;  # configuration in force at the VM's proxy
+  proxyAttached @13 :Bool;   # the proxy polls its agent
+  gone @14 :Bool;            # its data centre's relay no longer hears it
+  relay @15 :Bool;           # acts as its data centre's relay
 }
 
 struct Withdrawal {
@@ -40,6 +44,8 @@
   configHash @1 :Text;
   withdrawals @2 :UInt32;
   views @3 :List(GroupView);
+  viewsMark @4 :UInt32;      # sum over all views known
+  confirmedMs @5 :UInt32;    # age of the last key confirmation
 }
 
 struct Configuration {
@@ -56,6 +62,9 @@
   withdrawals @2 (known :List(Withdrawal))
       -> (known :List(Withdrawal));
   accepted @3 (configuration :Configuration) -> ();
+  members @4 () -> (beats :List(Beat), digest :Digest);
+  views @5 (known :List(GroupView)) -> (known :List(GroupView));
+  drain @6 (vm :Text) -> ();
 }
 
 struct Observation {
