--- a/redwingpost/bench/children.py
+++ b/redwingpost/bench/children.py
@@ -103,7 +103,7 @@
     """All children of a run, by name."""
 
     def __init__(self, directory: Path) -> None:
-        self._directory = directory
+        self.directory = directory
         self._by_name: dict[str, Child] = {}
         self._spent_s_by_name: dict[str, float] = {}
 
@@ -128,7 +128,7 @@
         """
         if len(self.names()) >= MAX_CHILDREN:
             raise RuntimeError(f"more than {MAX_CHILDREN} children")
-        log = self._directory / f"{name.replace(' ', '-')}.log"
+        log = self.directory / f"{name.replace(' ', '-')}.log"
         with log.open("ab") as output:
             process = await create_subprocess_exec(
                 executable,
--- /dev/null
+++ b/redwingpost/bench/fleet.py
@@ -0,0 +1,301 @@
+"""The real programs of a run, as children on loopback sockets."""
+
+from asyncio import gather, open_connection, sleep
+from importlib.util import find_spec
+from json import dumps
+from pathlib import Path
+from time import monotonic
+from typing import Any
+
+from asyncmy import connect
+from asyncmy.errors import Error as MySQLError
+from loguru import logger
+
+from redwingpost.bench.children import Children, Ended, find_free_port
+from redwingpost.bench.history import Contents, EditRow, OrderRow
+from redwingpost.bench.layout import (
+    GroupMember,
+    Layout,
+    delay_rules,
+    make_configuration,
+    make_layout,
+    render_group_settings,
+    render_platform_settings,
+    render_vm_settings,
+)
+from redwingpost.bench.operators import Operator
+from redwingpost.bench.orders import HttpPort, LinkRule, OrderFailed, Orders
+from redwingpost.bench.sites import Site
+from redwingpost.bench.statements import SCHEMA
+
+#: Seconds a program may take until it answers its health check.
+READY_LIMIT_S = 15.0
+
+#: Seconds between two looks at a program that starts.
+_POLL_S = 0.05
+
+_PROXY = "redwingpost.cli.proxy"
+
+REDWINGPOST = "redwingpost"
+NAIVE = "naive"
+
+
+class NotReady(Exception):
+    """A program did not become ready; its log says why."""
+
+
+class Fleet:
+    """Stand-ins, agents and proxies of one run.
+
+    Parameters
+    ----------
+    site : Site
+        Whose sizes apply.
+    policy : str
+        ``redwingpost`` or ``naive``.
+    directory : Path
+        For settings files and logs.
+    """
+
+    def __init__(self, site: Site, policy: str, directory: Path) -> None:
+        self.site = site
+        self.policy = policy
+        self.has_agents = policy == REDWINGPOST and _agent_exists()
+        self.layout: Layout = make_layout(site, find_free_port)
+        self.configuration = make_configuration(self.layout)
+        self.children = Children(directory)
+        self.orders = Orders()
+        self.rules: list[LinkRule] = delay_rules(site)
+        self._directory = directory
+
+    # -- start and stop
+
+    async def start(self) -> None:
+        """Start everything and wait until every proxy is ready."""
+        self._write_settings()
+        await self._start_standins()
+        await self._make_tables()
+        if self.has_agents:
+            await self._submit_first()
+        vms = list(self.layout.vms_by_name)
+        await gather(*(self.start_vm(vm) for vm in vms))
+        await gather(*(self.wait_ready(vm) for vm in vms))
+        if self.policy == REDWINGPOST:
+            await self.set_links(self.rules)
+
+    def _path(self, name: str) -> Path:
+        return self._directory / name
+
+    def _write_settings(self) -> None:
+        configuration = self._path("configuration.json")
+        configuration.write_text(dumps(self.configuration))
+        direct = "" if self.has_agents else str(configuration)
+        platform = render_platform_settings(self.layout)
+        self._path("platform.toml").write_text(platform)
+        for group in self.site.groups:
+            text = render_group_settings(self.layout, group)
+            self._path(f"{group}.toml").write_text(text)
+        for vm in self.layout.vms_by_name.values():
+            text = render_vm_settings(self.layout, vm, direct)
+            self._path(f"{vm.name}.toml").write_text(text)
+
+    async def _start_standins(self) -> None:
+        program = "redwingpost.cli.standin"
+        names = {"platform": self.layout.platform_faults}
+        names.update(self.layout.faults_by_group)
+        for name in names:
+            kind = "platform" if name == "platform" else "group"
+            settings = str(self._path(f"{name}.toml"))
+            await self.children.start(
+                f"standin {name}", [program, kind, "--settings", settings]
+            )
+        await gather(
+            *(
+                self._wait(f"standin {name}", port, "/faults")
+                for name, port in names.items()
+            )
+        )
+
+    async def _make_tables(self) -> None:
+        for group in self.site.groups:
+            connection = await self.dial(self.layout.primary(group))
+            for statement in SCHEMA:
+                await connection.cursor().execute(statement)
+            connection.close()
+
+    async def start_vm(self, vm: str) -> None:
+        """Start a VM's agent and proxy, or the baseline's proxy."""
+        if self.has_agents:
+            await self._start("agent", vm, "redwingpost.cli.agent")
+        await self.start_proxy(vm)
+
+    async def start_proxy(self, vm: str) -> None:
+        """Start a VM's proxy alone."""
+        naive = self.policy == NAIVE
+        program = "redwingpost.bench.naive" if naive else _PROXY
+        await self._start("proxy", vm, program)
+
+    async def _start(self, kind: str, vm: str, program: str) -> None:
+        settings = str(self._path(f"{vm}.toml"))
+        await self.children.start(
+            f"{kind} {vm}", [program, "--settings", settings]
+        )
+
+    async def wait_ready(self, vm: str) -> None:
+        """Wait until a VM's proxy takes callers."""
+        address = self.layout.vms_by_name[vm]
+        if self.policy == REDWINGPOST:
+            port = HttpPort(address.ip, address.proxy_http_port)
+            await self._wait(f"proxy {vm}", port, "/readyz")
+            return
+        limit = monotonic() + READY_LIMIT_S
+        while not await _accepts(address.ip, address.caller_port):
+            self._check_alive(f"proxy {vm}", limit)
+            await sleep(_POLL_S)
+
+    async def _wait(self, name: str, port: HttpPort, path: str) -> None:
+        limit = monotonic() + READY_LIMIT_S
+        while not await self.orders.answers(port, path):
+            self._check_alive(name, limit)
+            await sleep(_POLL_S)
+
+    def _check_alive(self, name: str, limit: float) -> None:
+        child = self.children[name]
+        if not child.running or monotonic() > limit:
+            tail = child.log.read_text(errors="replace")[-2000:]
+            raise NotReady(f"{name} is not ready; log {child.log}:\n{tail}")
+
+    async def stop(self) -> list[tuple[str, Ended]]:
+        """End everything; proxies and agents by a planned stop."""
+        ended = []
+        for prefix in ("proxy", "agent"):
+            names = self.children.names(prefix)
+            results = await gather(
+                *(self.children.end(name, planned=True) for name in names)
+            )
+            ended.extend(zip(names, results))
+        await self.children.end_all()
+        await self.orders.close()
+        return ended
+
+    # -- faults
+
+    def _link_ports(self) -> list[HttpPort]:
+        ports = list(self.layout.faults_by_group.values())
+        running = set(self.children.names())
+        for vm in self.layout.vms_by_name.values():
+            if f"proxy {vm.name}" in running:
+                ports.append(HttpPort(vm.ip, vm.proxy_http_port))
+            if f"agent {vm.name}" in running:
+                ports.append(HttpPort(vm.ip, vm.agent_http_port))
+        return ports
+
+    async def set_links(self, rules: list[LinkRule]) -> None:
+        """Put a set of link rules in force in every process."""
+        self.rules = rules
+        await gather(*(self._set_links(p) for p in self._link_ports()))
+
+    async def _set_links(self, port: HttpPort) -> None:
+        try:
+            await self.orders.links(port, self.rules)
+        except OrderFailed as error:
+            # A paused or just ended process takes no rules; the run
+            # goes on without it, and the log says so.
+            logger.warning("link rules: {}", error)
+
+    async def member_fault(
+        self, member: GroupMember, fault: str, **more: Any
+    ) -> Any:
+        """Order a fault of one member."""
+        port = self.layout.faults_by_group[member.group]
+        return await self.orders.fault(port, fault, member=member.name, **more)
+
+    async def platform_fault(self, fault: str, **more: Any) -> Any:
+        """Order a fault of the platform."""
+        port = self.layout.platform_faults
+        return await self.orders.fault(port, fault, **more)
+
+    # -- what the targets hold
+
+    async def dial(self, member: GroupMember) -> Any:
+        """Connect to a member directly, past every proxy."""
+        return await connect(
+            host=member.ip,
+            port=member.port,
+            user="bench",
+            password="",
+            autocommit=None,
+            connect_timeout=3,
+        )
+
+    async def status(self, member: GroupMember) -> dict[str, Any] | None:
+        """Return a member's ``REDWING STATUS``, or None."""
+        try:
+            connection = await self.dial(member)
+            cursor = connection.cursor()
+            await cursor.execute("REDWING STATUS")
+            names = [column[0] for column in cursor.description]
+            (row,) = await cursor.fetchall()
+        except (MySQLError, OSError, EOFError, TimeoutError):
+            return None
+        connection.close()
+        return dict(zip(names, row))
+
+    async def current_primary(self, group: str) -> GroupMember | None:
+        """Return the primary of the highest term."""
+        found: list[tuple[int, GroupMember]] = []
+        for member in self.layout.members_by_group[group]:
+            status = await self.status(member)
+            if status and status["role"] == "primary":
+                found.append((int(status["promised_term"]), member))
+        return max(found)[1] if found else None
+
+    async def contents(self, group: str) -> Contents:
+        """Read what a group holds at the end, from its primary.
+
+        Raises
+        ------
+        NotReady
+            If no member says that it is the primary.
+        """
+        primary = await self.current_primary(group)
+        if primary is None:
+            raise NotReady(f"{group} has no primary at the end")
+        connection = await self.dial(primary)
+        cursor = connection.cursor()
+        await cursor.execute("SELECT organisation, request, part FROM orders")
+        orders = tuple(
+            OrderRow(name, request, int(part))
+            for name, request, part in await cursor.fetchall()
+        )
+        await cursor.execute(
+            "SELECT organisation, document, revision, request FROM edits"
+        )
+        edits = tuple(
+            EditRow(name, document, int(revision), request)
+            for name, document, revision, request in await cursor.fetchall()
+        )
+        connection.close()
+        return Contents(orders, edits)
+
+    async def _submit_first(self) -> None:
+        """Submit the first configuration as an operator does."""
+        operator = Operator("bench", self.layout.platform_url)
+        submission = await operator.submit(self.configuration, base=0)
+        await operator.close()
+        if not submission.accepted:
+            raise NotReady(submission.result.error.describe())
+
+
+def _agent_exists() -> bool:
+    return find_spec("redwingpost.cli.agent") is not None
+
+
+async def _accepts(ip: str, port: int) -> bool:
+    """Say whether somebody listens there."""
+    try:
+        _, writer = await open_connection(ip, port)
+    except OSError:
+        return False
+    writer.close()
+    return True
--- a/redwingpost/bench/load.py
+++ b/redwingpost/bench/load.py
@@ -51,8 +51,8 @@
     ----------
     balancer : Balancer
         Names the proxies that take requests.
-    credentials_by_organisation : dict of str to Credential
-        The key that each organisation's callers present.
+    credentials_by_name : dict of (str, str) to Credential
+        Keys by organisation and name.
     client_delay_s : float
         One way between callers and proxies, in seconds.
     seed : int
@@ -62,7 +62,7 @@
     def __init__(
         self,
         balancer: Balancer,
-        credentials_by_organisation: dict[str, Credential],
+        credentials_by_name: dict[tuple[str, str], Credential],
         client_delay_s: float,
         seed: int,
     ) -> None:
@@ -71,12 +71,10 @@
         self.max_late_s = 0.0
         self.started_at = 0.0
         self._balancer = balancer
-        self._credentials = credentials_by_organisation
+        self._credentials = credentials_by_name
         self._delay_s = client_delay_s
         self._random = Random(seed)
-        self._idle: dict[tuple[str, str], list[CallerSession]] = defaultdict(
-            list
-        )
+        self._idle: dict[tuple, list[CallerSession]] = defaultdict(list)
         self._sessions: list[CallerSession] = []
         self._shared_revisions: dict[tuple[str, str, str], int] = defaultdict(
             int
@@ -117,17 +115,17 @@
                 break
             if outcome.code not in GO_ELSEWHERE:
                 await sleep(RETRY_AFTER_S)
-        key = (arrival.organisation, arrival.group)
-        self._idle[key].append(session)
+        self._idle[_pool_of(arrival)].append(session)
 
     def _take_session(self, arrival: Arrival) -> CallerSession:
-        key = (arrival.organisation, arrival.group)
-        idle = self._idle[key]
+        idle = self._idle[_pool_of(arrival)]
         if idle:
             return idle.pop(self._random.randrange(len(idle)))
         session = CallerSession(
             name=f"s{len(self._sessions)}",
-            credential=self._credentials[arrival.organisation],
+            credential=self._credentials[
+                (arrival.organisation, arrival.credential)
+            ],
             group=arrival.group,
             client_delay_s=self._delay_s,
         )
@@ -207,6 +205,10 @@
         return outcome
 
 
+def _pool_of(arrival: Arrival) -> tuple[str, str, str]:
+    return (arrival.organisation, arrival.credential, arrival.group)
+
+
 def _tries_again(operation: Operation, outcome: Outcome, number: int) -> bool:
     """Say whether a caller sends its request once more.
 
--- a/redwingpost/bench/measures.py
+++ b/redwingpost/bench/measures.py
@@ -11,7 +11,7 @@
 from hdrh.histogram import HdrHistogram
 
 from redwingpost.bench.checks import CHECKS, over_rate_by_organisation
-from redwingpost.bench.history import Operation, Run, Verdict
+from redwingpost.bench.history import Attempt, Operation, Run, Verdict
 from redwingpost.bench.oracle import Violation
 from redwingpost.bench.service import (
     fates,
@@ -104,6 +104,33 @@
     return min(acknowledged) - lost_at if acknowledged else None
 
 
+def _under_valid_keys(run: Run) -> tuple[Attempt, ...]:
+    """Leave out callers whose key was withdrawn: refusing them is right."""
+    return tuple(
+        attempt
+        for attempt in run.attempts
+        if (attempt.organisation, attempt.credential) not in run.withdrawn_at
+    )
+
+
+def withdrawal_in_force(run: Run) -> float | None:
+    """Return seconds until withdrawn keys served nothing any more.
+
+    Counted from the acceptance to the sending of the last request that
+    was still answered; None where no key was withdrawn.
+    """
+    if not run.withdrawn_at:
+        return None
+    late = [
+        attempt.sent_at - run.withdrawn_at[name]
+        for attempt in run.attempts
+        if (name := (attempt.organisation, attempt.credential))
+        in run.withdrawn_at
+        and attempt.verdict is Verdict.ANSWERED
+    ]
+    return round(max([0.0, *late]), 3)
+
+
 def latency_ms(run: Run) -> Latency:
     """Return quantiles over the answered attempts, long jobs apart."""
     histogram = HdrHistogram(_MIN_US, _MAX_US, _DIGITS)
@@ -175,7 +202,7 @@
     Measures
         Ready to be written as JSON.
     """
-    requests = fates(run.attempts)
+    requests = fates(_under_valid_keys(run))
     services = serve_by_organisation(
         requests, run.grants_by_organisation, site.weights_by_kind
     )
--- /dev/null
+++ b/redwingpost/bench/operators.py
@@ -0,0 +1,80 @@
+"""Operators of a run: they submit configurations and withdraw keys."""
+
+from json import dumps
+from time import monotonic
+from typing import Any, NamedTuple
+
+from expression import Result
+
+from redwingpost.adapters.platform_http import HttpPlatform
+from redwingpost.configuration import (
+    Accepted,
+    Change,
+    ConfigurationLog,
+    Withdrawal,
+    hash_key,
+)
+from redwingpost.bench.callers import Credential
+from redwingpost.core import Refusal
+from redwingpost.settings import PlatformSettings
+
+#: Seconds an operator waits for one answer of the store.
+STORE_LIMIT_S = 2.0
+
+
+class Submission(NamedTuple):
+    """What became of a change, and when the operator learnt it."""
+
+    result: Result[Accepted, Refusal]
+    at: float
+
+    @property
+    def accepted(self) -> bool:
+        """Whether the change stands."""
+        return self.result.is_ok()
+
+
+class Operator:
+    """One operator with a connection to the platform.
+
+    Parameters
+    ----------
+    name : str
+        For the audit trail.
+    platform_url : str
+        Where the platform answers.
+    """
+
+    def __init__(self, name: str, platform_url: str) -> None:
+        self.name = name
+        self._count = 0
+        self._platform = HttpPlatform(
+            PlatformSettings(platform_url, STORE_LIMIT_S)
+        )
+        self._log = ConfigurationLog(self._platform, self._platform)
+
+    def _change(self, body: bytes, base: int) -> Change:
+        self._count += 1
+        submission = f"{self.name}-{self._count}"
+        return Change(body, base, self.name, "", submission)
+
+    async def submit(
+        self, configuration: dict[str, Any], base: int
+    ) -> Submission:
+        """Submit a configuration that was written against ``base``."""
+        body = dumps(configuration).encode()
+        result = await self._log.submit(self._change(body, base))
+        return Submission(result, monotonic())
+
+    async def withdraw(self, credential: Credential) -> Submission:
+        """Withdraw a key."""
+        withdrawal = Withdrawal(
+            credential.organisation, hash_key(credential.key)
+        )
+        change = self._change(b"", 0)
+        result = await self._log.withdraw([withdrawal], change)
+        return Submission(result, monotonic())
+
+    async def close(self) -> None:
+        """Close the connection to the platform."""
+        await self._platform.stop()
--- /dev/null
+++ b/redwingpost/bench/scenario.py
@@ -0,0 +1,128 @@
+"""What a scenario is, and the registry of all of them."""
+
+from asyncio import sleep
+from random import Random
+from time import monotonic
+from typing import Any, NamedTuple
+
+from redwingpost.bench.fleet import Fleet
+from redwingpost.bench.history import Verdict
+from redwingpost.bench.layout import GroupMember
+from redwingpost.bench.load import LoadGenerator
+from redwingpost.bench.operators import Operator
+from redwingpost.bench.oracle import Violation
+from redwingpost.bench.schedule import Stream, site_streams
+from redwingpost.bench.sites import Site
+from redwingpost.core import Registry
+
+#: Share of the granted rates that a calm site asks for.
+CALM_SHARE = 0.5
+
+
+class Loss(NamedTuple):
+    """A primary that was taken away, and when."""
+
+    group: str
+    at: float
+
+
+class Stage:
+    """What a scenario may do while the load runs.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The running programs.
+    load : LoadGenerator
+        The running load.
+    seed : int
+        For choices of the scenario's own.
+    """
+
+    def __init__(self, fleet: Fleet, load: LoadGenerator, seed: int) -> None:
+        self.fleet = fleet
+        self.load = load
+        self.random = Random(f"stage/{seed}")
+        self.loss: Loss | None = None
+        self.config_in_force_s: float | None = None
+        self.withdrawn_at: dict[tuple[str, str], float] = {}
+        self.unfinished_on_stop = 0
+        self.violations: list[Violation] = []
+        self._operators: list[Operator] = []
+        self.notes: dict[str, Any] = {}
+
+    @property
+    def site(self) -> Site:
+        """The site of the run."""
+        return self.fleet.site
+
+    async def until(self, load_s: float) -> None:
+        """Wait until ``load_s`` seconds after the load began."""
+        left_s = self.load.started_at + load_s - monotonic()
+        if left_s > 0.0:
+            await sleep(left_s)
+
+    def choose_group(self) -> str:
+        """Pick a database group."""
+        return self.random.choice(self.site.groups)
+
+    async def find_primary(self, group: str) -> GroupMember:
+        """Return the member that leads a group just now."""
+        primary = await self.fleet.current_primary(group)
+        return primary or self.fleet.layout.primary(group)
+
+    def lost_primary(self, group: str) -> None:
+        """Note that a group's primary is lost from now on."""
+        self.loss = Loss(group, monotonic())
+
+    def operator(self, name: str) -> Operator:
+        """Return a new operator of the run."""
+        operator = Operator(name, self.fleet.layout.platform_url)
+        self._operators.append(operator)
+        return operator
+
+    async def close(self) -> None:
+        """Close what the stage opened."""
+        for operator in self._operators:
+            await operator.close()
+
+    async def stop_vm(self, vm: str) -> None:
+        """Stop a VM as planned and count the requests that it cut.
+
+        A request is cut if its proxy broke the connection instead of
+        answering, or if the process had to be killed.
+        """
+        before = monotonic()
+        running = self.fleet.children.names()
+        for name in (f"proxy {vm}", f"agent {vm}"):
+            if name in running:
+                ended = await self.fleet.children.end(name, planned=True)
+                self.unfinished_on_stop += ended.code != 0
+        self.unfinished_on_stop += sum(
+            attempt.proxy == vm
+            and attempt.verdict is Verdict.LOST
+            and attempt.received_at >= before
+            for attempt in self.load.attempts
+        )
+
+
+class Scenario:
+    """One experiment: what callers send, and what happens meanwhile.
+
+    Subclasses override `streams` and `disturb`. ``load_s`` is the length
+    of the load in seconds; with start and stop a run has to stay under
+    40 s.
+    """
+
+    summary = ""
+    load_s = 15.0
+
+    def streams(self, site: Site) -> tuple[Stream, ...]:
+        """Return the load: by default the calm site's mix."""
+        return site_streams(site, CALM_SHARE, self.load_s)
+
+    async def disturb(self, stage: Stage) -> None:
+        """Do what the scenario is about; by default nothing."""
+
+
+SCENARIOS: Registry[type[Scenario]] = Registry("scenario")
--- a/redwingpost/bench/schedule.py
+++ b/redwingpost/bench/schedule.py
@@ -10,11 +10,18 @@
 
 from redwingpost.bench.sites import MixEntry, Site
 
+#: Name of the key that an organisation's callers present.
+CURRENT = "current"
+
+#: Name of the key that a scenario withdraws.
+FORMER = "former"
+
 
 class Stream(NamedTuple):
     """Poisson arrivals of one organisation over a stretch of the run.
 
     ``rate`` is requests per second; an empty ``vms`` stands for all.
+    ``credential`` names which of its keys the organisation presents.
     """
 
     organisation: str
@@ -24,6 +31,7 @@
     mix: tuple[MixEntry, ...]
     groups: tuple[str, ...]
     vms: tuple[str, ...] = ()
+    credential: str = CURRENT
 
 
 class Arrival(NamedTuple):
@@ -35,6 +43,7 @@
     entry: MixEntry
     group: str
     vms: tuple[str, ...]
+    credential: str
 
 
 def draw_arrivals(streams: tuple[Stream, ...], seed: int) -> list[Arrival]:
@@ -76,6 +85,7 @@
                 entry=entry,
                 group=random.choice(stream.groups),
                 vms=stream.vms,
+                credential=stream.credential,
             )
         )
     return arrivals
--- a/redwingpost/bench/sites.py
+++ b/redwingpost/bench/sites.py
@@ -76,6 +76,11 @@
         mean_s = writes * WRITE_SERVICE_S + (1.0 - writes) * READ_SERVICE_S
         return MEMBERS * SLOTS / mean_s
 
+    @property
+    def slots(self) -> int:
+        """Statements that all members together serve at a time."""
+        return len(self.groups) * MEMBERS * SLOTS
+
     @property
     def capacity(self) -> float:
         """Statements of the mix per second that all groups can serve."""
--- /dev/null
+++ b/redwingpost/cli/bench.py
@@ -0,0 +1,253 @@
+"""``redwing-bench``: load, faults, and what callers received."""
+
+from asyncio import run as run_loop, timeout
+from json import loads
+from pathlib import Path
+from sys import stderr
+from time import monotonic
+from typing import Annotated
+
+from loguru import logger
+from msgspec.json import encode, format as format_json
+from rich.console import Console
+from rich.table import Table
+from typer import Argument, BadParameter, Exit, Option, Typer
+
+import redwingpost.bench.scenarios  # noqa: F401
+from redwingpost.bench.compare import compare as compare_measures, render
+from redwingpost.bench.history import to_record
+from redwingpost.bench.plots import PLOTS, draw
+from redwingpost.bench.report import write_report
+from redwingpost.bench.runner import (
+    POLICIES,
+    Finished,
+    Order,
+    Progress,
+    run_scenario,
+)
+from redwingpost.bench.scenario import SCENARIOS
+from redwingpost.bench.sites import SITES
+from redwingpost.bench.sweep import (
+    RUN_LIMIT_S,
+    make_spread_table,
+    plan,
+    run_all,
+)
+from redwingpost.bench.tables import make_detail_table, make_table
+
+app = Typer(
+    add_completion=False,
+    no_args_is_help=True,
+    help="Load, faults, and what callers received: experiments on the "
+    "real programs.\n\n"
+    "Example: redwing-bench run primary-loss --site yuelan --seed 3",
+)
+console = Console()
+progress = Console(stderr=True)
+
+#: Exit codes besides 0: the run broke; the run had violations.
+BROKEN, VIOLATED = 1, 3
+
+#: Seconds of load per site in the demo.
+DEMO_LOAD_S = 5.0
+
+Site = Annotated[str, Option(help="semilla-andina or yuelan")]
+Policy = Annotated[str, Option(help="redwingpost or naive")]
+Seed = Annotated[int, Option(help="Seed of the load and the faults")]
+Json = Annotated[Path | None, Option("--json", help="Write the measures")]
+Names = Annotated[str, Option(help="Comma-separated; empty for all")]
+
+
+def _check(name: str, known: tuple[str, ...], what: str) -> None:
+    if name not in known:
+        allowed = ", ".join(known)
+        raise BadParameter(f"unknown {what} {name!r}; known: {allowed}")
+
+
+def _split(names: str, known: tuple[str, ...], what: str) -> list[str]:
+    chosen = [name for name in names.split(",") if name] or list(known)
+    for name in chosen:
+        _check(name, known, what)
+    return chosen
+
+
+def _progress() -> Progress:
+    began_at = monotonic()
+
+    def say(line: str) -> None:
+        progress.print(f"[dim]{monotonic() - began_at:6.1f} s[/dim] {line}")
+
+    return say
+
+
+async def _limited(order: Order, say: Progress) -> Finished:
+    async with timeout(RUN_LIMIT_S):
+        return await run_scenario(order, say)
+
+
+@app.command("list")
+def list_scenarios() -> None:
+    """List scenarios and sites.
+
+    Example: redwing-bench list
+    """
+    table = Table("scenario", "what happens", "load s")
+    for name, scenario in SCENARIOS.items():
+        table.add_row(name, scenario.summary, f"{scenario.load_s:.0f}")
+    console.print(table)
+    console.print(f"sites: {', '.join(SITES.names())}")
+    console.print(f"policies: {', '.join(POLICIES)}")
+
+
+@app.command()
+def run(
+    scenario: Annotated[str, Argument(help="See redwing-bench list")],
+    site: Site = "semilla-andina",
+    seed: Seed = 1,
+    policy: Policy = "redwingpost",
+    json: Json = None,
+    history: Annotated[
+        Path | None, Option(help="Write every attempt, a JSON line each")
+    ] = None,
+) -> None:
+    """Run one scenario; exits 3 if a promise was violated.
+
+    Example: redwing-bench run primary-loss --seed 7 --json out.json
+    """
+    _check(scenario, SCENARIOS.names(), "scenario")
+    _check(site, SITES.names(), "site")
+    _check(policy, POLICIES, "policy")
+    order = Order(scenario, site, seed, policy)
+    say = _progress()
+    try:
+        finished = run_loop(_limited(order, say))
+    except Exception as error:
+        # Any failure of the run is reported in one line; the children's
+        # logs hold the rest.
+        progress.print(f"[red]the run broke:[/red] {error!r}")
+        raise Exit(BROKEN) from error
+    if json is not None:
+        json.write_bytes(format_json(encode(finished.measures), indent=2))
+    if history is not None:
+        lines = (encode(to_record(a)) for a in finished.run.attempts)
+        history.write_bytes(b"\n".join(lines) + b"\n")
+    console.print(make_detail_table(finished.measures))
+    say(f"notes: {finished.notes}; logs in {finished.directory}")
+    if finished.measures["violations"]:
+        raise Exit(VIOLATED)
+
+
+@app.command()
+def demo() -> None:
+    """Start everything, run both users' mixes, print a table.
+
+    Example: redwing-bench demo
+    """
+    say = _progress()
+    SCENARIOS.get("steady").load_s = DEMO_LOAD_S
+    orders = plan(["steady"], SITES.names(), [1], ["redwingpost"])
+    result = run_all(orders, say)
+    console.print(make_table(result.runs, "redwingpost, both users"))
+    violated = any(run["violations"] for run in result.runs)
+    if result.failures or violated:
+        raise Exit(BROKEN)
+
+
+@app.command()
+def sweep(
+    scenarios: Names = "",
+    sites: Names = "",
+    policies: Names = "redwingpost",
+    seeds: Annotated[int, Option(help="How many seeds, from 1")] = 10,
+    json: Json = None,
+) -> None:
+    """Run seeds x scenarios x sites one after another; one table.
+
+    Example: redwing-bench sweep --scenarios primary-loss --seeds 10
+    """
+    orders = plan(
+        _split(scenarios, SCENARIOS.names(), "scenario"),
+        _split(sites, SITES.names(), "site"),
+        range(1, seeds + 1),
+        _split(policies, POLICIES, "policy"),
+    )
+    result = run_all(orders, _progress())
+    if json is not None:
+        json.write_bytes(encode(result.runs))
+    console.print(make_spread_table(result))
+    for failure in result.failures:
+        console.print(f"[red]did not end:[/red] {failure}")
+    if result.failures:
+        raise Exit(BROKEN)
+    if any(run["violations"] for run in result.runs):
+        raise Exit(VIOLATED)
+
+
+@app.command()
+def report(
+    directory: Annotated[Path, Option(help="Where the pages go")] = Path(
+        "bench-report"
+    ),
+    scenarios: Names = "",
+    sites: Names = "",
+    policies: Names = "",
+    seed: Seed = 1,
+) -> None:
+    """Run all scenarios for both sites and policies; write one page.
+
+    Example: redwing-bench report --directory out
+    """
+    orders = plan(
+        _split(scenarios, SCENARIOS.names(), "scenario"),
+        _split(sites, SITES.names(), "site"),
+        [seed],
+        _split(policies, POLICIES, "policy"),
+    )
+    result = run_all(orders, _progress())
+    pages = write_report(result.runs, result.failures, directory)
+    (directory / "runs.json").write_bytes(encode(result.runs))
+    console.print(f"wrote {pages.markdown} and {pages.html}")
+
+
+@app.command()
+def compare(
+    before: Annotated[Path, Argument(help="JSON of a run", exists=True)],
+    after: Annotated[Path, Argument(help="JSON of a run", exists=True)],
+) -> None:
+    """Show every measure of two runs side by side.
+
+    Example: redwing-bench compare before.json after.json
+    """
+    runs = loads(before.read_text()), loads(after.read_text())
+    print(render(compare_measures(*runs)))
+
+
+@app.command()
+def plot(
+    files: Annotated[list[Path], Argument(help="JSON of runs or sweeps")],
+    directory: Annotated[Path, Option(help="Where PNGs go")] = Path("."),
+) -> None:
+    """Draw measures from the JSON of runs, sweeps or reports.
+
+    Example: redwing-bench plot a.json b.json --directory plots
+    """
+    runs = []
+    for file in files:
+        content = loads(file.read_text())
+        runs.extend(content if isinstance(content, list) else [content])
+    directory.mkdir(parents=True, exist_ok=True)
+    for entry in PLOTS:
+        path = draw(entry, runs, directory)
+        if path is not None:
+            console.print(f"wrote {path}")
+
+
+def main() -> None:
+    """Run the command line; its log goes to standard error."""
+    logger.remove()
+    logger.add(stderr, level="WARNING")
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- a/redwingpost/standin/faults.py
+++ b/redwingpost/standin/faults.py
@@ -15,6 +15,11 @@
 from msgspec import DecodeError
 from msgspec.json import Decoder, Encoder
 
+from redwingpost.adapters.links import (
+    LinkFaults,
+    install_link_faults,
+    mount_link_faults,
+)
 from redwingpost.core import Registry
 from redwingpost.standin.settings import Endpoint
 
@@ -47,6 +52,8 @@
         Passed to each fault as its first argument.
     endpoint : Endpoint
         Where to listen.
+    link_faults : bool
+        Whether rules for links are taken too, at ``/faults/links``.
     """
 
     def __init__(
@@ -60,6 +67,7 @@
         self._standin = standin
         self._endpoint = endpoint
         self._link_faults = link_faults
+        self._links: LinkFaults | None = None
         self._runner: AppRunner | None = None
         self.address = (endpoint.ip, endpoint.port)
 
@@ -68,6 +76,9 @@
         application = Application()
         application.router.add_get("/faults", self._list)
         application.router.add_post("/faults", self._order)
+        if self._link_faults:
+            self._links = install_link_faults(self._endpoint.ip)
+            mount_link_faults(application, self._links)
         self._runner = AppRunner(application, access_log=None)
         await self._runner.setup()
         site = TCPSite(self._runner, self._endpoint.ip, self._endpoint.port)
@@ -78,6 +89,8 @@
         """Close the port."""
         if self._runner is not None:
             await self._runner.cleanup()
+        if self._links is not None:
+            self._links.uninstall()
 
     async def _list(self, request: Request) -> Response:
         return json_response({"faults": describe_faults(self._registry)})
--- a/redwingpost/standin/tests/test_group.py
+++ b/redwingpost/standin/tests/test_group.py
@@ -6,6 +6,7 @@
 from logging import CRITICAL, getLogger
 from unittest import IsolatedAsyncioTestCase
 
+from aiohttp import ClientSession
 from asyncmy.errors import MySQLError
 
 from redwingpost.standin import GroupStandin
@@ -219,6 +220,38 @@
         self.assertEqual([row[:2] for row in aside], [(1, 3)])
 
 
+class LinkFaultsTest(GroupCase):
+    settings = quick_settings(link_faults=True, pull_hold_ms=5)
+
+    async def test_cut_holds_replication_up(self):
+        """A replica's data centre is cut off from the primary's.
+
+        Writes go on, the replica doesn't get them, and its age grows;
+        when the cut heals it catches up.
+        """
+        primary = await self.dial("a")
+        await rows(primary, CREATE)
+        cut = {"from": "127.2.0.0/16", "to": "127.1.0.0/16", "kind": "cut"}
+        await self.set_rules([cut])
+        await rows(primary, "INSERT INTO plans (name) VALUES ('x')")
+        term, index = await self.write_point(primary)
+        for name, expected in (("b", 0), ("c", 1)):
+            replica = await self.dial(name)
+            wait = f"REDWING WAIT APPLIED {term} {index} {1 + 5000 * expected}"
+            self.assertEqual((await rows(replica, wait))[0][0], expected)
+        await self.set_rules([])
+        replica = await self.dial("b")
+        wait = f"REDWING WAIT APPLIED {term} {index} 5000"
+        self.assertEqual((await rows(replica, wait))[0][0], 1)
+
+    async def set_rules(self, rules):
+        ip, port = self.group.fault_address
+        url = f"http://{ip}:{port}/faults/links"
+        async with ClientSession() as client:
+            async with client.post(url, json={"rules": rules}) as answer:
+                self.assertEqual(answer.status, 200)
+
+
 class FaultsTest(GroupCase):
     async def order(self, fault, **arguments):
         status, answer = await order(
