Feed the proxy from its VM's agent

The proxy takes configurations, withdrawals, views, peers and shares by long poll and never takes anything back from an agent that knows less. Connections of a withdrawn key are cut and their transactions rolled back, also where a statement was running at that moment.

--- a/redwingpost/proxy/service.py
+++ b/redwingpost/proxy/service.py
@@ -1,5 +1,6 @@
 """The proxy process: its parts, put together."""
 
+from collections.abc import Iterable
 from pathlib import Path
 from typing import Any
 
@@ -8,11 +9,19 @@
 
 from redwingpost.adapters.mysql_server import CallerServer
 from redwingpost.adapters.mysql_target import MySQLTargetDialler
-from redwingpost.configuration import KeyRing, parse_configuration
+from redwingpost.adapters.peer import PeerAddress, PeerClients
+from redwingpost.adapters.tls import TlsContexts
+from redwingpost.configuration import (
+    KeyRing,
+    Withdrawal,
+    parse_configuration,
+)
+from redwingpost.core import Code, Refusal
 from redwingpost.ports import Clock, MonotonicClock
 from redwingpost.proxy.caller import Caller
 from redwingpost.proxy.confirm import Confirmer
 from redwingpost.proxy.directory import Directory
+from redwingpost.proxy.feed import AgentFeed
 from redwingpost.proxy.gate import Gate
 from redwingpost.proxy.http import StatusServer
 from redwingpost.proxy.metrics import ProxyMetrics
@@ -105,6 +114,17 @@
             self._make_session,
             loop=self.loop,
         )
+        self.tls = TlsContexts(settings.tls)
+        self.clients = PeerClients(settings.vm.ip, self.tls, self.clock)
+        self.feed = AgentFeed(
+            PeerAddress(settings.vm.ip, settings.agent.peer_port),
+            self.clients,
+            self.directory,
+            self.keys,
+            self.clock,
+            loop=self.loop,
+        )
+        self.feed.on_withdrawn = self._cut_withdrawn
         self.http = StatusServer(
             settings.vm.ip,
             settings.proxy.http_port,
@@ -134,6 +154,8 @@
         """Load what is given and start the parts."""
         if self.settings.proxy.configuration_file:
             self._load_file(Path(self.settings.proxy.configuration_file))
+        elif self.settings.agent.peer_port:
+            await self.add_runtime_dependency(self.feed)
         await self.add_runtime_dependency(self.board)
         await self.add_runtime_dependency(self.callers)
         await self.add_runtime_dependency(self.http)
@@ -151,6 +173,20 @@
         self.keys.grant(parsed.ok)
         self.keys.confirm(self.clock.now())
 
+    def _cut_withdrawn(self, withdrawals: Iterable[Withdrawal]) -> None:
+        """Cut the connections of withdrawn keys, wherever they are.
+
+        An idle one may hold a transaction open, and with it locks of a
+        group that its organisation must no longer touch.
+        """
+        withdrawn = frozenset(withdrawals)
+        for session in tuple(self.sessions):
+            caller = session.caller
+            key = Withdrawal(caller.organisation, caller.key_hash)
+            if key in withdrawn:
+                refusal = Refusal(Code.KEY_WITHDRAWN)
+                self.add_future(session.cut(refusal))
+
     async def drain(self) -> None:
         """Finish what runs; new callers are sent elsewhere."""
         self._draining = True
@@ -166,3 +202,4 @@
         """Close what is open."""
         await self.confirmer.close()
         await self.pool.close()
+        self.clients.close()
--- a/redwingpost/proxy/session.py
+++ b/redwingpost/proxy/session.py
@@ -97,6 +97,10 @@
             kind = classify(marked.ok.sql)
             answer = await self._handle_marked(marked.ok, arrived_at)
         self._request = None
+        if self._cut is not None:
+            # Cut while this statement ran: its transaction would keep
+            # its locks until the caller hangs up.
+            await self._abandon_transaction()
         self._account(kind.statement_class, answer, arrived_at)
         return answer
 
