Read final contents past the members' connection limit

The bench dialled the primaries for their contents, which fails with 1040 while the proxies hold all connections; the stand-in's dump is asked instead. Members answer @@hostname with their name, so that answers show which member served a read.

--- a/redwingpost/bench/fleet.py
+++ b/redwingpost/bench/fleet.py
@@ -1,6 +1,7 @@
 """The real programs of a run, as children on loopback sockets."""
 
 from asyncio import gather, open_connection, sleep
+from collections.abc import Iterator
 from importlib.util import find_spec
 from json import dumps
 from pathlib import Path
@@ -8,7 +9,6 @@
 from typing import Any
 
 from asyncmy import connect
-from asyncmy.errors import Error as MySQLError
 from loguru import logger
 
 from redwingpost.bench.children import Children, Ended, find_free_port
@@ -201,7 +201,7 @@
         except OrderFailed as error:
             # A paused or just ended process takes no rules; the run
             # goes on without it, and the log says so.
-            logger.warning("link rules: {}", error)
+            logger.debug("link rules: {}", error)
 
     async def member_fault(
         self, member: GroupMember, fault: str, **more: Any
@@ -228,55 +228,52 @@
             connect_timeout=3,
         )
 
-    async def status(self, member: GroupMember) -> dict[str, Any] | None:
-        """Return a member's ``REDWING STATUS``, or None."""
-        try:
-            connection = await self.dial(member)
-            cursor = connection.cursor()
-            await cursor.execute("REDWING STATUS")
-            names = [column[0] for column in cursor.description]
-            (row,) = await cursor.fetchall()
-        except (MySQLError, OSError, EOFError, TimeoutError):
-            return None
-        connection.close()
-        return dict(zip(names, row))
-
     async def current_primary(self, group: str) -> GroupMember | None:
-        """Return the primary of the highest term."""
-        found: list[tuple[int, GroupMember]] = []
-        for member in self.layout.members_by_group[group]:
-            status = await self.status(member)
-            if status and status["role"] == "primary":
-                found.append((int(status["promised_term"]), member))
-        return max(found)[1] if found else None
+        """Return the living primary of the highest term."""
+        port = self.layout.faults_by_group[group]
+        statuses = await self.orders.fault(port, "status")
+        terms_by_member = {
+            name: status["promised_term"]
+            for name, status in statuses.items()
+            if status["role"] == "primary" and status["alive"]
+        }
+        leading = [
+            (terms_by_member[member.name], member)
+            for member in self.layout.members_by_group[group]
+            if member.name in terms_by_member
+        ]
+        return max(leading)[1] if leading else None
 
     async def contents(self, group: str) -> Contents:
         """Read what a group holds at the end, from its primary.
 
+        The stand-in's dump is asked, not a connection: the proxies may
+        hold all of those.
+
         Raises
         ------
         NotReady
-            If no member says that it is the primary.
+            If no member is the primary.
         """
         primary = await self.current_primary(group)
         if primary is None:
             raise NotReady(f"{group} has no primary at the end")
-        connection = await self.dial(primary)
-        cursor = connection.cursor()
-        await cursor.execute("SELECT organisation, request, part FROM orders")
-        orders = tuple(
-            OrderRow(name, request, int(part))
-            for name, request, part in await cursor.fetchall()
-        )
-        await cursor.execute(
-            "SELECT organisation, document, revision, request FROM edits"
+        tables = (await self.member_fault(primary, "dump"))["tables"]
+        return Contents(
+            tuple(
+                OrderRow(row["organisation"], row["request"], row["part"])
+                for row in _rows(tables["orders"])
+            ),
+            tuple(
+                EditRow(
+                    row["organisation"],
+                    row["document"],
+                    row["revision"],
+                    row["request"],
+                )
+                for row in _rows(tables["edits"])
+            ),
         )
-        edits = tuple(
-            EditRow(name, document, int(revision), request)
-            for name, document, revision, request in await cursor.fetchall()
-        )
-        connection.close()
-        return Contents(orders, edits)
 
     async def _submit_first(self) -> None:
         """Submit the first configuration as an operator does."""
@@ -287,6 +284,11 @@
             raise NotReady(submission.result.error.describe())
 
 
+def _rows(table: dict[str, Any]) -> Iterator[dict[str, Any]]:
+    """Iterate over a dumped table's rows by column name."""
+    return (dict(zip(table["columns"], row)) for row in table["rows"])
+
+
 def _agent_exists() -> bool:
     return find_spec("redwingpost.cli.agent") is not None
 
--- a/redwingpost/standin/session.py
+++ b/redwingpost/standin/session.py
@@ -140,7 +140,7 @@
             connection=self.connection.connection_id,
             database=self.database or "",
             variables=self.user_variables,
-            system=self.system_variables,
+            system={**self.system_variables, "hostname": self.member.name},
         )
 
     async def _run(self, statement: Statement):
