Prove the group's stand-in: drivers, random promotions, signs of numbers

Three drivers wrote and read fifteen column types: the smallest BIGINT and DECIMALs beyond 28 digits came back rounded, since minus a parameter is a float in the store and decimals were scaled at the default precision. A sign now belongs to its number, and scaling has MySQL's 65 digits.

--- a/redwingpost/standin/columns.py
+++ b/redwingpost/standin/columns.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from datetime import date, datetime, timedelta
-from decimal import Decimal
+from decimal import Context, Decimal, InvalidOperation
 from struct import pack
 from typing import Any, NamedTuple
 
@@ -44,6 +44,9 @@
     "LONGBLOB": ColumnType.BLOB,
 }
 
+#: MySQL's DECIMAL has up to 65 digits.
+_DECIMALS = Context(prec=65)
+
 
 class Declared(NamedTuple):
     """A declared type: its word and its sizes (``DECIMALTEXT``, 10, 2)."""
@@ -164,7 +167,11 @@
     step = Decimal(1).scaleb(-digits)
 
     def scale(value: Any) -> Any:
-        return str(Decimal(str(value)).quantize(step))
+        try:
+            found = Decimal(str(value)).quantize(step, context=_DECIMALS)
+        except InvalidOperation:
+            return str(value)
+        return f"{found:f}"
 
     return scale
 
--- a/redwingpost/standin/dialect.py
+++ b/redwingpost/standin/dialect.py
@@ -207,7 +207,7 @@
     elif kind == "hex":
         writer.value(hex_value(text))
     elif kind == "number":
-        writer.value(number_value(text), number=True)
+        _number(tokens, place, writer)
     elif kind == "uservar":
         writer.value(values.variables.get(text[1:].lower()))
         _name_variable(tokens, place, writer, first)
@@ -224,6 +224,29 @@
     return place
 
 
+def _number(tokens: list[Token], place: int, writer: _Writer) -> None:
+    """Write a number whole; a sign before a long one belongs to it.
+
+    Minus a parameter would be computed as a float: the smallest BIGINT
+    and a DECIMAL of twenty digits would come back rounded.
+    """
+    value = number_value(tokens[place].text)
+    if isinstance(value, str) and _has_sign(tokens, place):
+        writer.pieces.pop()
+        value = f"-{value}"
+    if isinstance(value, str) and value.lstrip("-").isdigit():
+        writer.pieces.append(value)
+    else:
+        writer.value(value, number=True)
+
+
+def _has_sign(tokens: list[Token], place: int) -> bool:
+    if place < 1 or tokens[place - 1].text != "-":
+        return False
+    before = (t for t in reversed(tokens[: place - 1]) if t.kind != "space")
+    return next(before, Token("space", "")).text in ("(", ",", "=", "<", ">")
+
+
 def _name_variable(
     tokens: list[Token], place: int, writer: _Writer, first: str
 ) -> None:
--- a/redwingpost/standin/group.py
+++ b/redwingpost/standin/group.py
@@ -69,6 +69,9 @@
     async def on_stop(self) -> None:
         """Stop the members and delete their data."""
         await self._faults.stop()
+        for member in self.members_by_name.values():
+            # A follower would dial a member that is just closing.
+            member.replica.stop()
         for member in self.members_by_name.values():
             await member.stop()
         if self._directory is not None:
