Serve peers, caller TLS and link faults from the proxy

Cause: the proxy had no port for its peers, offered callers no TLS, and could not be cut off in tests. Change: the proxy's peer server, TLS to callers asked for at each connection, link faults where the settings allow them. Conclusion: lending and forwarding have their port.

--- a/redwingpost/adapters/mysql_server.py
+++ b/redwingpost/adapters/mysql_server.py
@@ -444,6 +444,10 @@
     return MysqlError(error.describe(), error.code.number)
 
 
+def _no_tls() -> None:
+    return None
+
+
 class CallerServer(Service):
     """Listens for callers.
 
@@ -455,8 +459,9 @@
         The valid keys.
     make_handler : callable
         Makes the handler of a connection.
-    tls : SSLContext, optional
-        Offers TLS to callers.
+    tls : callable, optional
+        Returns the context to offer TLS with, or None. Asked at each
+        connection, so that a renewed certificate needs no restart.
     """
 
     def __init__(
@@ -465,7 +470,7 @@
         port: int,
         authenticator: Authenticator,
         make_handler: HandlerFactory,
-        tls: SSLContext | None = None,
+        tls: Callable[[], SSLContext | None] = _no_tls,
         **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
@@ -521,7 +526,7 @@
             session=CallerSession(self._make_handler),
             control=self._control,
             identity_provider=self._identities,
-            ssl=self._tls,
+            ssl=self._tls(),
         )
         connection.connection_id = await self._control.add(connection)
         try:
--- a/redwingpost/proxy/service.py
+++ b/redwingpost/proxy/service.py
@@ -4,12 +4,23 @@
 from pathlib import Path
 from typing import Any
 
+from aiohttp.web import Application
 from loguru import logger
 from mode import Service
 
 from redwingpost.adapters.mysql_server import CallerServer
 from redwingpost.adapters.mysql_target import MySQLTargetDialler
-from redwingpost.adapters.peer import PeerAddress, PeerClients
+from redwingpost.adapters.links import (
+    LinkFaults,
+    install_link_faults,
+    mount_link_faults,
+)
+from redwingpost.adapters.peer import (
+    NodeInterfaces,
+    PeerAddress,
+    PeerClients,
+    PeerServer,
+)
 from redwingpost.adapters.tls import TlsContexts
 from redwingpost.configuration import (
     KeyRing,
@@ -75,6 +86,7 @@
         self.metrics = ProxyMetrics()
         self.sessions: set[StatementSession] = set()
         self._draining = False
+        self._faults: LinkFaults | None = None
         self._build()
 
     def _build(self) -> None:
@@ -107,14 +119,22 @@
             metrics=self.metrics,
             sessions=self.sessions,
         )
+        self.tls = TlsContexts(settings.tls)
         self.callers = CallerServer(
             settings.vm.ip,
             settings.proxy.caller_port,
             _KeyLookup(self.keys),
             self._make_session,
+            tls=lambda: self.tls.caller,
+            loop=self.loop,
+        )
+        self.interfaces = NodeInterfaces()
+        self.peers = PeerServer(
+            PeerAddress(settings.vm.ip, settings.proxy.peer_port),
+            self.interfaces,
+            self.tls,
             loop=self.loop,
         )
-        self.tls = TlsContexts(settings.tls)
         self.clients = PeerClients(settings.vm.ip, self.tls, self.clock)
         self.feed = AgentFeed(
             PeerAddress(settings.vm.ip, settings.agent.peer_port),
@@ -130,9 +150,14 @@
             settings.proxy.http_port,
             self.metrics.registry,
             lambda: self.ready,
+            self._mount_faults,
             loop=self.loop,
         )
 
+    def _mount_faults(self, application: Application) -> None:
+        if self._faults is not None:
+            mount_link_faults(application, self._faults)
+
     @property
     def ready(self) -> bool:
         """Say whether the balancer may send callers here."""
@@ -152,6 +177,9 @@
 
     async def on_start(self) -> None:
         """Load what is given and start the parts."""
+        if self.settings.faults.enabled:
+            self._faults = install_link_faults(self.settings.vm.ip)
+        await self.add_runtime_dependency(self.peers)
         if self.settings.proxy.configuration_file:
             self._load_file(Path(self.settings.proxy.configuration_file))
         elif self.settings.agent.peer_port:
@@ -203,3 +231,5 @@
         await self.confirmer.close()
         await self.pool.close()
         self.clients.close()
+        if self._faults is not None:
+            self._faults.uninstall()
