--- a/redwingpost/agent/interfaces.py
+++ b/redwingpost/agent/interfaces.py
@@ -72,7 +72,8 @@
             self._spread(_context)
 
     async def members(self, _context: Any, **kwargs: Any) -> None:
-        """Show all members, for operators."""
+        """Show all members, for operators; itself as it is now."""
+        self._state.beat_again()
         now = self._context.clock.now()
         results = _context.results
         results.beats = [
--- a/redwingpost/membership/__init__.py
+++ b/redwingpost/membership/__init__.py
@@ -12,6 +12,12 @@
     rank_relays,
     relay_of,
 )
+from redwingpost.membership.report import (
+    Sighting,
+    VmReport,
+    best_sightings,
+    report_vm,
+)
 from redwingpost.membership.suspicion import (
     BeatSchedule,
     judge_silence,
@@ -28,11 +34,15 @@
     "Member",
     "MemberTable",
     "RelayRole",
+    "Sighting",
     "Tell",
     "ViewBoard",
+    "VmReport",
+    "best_sightings",
     "is_newer",
     "judge_silence",
     "rank_relays",
     "relay_of",
+    "report_vm",
     "whom_to_tell",
 ]
--- a/redwingpost/membership/tests/test_membership.py
+++ b/redwingpost/membership/tests/test_membership.py
@@ -11,9 +11,12 @@
     Member,
     MemberTable,
     RelayRole,
+    Sighting,
+    best_sightings,
     judge_silence,
     rank_relays,
     relay_of,
+    report_vm,
 )
 from redwingpost.ports import VmEntry
 
@@ -224,3 +227,30 @@
         clock.store_read(3.0)
         clock.relayed(2.0)
         self.assertEqual(clock.confirmed_at({"1"}, 9.0), 3.0)
+
+
+class ReportTest(TestCase):
+    def test_why_a_version_is_not_in_force(self):
+        current = {"config_version": 3, "proxy_attached": True}
+        table = [
+            (beat("a", proxy_version=3, **current), 0.1, ""),
+            (beat("a", proxy_version=2, **current), 0.1, "proxy is at ver"),
+            (beat("a", proxy_version=3, **current), 9.0, "not heard for 9"),
+            (beat("a", config_version=3), 0.1, "no proxy takes"),
+            (beat("a", config_version=2), 0.1, "agent holds version 2"),
+            (beat("a", gone=True, **current), 0.1, "gone"),
+            (beat("a", incarnation=0), 0.1, "never heard"),
+        ]
+        for item, silent_s, expected in table:
+            with self.subTest(expected=expected):
+                reason = report_vm(Sighting(item, silent_s), 3).reason
+                self.assertIn(expected, reason)
+                self.assertEqual(bool(reason), bool(expected))
+
+    def test_the_latest_sighting_counts(self):
+        # Two agents tell of a VM: one heard it a moment ago, the other
+        # long before, over a detour.
+        old = Sighting(beat("a", sequence=4), 30.0)
+        new = Sighting(beat("a", sequence=9), 0.2)
+        for order in ([old, new], [new, old]):
+            self.assertEqual(best_sightings(order), {"a": new})
