--- a/redwingpost/bench/balancer.py
+++ b/redwingpost/bench/balancer.py
@@ -26,22 +26,15 @@
     ----------
     proxies_by_vm : dict of str to ProxyEndpoint
         May change while the service runs.
-    checked : bool
-        False where the proxies have no health checks: all are ready.
     """
 
-    def __init__(
-        self, proxies_by_vm: dict[str, ProxyEndpoint], checked: bool = True
-    ) -> None:
+    def __init__(self, proxies_by_vm: dict[str, ProxyEndpoint]) -> None:
         super().__init__()
         self.proxies_by_vm = proxies_by_vm
         self.ready: set[str] = set(proxies_by_vm)
-        self._checked = checked
 
     @Service.task
     async def _check(self) -> None:
-        if not self._checked:
-            return
         limit = ClientTimeout(total=CHECK_LIMIT_S)
         async with ClientSession(timeout=limit) as http:
             while not self.should_stop:
--- a/redwingpost/bench/callers.py
+++ b/redwingpost/bench/callers.py
@@ -179,8 +179,8 @@
         try:
             cursor = connection.cursor()
             await cursor.execute("SELECT @@redwing_token")
-            ((token,),) = await cursor.fetchall()
-            self._token = token or ""
+            rows = await cursor.fetchall()
+            self._token = rows[0][0] if rows else ""
         except (MySQLError, OSError, EOFError):
             self._drop(self.vm)
 
--- a/redwingpost/bench/fleet.py
+++ b/redwingpost/bench/fleet.py
@@ -1,8 +1,7 @@
 """The real programs of a run, as children on loopback sockets."""
 
-from asyncio import gather, open_connection, sleep
+from asyncio import gather, sleep
 from collections.abc import Iterator
-from importlib.util import find_spec
 from json import dumps
 from pathlib import Path
 from time import monotonic
@@ -60,7 +59,7 @@
     def __init__(self, site: Site, policy: str, directory: Path) -> None:
         self.site = site
         self.policy = policy
-        self.has_agents = policy == REDWINGPOST and _agent_exists()
+        self.has_agents = policy == REDWINGPOST
         self.layout: Layout = make_layout(site, find_free_port)
         self.configuration = make_configuration(self.layout)
         self.children = Children(directory)
@@ -80,8 +79,7 @@
         vms = list(self.layout.vms_by_name)
         await gather(*(self.start_vm(vm) for vm in vms))
         await gather(*(self.wait_ready(vm) for vm in vms))
-        if self.policy == REDWINGPOST:
-            await self.set_links(self.rules)
+        await self.set_links(self.rules)
 
     def _path(self, name: str) -> Path:
         return self._directory / name
@@ -144,14 +142,8 @@
     async def wait_ready(self, vm: str) -> None:
         """Wait until a VM's proxy takes callers."""
         address = self.layout.vms_by_name[vm]
-        if self.policy == REDWINGPOST:
-            port = HttpPort(address.ip, address.proxy_http_port)
-            await self._wait(f"proxy {vm}", port, "/readyz")
-            return
-        limit = monotonic() + READY_LIMIT_S
-        while not await _accepts(address.ip, address.caller_port):
-            self._check_alive(f"proxy {vm}", limit)
-            await sleep(_POLL_S)
+        port = HttpPort(address.ip, address.proxy_http_port)
+        await self._wait(f"proxy {vm}", port, "/readyz")
 
     async def _wait(self, name: str, port: HttpPort, path: str) -> None:
         limit = monotonic() + READY_LIMIT_S
@@ -287,17 +279,3 @@
 def _rows(table: dict[str, Any]) -> Iterator[dict[str, Any]]:
     """Iterate over a dumped table's rows by column name."""
     return (dict(zip(table["columns"], row)) for row in table["rows"])
-
-
-def _agent_exists() -> bool:
-    return find_spec("redwingpost.cli.agent") is not None
-
-
-async def _accepts(ip: str, port: int) -> bool:
-    """Say whether somebody listens there."""
-    try:
-        _, writer = await open_connection(ip, port)
-    except OSError:
-        return False
-    writer.close()
-    return True
--- a/redwingpost/bench/naive.py
+++ b/redwingpost/bench/naive.py
@@ -11,10 +11,16 @@
 from time import monotonic
 from typing import Annotated, Any
 
+from aiohttp.web import Application
 from expression import Error, Ok, Result
 from mode import Service
+from prometheus_client import CollectorRegistry
 from typer import Option, Typer
 
+from redwingpost.adapters.links import (
+    install_link_faults,
+    mount_link_faults,
+)
 from redwingpost.adapters.mysql_server import Answer, CallerServer
 from redwingpost.adapters.mysql_target import MySQLTargetDialler
 from redwingpost.cli.running import configure_logs, run_service
@@ -26,6 +32,7 @@
 from redwingpost.core import Code, MemberError, Refusal
 from redwingpost.core.marks import read_marks
 from redwingpost.ports import StatementResult, TargetError, TargetLost
+from redwingpost.proxy.http import StatusServer
 from redwingpost.settings import Settings, load_settings
 
 #: VMs over which the rates are divided, once and for all.
@@ -73,6 +80,7 @@
 
     def __init__(self, settings: Settings) -> None:
         super().__init__()
+        self._ip = settings.vm.ip
         body = Path(settings.proxy.configuration_file).read_bytes()
         self.configuration: Configuration = parse_configuration(body).ok
         self.dialler = MySQLTargetDialler(
@@ -88,6 +96,13 @@
         self._callers = CallerServer(
             settings.vm.ip, settings.proxy.caller_port, self, self._make
         )
+        self._http = StatusServer(
+            settings.vm.ip,
+            settings.proxy.http_port,
+            CollectorRegistry(),
+            lambda: True,
+            self._add_routes,
+        )
 
     def key_hashes(self, organisation: str) -> tuple[str, ...]:
         """Return the hashes of an organisation's keys."""
@@ -102,9 +117,14 @@
     ) -> "NaiveSession":
         return NaiveSession(self, organisation, group)
 
+    def _add_routes(self, application: Application) -> None:
+        mount_link_faults(application, self._faults)
+
     async def on_start(self) -> None:
-        """Open the callers' port."""
+        """Open the callers' port and that for health checks."""
+        self._faults = install_link_faults(self._ip)
         await self.add_runtime_dependency(self._callers)
+        await self.add_runtime_dependency(self._http)
 
     async def dial_primary(self, group: Group) -> Any:
         """Connect to the first member that says it is the primary."""
@@ -131,6 +151,11 @@
         self._group = group
         self._open: Any = None
 
+    @property
+    def autocommit(self) -> bool:
+        """Say that each statement commits by itself."""
+        return True
+
     @property
     def in_transaction(self) -> bool:
         """Say whether a transaction is open."""
--- a/redwingpost/bench/runner.py
+++ b/redwingpost/bench/runner.py
@@ -85,8 +85,7 @@
 ) -> Finished:
     site = fleet.site
     balancer = Balancer(
-        {name: vm.proxy for name, vm in fleet.layout.vms_by_name.items()},
-        checked=order.policy == REDWINGPOST,
+        {name: vm.proxy for name, vm in fleet.layout.vms_by_name.items()}
     )
     load = LoadGenerator(
         balancer,
