--- a/redwingpost/verify/__init__.py
+++ b/redwingpost/verify/__init__.py
@@ -1,1 +1,27 @@
-"""verify."""
+"""Model checking of the write and promotion protocol.
+
+``search`` visits every state of ``Model`` within small bounds and looks
+for one that breaks a promise; the tests also walk larger bounds at
+random. The decision modules it runs are those of production.
+"""
+
+from redwingpost.verify.member import Rules
+from redwingpost.verify.model import (
+    Bounds,
+    Model,
+    State,
+    initial_state,
+    violation,
+)
+from redwingpost.verify.search import Found, search
+
+__all__ = [
+    "Bounds",
+    "Found",
+    "Model",
+    "Rules",
+    "State",
+    "initial_state",
+    "search",
+    "violation",
+]
--- /dev/null
+++ b/redwingpost/verify/model.py
@@ -0,0 +1,559 @@
+"""The write and promotion protocol as a state machine to be searched.
+
+Proposers run ``redwingpost.promotion.step``, writers judge replicas by
+``Acknowledgements`` and failures by ``next_step``: the modules that run
+in production, not copies. What is modelled is what surrounds them.
+
+The network may do anything: a request once sent may arrive at any later
+time, or never, also after its sender gave up, crashed or was replaced;
+claims, promotions and orders to follow may arrive twice (a statement of
+a caller can't: it travels on one TCP connection). Any process may stop
+for any time, so pauses, crashes with a restart, cuts and delays are all
+interleavings of the same steps. A proposer that crashes forgets its
+election and comes back under another claimant's name. The table service
+takes no part, hence its outage changes nothing.
+
+Two reductions keep the search small. Only members that consider
+themselves primary are sent writes: others answer 1290 and nothing runs.
+A claim's answer that nobody waits for is dropped.
+"""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from redwingpost.core import Code, Outcome, Position
+from redwingpost.promotion.acknowledgement import (
+    Acknowledgements,
+    Decision,
+    WaitAnswer,
+    replicas_needed,
+)
+from redwingpost.promotion.election import (
+    Candidate,
+    ClaimAnswer,
+    Election,
+    Phase,
+    PromoteAnswer,
+    SendPromote,
+    Timer,
+    TimerFired,
+    next_term,
+    start,
+    step,
+)
+from redwingpost.retries.table import (
+    Action,
+    Failure,
+    RequestClass,
+    next_step,
+)
+from redwingpost.verify.member import (
+    Entry,
+    Member,
+    Rules,
+    claim,
+    claim_accepted,
+    commit,
+    follow,
+    promote,
+    pull,
+    takes_writes,
+)
+
+
+class Bounds(NamedTuple):
+    """How large the model is.
+
+    ``keyed`` says of each writer whether its write has a key;
+    ``elections`` how many each proposer may start.
+    """
+
+    members: int = 3
+    elections: tuple[int, ...] = (1, 1)
+    keyed: tuple[bool, ...] = (True,)
+    attempts: int = 2
+
+
+class Proposer(NamedTuple):
+    """One agent: its election under way and the starts it has left."""
+
+    name: str
+    left: int
+    known_term: int
+    election: Election | None = None
+
+    @property
+    def claimant(self) -> str:
+        """Return the name it claims under; every start has its own."""
+        return f"{self.name}/{self.left}"
+
+
+class Writer(NamedTuple):
+    """One caller's write with its proxy.
+
+    ``attempt`` counts sendings; ``sent_to`` holds those still in the
+    network as (attempt, member). ``answers`` are the replicas' answers
+    for the attempt that committed at ``position``.
+    """
+
+    name: str
+    keyed: bool
+    attempt: int = 0
+    sent_to: frozenset[tuple[int, str]] = frozenset()
+    replies: frozenset[tuple[int, str, Position]] = frozenset()
+    waits: bool = False
+    primary: str = ""
+    position: Position | None = None
+    answers: frozenset[WaitAnswer] = frozenset()
+    may_have_run: bool = False
+    outcome: str = ""
+
+
+class ClaimSent(NamedTuple):
+    """A claim in the network, for every member, for ever."""
+
+    proposer: int
+    claimant: str
+    term: int
+
+
+class PromoteSent(NamedTuple):
+    """A promotion order in the network, for ever."""
+
+    proposer: int
+    claimant: str
+    term: int
+    member: str
+
+
+class State(NamedTuple):
+    """Everything: members, proposers, writers and the network."""
+
+    members: tuple[Member, ...]
+    proposers: tuple[Proposer, ...]
+    writers: tuple[Writer, ...]
+    claims: frozenset[ClaimSent] = frozenset()
+    claim_answers: frozenset[tuple[int, str, ClaimAnswer]] = frozenset()
+    promotes: frozenset[PromoteSent] = frozenset()
+    promoted: frozenset[tuple[int, str, PromoteAnswer]] = frozenset()
+    led: frozenset[tuple[int, str]] = frozenset()
+    acknowledged: frozenset[tuple[str, Position]] = frozenset()
+
+
+ACKNOWLEDGED = "acknowledged"
+
+
+def initial_state(bounds: Bounds) -> State:
+    """Return the group in good order: the first member leads term 1."""
+    names = [chr(ord("a") + number) for number in range(bounds.members)]
+    log = (Entry(1, ""),)
+    members = tuple(
+        Member(name, log, 1, "", name == "a", "" if name == "a" else "a")
+        for name in names
+    )
+    proposers = tuple(
+        Proposer(f"p{number}", left, 1)
+        for number, left in enumerate(bounds.elections)
+    )
+    writers = tuple(
+        Writer(f"w{number}", keyed)
+        for number, keyed in enumerate(bounds.keyed)
+    )
+    led = frozenset({(1, "a")})
+    return State(members, proposers, writers, led=led)
+
+
+Steps = Iterator[tuple[str, State]]
+
+
+def _with_member(state: State, index: int, member: Member) -> State:
+    members = list(state.members)
+    members[index] = member
+    led = state.led
+    if member.primary:
+        led = led | {(member.own_term, member.name)}
+    return state._replace(members=tuple(members), led=led)
+
+
+def _with_proposer(state: State, index: int, proposer: Proposer) -> State:
+    proposers = list(state.proposers)
+    proposers[index] = proposer
+    return state._replace(proposers=tuple(proposers))
+
+
+def _with_writer(state: State, index: int, writer: Writer) -> State:
+    writers = list(state.writers)
+    writers[index] = writer
+    return state._replace(writers=tuple(writers))
+
+
+def _finished(writer: Writer, outcome: str) -> Writer:
+    """Return the writer without what only the last attempt needed."""
+    return writer._replace(
+        outcome=outcome,
+        waits=False,
+        primary="",
+        position=None,
+        replies=frozenset(),
+        answers=frozenset(),
+        may_have_run=False,
+    )
+
+
+class Model:
+    """The steps that are possible in a state.
+
+    Parameters
+    ----------
+    rules : Rules
+        Which rules hold.
+    bounds : Bounds
+        How many of everything.
+
+    Examples
+    --------
+    >>> model = Model(Rules(), Bounds())
+    >>> names = [name for name, _ in model.steps(initial_state(Bounds()))]
+    >>> names
+    ['p0 starts', 'p1 starts', 'w0 sends to a']
+    """
+
+    def __init__(self, rules: Rules, bounds: Bounds) -> None:
+        self.rules = rules
+        self.bounds = bounds
+
+    def steps(self, state: State) -> Steps:
+        """Yield the name and the result of every possible step."""
+        yield from self._proposer_steps(state)
+        yield from self._claim_steps(state)
+        yield from self._promotion_steps(state)
+        yield from self._member_steps(state)
+        yield from self._writer_steps(state)
+
+    # Proposers.
+
+    def _proposer_steps(self, state: State) -> Steps:
+        for index, proposer in enumerate(state.proposers):
+            if proposer.left:
+                yield self._start(state, index, proposer)
+            if proposer.election is None:
+                continue
+            if proposer.election.phase is Phase.GRACE:
+                event = TimerFired(Timer.GRACE)
+                following = self._feed(state, index, event)
+                yield f"{proposer.name} grace over", following
+
+    def _start(self, state, index, proposer) -> tuple[str, State]:
+        """Start afresh: also what follows a crash or giving up."""
+        names = [member.name for member in state.members]
+        if not self.rules.majority:
+            # The variant takes a majority of whom it reaches: one.
+            names = names[index + 1 : index + 2]
+        candidates = tuple(Candidate(name) for name in names)
+        term = next_term((proposer.known_term,))
+        election, _ = start(candidates, term)
+        proposer = proposer._replace(
+            left=proposer.left - 1, known_term=term, election=election
+        )
+        sent = ClaimSent(index, proposer.claimant, term)
+        state = _with_proposer(state, index, proposer)
+        state = state._replace(claims=state.claims | {sent})
+        return f"{proposer.name} starts", self._forget_answers(state, index)
+
+    def _forget_answers(self, state: State, index: int) -> State:
+        claimant = state.proposers[index].claimant
+        claim_answers = frozenset(
+            entry
+            for entry in state.claim_answers
+            if entry[0] != index or entry[1] == claimant
+        )
+        promoted = frozenset(
+            entry
+            for entry in state.promoted
+            if entry[0] != index or entry[1] == claimant
+        )
+        return state._replace(claim_answers=claim_answers, promoted=promoted)
+
+    def _feed(self, state: State, index: int, event) -> State:
+        """Give a proposer's election an event; send what it orders."""
+        proposer = state.proposers[index]
+        election, commands = step(proposer.election, event)
+        known = max(proposer.known_term, election.highest_term)
+        over = election.phase in (Phase.DONE, Phase.GAVE_UP)
+        # What can't matter any more is forgotten, so that states merge.
+        known = known if proposer.left else 0
+        proposer = proposer._replace(
+            known_term=known, election=None if over else election
+        )
+        state = _with_proposer(state, index, proposer)
+        for command in commands:
+            if isinstance(command, SendPromote):
+                sent = PromoteSent(
+                    index, proposer.claimant, command.term, command.member
+                )
+                state = state._replace(promotes=state.promotes | {sent})
+        return state
+
+    # Claims and promotions in the network.
+
+    def _claim_steps(self, state: State) -> Steps:
+        for sent in state.claims:
+            for index, member in enumerate(state.members):
+                yield from self._deliver_claim(state, sent, index, member)
+        for index, claimant, answer in state.claim_answers:
+            name = f"p{index} hears of {answer.member}'s claim"
+            rest = state.claim_answers - {(index, claimant, answer)}
+            following = state._replace(claim_answers=rest)
+            if state.proposers[index].election is not None:
+                yield name, self._feed(following, index, answer)
+
+    def _deliver_claim(self, state, sent, index, member) -> Steps:
+        claimed = claim(member, sent.term, sent.claimant)
+        following = _with_member(state, index, claimed)
+        proposer = state.proposers[sent.proposer]
+        awaited = (
+            proposer.election is not None
+            and proposer.claimant == sent.claimant
+            and proposer.election.phase in (Phase.CLAIMING, Phase.GRACE)
+            and member.name in self._unheard(proposer.election)
+        )
+        if awaited:
+            answer = self._claim_answer(claimed, sent)
+            entry = (sent.proposer, sent.claimant, answer)
+            answers = state.claim_answers | {entry}
+            following = following._replace(claim_answers=answers)
+        if following != state:
+            yield f"{sent.claimant} claims {member.name}", following
+
+    def _unheard(self, election: Election) -> set[str]:
+        heard = {claimed.member for claimed in election.claims}
+        return {c.member for c in election.candidates} - heard
+
+    def _claim_answer(self, member: Member, sent: ClaimSent) -> ClaimAnswer:
+        accepted = claim_accepted(member, sent.term, sent.claimant)
+        received = member.received
+        if not self.rules.most_advanced:
+            received = Position(0, 0)
+        return ClaimAnswer(
+            member.name, accepted, member.promised_term, received, received
+        )
+
+    def _promotion_steps(self, state: State) -> Steps:
+        for sent in state.promotes:
+            yield from self._deliver_promote(state, sent)
+        for index, claimant, answer in state.promoted:
+            rest = state.promoted - {(index, claimant, answer)}
+            following = state._replace(promoted=rest)
+            if state.proposers[index].election is not None:
+                name = f"p{index} hears that {answer.member} leads"
+                yield name, self._feed(following, index, answer)
+
+    def _deliver_promote(self, state: State, sent: PromoteSent) -> Steps:
+        for index, member in enumerate(state.members):
+            if member.name != sent.member:
+                continue
+            raised = promote(member, sent.term, sent.claimant)
+            following = _with_member(state, index, raised)
+            proposer = state.proposers[sent.proposer]
+            if (
+                proposer.election is not None
+                and proposer.claimant == sent.claimant
+            ):
+                ok = raised.primary and raised.own_term == sent.term
+                answer = PromoteAnswer(member.name, ok, raised.received)
+                entry = (sent.proposer, sent.claimant, answer)
+                promoted = state.promoted | {entry}
+                following = following._replace(promoted=promoted)
+            if following != state:
+                yield f"{member.name} promoted by {sent.claimant}", following
+
+    # Members among themselves. Whoever sees a leader may tell others to
+    # follow it, so the order is always in the network.
+
+    def _member_steps(self, state: State) -> Steps:
+        for index, member in enumerate(state.members):
+            for term, leader in state.led:
+                told = follow(member, term, leader)
+                if told != member:
+                    name = f"{member.name} told to follow {leader}"
+                    yield name, _with_member(state, index, told)
+            # Without writes logs differ by promotions only, and whether
+            # these are copied bears on no promise.
+            sources = state.members if self.bounds.keyed else ()
+            for primary in sources:
+                pulled = pull(member, primary)
+                if pulled != member:
+                    name = f"{member.name} pulls from {primary.name}"
+                    yield name, _with_member(state, index, pulled)
+
+    # Writers.
+
+    def _writer_steps(self, state: State) -> Steps:
+        for index, writer in enumerate(state.writers):
+            yield from self._arrivals(state, index, writer)
+            if writer.outcome:
+                continue
+            if not writer.waits:
+                yield from self._send(state, index, writer)
+                continue
+            yield from self._hear(state, index, writer)
+            yield from self._confirm(state, index, writer)
+            failure = Failure.NO_ANSWER
+            if writer.position is not None:
+                failure = Failure.NOT_CONFIRMED
+            failed = self._fail(state, index, writer, failure)
+            yield f"{writer.name} fails: {failure.name}", failed
+
+    def _send(self, state, index, writer) -> Steps:
+        attempt = writer.attempt + 1
+        for member in state.members:
+            if not member.primary:
+                continue
+            sent_to = writer.sent_to | {(attempt, member.name)}
+            sending = writer._replace(
+                attempt=attempt,
+                sent_to=sent_to,
+                waits=True,
+                primary=member.name,
+                position=None,
+                answers=frozenset(),
+                replies=frozenset(),
+            )
+            name = f"{writer.name} sends to {member.name}"
+            yield name, _with_writer(state, index, sending)
+
+    def _arrivals(self, state, index, writer) -> Steps:
+        """A statement arrives, perhaps long after its sender gave up."""
+        for attempt, name in writer.sent_to:
+            for number, member in enumerate(state.members):
+                if member.name != name:
+                    continue
+                rest = writer.sent_to - {(attempt, name)}
+                arrived = writer._replace(sent_to=rest)
+                reply = (attempt, "refused", Position(0, 0))
+                following = state
+                if takes_writes(member, self.rules):
+                    done = commit(
+                        member, writer.name, writer.keyed, self.rules
+                    )
+                    following = _with_member(state, number, done)
+                    reply = (attempt, "committed", done.received)
+                awaited = writer.waits and attempt == writer.attempt
+                if awaited and not writer.outcome:
+                    replies = writer.replies | {reply}
+                    arrived = arrived._replace(replies=replies)
+                label = f"{name} gets {writer.name}'s attempt {attempt}"
+                yield label, _with_writer(following, index, arrived)
+
+    def _hear(self, state, index, writer) -> Steps:
+        for _, result, position in writer.replies:
+            heard = writer._replace(replies=frozenset())
+            if result == "refused":
+                failure = Failure.READ_ONLY
+                yield (
+                    f"{writer.name} hears 1290",
+                    self._fail(state, index, heard, failure),
+                )
+                continue
+            heard = heard._replace(position=position)
+            following = _with_writer(state, index, heard)
+            if not self.rules.confirm:
+                following = self._acknowledge(state, index, heard)
+            yield f"{writer.name} hears {position}", following
+
+    def _confirm(self, state, index, writer) -> Steps:
+        if writer.position is None:
+            return
+        for member in state.members:
+            answer = WaitAnswer(
+                member.name, member.promised_term, member.received
+            )
+            if member.name == writer.primary or answer in writer.answers:
+                continue
+            # The wait lasts until the replica holds as much; an answer
+            # before that says no and settles nothing.
+            if answer.received.index < writer.position.index:
+                continue
+            if not self.rules.confirm_term:
+                # The variant looks at the index alone.
+                index_only = writer.position._replace(
+                    index=answer.received.index
+                )
+                answer = WaitAnswer(
+                    member.name, writer.position.term, index_only
+                )
+            answers = writer.answers | {answer}
+            if len(answers) > 1 + replicas_needed(len(state.members)):
+                continue
+            asked = writer._replace(answers=answers)
+            name = f"{member.name} answers {writer.name}'s wait"
+            yield name, _with_writer(state, index, asked)
+        if self._judged(state, writer):
+            yield (
+                f"{writer.name} acknowledges",
+                self._acknowledge(state, index, writer),
+            )
+
+    def _judged(self, state: State, writer: Writer) -> bool:
+        """Ask the acknowledgement rule about the answers so far."""
+        names = [member.name for member in state.members]
+        replicas = [name for name in names if name != writer.primary]
+        needed = replicas_needed(len(names))
+        acks = Acknowledgements(writer.position.term, replicas, needed)
+        decided = list(acks.add(1, writer.position, bound_at=1.0))
+        for answer in sorted(writer.answers):
+            decided.extend(acks.answered(0, answer))
+        return any(d.decision is Decision.ACKNOWLEDGED for d in decided)
+
+    def _acknowledge(self, state, index, writer) -> State:
+        done = _finished(writer, ACKNOWLEDGED)
+        entry = (writer.name, writer.position)
+        state = state._replace(acknowledged=state.acknowledged | {entry})
+        return _with_writer(state, index, done)
+
+    def _fail(self, state, index, writer, failure) -> State:
+        keyed = RequestClass.KEYED_WRITE
+        unkeyed = RequestClass.UNKEYED_WRITE
+        can_retry = writer.attempt < self.bounds.attempts
+        following = next_step(
+            keyed if writer.keyed else unkeyed,
+            failure,
+            can_retry,
+            writer.may_have_run,
+        )
+        again = following.action in (Action.RETRY, Action.ASK_RECORD)
+        if not self.rules.retry_table and can_retry:
+            again = True
+        if again:
+            ambiguous = failure is not Failure.READ_ONLY
+            waiting = _finished(writer, "")._replace(
+                may_have_run=writer.may_have_run or ambiguous
+            )
+            return _with_writer(state, index, waiting)
+        code = following.code or Code.OUTCOME_UNKNOWN
+        done = _finished(writer, code.outcome.value)
+        return _with_writer(state, index, done)
+
+
+def violation(state: State) -> str:
+    """Return which promise a state breaks, or an empty string."""
+    terms = [term for term, _ in state.led]
+    if len(terms) != len(set(terms)):
+        return "two primaries of one term"
+    for name, position in state.acknowledged:
+        for member in state.members:
+            later = member.primary and member.own_term >= position.term
+            if later and name not in member.writes():
+                return f"{name} was acknowledged, {member.name} lacks it"
+    not_run = {
+        writer.name
+        for writer in state.writers
+        if writer.outcome == Outcome.NOT_RUN.value
+    }
+    for member in state.members:
+        writes = member.writes()
+        if len(writes) != len(set(writes)):
+            return f"{member.name} ran a write twice"
+        if not_run.intersection(writes):
+            return f"{member.name} ran what was called not run"
+    return ""
--- /dev/null
+++ b/redwingpost/verify/tests/test_walk.py
@@ -0,0 +1,77 @@
+"""Random walks through the protocol, beyond the bounds of the search."""
+
+from hypothesis import HealthCheck, Phase, settings, strategies
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    rule,
+    run_state_machine_as_test,
+)
+from unittest import TestCase
+
+from redwingpost.verify import (
+    Bounds,
+    Model,
+    Rules,
+    initial_state,
+    violation,
+)
+
+#: Fixed seeds, so that a red run is red again.
+WALKS = settings(
+    max_examples=40,
+    stateful_step_count=40,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+
+#: A violation that is expected needn't be made small first.
+UNSHRUNK = settings(WALKS, phases=(Phase.generate,), max_examples=60)
+
+
+class Walk(RuleBasedStateMachine):
+    """Several callers and proposers at once, any step at any time."""
+
+    rules_in_force = Rules()
+
+    @initialize(
+        members=strategies.sampled_from((3, 5)),
+        keyed=strategies.lists(strategies.booleans(), min_size=1, max_size=3),
+        elections=strategies.sampled_from(((2,), (1, 1), (2, 2), (2, 1, 1))),
+    )
+    def begin(self, members, keyed, elections):
+        bounds = Bounds(members, elections, tuple(keyed), 3)
+        self.model = Model(self.rules_in_force, bounds)
+        self.state = initial_state(bounds)
+
+    @rule(choices=strategies.lists(strategies.integers(0, 999), max_size=8))
+    def act(self, choices):
+        for choice in choices:
+            steps = list(self.model.steps(self.state))
+            if not steps:
+                return
+            _, self.state = steps[choice % len(steps)]
+            assert violation(self.state) == "", violation(self.state)
+
+
+class WithoutConfirm(Walk):
+    """The same walk while writes are acknowledged at once."""
+
+    rules_in_force = Rules(confirm=False)
+
+
+class WalkTest(TestCase):
+    """Two promotions, several writers, five members: too many states.
+
+    A fault that needs two promotions would show to callers as a write
+    that was acknowledged and is gone after the second.
+    """
+
+    def test_promises_hold(self):
+        run_state_machine_as_test(Walk, settings=WALKS)
+
+    def test_a_broken_rule_is_noticed(self):
+        with self.assertRaises(AssertionError):
+            run_state_machine_as_test(WithoutConfirm, settings=UNSHRUNK)
