Number a borrower's requests by incarnation

A late answer to the process that ran before on the same VM could pass for an answer to the new one, which then counted the loan's validity from its own, later request. The widened stateful test (whole exchanges, spending everywhere) found it; without the quarantine, with validity counted from the answer, or with tokens copied on lending it now fails, and it passes with the change.

--- a/redwingpost/rates/loans.py
+++ b/redwingpost/rates/loans.py
@@ -141,11 +141,15 @@
     ----------
     ledger : Ledger
         The organisation's account on this VM.
+    first_ask : int
+        As `Lender`'s ``first_loan``: an answer to the process that ran
+        here before must not pass for one to this process, which asked
+        later and would count its validity from then.
     """
 
-    def __init__(self, ledger: Ledger) -> None:
+    def __init__(self, ledger: Ledger, first_ask: int = 1) -> None:
         self.ledger = ledger
-        self._numbers = count(1)
+        self._numbers = count(first_ask)
         self._asks_by_number: dict[int, Ask] = {}
 
     def ask(self, lender: str, parts: int, tokens: int, now: float) -> Ask:
--- a/redwingpost/rates/tests/test_conservation.py
+++ b/redwingpost/rates/tests/test_conservation.py
@@ -2,7 +2,7 @@
 
 from unittest import TestCase
 
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
@@ -21,6 +21,7 @@
 BURST = 4.0
 PART = WHOLE // len(VMS)
 vms = sampled_from(VMS)
+pairs = sampled_from([(x, y) for x in VMS for y in VMS if x != y])
 
 
 class Vm:
@@ -29,7 +30,7 @@
     def __init__(self, incarnation, now):
         self.ledger = Ledger(RATE, BURST, now)
         self.lender = Lender(self.ledger, incarnation << 20)
-        self.borrower = Borrower(self.ledger)
+        self.borrower = Borrower(self.ledger, incarnation << 20)
         self.usable_from = now + (QUARANTINE_S if incarnation else 0.0)
 
 
@@ -51,7 +52,11 @@
         for name in VMS:
             self.vouch(name)
 
-    @rule(name=vms)
+    @rule()
+    def vouch_all(self):
+        for name in VMS:
+            self.vouch(name)
+
     def vouch(self, name):
         vm = self.vms[name]
         base = Base(PART, vm.usable_from, self.now + BASE_VALID_S)
@@ -64,25 +69,37 @@
         base = Base(PART // 2, vm.usable_from, self.now + BASE_VALID_S)
         vm.ledger.set_base(base, self.now)
 
-    @rule(milliseconds=sampled_from((1, 40, 300, 1000, 1100, 5000)))
+    @rule(milliseconds=sampled_from((1, 40, 300, 700, 990, 1050, 3500)))
     def wait(self, milliseconds):
         self.now += milliseconds / 1000
 
-    @rule(name=vms, statements=integers(1, 6))
-    def spend(self, name, statements):
-        for _ in range(statements):
-            if self.vms[name].ledger.spend(STATEMENT, self.now):
-                self.spent.append(self.now)
+    @rule()
+    def spend_everywhere(self):
+        for name in VMS:
+            self._spend(name)
+
+    def _spend(self, name):
+        # A tenth of a statement each, so that small gains show.
+        while self.vms[name].ledger.spend(STATEMENT // 10, self.now):
+            self.spent.append(self.now)
+
+    @rule(pair=pairs, late_ms=sampled_from((0, 0, 0, 200, 900)))
+    def borrow_all(self, pair, late_ms):
+        """A whole exchange whose answer takes ``late_ms``."""
+        name, lender = pair
+        here, there = self.vms[name], self.vms[lender]
+        ask = here.borrower.ask(lender, PART, 5 * STATEMENT, self.now)
+        grant = there.lender.lend(name, PART, 5 * STATEMENT, self.now)
+        self.now += late_ms / 1000
+        here.borrower.accept(ask.ask, grant, self.now)
 
     @rule(
-        name=vms,
-        lender=vms,
+        pair=pairs,
         parts=integers(1, PART),
         tokens=integers(0, 5 * STATEMENT),
     )
-    def ask(self, name, lender, parts, tokens):
-        if name == lender:
-            return
+    def ask(self, pair, parts, tokens):
+        name, lender = pair
         ask = self.vms[name].borrower.ask(lender, parts, tokens, self.now)
         self.messages.append(("ask", name, lender, ask))
 
@@ -143,16 +160,14 @@
         """Over every window that ends now: at most burst + rate x time."""
         for place, start in enumerate(self.spent):
             allowed = BURST + RATE * (self.now - start)
-            self.assert_within(len(self.spent) - place, allowed)
+            spent = (len(self.spent) - place) / 10
+            assert spent <= allowed + 1e-6, (spent, allowed)
 
     @invariant()
     def parts_never_exceed_the_whole(self):
         held = sum(vm.ledger.parts_at(self.now) for vm in self.vms.values())
         assert held <= WHOLE, held
 
-    def assert_within(self, spent, allowed):
-        assert spent <= allowed + 1e-6, (spent, allowed)
-
 
 class ConservationTest(TestCase):
     def test_spending_is_bounded_over_every_window(self):
@@ -164,11 +179,12 @@
         run_state_machine_as_test(
             Fleet,
             settings=settings(
-                max_examples=150,
-                stateful_step_count=60,
+                max_examples=200,
+                stateful_step_count=80,
                 deadline=None,
                 derandomize=True,
                 database=None,
+                phases=(Phase.generate,),
                 suppress_health_check=list(HealthCheck),
             ),
         )
