Forward statements to a group's home VMs

Cause: every VM connected to every member. At 1,000 VMs the first 32 would hold all of a member's connections, and status polls alone would be millions a second. Change: a group has six home VMs, chosen without a message; other VMs forward its statements over one RPC connection per home, which runs them with its own key check, rate and queue. What a lost home leaves is decided by the retry table. At six VMs nothing is forwarded. Conclusion: an organisation's rate is then spent at the homes of its groups only, whatever the number of VMs.

--- a/redwingpost/adapters/peer.py
+++ b/redwingpost/adapters/peer.py
@@ -53,6 +53,7 @@
         self.watch: Any = None
         self.local: Any = None
         self.lending: Any = None
+        self.forward: Any = None
 
 
 class _Node(SCHEMA.Node.Server):
@@ -73,6 +74,9 @@
     async def lending(self, _context: Any, **kwargs: Any) -> Any:
         return self._served("lending")
 
+    async def forward(self, _context: Any, **kwargs: Any) -> Any:
+        return self._served("forward")
+
     def _served(self, name: str) -> Any:
         interface = getattr(self._interfaces, name)
         if interface is None:
--- /dev/null
+++ b/redwingpost/proxy/forwarder.py
@@ -0,0 +1,289 @@
+"""The forwarding VM's side: send a group's statements to a home VM."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+from expression import Error, Ok, Result
+
+from redwingpost.adapters.peer import PeerAddress, PeerClients
+from redwingpost.core import (
+    MarkedStatement,
+    MemberError,
+    Position,
+    Refusal,
+    StatementClass,
+    VmAddress,
+)
+from redwingpost.ports import Clock, StatementResult
+from redwingpost.proxy.directory import Directory
+from redwingpost.retries import (
+    Action,
+    Failure,
+    NextStep,
+    RequestClass,
+    next_step,
+)
+from redwingpost.routing.homes import (
+    ForwardTarget,
+    choose_forward_targets,
+    choose_homes,
+)
+from redwingpost.wire.forwarding import (
+    decode_answer,
+    decode_positions,
+    encode_marks,
+    encode_positions,
+)
+
+#: Seconds beyond a request's deadline that a home gets for its answer:
+#: it answers by the deadline itself, so a later one means it is lost.
+ANSWER_GRACE_S = 1.0
+
+#: Seconds to open a forwarded connection; it takes two round trips.
+OPEN_LIMIT_S = 1.0
+
+
+class ForwardOutcome(NamedTuple):
+    """A home's answer and what the session has seen by it."""
+
+    answer: Result[StatementResult, Refusal | MemberError]
+    in_transaction: bool
+    positions_by_group: dict[str, Position]
+    whole: bool
+
+
+class ForwardedCall(NamedTuple):
+    """A statement to forward, with what its session has seen."""
+
+    marked: MarkedStatement
+    statement_class: StatementClass
+    autocommit: bool
+    positions_by_group: dict[str, Position]
+    whole: bool
+    arrived_at: float
+    deadline_at: float
+
+
+class Homes:
+    """Which groups this VM is a home of, and where the others' are.
+
+    Parameters
+    ----------
+    own : VmAddress
+        This VM.
+    directory : Directory
+        Groups and their members' data centres.
+    limit : int
+        Home VMs of a group.
+    """
+
+    def __init__(
+        self, own: VmAddress, directory: Directory, limit: int
+    ) -> None:
+        self._own = own
+        self._directory = directory
+        self._limit = limit
+        self._vms: tuple[VmAddress, ...] = (own,)
+        self._homes_by_group: dict[str, tuple[VmAddress, ...]] = {}
+        self._version = 0
+
+    @property
+    def own(self) -> VmAddress:
+        """This VM."""
+        return self._own
+
+    def set_vms(self, others: tuple[VmAddress, ...]) -> None:
+        """Take the list of the other live VMs."""
+        vms = tuple(sorted((self._own, *others)))
+        if vms != self._vms:
+            self._vms = vms
+            self._homes_by_group.clear()
+
+    def of(self, group: str) -> tuple[VmAddress, ...]:
+        """Return a group's homes, best first."""
+        if self._version != self._directory.version:
+            self._version = self._directory.version
+            self._homes_by_group.clear()
+        homes = self._homes_by_group.get(group)
+        if homes is None:
+            homes = self._choose(group)
+            self._homes_by_group[group] = homes
+        return homes
+
+    def _choose(self, group: str) -> tuple[VmAddress, ...]:
+        found = self._directory.group(group)
+        members = found.members_by_name.values() if found else ()
+        centres = {member.data_centre for member in members}
+        return choose_homes(group, centres, self._vms, self._limit)
+
+    def is_home(self, group: str) -> bool:
+        """Say whether this VM serves the group itself."""
+        if len(self._vms) <= self._limit:
+            return True
+        return any(home.vm == self._own.vm for home in self.of(group))
+
+    def targets(self, group: str, session: str) -> tuple[ForwardTarget, ...]:
+        """Return the homes in the order in which to try them."""
+        return choose_forward_targets(
+            self.of(group), self._own.data_centre, session
+        )
+
+
+class _Open(NamedTuple):
+    """An open forwarded connection: at whom and for which group."""
+
+    address: PeerAddress
+    group: str
+    session: Any
+
+
+class Forwarder:
+    """Forwards the statements of one caller's connection.
+
+    Parameters
+    ----------
+    homes : Homes
+        Where to forward.
+    clients : PeerClients
+        Connections to the homes; used for nothing else, since a call
+        given up closes its connection.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self, homes: Homes, clients: PeerClients, clock: Clock
+    ) -> None:
+        self._homes = homes
+        self._clients = clients
+        self._clock = clock
+        self._open: _Open | None = None
+        self.in_transaction = False
+
+    async def run(
+        self,
+        call: ForwardedCall,
+        opening: dict[str, Any],
+    ) -> ForwardOutcome:
+        """Run a statement at a home of its group.
+
+        Parameters
+        ----------
+        call : ForwardedCall
+            The statement.
+        opening : dict
+            Arguments of ``Forward.open``.
+        """
+        may_have_run = False
+        for address in self._addresses(opening):
+            sent = await self._open_at(address, opening)
+            if sent.is_ok():
+                outcome = await self._run_once(call)
+                if outcome.is_ok():
+                    return outcome.ok
+                failure = Failure.NO_ANSWER
+            else:
+                failure = Failure.NOT_SENT
+            step = self._judge(call, failure, may_have_run)
+            may_have_run = may_have_run or failure is Failure.NO_ANSWER
+            self.in_transaction = False
+            if step.action is Action.ANSWER:
+                return _ended(Refusal(step.code, "its home VM was lost"))
+        step = self._judge(call, Failure.NOT_SENT, may_have_run, False)
+        return _ended(Refusal(step.code, "no home VM", retry_after_ms=500))
+
+    def _addresses(self, opening: dict[str, Any]) -> list[PeerAddress]:
+        if self.in_transaction and self._open is not None:
+            return [self._open.address]
+        spread = f"{opening['organisation']}/{opening['connection']}"
+        targets = self._homes.targets(opening["group"], spread)
+        return [PeerAddress(t.vm.ip, t.vm.proxy_port) for t in targets]
+
+    def _judge(
+        self,
+        call: ForwardedCall,
+        failure: Failure,
+        may_have_run: bool,
+        can_retry: bool = True,
+    ) -> NextStep:
+        in_time = self._clock.now() < call.deadline_at
+        return next_step(
+            self._request_class(call),
+            failure,
+            can_retry and in_time,
+            may_have_run,
+        )
+
+    def _request_class(self, call: ForwardedCall) -> RequestClass:
+        if call.statement_class is StatementClass.COMMIT:
+            return RequestClass.COMMIT
+        if self.in_transaction:
+            return RequestClass.IN_TRANSACTION
+        if call.statement_class in (StatementClass.READ, StatementClass.BEGIN):
+            return RequestClass.READ
+        keyed = call.marked.marks.idempotency_key
+        return (
+            RequestClass.KEYED_WRITE if keyed else RequestClass.UNKEYED_WRITE
+        )
+
+    async def _open_at(
+        self, address: PeerAddress, opening: dict[str, Any]
+    ) -> Result[None, Refusal]:
+        wanted = (address, opening["group"])
+        if self._open is not None and self._open[:2] == wanted:
+            return Ok(None)
+        await self.close()
+        opened = await self._clients.call(
+            address,
+            lambda node: node.forward().forward.open(**opening),
+            OPEN_LIMIT_S,
+        )
+        if opened.is_error():
+            return Error(opened.error)
+        self._open = _Open(address, opening["group"], opened.ok.session)
+        return Ok(None)
+
+    async def _run_once(
+        self, call: ForwardedCall
+    ) -> Result[ForwardOutcome, Refusal]:
+        now = self._clock.now()
+        statement = {
+            "sql": call.marked.sql.encode(errors="surrogateescape"),
+            "marks": encode_marks(call.marked.marks),
+            "autocommit": call.autocommit,
+            "positions": encode_positions(call.positions_by_group),
+            "whole": call.whole,
+            "sentMs": int(max(0.0, now - call.arrived_at) * 1000),
+        }
+        session = self._open.session
+        answered = await self._clients.call(
+            self._open.address,
+            lambda _node: session.run(statement=statement),
+            call.deadline_at - now + ANSWER_GRACE_S,
+        )
+        if answered.is_error():
+            self._open = None
+            return Error(answered.error)
+        reader = answered.ok.answer
+        self.in_transaction = reader.inTransaction
+        return Ok(
+            ForwardOutcome(
+                answer=decode_answer(reader),
+                in_transaction=reader.inTransaction,
+                positions_by_group=decode_positions(reader.positions),
+                whole=reader.whole,
+            )
+        )
+
+    async def close(self) -> None:
+        """End the forwarded connection; the home rolls back."""
+        if self._open is None:
+            return
+        opened, self._open = self._open, None
+        self.in_transaction = False
+        end: Callable[[Any], Awaitable] = lambda _node: opened.session.end()
+        await self._clients.call(opened.address, end, OPEN_LIMIT_S)
+
+
+def _ended(refusal: Refusal) -> ForwardOutcome:
+    return ForwardOutcome(Error(refusal), False, {}, False)
--- a/redwingpost/proxy/parts.py
+++ b/redwingpost/proxy/parts.py
@@ -1,10 +1,12 @@
 """The parts of a proxy that its sessions share."""
 
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from redwingpost.configuration import KeyRing
 from redwingpost.ports import Clock
 from redwingpost.proxy.directory import Directory
+from redwingpost.proxy.forwarder import Forwarder, Homes
 from redwingpost.proxy.gate import Gate
 from redwingpost.proxy.metrics import ProxyMetrics
 from redwingpost.proxy.reads import Reader
@@ -28,3 +30,5 @@
     transactions: Transactions
     metrics: ProxyMetrics
     sessions: set[Any]
+    homes: Homes
+    make_forwarder: Callable[[], Forwarder]
--- a/redwingpost/proxy/service.py
+++ b/redwingpost/proxy/service.py
@@ -27,12 +27,14 @@
     Withdrawal,
     parse_configuration,
 )
-from redwingpost.core import Code, Refusal
+from redwingpost.core import Code, Refusal, VmAddress
 from redwingpost.ports import Clock, MonotonicClock
 from redwingpost.proxy.caller import Caller
 from redwingpost.proxy.confirm import Confirmer
 from redwingpost.proxy.directory import Directory
-from redwingpost.proxy.feed import AgentFeed
+from redwingpost.proxy.feed import AgentFeed, FedPeer
+from redwingpost.proxy.forward_server import ForwardServer
+from redwingpost.proxy.forwarder import Forwarder, Homes
 from redwingpost.proxy.gate import Gate
 from redwingpost.proxy.http import StatusServer
 from redwingpost.proxy.metrics import ProxyMetrics
@@ -54,6 +56,23 @@
 DRAIN_LIMIT_S = 10.0
 
 
+#: Seconds of silence after which a VM is no home any more. Heartbeats
+#: come every second or two; a home lost for longer would cost each first
+#: statement of a connection a vain attempt.
+HOME_SILENCE_S = 10.0
+
+
+def _own_address(settings: Settings) -> VmAddress:
+    return VmAddress(
+        vm=settings.vm.name,
+        data_centre=settings.vm.data_centre,
+        ip=settings.vm.ip,
+        agent_port=settings.agent.peer_port,
+        proxy_port=settings.proxy.peer_port,
+        incarnation=0,
+    )
+
+
 class _KeyLookup:
     """The server adapter's view of the key ring."""
 
@@ -94,11 +113,24 @@
         dialler = MySQLTargetDialler(
             settings.targets.user, settings.targets.password
         )
-        self.board = StatusBoard(
-            self.directory, dialler, self.clock, loop=self.loop
-        )
         self.pool = ConnectionPool(dialler)
         self.confirmer = Confirmer(self.directory, dialler)
+        self.tls = TlsContexts(settings.tls)
+        self.homes = Homes(
+            _own_address(settings), self.directory, settings.proxy.homes
+        )
+        self.board = StatusBoard(
+            self.directory,
+            dialler,
+            self.clock,
+            self.homes.is_home,
+            loop=self.loop,
+        )
+        # Calls given up close their connection; what else goes between
+        # the VMs must not break with a forwarded statement.
+        self.forward_clients = PeerClients(
+            settings.vm.ip, self.tls, self.clock
+        )
         core = (self.directory, self.pool, self.confirmer, self.clock)
         self.parts = Parts(
             clock=self.clock,
@@ -118,8 +150,9 @@
             transactions=Transactions(*core),
             metrics=self.metrics,
             sessions=self.sessions,
+            homes=self.homes,
+            make_forwarder=self._make_forwarder,
         )
-        self.tls = TlsContexts(settings.tls)
         self.callers = CallerServer(
             settings.vm.ip,
             settings.proxy.caller_port,
@@ -129,6 +162,9 @@
             loop=self.loop,
         )
         self.interfaces = NodeInterfaces()
+        self.interfaces.forward = ForwardServer(
+            self._make_session, self.add_future
+        )
         self.peers = PeerServer(
             PeerAddress(settings.vm.ip, settings.proxy.peer_port),
             self.interfaces,
@@ -145,6 +181,7 @@
             loop=self.loop,
         )
         self.feed.on_withdrawn = self._cut_withdrawn
+        self.feed.on_peers = self._take_peers
         self.http = StatusServer(
             settings.vm.ip,
             settings.proxy.http_port,
@@ -154,6 +191,20 @@
             loop=self.loop,
         )
 
+    def _make_forwarder(self) -> Forwarder:
+        return Forwarder(self.homes, self.forward_clients, self.clock)
+
+    def _take_peers(self, peers: tuple[FedPeer, ...]) -> None:
+        """Learn the other VMs; silent and draining ones are no homes."""
+        since = self.clock.now() - HOME_SILENCE_S
+        self.homes.set_vms(
+            tuple(
+                peer.address
+                for peer in peers
+                if peer.heard_at >= since and not peer.draining
+            )
+        )
+
     def _mount_faults(self, application: Application) -> None:
         if self._faults is not None:
             mount_link_faults(application, self._faults)
@@ -231,5 +282,6 @@
         await self.confirmer.close()
         await self.pool.close()
         self.clients.close()
+        self.forward_clients.close()
         if self._faults is not None:
             self._faults.uninstall()
--- a/redwingpost/proxy/session.py
+++ b/redwingpost/proxy/session.py
@@ -10,6 +10,7 @@
     Code,
     MarkedStatement,
     MemberError,
+    NO_MARKS,
     Refusal,
     Request,
     StatementClass,
@@ -18,6 +19,7 @@
 from redwingpost.ports import StatementResult
 from redwingpost.proxy.caller import Caller, CallerSessionState, SeenAt
 from redwingpost.proxy.classify import classify
+from redwingpost.proxy.forwarder import ForwardedCall
 from redwingpost.proxy.local_answers import (
     EMPTY_RESULT,
     answer_select,
@@ -54,18 +56,20 @@
         self._transaction: Transaction | None = None
         self._request: Request | None = None
         self._cut: Refusal | None = None
+        self._forwarder = parts.make_forwarder()
+        self.is_forwarded = False
         self.organisation = caller.organisation
         self.connection_id = caller.connection_id
 
     @property
     def in_transaction(self) -> bool:
-        """Say whether a transaction is open."""
-        return self._transaction is not None
+        """Say whether a transaction is open, here or at a home VM."""
+        return self._transaction is not None or self._forwarder.in_transaction
 
     @property
     def busy(self) -> bool:
         """Say whether a planned stop has to wait for this connection."""
-        return self._request is not None or self._transaction is not None
+        return self._request is not None or self.in_transaction
 
     @property
     def autocommit(self) -> bool:
@@ -86,9 +90,21 @@
         """Return the id that the last INSERT was given."""
         return self.caller.last_insert_id
 
-    async def handle(self, sql: str, attributes: dict[str, str]) -> Answer:
-        """Run one statement."""
-        arrived_at = self._parts.clock.now()
+    async def handle(
+        self, sql: str, attributes: dict[str, str], spent_s: float = 0.0
+    ) -> Answer:
+        """Run one statement.
+
+        Parameters
+        ----------
+        sql : str
+            The statement as it came.
+        attributes : dict
+            Query attributes.
+        spent_s : float, optional
+            Seconds of its time that a forwarding VM has used up.
+        """
+        arrived_at = self._parts.clock.now() - spent_s
         kind = classify("")
         marked = read_marks(sql, attributes)
         if marked.is_error():
@@ -130,8 +146,43 @@
         if refusal is not None:
             return Error(refusal)
         self._request = request
+        if self._is_elsewhere(request):
+            return await self._forward(marked, request)
         return await self._dispatch(request, marked.sql)
 
+    def _is_elsewhere(self, request: Request) -> bool:
+        if self.is_forwarded or self._transaction is not None:
+            return False
+        if self._forwarder.in_transaction:
+            return True
+        return not self._parts.homes.is_home(request.group)
+
+    async def _forward(
+        self, marked: MarkedStatement, request: Request
+    ) -> Answer:
+        state = self._state(request)
+        call = ForwardedCall(
+            marked=marked,
+            statement_class=request.statement_class,
+            autocommit=self.caller.autocommit,
+            positions_by_group=dict(state.positions.by_group),
+            whole=state.positions.whole,
+            arrived_at=request.arrived_at,
+            deadline_at=request.deadline_at,
+        )
+        opening = {
+            "organisation": request.organisation,
+            "keyHash": self.caller.key_hash,
+            "group": request.group,
+            "connection": self.caller.connection_id,
+        }
+        outcome = await self._forwarder.run(call, opening)
+        state.positions.merge(outcome.positions_by_group, outcome.whole)
+        answer = outcome.answer
+        if answer.is_ok() and answer.ok.last_insert_id:
+            self.caller.last_insert_id = answer.ok.last_insert_id
+        return answer
+
     async def _check_key(self) -> Refusal | None:
         """Check the key at each request, not only at the handshake.
 
@@ -302,6 +353,8 @@
         if self._transaction is not None:
             transaction, self._transaction = self._transaction, None
             await self._parts.transactions.rollback(transaction)
+        if self._forwarder.in_transaction:
+            await self._forwarder.close()
 
     async def _run_session(self, sql: str) -> Answer:
         group = read_use(sql)
@@ -311,20 +364,23 @@
         was_autocommit = self.caller.autocommit
         answer = apply_set(sql, self)
         turned_on = self.caller.autocommit and not was_autocommit
-        if turned_on and self._transaction is not None:
+        if turned_on and self.in_transaction:
             # MySQL commits what is open when autocommit is turned on.
-            return await self._commit(self._end_request(), "COMMIT")
+            return await self._commit_open()
         return answer
 
-    def _end_request(self) -> Request:
-        marked = MarkedStatement("COMMIT", read_marks("", {}).ok.marks)
-        return self._make_request(
+    async def _commit_open(self) -> Answer:
+        marked = MarkedStatement("COMMIT", NO_MARKS)
+        request = self._make_request(
             marked, StatementClass.COMMIT, self._parts.clock.now()
         )
+        if self._is_elsewhere(request):
+            return await self._forward(marked, request)
+        return await self._commit(request, "COMMIT")
 
     async def use(self, group: str) -> Result[None, Refusal]:
         """Change the connection's database group."""
-        if self._transaction is not None:
+        if self.in_transaction:
             detail = "USE inside a transaction is not carried"
             return Error(Refusal(Code.UNSUPPORTED, detail))
         self.caller.group = group
@@ -364,6 +420,7 @@
     async def close(self) -> None:
         """Roll back what is open: the client is gone."""
         await self._abandon_transaction()
+        await self._forwarder.close()
         self._parts.sessions.discard(self)
 
     def _account(
--- a/redwingpost/proxy/status_board.py
+++ b/redwingpost/proxy/status_board.py
@@ -6,6 +6,7 @@
 """
 
 from asyncio import sleep
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from mode import Service
@@ -46,6 +47,10 @@
     asked_at: float
 
 
+def _always(_group: str) -> bool:
+    return True
+
+
 class StatusBoard(Service):
     """Polls members and shows what they said last.
 
@@ -57,6 +62,9 @@
         Opens the control connections.
     clock : Clock
         Source of time.
+    serves : callable, optional
+        Says whether this VM serves a group; members of others aren't
+        polled, since each poll holds one of the member's connections.
     """
 
     def __init__(
@@ -64,9 +72,11 @@
         directory: Directory,
         dialler: TargetDialler,
         clock: Clock,
+        serves: Callable[[str], bool] = _always,
         **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
+        self._serves = serves
         self._directory = directory
         self._dialler = dialler
         self._clock = clock
@@ -74,6 +84,11 @@
         self._asked_at_by_group: dict[str, float] = {}
         self._polled: set[str] = set()
 
+    @property
+    def polled(self) -> frozenset[str]:
+        """Return the members that are polled."""
+        return frozenset(self._polled)
+
     def touch(self, group: str) -> None:
         """Note that callers use the group just now."""
         self._asked_at_by_group[group] = self._clock.now()
@@ -98,7 +113,8 @@
     async def _keep_polling(self) -> None:
         while not self.should_stop:
             for member, address in self._directory.addresses_by_member.items():
-                if member not in self._polled:
+                wanted = self._serves(address.group)
+                if wanted and member not in self._polled:
                     self._polled.add(member)
                     self.add_future(self._poll_member(address))
             await self.sleep(IDLE_POLL_INTERVAL_S)
@@ -108,6 +124,8 @@
         while not self.should_stop:
             if self._directory.address(address.member) != address:
                 break
+            if not self._serves(address.group):
+                break
             try:
                 if connection is None:
                     connection = await self._dialler.dial(
--- a/redwingpost/proxy/tests/small_site.py
+++ b/redwingpost/proxy/tests/small_site.py
@@ -4,7 +4,8 @@
 drivers from outside.
 """
 
-from asyncio import Event, new_event_loop, run_coroutine_threadsafe
+from asyncio import Event, new_event_loop, run_coroutine_threadsafe, sleep
+from collections.abc import Callable
 from concurrent.futures import Future
 from json import dumps
 from pathlib import Path
@@ -42,10 +43,15 @@
     ----------
     proxies : int
         How many proxies.
+    homes : int
+        How many of them connect to a group's members.
     """
 
-    def __init__(self, proxies: int = 1, **group_changes: Any) -> None:
+    def __init__(
+        self, proxies: int = 1, homes: int = 6, **group_changes: Any
+    ) -> None:
         self._count = proxies
+        self._homes = homes
         self._group_changes = group_changes
         self._started = ThreadEvent()
         self._directory = TemporaryDirectory()
@@ -74,6 +80,15 @@
         future: Future = run_coroutine_threadsafe(coroutine, self.loop)
         return future.result(_START_LIMIT_S)
 
+    def wait_until(self, condition: Callable[[], bool]) -> None:
+        """Wait on the site's loop until a condition holds."""
+
+        async def wait() -> None:
+            while not condition():
+                await sleep(0.01)
+
+        self.call(wait())
+
     def port(self, proxy: int = 0) -> int:
         """Return a proxy's port for callers."""
         return self.proxies[proxy].callers.port
@@ -117,14 +132,34 @@
         path = Path(self._directory.name, "configuration.json")
         path.write_text(dumps(self._configuration()))
         for number in range(1, self._count + 1):
-            proxy = Proxy(_settings(number, path))
+            proxy = Proxy(_settings(number, path, self._homes))
             services.append(proxy)
             self.proxies.append(proxy)
             await proxy.start()
+        self._introduce()
         for proxy in self.proxies:
-            while proxy.directory.primary(GROUP) is None:
+            while (
+                proxy.homes.is_home(GROUP)
+                and proxy.directory.primary(GROUP) is None
+            ):
                 await proxy.sleep(0.01)
 
+    def _introduce(self) -> None:
+        addresses = [
+            proxy.homes.own._replace(proxy_port=proxy.peers.port)
+            for proxy in self.proxies
+        ]
+        for proxy in self.proxies:
+            own = proxy.homes.own
+            proxy.homes.set_vms(
+                tuple(vm for vm in addresses if vm.vm != own.vm)
+            )
+
+    def home_and_other(self, group: str = GROUP) -> tuple[int, int]:
+        """Return a proxy that is a home of the group and one that isn't."""
+        homes = [proxy.homes.is_home(group) for proxy in self.proxies]
+        return homes.index(True), homes.index(False)
+
     def _configuration(self) -> dict[str, Any]:
         members = {
             name: {
@@ -160,9 +195,9 @@
         }
 
 
-def _settings(number: int, path: Path) -> Settings:
+def _settings(number: int, path: Path, homes: int) -> Settings:
     return Settings(
         vm=VmSettings(f"vm-{number}", f"dc-{number}", f"127.{number}.1.1"),
-        proxy=ProxySettings(configuration_file=str(path)),
+        proxy=ProxySettings(configuration_file=str(path), homes=homes),
         fleet=FleetSettings(token_secrets=("a-secret-of-the-tests",)),
     )
--- a/redwingpost/settings/model.py
+++ b/redwingpost/settings/model.py
@@ -19,13 +19,16 @@
     """``[proxy]``: the proxy's ports.
 
     ``configuration_file`` names a configuration to serve without an
-    agent, for tests.
+    agent, for tests. ``homes`` is how many VMs hold connections to one
+    group's members (``redwingpost.routing.homes``); all VMs of a fleet
+    must have the same number.
     """
 
     caller_port: int = 0
     peer_port: int = 0
     http_port: int = 0
     configuration_file: str = ""
+    homes: int = 6
 
 
 class AgentSettings(NamedTuple):
--- a/redwingpost/wire/node.capnp
+++ b/redwingpost/wire/node.capnp
@@ -125,10 +125,51 @@
   renew @2 (vm :Text, loan :UInt64) -> (validMs :UInt32);
 }
 
+struct GroupPosition {
+  group @0 :Text;
+  position @1 :Position;
+}
+
+struct ForwardedStatement {
+  # sql may hold bytes that are no UTF-8; marks is a map of texts, as
+  # query attributes are, in MessagePack.
+  sql @0 :Data;
+  marks @1 :Data;
+  autocommit @2 :Bool;
+  positions @3 :List(GroupPosition);
+  whole @4 :Bool;
+  sentMs @5 :UInt32;
+}
+
+struct ForwardedAnswer {
+  # code 0 is success; result then holds columns and rows in MessagePack.
+  code @0 :UInt16;
+  message @1 :Text;
+  retryAfterMs @2 :UInt32;
+  result @3 :Data;
+  inTransaction @4 :Bool;
+  positions @5 :List(GroupPosition);
+  whole @6 :Bool;
+}
+
+interface ForwardedSession {
+  # One caller's connection, as a home VM of its group serves it. Letting
+  # go of the capability ends it: what is open is rolled back.
+  run @0 (statement :ForwardedStatement) -> (answer :ForwardedAnswer);
+  end @1 () -> ();
+}
+
+interface Forward {
+  # Statements for groups whose home the caller's VM isn't.
+  open @0 (organisation :Text, keyHash :Text, group :Text,
+           connection :UInt64) -> (session :ForwardedSession);
+}
+
 interface Node {
   # The bootstrap interface of every process.
   fleet @0 () -> (fleet :Fleet);
   watch @1 () -> (watch :Watch);
   local @2 () -> (local :Local);
   lending @3 () -> (lending :Lending);
+  forward @4 () -> (forward :Forward);
 }
