Drain in order, count control traffic, put link faults under the agent

A proxy that stops turns unready first and serves on for [proxy] leave_s, then takes no new connections, then waits until nothing has run for a moment. Its last word lets the agent of its VM go at once. Agent and proxy show redwing_control_bytes_total by link and way, as the kernel counted them.

--- a/redwingpost/adapters/peer.py
+++ b/redwingpost/adapters/peer.py
@@ -247,6 +247,10 @@
         peer.back_off_s = FIRST_BACK_OFF_S
         return Ok(answer)
 
+    def addresses(self) -> frozenset[PeerAddress]:
+        """Return the peers that were called."""
+        return frozenset(self._peers_by_address)
+
     def forget(self, address: PeerAddress) -> None:
         """Close the connection to a peer that left."""
         peer = self._peers_by_address.pop(address, None)
--- a/redwingpost/agent/interfaces.py
+++ b/redwingpost/agent/interfaces.py
@@ -173,5 +173,7 @@
         **kwargs: Any,
     ) -> None:
         """Take in what the proxy sees: suspect members, demand."""
+        if not ready and not connections:
+            self._state.proxy_left()
         self._state.suspects = frozenset(suspects)
         self._state.active_organisations = frozenset(activeOrganisations)
--- a/redwingpost/agent/service.py
+++ b/redwingpost/agent/service.py
@@ -2,13 +2,21 @@
 
 from time import time
 from typing import Any
+from urllib.parse import urlsplit
 
+from aiohttp.web import Application
 from loguru import logger
 from mode import Service
 
+from redwingpost.adapters.links import (
+    LinkFaults,
+    install_link_faults,
+    mount_link_faults,
+)
 from redwingpost.adapters.peer import PeerAddress, PeerClients, PeerServer
 from redwingpost.adapters.platform_http import HttpPlatform
 from redwingpost.adapters.tls import TlsContexts
+from redwingpost.adapters.traffic import ControlTraffic
 from redwingpost.agent.context import AGENT_PARTS, AgentContext
 from redwingpost.agent.parts import load_parts
 from redwingpost.agent.state import FleetState
@@ -18,7 +26,7 @@
 
 #: Seconds that a planned stop waits for the VM's proxy, which drains at
 #: the same time and takes views of groups from here until its end.
-PROXY_LIMIT_S = 12.0
+PROXY_LIMIT_S = 9.0
 
 _DRAIN_POLL_S = 0.1
 
@@ -76,7 +84,19 @@
             settings.agent.http_port,
             self.context.registry,
             lambda: self.ready,
+            self._mount_faults,
         )
+        self._faults: LinkFaults | None = None
+        ControlTraffic(
+            settings.vm.ip,
+            lambda: self.server.port,
+            self.context.peers.addresses,
+            _store_address(settings.platform.url),
+        ).register(self.context.registry)
+
+    def _mount_faults(self, application: Application) -> None:
+        if self._faults is not None:
+            mount_link_faults(application, self._faults)
 
     @property
     def ready(self) -> bool:
@@ -87,6 +107,8 @@
 
     async def on_start(self) -> None:
         """Start the parts; peers are served from the first moment on."""
+        if self.settings.faults.enabled:
+            self._faults = install_link_faults(self.settings.vm.ip)
         if self._own_platform:
             await self.add_runtime_dependency(self._platform)
         await self.add_runtime_dependency(self.server)
@@ -114,3 +136,13 @@
         """Close what the parts shared, once they have stopped."""
         self.context.cancel_spawned()
         self.context.peers.close()
+        if self._faults is not None:
+            self._faults.uninstall()
+
+
+def _store_address(url: str) -> PeerAddress | None:
+    """Return the platform's address where its URL names an IP number."""
+    parts = urlsplit(url)
+    if not parts.hostname or not parts.port:
+        return None
+    return PeerAddress(parts.hostname, parts.port)
--- a/redwingpost/agent/state.py
+++ b/redwingpost/agent/state.py
@@ -213,6 +213,10 @@
         elif not self._is_ours(revision):
             self._proxy_version = 0
 
+    def proxy_left(self) -> None:
+        """Note that the proxy has stopped."""
+        self._proxy_seen_at = float("-inf")
+
     def is_news(self, part: str, revision: int) -> bool:
         """Say whether a part changed after the proxy's revision.
 
--- a/redwingpost/proxy/feed.py
+++ b/redwingpost/proxy/feed.py
@@ -37,6 +37,9 @@
 #: Seconds beyond the poll's wait until the agent counts as away.
 POLL_MARGIN_S = 2.0
 
+#: Seconds that the last word to the agent may take.
+GOODBYE_S = 0.5
+
 #: Seconds between two attempts while the agent is away.
 RETRY_S = 0.2
 
@@ -119,6 +122,19 @@
         """The configuration version in force."""
         return self._held.version
 
+    async def on_stop(self) -> None:
+        """Tell the agent that nothing is polling any more."""
+        await self._clients.call(
+            self._agent,
+            lambda node: node.local().local.report(
+                suspects=[],
+                ready=False,
+                connections=0,
+                activeOrganisations=[],
+            ),
+            GOODBYE_S,
+        )
+
     @Service.task
     async def _poll_forever(self) -> None:
         while not self.should_stop:
--- a/redwingpost/proxy/service.py
+++ b/redwingpost/proxy/service.py
@@ -21,6 +21,7 @@
     PeerClients,
     PeerServer,
 )
+from redwingpost.adapters.traffic import ControlTraffic
 from redwingpost.adapters.tls import TlsContexts
 from redwingpost.configuration import (
     KeyRing,
@@ -31,6 +32,7 @@
 from redwingpost.ports import Clock, MonotonicClock
 from redwingpost.proxy.caller import Caller
 from redwingpost.proxy.confirm import Confirmer
+from redwingpost.proxy.drain import Drain, DrainStep
 from redwingpost.proxy.directory import Directory
 from redwingpost.proxy.feed import AgentFeed, FedPeer
 from redwingpost.proxy.forward_server import ForwardServer
@@ -51,10 +53,6 @@
 #: Seconds between checks whether running statements have ended.
 _DRAIN_POLL_S = 0.05
 
-#: Seconds a planned stop waits for running statements and transactions:
-#: longer than the default deadline, so that none is cut.
-DRAIN_LIMIT_S = 10.0
-
 
 #: Seconds of silence after which a VM is no home any more. Heartbeats
 #: come every second or two; a home lost for longer would cost each first
@@ -104,7 +102,7 @@
         self.keys = KeyRing(settings.fleet.key_confirmation_s)
         self.metrics = ProxyMetrics()
         self.sessions: set[StatementSession] = set()
-        self._draining = False
+        self._drain: Drain | None = None
         self._faults: LinkFaults | None = None
         self._build()
 
@@ -182,6 +180,12 @@
         )
         self.feed.on_withdrawn = self._cut_withdrawn
         self.feed.on_peers = self._take_peers
+        self.feed.on_drain = self._leave
+        ControlTraffic(
+            settings.vm.ip,
+            lambda: self.peers.port,
+            self.clients.addresses,
+        ).register(self.metrics.registry)
         self.http = StatusServer(
             settings.vm.ip,
             settings.proxy.http_port,
@@ -212,7 +216,7 @@
     @property
     def ready(self) -> bool:
         """Say whether the balancer may send callers here."""
-        return not self._draining and self.directory.configuration is not None
+        return self._drain is None and self.directory.configuration is not None
 
     def _make_session(
         self,
@@ -266,21 +270,36 @@
                 refusal = Refusal(Code.KEY_WITHDRAWN)
                 self.add_future(session.cut(refusal))
 
+    def _leave(self) -> None:
+        """Turn unready: the balancer sends new callers elsewhere."""
+        if self._drain is None:
+            leave_s = self.settings.proxy.leave_s
+            self._drain = Drain(self.clock.now(), leave_s)
+
     async def drain(self) -> None:
         """Finish what runs; new callers are sent elsewhere."""
-        self._draining = True
-        self.callers.stop_accepting()
-        started_at = self.clock.now()
-        while any(session.busy for session in self.sessions):
-            if self.clock.now() - started_at > DRAIN_LIMIT_S:
-                logger.warning("stopped with statements running")
-                break
+        self._leave()
+        last_busy_at = float("-inf")
+        while True:
+            now = self.clock.now()
+            busy = sum(session.busy for session in self.sessions)
+            last_busy_at = now if busy else last_busy_at
+            step = self._drain.step(now, busy, last_busy_at)
+            if step is DrainStep.FINISH:
+                self.callers.stop_accepting()
+            elif step is DrainStep.CUT:
+                logger.warning("stopped with {} statements running", busy)
+            if step in (DrainStep.CLOSE, DrainStep.CUT):
+                return
             await self.sleep(_DRAIN_POLL_S)
 
     async def on_stop(self) -> None:
         """Close what is open."""
         await self.confirmer.close()
         await self.pool.close()
+
+    async def on_shutdown(self) -> None:
+        """Close what the parts needed until their own end."""
         self.clients.close()
         self.forward_clients.close()
         if self._faults is not None:
--- a/redwingpost/settings/load.py
+++ b/redwingpost/settings/load.py
@@ -86,6 +86,7 @@
     "proxy.peer_port": _PORT,
     "proxy.http_port": _PORT,
     "proxy.homes": Rule(lambda value: value > 0, "a number above 0"),
+    "proxy.leave_s": Rule(lambda value: value >= 0, "seconds, 0 or more"),
     "agent.peer_port": _PORT,
     "agent.http_port": _PORT,
     "platform.url": Rule(_is_url, "a URL that starts with http(s)://"),
--- a/redwingpost/settings/model.py
+++ b/redwingpost/settings/model.py
@@ -18,6 +18,8 @@
 class ProxySettings(NamedTuple):
     """``[proxy]``: the proxy's ports.
 
+    ``leave_s`` is how long a proxy that stops goes on serving after it
+    turned unready: longer than the balancer's check interval.
     ``configuration_file`` names a configuration to serve without an
     agent, for tests. ``homes`` is how many VMs hold connections to one
     group's members (``redwingpost.routing.homes``); all VMs of a fleet
@@ -27,6 +29,7 @@
     caller_port: int = 0
     peer_port: int = 0
     http_port: int = 0
+    leave_s: float = 1.0
     configuration_file: str = ""
     homes: int = 6
 
