Be ready once primaries are known; mint the last session's token

Change: readiness waits for each group's primary, 3 s at most; a token statement without a mark means the connection's last session.

--- a/redwingpost/proxy/service.py
+++ b/redwingpost/proxy/service.py
@@ -54,6 +54,10 @@
 _DRAIN_POLL_S = 0.05
 
 
+#: Seconds that a VM waits for each group's primary before it is ready
+#: without. A member answers within one poll; a promotion takes up to 3 s.
+PRIMARIES_LIMIT_S = 3.0
+
 #: Seconds of silence after which a VM is no home any more. Heartbeats
 #: come every second or two; a home lost for longer would cost each first
 #: statement of a connection a vain attempt.
@@ -103,6 +107,7 @@
         self.metrics = ProxyMetrics()
         self.sessions: set[StatementSession] = set()
         self._drain: Drain | None = None
+        self._configured_at = float("inf")
         self._faults: LinkFaults | None = None
         self._build()
 
@@ -179,6 +184,7 @@
             loop=self.loop,
         )
         self.feed.on_withdrawn = self._cut_withdrawn
+        self.feed.on_configured = self._note_configured
         self.feed.on_peers = self._take_peers
         self.feed.on_drain = self._leave
         ControlTraffic(
@@ -195,6 +201,9 @@
             loop=self.loop,
         )
 
+    def _note_configured(self) -> None:
+        self._configured_at = min(self._configured_at, self.clock.now())
+
     def _make_forwarder(self) -> Forwarder:
         return Forwarder(self.homes, self.forward_clients, self.clock)
 
@@ -216,7 +225,17 @@
     @property
     def ready(self) -> bool:
         """Say whether the balancer may send callers here."""
-        return self._drain is None and self.directory.configuration is not None
+        if self._drain is not None or self.directory.configuration is None:
+            return False
+        # A VM that comes back would refuse writes until it has heard of
+        # each group's primary; the balancer must not send callers before.
+        # A group that has none must not keep the VM from the others.
+        waited = self.clock.now() - self._configured_at
+        return waited > PRIMARIES_LIMIT_S or all(
+            self.directory.view(group) is not None
+            for group in self.directory.configuration.groups_by_name
+            if self.homes.is_home(group)
+        )
 
     def _make_session(
         self,
@@ -255,6 +274,7 @@
         self.directory.configure(parsed.ok, version=1)
         self.keys.grant(parsed.ok)
         self.keys.confirm(self.clock.now())
+        self._note_configured()
 
     def _cut_withdrawn(self, withdrawals: Iterable[Withdrawal]) -> None:
         """Cut the connections of withdrawn keys, wherever they are.
--- a/redwingpost/proxy/session.py
+++ b/redwingpost/proxy/session.py
@@ -131,14 +131,14 @@
             return Error(Refusal(classified.refusal))
         if classified.statement_class is StatementClass.SESSION:
             return await self._run_session(marked.sql)
+        if classified.statement_class is StatementClass.READ:
+            local = self._answer_locally(marked)
+            if local is not None:
+                return local
         self.caller.current_session = marked.marks.session
         token = self._take_token(marked)
         if token is not None:
             return Error(token)
-        if classified.statement_class is StatementClass.READ:
-            local = answer_select(marked.sql, self)
-            if local is not None:
-                return local
         request = self._make_request(
             marked, classified.statement_class, arrived_at
         )
@@ -198,6 +198,13 @@
             await self._abandon_transaction()
         return refusal
 
+    def _answer_locally(self, marked: MarkedStatement) -> Answer | None:
+        # Without a mark, a question about the session means the one
+        # that the last statement ran for: its token, above all.
+        if marked.marks.session:
+            self.caller.current_session = marked.marks.session
+        return answer_select(marked.sql, self)
+
     def _take_token(self, marked: MarkedStatement) -> Refusal | None:
         if not marked.marks.token:
             return None
