--- a/redwingpost/proxy/service.py
+++ b/redwingpost/proxy/service.py
@@ -187,9 +187,11 @@
         self.feed.on_configured = self._note_configured
         self.feed.on_peers = self._take_peers
         self.feed.on_drain = self._leave
+        # Accepted connections also carry forwarded statements, which are
+        # callers' traffic: control counts at the side that dialled it.
         ControlTraffic(
             settings.vm.ip,
-            lambda: self.peers.port,
+            lambda: 0,
             self.clients.addresses,
         ).register(self.metrics.registry)
         self.http = StatusServer(
