Confirm, retry and promote: writes outlive their primary

Until now a write went once to the primary known, and nobody ordered a promotion. Now agents observe each group from several data centres and promote the most advanced member once a majority of them has not heard the primary for 0.7 s; proxies confirm each commit by waits that all waiting writes share, follow the table of retries, record idempotency keys in the caller's transaction, and learn from the new term's history what became of a write that nobody had confirmed.

--- a/redwingpost/adapters/mysql_target.py
+++ b/redwingpost/adapters/mysql_target.py
@@ -144,6 +144,10 @@
         """Close at once: a member that hangs can't hold the caller up."""
         self._connection.close()
 
+    def abort(self) -> None:
+        """Close at once; a statement under way ends as lost."""
+        self._connection.close()
+
     async def status(self, timeout: float) -> MemberStatus:
         """Return what the member says of itself."""
         answer = await self.execute("REDWING STATUS", timeout)
--- a/redwingpost/agent/parts.py
+++ b/redwingpost/agent/parts.py
@@ -3,7 +3,7 @@
 from importlib import import_module
 
 #: Modules whose import fills ``AGENT_PARTS``.
-MODULES = ("redwingpost.agent.fleet",)
+MODULES = ("redwingpost.agent.fleet", "redwingpost.agent.observer")
 
 
 def load_parts() -> None:
--- a/redwingpost/promotion/__init__.py
+++ b/redwingpost/promotion/__init__.py
@@ -23,6 +23,10 @@
     Sighting,
     SilenceMeter,
     Verdict,
+    SILENCE_S,
+    FRESH_CONNECTION_S,
+    has_leader,
+    judge_leaving,
     judge_office,
     judge_primary,
     may_propose,
@@ -32,6 +36,9 @@
     Candidate,
     ClaimAnswer,
     Election,
+    Command,
+    Event,
+    Phase,
     GiveUp,
     MemberFailed,
     PromoteAnswer,
@@ -48,6 +55,7 @@
 )
 from redwingpost.promotion.lost_tails import Continuation, continue_from
 from redwingpost.promotion.observers import choose_observers, rank_of
+from redwingpost.promotion.resolution import Fate, judge_fate
 from redwingpost.promotion.rejoin import (
     SetAside,
     leader_of,
@@ -65,7 +73,11 @@
     "Continuation",
     "Decided",
     "Decision",
+    "Command",
     "Election",
+    "Event",
+    "Phase",
+    "Fate",
     "GiveUp",
     "MemberFailed",
     "PROBE_INTERVAL_S",
@@ -87,6 +99,11 @@
     "backoff_s",
     "choose_observers",
     "continue_from",
+    "FRESH_CONNECTION_S",
+    "SILENCE_S",
+    "has_leader",
+    "judge_fate",
+    "judge_leaving",
     "judge_office",
     "judge_primary",
     "leader_of",
--- a/redwingpost/promotion/acknowledgement.py
+++ b/redwingpost/promotion/acknowledgement.py
@@ -131,6 +131,9 @@
         How many of them have to confirm; see ``replicas_needed``.
     outstanding : int, optional
         Waits under way per replica.
+    by_term : bool, optional
+        Settle on proof that the term is still current, asked for after
+        the write (or read) was answered, whoever holds its position.
 
     Examples
     --------
@@ -149,8 +152,10 @@
         replicas: Sequence[str],
         needed: int,
         outstanding: int = OUTSTANDING,
+        by_term: bool = False,
     ) -> None:
         self.term = term
+        self._by_term = by_term
         self.needed = needed
         self._outstanding = outstanding
         self._replaced = False
@@ -203,15 +208,13 @@
         if self._replaced or len(under_way) >= self._outstanding:
             return None
         wanted = [
-            waiting.position
+            waiting
             for waiting in self._waiting_by_write.values()
-            if replica not in waiting.holders
+            if replica not in self._proven_by(waiting)
         ]
-        highest = max(wanted, default=None)
-        if highest is None or highest <= max(
-            under_way.values(), default=Position(0, 0)
-        ):
+        if all(self._is_asked(waiting, under_way) for waiting in wanted):
             return None
+        highest = max(waiting.position for waiting in wanted)
         number = self._next_number
         self._next_number += 1
         under_way[number] = highest
@@ -230,7 +233,7 @@
         for waiting in list(self._waiting_by_write.values()):
             waiting = self._credit(waiting, number, answer)
             self._waiting_by_write[waiting.write] = waiting
-            if len(waiting.holders) >= self.needed:
+            if len(self._proven_by(waiting)) >= self.needed:
                 decided.append(Decided(waiting.write, Decision.ACKNOWLEDGED))
         return self._settle(decided)
 
@@ -251,6 +254,19 @@
         """Drop a write whose caller has gone."""
         self._waiting_by_write.pop(write, None)
 
+    def _proven_by(self, waiting: _Waiting) -> frozenset[str]:
+        return waiting.term_seen if self._by_term else waiting.holders
+
+    def _is_asked(
+        self, waiting: _Waiting, under_way: dict[int, Position]
+    ) -> bool:
+        """Say whether a wait under way will speak for the write."""
+        return any(
+            position >= waiting.position
+            and (not self._by_term or number >= waiting.first_wait)
+            for number, position in under_way.items()
+        )
+
     def _credit(
         self, waiting: _Waiting, number: int, answer: WaitAnswer
     ) -> _Waiting:
--- a/redwingpost/promotion/detection.py
+++ b/redwingpost/promotion/detection.py
@@ -127,6 +127,7 @@
     PRIMARY_LOST = "primary lost"
     LEADERLESS = "no primary in office"
     STRANDED = "a member follows nobody"
+    LEAVING = "the primary is to leave"
     MEMBERS_AWAY = "no majority of members answers"
     TOO_FEW_OBSERVERS = "too few observers agree"
 
@@ -260,6 +261,28 @@
     return Verdict.HEALTHY
 
 
+def judge_leaving(
+    primary: str,
+    members: Sequence[str],
+    leaving: frozenset[str],
+    sightings: Sequence[Sighting],
+) -> Verdict:
+    """Say whether an operator's drain asks for another primary.
+
+    Only while every member answers: a hand-over that is planned may
+    wait, and one among two members leaves the group without a spare.
+    """
+    if primary not in leaving:
+        return Verdict.HEALTHY
+    staying = [member for member in members if member not in leaving]
+    if len(staying) <= len(members) // 2:
+        return Verdict.HEALTHY
+    reached = {s.member for s in sightings if s.silent_s < REACHABLE_S}
+    if reached.issuperset(members):
+        return Verdict.LEAVING
+    return Verdict.MEMBERS_AWAY
+
+
 def may_propose(rank: int, suspected_for_s: float) -> bool:
     """Say whether the turn of the proposer of ``rank`` has come.
 
--- a/redwingpost/promotion/election.py
+++ b/redwingpost/promotion/election.py
@@ -208,22 +208,30 @@
 def choose_primary(election: Election) -> str:
     """Return the most advanced claimed member.
 
-    Ties go to a member that isn't leaving, then to the least left to
-    apply (callers wait for that), then to the nearest.
+    Members that are leaving count only where the others are too few to
+    be a majority: any majority's most advanced log holds every
+    acknowledged write. Ties go to the least left to apply (callers wait
+    for that), then to the nearest.
     """
     candidates_by_member = {c.member: c for c in election.candidates}
+    staying = [
+        claim
+        for claim in election.claims
+        if not candidates_by_member[claim.member].leaving
+    ]
+    if len(staying) < election.majority:
+        staying = list(election.claims)
 
     def merit(claim: ClaimAnswer) -> tuple:
         candidate = candidates_by_member[claim.member]
         return (
             claim.received,
-            not candidate.leaving,
             claim.applied,
             -candidate.distance,
             claim.member,
         )
 
-    return max(election.claims, key=merit).member
+    return max(staying, key=merit).member
 
 
 def _promote(election: Election) -> Step:
--- a/redwingpost/proxy/directory.py
+++ b/redwingpost/proxy/directory.py
@@ -4,6 +4,8 @@
 higher term wins, whoever brings it.
 """
 
+from collections.abc import Callable
+
 from redwingpost.configuration import Configuration, Group
 from redwingpost.core import GroupView, MemberAddress
 from redwingpost.ports import MemberStatus
@@ -16,6 +18,8 @@
         self.configuration: Configuration | None = None
         self.version = 0
         self.views_by_group: dict[str, GroupView] = {}
+        #: Called with each view that is news.
+        self.on_view: list[Callable[[GroupView], None]] = []
         self._addresses_by_member: dict[str, MemberAddress] = {}
 
     def configure(self, configuration: Configuration, version: int) -> None:
@@ -60,6 +64,8 @@
         if known is not None and not _is_newer(view, known):
             return False
         self.views_by_group[view.group] = view
+        for call in self.on_view:
+            call(view)
         return True
 
     def observe_status(self, group: str, status: MemberStatus) -> bool:
--- a/redwingpost/proxy/service.py
+++ b/redwingpost/proxy/service.py
@@ -46,6 +46,7 @@
 from redwingpost.proxy.session import StatementSession
 from redwingpost.proxy.status_board import StatusBoard
 from redwingpost.proxy.transactions import Transactions
+from redwingpost.proxy.view_watch import ViewWatch
 from redwingpost.proxy.writes import Writer
 from redwingpost.sessions import TokenMinter
 from redwingpost.settings import Settings
@@ -117,7 +118,7 @@
             settings.targets.user, settings.targets.password
         )
         self.pool = ConnectionPool(dialler)
-        self.confirmer = Confirmer(self.directory, dialler)
+        self.confirmer = Confirmer(self.directory, dialler, self.clock)
         self.tls = TlsContexts(settings.tls)
         self.homes = Homes(
             _own_address(settings), self.directory, settings.proxy.homes
@@ -134,7 +135,10 @@
         self.forward_clients = PeerClients(
             settings.vm.ip, self.tls, self.clock
         )
-        core = (self.directory, self.pool, self.confirmer, self.clock)
+        views = ViewWatch(self.directory)
+        writer = Writer(
+            self.directory, self.pool, self.confirmer, self.clock, views
+        )
         self.parts = Parts(
             clock=self.clock,
             keys=self.keys,
@@ -149,8 +153,8 @@
                 self.confirmer,
                 self.clock,
             ),
-            writer=Writer(*core),
-            transactions=Transactions(*core),
+            writer=writer,
+            transactions=Transactions(writer, self.pool, views, self.clock),
             metrics=self.metrics,
             sessions=self.sessions,
             homes=self.homes,
--- a/redwingpost/proxy/session.py
+++ b/redwingpost/proxy/session.py
@@ -27,7 +27,7 @@
     read_use,
 )
 from redwingpost.proxy.parts import Parts
-from redwingpost.proxy.transactions import Transaction
+from redwingpost.proxy.transactions import Transaction, is_over
 
 Answer = Result[StatementResult, Refusal | MemberError]
 
@@ -334,7 +334,7 @@
         answer = await self._parts.transactions.execute(
             self._transaction, request, sql
         )
-        if answer.is_error() and isinstance(answer.error, Refusal):
+        if answer.is_error() and is_over(answer.error):
             self._transaction = None
         elif answer.is_ok() and answer.ok.last_insert_id:
             self.caller.last_insert_id = answer.ok.last_insert_id
--- a/redwingpost/proxy/transactions.py
+++ b/redwingpost/proxy/transactions.py
@@ -7,7 +7,6 @@
 from redwingpost.core import (
     Code,
     MemberError,
-    Position,
     Refusal,
     Request,
 )
@@ -18,65 +17,90 @@
     TargetError,
     TargetLost,
 )
-from redwingpost.proxy.confirm import Confirmer
-from redwingpost.proxy.directory import Directory
+from redwingpost.proxy.attempts import Committed, Failed, failed_by
 from redwingpost.proxy.pools import ConnectionPool
+from redwingpost.proxy.view_watch import ViewWatch
+from redwingpost.proxy.writes import Writer, WriteAnswer
+from redwingpost.retries import (
+    Action,
+    Failure,
+    RequestClass,
+    next_step,
+)
+
+#: Seconds that a ROLLBACK may take; then closing the connection does it.
+ROLLBACK_TIMEOUT_S = 1.0
 
-#: Seconds to wait for a second member before the answer is "unknown".
-_CONFIRM_S = 2.0
+_LOST_WHY_BY_FAILURE = {
+    Failure.NOT_SENT: "the connection to the target was lost",
+    Failure.NO_ANSWER: "the target did not answer",
+    Failure.DEADLINE: "the deadline passed",
+    Failure.READ_ONLY: "the primary was replaced",
+    Failure.SHUTTING_DOWN: "the target is shutting down",
+    Failure.DROPPED: "a promotion dropped it",
+}
 
 
-class Committed(NamedTuple):
-    """A commit's result and position."""
+_DEADLOCK = 1213
 
-    result: StatementResult
-    position: Position
 
+def is_over(error: Refusal | MemberError) -> bool:
+    """Say whether a statement's error ended its transaction.
+
+    A deadlock's victim was rolled back by the target: what came after it
+    on the same connection would commit by itself.
+    """
+    return isinstance(error, Refusal) or error.number == _DEADLOCK
 
-class Transaction:
-    """An open transaction: its group and its own connection."""
 
-    def __init__(self, group: str, connection: TargetConnection) -> None:
-        self.group = group
-        self.connection = connection
+class Transaction(NamedTuple):
+    """An open transaction: its group, term and own connection."""
+
+    group: str
+    term: int
+    connection: TargetConnection
 
 
 class Transactions:
     """Begins, carries and ends transactions.
 
+    A transaction that loses its connection is rolled back by the target,
+    and one whose caller has gone is rolled back here, so that its locks
+    hold nobody up.
+
     Parameters
     ----------
-    directory, pool, confirmer, clock
+    writer : Writer
+        Confirms commits and opens transactions with its retries.
+    pool, views, clock
         The proxy's parts.
     """
 
     def __init__(
         self,
-        directory: Directory,
+        writer: Writer,
         pool: ConnectionPool,
-        confirmer: Confirmer,
+        views: ViewWatch,
         clock: Clock,
     ) -> None:
-        self._directory = directory
+        self._writer = writer
         self._pool = pool
-        self._confirmer = confirmer
+        self._views = views
         self._clock = clock
 
     async def begin(
         self, request: Request, sql: str
     ) -> Result[Transaction, Refusal | MemberError]:
-        """Open a transaction on the group's primary."""
-        primary = self._directory.primary(request.group)
-        if primary is None:
-            return Error(Refusal(Code.NO_PRIMARY, retry_after_ms=500))
-        try:
-            connection = await self._pool.acquire(primary)
-            await connection.execute(sql, self._remaining(request))
-        except TargetError as error:
-            return Error(MemberError(error.number, error.message))
-        except TargetLost:
-            return Error(Refusal(Code.TARGET_LOST, retry_after_ms=500))
-        return Ok(Transaction(request.group, connection))
+        """Open a transaction on the group's primary.
+
+        Nothing has run yet, so a failure is retried like a write that
+        wasn't sent.
+        """
+        opened = await self._writer.open(request, sql)
+        if opened.is_error():
+            return opened
+        connection, term = opened.ok
+        return Ok(Transaction(request.group, term, connection))
 
     async def execute(
         self, transaction: Transaction, request: Request, sql: str
@@ -85,46 +109,82 @@
 
         A refusal means that the transaction is gone.
         """
+        group, term, connection = transaction
         try:
-            return Ok(
-                await transaction.connection.execute(
+            with self._views.guard(connection, group, term):
+                result = await connection.execute(
                     sql, self._remaining(request)
                 )
-            )
         except TargetError as error:
-            return Error(MemberError(error.number, error.message))
+            return await self._failed(
+                transaction, RequestClass.IN_TRANSACTION, failed_by(error)
+            )
         except TargetLost:
-            await transaction.connection.close()
-            return Error(Refusal(Code.TRANSACTION_ROLLED_BACK))
+            failed = Failed(self._failure(request, Failure.NO_ANSWER))
+            return await self._failed(
+                transaction, RequestClass.IN_TRANSACTION, failed
+            )
+        return Ok(result)
 
     async def commit(
         self, transaction: Transaction, request: Request
-    ) -> Result[Committed, Refusal | MemberError]:
+    ) -> Result[WriteAnswer, Refusal | MemberError]:
         """Commit; the transaction is gone whatever the answer."""
-        connection = transaction.connection
-        try:
-            result = await connection.execute(
-                "COMMIT", self._remaining(request)
+        outcome = await self._commit(transaction, request)
+        if isinstance(outcome, Failed):
+            return await self._failed(
+                transaction, RequestClass.COMMIT, outcome
             )
-            position = await connection.position()
-        except TargetError as error:
-            await connection.close()
-            return Error(MemberError(error.number, error.message))
-        except TargetLost:
-            await connection.close()
-            return Error(Refusal(Code.COMMIT_UNKNOWN))
-        await self._pool.release(connection, clean=False)
-        confirmed = await self._confirmer.confirm(
-            transaction.group, position, _CONFIRM_S
-        )
-        if not confirmed:
-            return Error(Refusal(Code.NOT_CONFIRMED))
-        return Ok(Committed(result, position))
+        await self._pool.release(transaction.connection, clean=False)
+        return await self._writer.acknowledge_commit(request, outcome)
+
+    async def _commit(
+        self, transaction: Transaction, request: Request
+    ) -> Committed | Failed:
+        group, term, connection = transaction
+        with self._views.guard(connection, group, term):
+            try:
+                result = await connection.execute(
+                    "COMMIT", self._remaining(request)
+                )
+            except TargetError as error:
+                return failed_by(error)
+            except TargetLost as lost:
+                sent = Failure.NO_ANSWER if lost.sent else Failure.NOT_SENT
+                return Failed(sent)
+            try:
+                return Committed(result, await connection.position())
+            except (TargetError, TargetLost):
+                return Failed(Failure.NOT_CONFIRMED)
+
+    def _failure(self, request: Request, failure: Failure) -> Failure:
+        late = self._remaining(request) <= 0
+        return Failure.DEADLINE if late else failure
+
+    async def _failed(
+        self,
+        transaction: Transaction,
+        request_class: RequestClass,
+        failed: Failed,
+    ) -> Result[StatementResult, Refusal | MemberError]:
+        step = next_step(request_class, failed.failure, can_retry=False)
+        if step.action is Action.PASS_ERROR:
+            if request_class is RequestClass.COMMIT or is_over(failed.error):
+                await transaction.connection.close()
+            return Error(failed.error)
+        await transaction.connection.close()
+        why = _LOST_WHY_BY_FAILURE.get(failed.failure, "")
+        code = step.code or Code.TRANSACTION_ROLLED_BACK
+        rolled_back = code is Code.TRANSACTION_ROLLED_BACK
+        detail = f"rolled back: {why}" if rolled_back and why else ""
+        return Error(Refusal(code, detail))
 
     async def rollback(self, transaction: Transaction) -> None:
         """Undo a transaction, at the latest by closing its connection."""
         try:
-            await transaction.connection.execute("ROLLBACK", 1.0)
+            await transaction.connection.execute(
+                "ROLLBACK", ROLLBACK_TIMEOUT_S
+            )
         except (TargetError, TargetLost):
             await transaction.connection.close()
             return
--- a/redwingpost/proxy/writes.py
+++ b/redwingpost/proxy/writes.py
@@ -1,12 +1,18 @@
 """Serve autocommit writes: on the primary, acknowledged when proven."""
 
-from typing import NamedTuple
+from asyncio import create_task
+from random import Random
+from time import time
+from typing import Any, NamedTuple
 
 from expression import Error, Ok, Result
 
 from redwingpost.core import (
     Code,
+    GroupView,
+    MemberAddress,
     MemberError,
+    Outcome,
     Position,
     Refusal,
     Request,
@@ -14,16 +20,54 @@
 from redwingpost.ports import (
     Clock,
     StatementResult,
-    TargetConnection,
     TargetError,
     TargetLost,
 )
+from redwingpost.promotion import (
+    CONFIRM_BOUND_S,
+    Decision,
+    Fate,
+    PastBound,
+    judge_fate,
+)
+from redwingpost.proxy.attempts import (
+    Committed,
+    Failed,
+    KeyedWrite,
+    failed_by,
+    run_keyed,
+    run_unkeyed,
+)
 from redwingpost.proxy.confirm import Confirmer
 from redwingpost.proxy.directory import Directory
 from redwingpost.proxy.pools import ConnectionPool
+from redwingpost.proxy.view_watch import ViewWatch
+from redwingpost.retries import (
+    MAX_KEY_CHARS,
+    Action,
+    Failure,
+    PurgeCounter,
+    RequestClass,
+    RetryBudget,
+    next_step,
+    may_have_run,
+    purge_sql,
+)
+
+#: Pause before a member that failed is tried again without another
+#: primary being known; grows to the second figure (seconds). A restart
+#: takes longer than the first, a promotion wakes the request anyway.
+FIRST_PAUSE_S = 0.05
+LONGEST_PAUSE_S = 0.4
 
-#: Seconds to wait for a second member before the answer is "unknown".
-_CONFIRM_S = 2.0
+#: When a caller may come back that found no primary: a promotion takes
+#: about a second.
+RETRY_AFTER_MS = 500
+
+_DDL = frozenset({"CREATE", "ALTER", "DROP", "TRUNCATE", "RENAME"})
+
+#: Failures that left this proxy without load on any member.
+_FREE_OF_BUDGET = {Failure.NOT_SENT, Failure.READ_ONLY}
 
 
 class WriteAnswer(NamedTuple):
@@ -33,13 +77,40 @@
     position: Position
 
 
+Answer = Result[WriteAnswer, Refusal | MemberError]
+
+
+class _Progress:
+    """What is known of one request across its attempts."""
+
+    def __init__(self, request: Request, sql: str) -> None:
+        self.request = request
+        self.sql = sql
+        self.may_have_run = False
+        self.attempts = 0
+
+    @property
+    def is_keyed(self) -> bool:
+        """Whether a second sending is harmless."""
+        return bool(self.request.marks.idempotency_key)
+
+    @property
+    def request_class(self) -> RequestClass:
+        """The row of the retry table."""
+        if self.is_keyed:
+            return RequestClass.KEYED_WRITE
+        return RequestClass.UNKEYED_WRITE
+
+
 class Writer:
     """Runs autocommit writes.
 
     Parameters
     ----------
-    directory, pool, confirmer, clock
+    directory, pool, confirmer, clock, views
         The proxy's parts.
+    random : Random, optional
+        For jitter.
     """
 
     def __init__(
@@ -48,48 +119,257 @@
         pool: ConnectionPool,
         confirmer: Confirmer,
         clock: Clock,
+        views: ViewWatch,
+        random: Random | None = None,
     ) -> None:
         self._directory = directory
         self._pool = pool
         self._confirmer = confirmer
         self._clock = clock
+        self._views = views
+        self._random = random or Random()
+        self._budgets_by_group: dict[str, RetryBudget] = {}
+        self._purges = PurgeCounter()
+        self._tasks: set[Any] = set()
 
-    async def write(
+    async def write(self, request: Request, sql: str) -> Answer:
+        """Run one autocommit write until its outcome is known."""
+        refusal = _check_key(request, sql)
+        if refusal is not None:
+            return Error(refusal)
+        self._budget(request.group).earn()
+        progress = _Progress(request, sql)
+        while True:
+            term = self._views.term(request.group)
+            outcome = await self._attempt(progress)
+            if isinstance(outcome, Committed):
+                outcome = await self._acknowledge(progress, outcome)
+            if isinstance(outcome, Committed):
+                return Ok(WriteAnswer(outcome.result, outcome.position))
+            if isinstance(outcome, Refusal):
+                return Error(outcome)
+            answer = await self._after_failure(progress, outcome, term)
+            if answer is not None:
+                return Error(answer)
+
+    async def open(
         self, request: Request, sql: str
-    ) -> Result[WriteAnswer, Refusal | MemberError]:
-        """Run one autocommit write."""
-        primary = self._directory.primary(request.group)
+    ) -> Result[tuple[Any, int], Refusal | MemberError]:
+        """Return a connection to the primary with a transaction open.
+
+        Returns
+        -------
+        Result of (TargetConnection, int)
+            The connection and the primary's term.
+        """
+        self._budget(request.group).earn()
+        progress = _Progress(request, sql)
+        while True:
+            term = self._views.term(request.group)
+            opened = await self._open(progress)
+            if not isinstance(opened, Failed):
+                return Ok((opened, term))
+            answer = await self._after_failure(progress, opened, term)
+            if answer is not None:
+                return Error(answer)
+
+    async def _open(self, progress: _Progress) -> Any:
+        primary = self._directory.primary(progress.request.group)
         if primary is None:
-            return Error(Refusal(Code.NO_PRIMARY, retry_after_ms=500))
+            return Failed(Failure.NOT_SENT)
         try:
             connection = await self._pool.acquire(primary)
-        except (TargetError, TargetLost):
-            return Error(Refusal(Code.TARGET_LOST, retry_after_ms=500))
-        remaining = request.deadline_at - self._clock.now()
+        except TargetError as error:
+            return failed_by(error)
+        except TargetLost:
+            return Failed(Failure.NOT_SENT)
+        progress.attempts += 1
+        timeout = self._remaining(progress.request)
         try:
-            answer = await self._commit(connection, sql, remaining)
+            await connection.execute(progress.sql, timeout)
         except TargetError as error:
             await self._pool.release(connection, clean=False)
-            return Error(MemberError(error.number, error.message))
-        except TargetLost as lost:
+            return failed_by(error)
+        except TargetLost:
             await connection.close()
-            code = Code.OUTCOME_UNKNOWN if lost.sent else Code.TARGET_LOST
-            return Error(Refusal(code))
-        await self._pool.release(connection, clean=True)
-        return await self._acknowledge(request, answer)
+            return Failed(Failure.COMMIT_NOT_SENT)
+        return connection
+
+    async def acknowledge_commit(
+        self, request: Request, committed: Committed
+    ) -> Answer:
+        """Prove a transaction's commit safe before its caller is told."""
+        progress = _Progress(request, "COMMIT")
+        outcome = await self._acknowledge(progress, committed)
+        if isinstance(outcome, Committed):
+            return Ok(WriteAnswer(outcome.result, outcome.position))
+        step = next_step(RequestClass.COMMIT, outcome.failure, False)
+        return Error(Refusal(step.code))
+
+    def _budget(self, group: str) -> RetryBudget:
+        return self._budgets_by_group.setdefault(group, RetryBudget())
+
+    def _remaining(self, request: Request) -> float:
+        return max(0.0, request.deadline_at - self._clock.now())
+
+    async def _attempt(
+        self, progress: _Progress
+    ) -> Committed | Failed | Refusal:
+        request = progress.request
+        primary = self._directory.primary(request.group)
+        view = self._directory.view(request.group)
+        if primary is None:
+            return Failed(Failure.NOT_SENT)
+        try:
+            connection = await self._pool.acquire(primary)
+        except TargetError as error:
+            return failed_by(error)
+        except TargetLost:
+            return Failed(Failure.NOT_SENT)
+        progress.attempts += 1
+        with self._views.guard(connection, request.group, view.term):
+            outcome = await self._run(progress, connection)
+        # An autocommit statement that succeeded left no state behind.
+        clean = isinstance(outcome, Committed)
+        await self._pool.release(connection, clean=clean)
+        if progress.is_keyed and clean and self._purges.due():
+            self._spawn(self._purge(primary))
+        return outcome
 
-    async def _commit(
-        self, connection: TargetConnection, sql: str, timeout: float
-    ) -> WriteAnswer:
-        result = await connection.execute(sql, timeout)
-        return WriteAnswer(result, await connection.position())
+    async def _run(
+        self, progress: _Progress, connection: Any
+    ) -> Committed | Failed | Refusal:
+        timeout = self._remaining(progress.request)
+        if not progress.is_keyed:
+            return await run_unkeyed(connection, progress.sql, timeout)
+        write = KeyedWrite(
+            progress.request.organisation,
+            progress.request.marks.idempotency_key,
+            progress.sql,
+            int(time()),
+        )
+        try:
+            return await run_keyed(connection, write, timeout)
+        except TargetError as error:
+            return failed_by(error)
+        except TargetLost:
+            return Failed(Failure.COMMIT_NOT_SENT)
 
     async def _acknowledge(
-        self, request: Request, answer: WriteAnswer
-    ) -> Result[WriteAnswer, Refusal]:
+        self, progress: _Progress, committed: Committed
+    ) -> Committed | Failed:
+        """Prove the write safe, or learn what a promotion made of it."""
+        request = progress.request
+        kind = self._kind(request)
+        bound_s = min(CONFIRM_BOUND_S, self._remaining(request))
+        decision = await self._confirmer.decide(
+            request.group, committed.position, bound_s, kind
+        )
+        if decision is Decision.ACKNOWLEDGED:
+            return committed
+        fate = await self._learn_fate(request, committed.position)
+        if fate is Fate.SURVIVED:
+            return committed
+        if fate is Fate.DROPPED:
+            return Failed(Failure.DROPPED)
+        return Failed(Failure.NOT_CONFIRMED, position=committed.position)
+
+    def _kind(self, request: Request) -> PastBound:
+        kind = self._directory.configuration.kind(request.marks.kind)
+        return PastBound(kind.unconfirmed)
+
+    async def _learn_fate(self, request: Request, position: Position) -> Fate:
+        """Wait for the next term and judge the write by its history."""
+        arrived = await self._views.wait_beyond(
+            request.group, position.term, self._remaining(request)
+        )
+        if not arrived:
+            # Still the same term: a replica may have caught up by now.
+            return await self._same_term(request, position)
+        view: GroupView = self._directory.view(request.group)
+        if not view.history:
+            return Fate.OPEN
+        first = view.history[-1]
+        if not await self._confirmer.confirm(
+            request.group, first, self._remaining(request)
+        ):
+            return Fate.OPEN
+        return judge_fate(position, view.history, first)
+
+    async def _same_term(self, request: Request, position: Position) -> Fate:
         confirmed = await self._confirmer.confirm(
-            request.group, answer.position, _CONFIRM_S
+            request.group, position, self._remaining(request)
+        )
+        return Fate.SURVIVED if confirmed else Fate.OPEN
+
+    async def _after_failure(
+        self, progress: _Progress, failed: Failed, term: int
+    ) -> Refusal | MemberError | None:
+        """Return the final answer, or None once to try again."""
+        request, failure = progress.request, failed.failure
+        can_retry = self._remaining(request) > 0 and (
+            failure in _FREE_OF_BUDGET or self._budget(request.group).spend()
         )
-        if not confirmed:
-            return Error(Refusal(Code.NOT_CONFIRMED))
-        return Ok(answer)
+        step = next_step(
+            progress.request_class, failure, can_retry, progress.may_have_run
+        )
+        if may_have_run(failure):
+            progress.may_have_run = True
+        if failure is Failure.DROPPED:
+            progress.may_have_run = False
+        if step.action in (Action.RETRY, Action.ASK_RECORD):
+            await self._pause(progress, failure, term)
+            return None
+        if failed.on_record:
+            return Refusal(Code.STILL_RUNNING, retry_after_ms=RETRY_AFTER_MS)
+        if step.action is Action.PASS_ERROR and failed.error is not None:
+            return failed.error
+        code = step.code or Code.OUTCOME_UNKNOWN
+        not_run = code.outcome is Outcome.NOT_RUN
+        return Refusal(code, retry_after_ms=RETRY_AFTER_MS * not_run)
+
+    async def _pause(
+        self, progress: _Progress, failure: Failure, term: int
+    ) -> None:
+        """Wait for another primary, or a moment.
+
+        A member that refused by 1290 has promised a later term: it
+        won't take writes in this one again, so only a later view helps.
+        """
+        left = self._remaining(progress.request)
+        if failure is Failure.READ_ONLY:
+            await self._views.wait_beyond(progress.request.group, term, left)
+            return
+        pause = FIRST_PAUSE_S * 2 ** min(progress.attempts, 3)
+        pause = min(pause, LONGEST_PAUSE_S) * (0.5 + self._random.random())
+        await self._views.wait_beyond(
+            progress.request.group, term, min(pause, left)
+        )
+
+    def _spawn(self, work: Any) -> None:
+        task = create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _purge(self, primary: MemberAddress) -> None:
+        """Delete a batch of expired records; the next one tries again."""
+        try:
+            connection = await self._pool.acquire(primary)
+        except (TargetError, TargetLost):
+            return
+        outcome = await run_unkeyed(connection, purge_sql(int(time())), 1.0)
+        clean = isinstance(outcome, Committed)
+        await self._pool.release(connection, clean=clean)
+
+
+def _check_key(request: Request, sql: str) -> Refusal | None:
+    key = request.marks.idempotency_key
+    if not key:
+        return None
+    if len(key) > MAX_KEY_CHARS:
+        return Refusal(Code.BAD_MARK, "the idempotency key is too long")
+    words = sql.split(None, 1)
+    if words and words[0].upper() in _DDL:
+        # DDL commits by itself, and the record with it, before it ran.
+        return Refusal(Code.BAD_MARK, "DDL takes no idempotency key")
+    return None
--- a/redwingpost/retries/table.py
+++ b/redwingpost/retries/table.py
@@ -41,6 +41,7 @@
     TOO_MANY_CONNECTIONS = "error 1040: no connection to be had"
     OTHER_ERROR = "another error of the target"
     NOT_CONFIRMED = "committed, not confirmed"
+    DROPPED = "committed, then dropped by a promotion for certain"
     DEADLINE = "deadline passed after sending"
 
 
@@ -91,6 +92,7 @@
     Failure.TOO_MANY_CONNECTIONS: Rule(_RETRY, Code.TARGET_LOST),
     Failure.OTHER_ERROR: _PASS,
     Failure.NOT_CONFIRMED: Rule(_RETRY, Code.NOT_FRESH),
+    Failure.DROPPED: Rule(_RETRY, Code.TARGET_LOST),
     Failure.DEADLINE: Rule(_ANSWER, _UNKNOWN),
 }
 
@@ -108,6 +110,7 @@
     Failure.OTHER_ERROR: _PASS,
     # The record tells at the next primary whether the write survived.
     Failure.NOT_CONFIRMED: Rule(_ASK, Code.NOT_CONFIRMED),
+    Failure.DROPPED: Rule(_RETRY, Code.TRANSACTION_ROLLED_BACK),
     Failure.DEADLINE: Rule(_ANSWER, _UNKNOWN),
 }
 
@@ -123,6 +126,7 @@
     Failure.TOO_MANY_CONNECTIONS: Rule(_RETRY, Code.TARGET_LOST),
     Failure.OTHER_ERROR: _PASS,
     Failure.NOT_CONFIRMED: Rule(_ANSWER, Code.NOT_CONFIRMED),
+    Failure.DROPPED: Rule(_RETRY, Code.TRANSACTION_ROLLED_BACK),
     Failure.DEADLINE: Rule(_ANSWER, _UNKNOWN),
 }
 
@@ -139,6 +143,7 @@
     Failure.TOO_MANY_CONNECTIONS: _ROLLED_BACK,
     Failure.OTHER_ERROR: _PASS,
     Failure.NOT_CONFIRMED: _ROLLED_BACK,
+    Failure.DROPPED: _ROLLED_BACK,
     Failure.DEADLINE: _ROLLED_BACK,
 }
 
@@ -153,6 +158,7 @@
     Failure.TOO_MANY_CONNECTIONS: _ROLLED_BACK,
     Failure.OTHER_ERROR: _PASS,
     Failure.NOT_CONFIRMED: Rule(_ANSWER, Code.NOT_CONFIRMED),
+    Failure.DROPPED: _ROLLED_BACK,
     Failure.DEADLINE: _COMMIT_UNKNOWN,
 }
 
--- a/redwingpost/wire/node.capnp
+++ b/redwingpost/wire/node.capnp
@@ -72,6 +72,7 @@
   silentMs @1 :UInt32;
   term @2 :UInt64;
   role @3 :Text;
+  ageMs @4 :UInt32;
 }
 
 interface Watch {
