Lend rates between proxies, grant base parts by the roster

Each VM granted every organisation its whole rate, six times in all. The agent now claims an equal part through the table service and vouches for it to its proxy; proxies borrow parts and tokens from one another where callers are. Requests wait up to 100 ms for tokens that are on the way; beyond that they are refused at once, with the time to come back.

--- a/redwingpost/agent/parts.py
+++ b/redwingpost/agent/parts.py
@@ -3,7 +3,11 @@
 from importlib import import_module
 
 #: Modules whose import fills ``AGENT_PARTS``.
-MODULES = ("redwingpost.agent.fleet", "redwingpost.agent.observer")
+MODULES = (
+    "redwingpost.agent.fleet",
+    "redwingpost.agent.observer",
+    "redwingpost.agent.shares",
+)
 
 
 def load_parts() -> None:
--- a/redwingpost/proxy/service.py
+++ b/redwingpost/proxy/service.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from pathlib import Path
+from time import time
 from typing import Any
 
 from aiohttp.web import Application
@@ -39,6 +40,7 @@
 from redwingpost.proxy.forwarder import Forwarder, Homes
 from redwingpost.proxy.gate import Gate
 from redwingpost.proxy.http import StatusServer
+from redwingpost.proxy.lending import LendingServer, RateDesk
 from redwingpost.proxy.metrics import ProxyMetrics
 from redwingpost.proxy.parts import Parts
 from redwingpost.proxy.pools import ConnectionPool
@@ -120,6 +122,16 @@
         self.pool = ConnectionPool(dialler)
         self.confirmer = Confirmer(self.directory, dialler, self.clock)
         self.tls = TlsContexts(settings.tls)
+        self.clients = PeerClients(settings.vm.ip, self.tls, self.clock)
+        self.desk = RateDesk(
+            settings.vm.name,
+            settings.vm.data_centre,
+            self.directory,
+            self.clients,
+            self.clock,
+            incarnation=int(time() * 1000),
+            loop=self.loop,
+        )
         self.homes = Homes(
             _own_address(settings), self.directory, settings.proxy.homes
         )
@@ -145,7 +157,7 @@
             tokens=TokenMinter(settings.fleet.token_secrets),
             directory=self.directory,
             board=self.board,
-            gate=Gate(self.directory, self.clock, share=1.0),
+            gate=Gate(self.desk),
             reader=Reader(
                 self.directory,
                 self.board,
@@ -172,13 +184,13 @@
         self.interfaces.forward = ForwardServer(
             self._make_session, self.add_future
         )
+        self.interfaces.lending = LendingServer(self.desk, self.directory)
         self.peers = PeerServer(
             PeerAddress(settings.vm.ip, settings.proxy.peer_port),
             self.interfaces,
             self.tls,
             loop=self.loop,
         )
-        self.clients = PeerClients(settings.vm.ip, self.tls, self.clock)
         self.feed = AgentFeed(
             PeerAddress(settings.vm.ip, settings.agent.peer_port),
             self.clients,
@@ -190,6 +202,7 @@
         self.feed.on_withdrawn = self._cut_withdrawn
         self.feed.on_configured = self._note_configured
         self.feed.on_peers = self._take_peers
+        self.feed.on_shares = self.desk.take_shares
         self.feed.on_drain = self._leave
         # Accepted connections also carry forwarded statements, which are
         # callers' traffic: control counts at the side that dialled it.
@@ -209,12 +222,14 @@
 
     def _note_configured(self) -> None:
         self._configured_at = min(self._configured_at, self.clock.now())
+        self.desk.configure()
 
     def _make_forwarder(self) -> Forwarder:
         return Forwarder(self.homes, self.forward_clients, self.clock)
 
     def _take_peers(self, peers: tuple[FedPeer, ...]) -> None:
         """Learn the other VMs; silent and draining ones are no homes."""
+        self.desk.take_peers(peers)
         since = self.clock.now() - HOME_SILENCE_S
         self.homes.set_vms(
             tuple(
@@ -233,6 +248,8 @@
         """Say whether the balancer may send callers here."""
         if self._drain is not None or self.directory.configuration is None:
             return False
+        if not self.desk.settled:
+            return False
         # A VM that comes back would refuse writes until it has heard of
         # each group's primary; the balancer must not send callers before.
         # A group that has none must not keep the VM from the others.
@@ -264,6 +281,7 @@
             self._load_file(Path(self.settings.proxy.configuration_file))
         elif self.settings.agent.peer_port:
             await self.add_runtime_dependency(self.feed)
+        await self.add_runtime_dependency(self.desk)
         await self.add_runtime_dependency(self.board)
         await self.add_runtime_dependency(self.callers)
         await self.add_runtime_dependency(self.http)
@@ -278,6 +296,7 @@
         if parsed.is_error():
             raise ValueError(parsed.error.describe())
         self.directory.configure(parsed.ok, version=1)
+        self.desk.hold_whole_rates()
         self.keys.grant(parsed.ok)
         self.keys.confirm(self.clock.now())
         self._note_configured()
--- a/redwingpost/rates/__init__.py
+++ b/redwingpost/rates/__init__.py
@@ -28,7 +28,9 @@
     Grant,
     Lender,
     Return,
+    numbers_of,
 )
+from redwingpost.rates.waiting import WAIT_S, RateLine, Waiter
 
 __all__ = [
     "Ask",
@@ -46,12 +48,16 @@
     "PeerHint",
     "QUARANTINE_S",
     "Return",
+    "RateLine",
     "STATEMENT",
     "Shortfall",
+    "WAIT_S",
     "WHOLE",
+    "Waiter",
     "dry_pause",
     "keep_tokens",
     "lendable",
+    "numbers_of",
     "order_lenders",
     "parts_for",
     "shortfall",
--- a/redwingpost/rates/demand.py
+++ b/redwingpost/rates/demand.py
@@ -24,6 +24,12 @@
 #: loans to and fro, two seconds follow a move of callers too slowly.
 DEMAND_S = 1.0
 
+#: Arrivals that may be missing before the average gives way to the
+#: silence: when callers move to another VM, the old one knows within
+#: some ten arrivals, not after a second. Poisson arrivals leave four out
+#: once in fifty times.
+_SILENT_ARRIVALS = 4.0
+
 #: Parts held for a demand, over the demand: absorbs the average's noise
 #: and still lets 90% of a rate be held by six VMs at once.
 HEADROOM = 1.1
@@ -93,7 +99,10 @@
         if self._rate == 0.0:
             return 0.0
         passed = max(0.0, now - self._at)
-        return self._rate * exp(-passed / DEMAND_S)
+        decayed = self._rate * exp(-passed / DEMAND_S)
+        if passed == 0.0:
+            return decayed
+        return min(decayed, _SILENT_ARRIVALS / passed)
 
 
 def parts_for(demand: float, rate: float) -> int:
--- a/redwingpost/rates/loans.py
+++ b/redwingpost/rates/loans.py
@@ -21,6 +21,7 @@
 for ``QUARANTINE_S``.
 """
 
+from collections.abc import Iterator
 from itertools import count
 from typing import NamedTuple
 
@@ -74,6 +75,28 @@
 
 NO_GRANT = Grant(0, 0, 0, 0.0)
 
+#: Numbers that one process may use; at 250 loans a second it lasts an
+#: hour and more before it reaches those of a restart a millisecond on,
+#: which is far beyond the life of any loan.
+_NUMBERS_PER_INCARNATION_BITS = 20
+
+
+def numbers_of(incarnation: int) -> Iterator[int]:
+    """Return the loan and request numbers of one process.
+
+    Parameters
+    ----------
+    incarnation : int
+        Milliseconds of wall clock at the start, or anything that grows.
+
+    Examples
+    --------
+    >>> numbers = numbers_of(1)
+    >>> next(numbers), next(numbers)
+    (1048577, 1048578)
+    """
+    return count((incarnation << _NUMBERS_PER_INCARNATION_BITS) + 1)
+
 
 class Lender:
     """The side that lends base parts of one organisation.
@@ -82,15 +105,15 @@
     ----------
     ledger : Ledger
         The organisation's account on this VM.
-    first_loan : int
-        Loan numbers start here; a process that restarts passes a number
-        it has never used (its incarnation, shifted), so that a message
-        about an old loan can't be taken for a new one's.
+    numbers : iterator of int
+        Loan numbers, shared by all organisations of the process. After a
+        restart they start at one never used (see `first_number`), so
+        that a message about an old loan can't be taken for a new one's.
     """
 
-    def __init__(self, ledger: Ledger, first_loan: int = 1) -> None:
+    def __init__(self, ledger: Ledger, numbers: Iterator[int]) -> None:
         self.ledger = ledger
-        self._numbers = count(first_loan)
+        self._numbers = numbers
 
     def lend(
         self, borrower: str, parts: int, tokens: int, now: float
@@ -141,15 +164,15 @@
     ----------
     ledger : Ledger
         The organisation's account on this VM.
-    first_ask : int
-        As `Lender`'s ``first_loan``: an answer to the process that ran
-        here before must not pass for one to this process, which asked
-        later and would count its validity from then.
+    numbers : iterator of int
+        As `Lender`'s: an answer to the process that ran here before
+        must not pass for one to this process, which asked later and
+        would count its validity from then.
     """
 
-    def __init__(self, ledger: Ledger, first_ask: int = 1) -> None:
+    def __init__(self, ledger: Ledger, numbers: Iterator[int]) -> None:
         self.ledger = ledger
-        self._numbers = count(first_ask)
+        self._numbers = numbers
         self._asks_by_number: dict[int, Ask] = {}
 
     def ask(self, lender: str, parts: int, tokens: int, now: float) -> Ask:
