Read hostile statements in linear time; let cancelled followers end

Cause: several patterns over a caller's statement were quadratic. Change: nothing matched is given back, and what doesn't close reaches to the end.

Cause: wait_for of Python 3.11 swallows a cancellation that comes together with a result; a stand-in's follower then went on for ever ('Task was destroyed but it is pending' after the tests, a stop that hung). Change: wait and timeout blocks in its place; an answer to a pull is dropped if the log grew meanwhile.

--- a/redwingpost/adapters/mysql_prepared.py
+++ b/redwingpost/adapters/mysql_prepared.py
@@ -44,11 +44,13 @@
 #: Values of one statement; MySQL's own limit.
 MAX_VALUES = 65_535
 
+# What doesn't close reaches to the end and isn't tried again: see the
+# patterns of ``proxy.classify``.
 _PLACEHOLDER = re_compile(
-    r"'(?:[^'\\]|\\.|'')*'"
-    r'|"(?:[^"\\]|\\.|"")*"'
-    r"|`(?:[^`]|``)*`"
-    r"|--(?=\s|$)[^\n]*|#[^\n]*|/\*.*?\*/"
+    r"'(?:[^'\\]|\\.|'')*+(?:'|\\?\Z)"
+    r'|"(?:[^"\\]|\\.|"")*+(?:"|\\?\Z)'
+    r"|`(?:[^`]|``)*+(?:`|\Z)"
+    r"|--(?=\s|$)[^\n]*|#[^\n]*|/\*.*?(?:\*/|\Z)"
     r"|(\?)",
     DOTALL,
 )
--- a/redwingpost/proxy/classify.py
+++ b/redwingpost/proxy/classify.py
@@ -30,12 +30,17 @@
     refusal: ResultCode | None = None
 
 
-_FIRST_WORD = re_compile(r"\s*\(*\s*(\w+)")
+# The patterns are linear in the text. One that looks at the rest of the
+# text again for each quote that doesn't close, or for each of many
+# blanks, takes hours for a statement of megabytes, and the one loop
+# serves nobody meanwhile. So what doesn't close reaches to the end, and
+# nothing is given back once matched ("*+").
+_FIRST_WORD = re_compile(r"[\s(]*+(\w+)")
 _QUOTED = re_compile(
-    r"'(?:[^'\\]|\\.|'')*'"
-    r'|"(?:[^"\\]|\\.|"")*"'
-    r"|`(?:[^`]|``)*`"
-    r"|--(?=\s|$)[^\n]*|#[^\n]*|/\*(?!!).*?\*/",
+    r"'(?:[^'\\]|\\.|'')*+(?:'|\\?\Z)"
+    r'|"(?:[^"\\]|\\.|"")*+(?:"|\\?\Z)'
+    r"|`(?:[^`]|``)*+(?:`|\Z)"
+    r"|--(?=\s|$)[^\n]*|#[^\n]*|/\*(?!!).*?(?:\*/|\Z)",
     DOTALL,
 )
 _LOCKING = re_compile(
@@ -124,7 +129,10 @@
 
 
 def _blank(found: Match) -> str:
-    return "''" if found.group()[0] in "'\"`" else " "
+    text = found.group()
+    if text.startswith("/*") and not text.endswith("*/"):
+        return "/*"
+    return "''" if text[0] in "'\"`" else " "
 
 
 _classify_cached = lru_cache(maxsize=_CACHED_STATEMENTS)(_classify)
--- a/redwingpost/proxy/local_answers.py
+++ b/redwingpost/proxy/local_answers.py
@@ -74,13 +74,16 @@
     "tx_read_only": 0,
 }
 
+# Possessive throughout ("++"): a pattern that gives blanks back to try
+# them again takes seconds for a statement of many blanks, and the one
+# loop serves nobody meanwhile.
 _SELECT_ITEM = (
-    r"(?:@@(?:session\.|global\.|local\.)?\w+|\w+\s*\(\s*\))"
-    r"(?:\s+AS\s+[`'\"]?\w+[`'\"]?)?"
+    r"(?:@@(?:session\.|global\.|local\.)?\w++|\w++\s*+\(\s*+\))"
+    r"(?:\s++AS\s++[`'\"]?\w++[`'\"]?)?+"
 )
 _LOCAL_SELECT = re_compile(
-    rf"\s*SELECT\s+({_SELECT_ITEM}(?:\s*,\s*{_SELECT_ITEM})*)"
-    r"(?:\s+LIMIT\s+1)?\s*;?\s*$",
+    rf"\s*+SELECT\s++({_SELECT_ITEM}(?:\s*+,\s*+{_SELECT_ITEM})*+)"
+    r"(?:\s++LIMIT\s++1)?+\s*+;?\s*+$",
     IGNORECASE,
 )
 _ITEM = re_compile(
@@ -107,10 +110,10 @@
     r"|max_execution_time|sql_auto_is_null)\s*:?=\s*[^,;]+$",
     IGNORECASE,
 )
-_SET = re_compile(r"\s*SET\s+(.*?)\s*;?\s*$", IGNORECASE | DOTALL)
-_USE = re_compile(r"\s*USE\s+`?([\w.-]+)`?\s*;?\s*$", IGNORECASE)
+_SET = re_compile(r"\s*+SET\s++(.*+)", IGNORECASE | DOTALL)
+_USE = re_compile(r"\s*+USE\s++`?([\w.-]++)`?\s*+;?\s*+$", IGNORECASE)
 _SHOW_WARNINGS = re_compile(
-    r"\s*SHOW\s+(?:WARNINGS|ERRORS)\b[^;]*;?\s*$", IGNORECASE
+    r"\s*+SHOW\s++(?:WARNINGS|ERRORS)\b[^;]*+;?\s*+$", IGNORECASE
 )
 _WARNING_COLUMNS = (
     ("Level", VariableValue(None)),
@@ -212,7 +215,8 @@
         target's connection, which the next statement may not use.
     """
     match = _SET.match(sql)
-    items = match.group(1).split(",") if match else [sql]
+    body = match.group(1).rstrip().removesuffix(";") if match else sql
+    items = body.split(",")
     for item in items:
         if not _apply_item(item.strip(), state):
             detail = f"SET {item.strip()[:60]} is not carried"
--- a/redwingpost/standin/group.py
+++ b/redwingpost/standin/group.py
@@ -1,5 +1,6 @@
 """A database group: its members in one process, each with its own port."""
 
+from asyncio import gather
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
@@ -71,7 +72,7 @@
         await self._faults.stop()
         for member in self.members_by_name.values():
             # A follower would dial a member that is just closing.
-            member.replica.stop()
+            await gather(*member.replica.stop(), return_exceptions=True)
         for member in self.members_by_name.values():
             await member.stop()
         if self._directory is not None:
--- a/redwingpost/standin/limits.py
+++ b/redwingpost/standin/limits.py
@@ -1,6 +1,11 @@
 """A member's limits on the loop: statement slots and the writer lock."""
 
-from asyncio import CancelledError, Future, get_running_loop, wait_for
+from asyncio import (
+    CancelledError,
+    Future,
+    get_running_loop,
+    timeout as time_limit,
+)
 from collections import deque
 
 
@@ -70,7 +75,8 @@
             await limiter.acquire()
             return True
         try:
-            await wait_for(limiter.acquire(), timeout)
+            async with time_limit(timeout):
+                await limiter.acquire()
         except TimeoutError:
             return False
         return True
--- a/redwingpost/standin/member.py
+++ b/redwingpost/standin/member.py
@@ -5,6 +5,7 @@
     Event,
     StreamReader,
     StreamWriter,
+    gather,
     get_running_loop,
     sleep,
     start_server,
@@ -137,7 +138,7 @@
             return
         self.is_alive = False
         self.generation += 1
-        self.replica.stop()
+        await gather(*self.replica.stop(), return_exceptions=True)
         if self.writing is not None:
             self.writing.rollback()
         self._server.close()
--- a/redwingpost/standin/replica.py
+++ b/redwingpost/standin/replica.py
@@ -89,11 +89,15 @@
             pulling = self._pull_forever(gate, address)
             self._tasks.append(create_task(pulling))
 
-    def stop(self) -> None:
-        """End pulling and applying; what is received stays."""
-        for task in self._tasks:
+    def stop(self) -> list[Task]:
+        """End pulling and applying; what is received stays.
+
+        Returns the tasks that are ending.
+        """
+        ending, self._tasks = self._tasks, []
+        for task in ending:
             task.cancel()
-        self._tasks = []
+        return ending
 
     async def _pull_forever(self, gate, address: tuple[str, int]) -> None:
         channel = PullChannel(self._own_ip, *address)
@@ -126,6 +130,10 @@
         if answer.refused or answer.term != term:
             await sleep(RETRY_S)
             return
+        if len(self.log) != pull.length:
+            # The log grew while the answer was on its way; taken now,
+            # the answer would look like a divergence.
+            return
         self._take(answer, asked_at)
 
     def _take(self, answer: PullAnswer, asked_at: float) -> None:
--- a/redwingpost/standin/replication.py
+++ b/redwingpost/standin/replication.py
@@ -6,7 +6,12 @@
 no older than the moment it *asked*.
 """
 
-from asyncio import StreamReader, StreamWriter, open_connection, wait_for
+from asyncio import (
+    StreamReader,
+    StreamWriter,
+    open_connection,
+    timeout as time_limit,
+)
 from struct import Struct
 from typing import NamedTuple
 
@@ -120,7 +125,8 @@
             If no whole answer came; the channel is closed then.
         """
         try:
-            return await wait_for(self._ask(pull), PULL_TIMEOUT_S)
+            async with time_limit(PULL_TIMEOUT_S):
+                return await self._ask(pull)
         except BaseException:
             self.close()
             raise
--- a/redwingpost/standin/signals.py
+++ b/redwingpost/standin/signals.py
@@ -1,6 +1,6 @@
 """A wake-up call for every waiter on the loop."""
 
-from asyncio import Future, get_running_loop, wait_for
+from asyncio import Future, get_running_loop, wait
 
 
 class Signal:
@@ -21,9 +21,10 @@
         waiter = get_running_loop().create_future()
         self._waiters.add(waiter)
         try:
-            await wait_for(waiter, timeout)
-        except TimeoutError:
-            return False
+            # Not wait_for: up to Python 3.11 it swallows a cancellation
+            # that comes together with the result, and a task that was
+            # told to end would go on for ever.
+            done, _ = await wait((waiter,), timeout=timeout)
         finally:
             self._waiters.discard(waiter)
-        return True
+        return bool(done)
