Let benches take turns and callers hold fewer connections

Cause: two benches at once measured each other's load, and when the system stalled the open loop's sessions held thousands of connections of a quarter of a megabyte each (2.8 GB resident seen). Change: runs wait for a lock file; a session keeps two connections and gives up after twice its deadline.

--- a/redwingpost/bench/callers.py
+++ b/redwingpost/bench/callers.py
@@ -13,6 +13,8 @@
 
 from redwingpost.bench.history import Operation, Verdict
 from redwingpost.bench.statements import (
+    DEADLINE_MS,
+    JOB_DEADLINE_MS,
     Answer,
     Target,
     parse_answer,
@@ -21,13 +23,21 @@
 )
 from redwingpost.core import Code
 
-#: Seconds after which a caller gives an attempt up; longer than any
-#: deadline mark, so that it only strikes where a proxy says nothing.
-GIVE_UP_S = 8.0
+#: Seconds after which a caller gives an attempt up; twice the deadline
+#: mark, so that it only strikes where a proxy says nothing.
+GIVE_UP_S = 2.0 * DEADLINE_MS / 1000.0
+
+#: The same for a long job.
+JOB_GIVE_UP_S = 2.0 * JOB_DEADLINE_MS / 1000.0
 
 #: Seconds for opening a connection to a proxy.
 CONNECT_LIMIT_S = 3.0
 
+#: Connections that a session keeps to proxies it has left. The driver
+#: holds a quarter of a megabyte for each, and when a system stalls the
+#: open loop makes thousands of sessions.
+KEPT_CONNECTIONS = 2
+
 #: Client-side numbers of MySQL drivers: connection refused, gone, lost.
 CONNECT_FAILED = 2003
 CLIENT_ERRORS = range(2000, 3000)
@@ -104,8 +114,9 @@
 
     async def send(self, proxy: ProxyEndpoint, request: Request) -> Outcome:
         """Send one request through a proxy and wait for its end."""
+        job = request.operation is Operation.JOB
         try:
-            async with timeout(GIVE_UP_S):
+            async with timeout(JOB_GIVE_UP_S if job else GIVE_UP_S):
                 return await self._send(proxy, request)
         except TimeoutError:
             self._drop(proxy.vm)
@@ -163,6 +174,8 @@
                 db=self.group,
                 autocommit=None,
             )
+        while len(self._connections_by_vm) >= KEPT_CONNECTIONS:
+            self._drop(next(iter(self._connections_by_vm)))
         self._connections_by_vm[proxy.vm] = connection
         return connection
 
--- a/redwingpost/bench/sweep.py
+++ b/redwingpost/bench/sweep.py
@@ -1,6 +1,6 @@
 """Several runs one after another, and their spread as one table."""
 
-from asyncio import run as run_loop
+from asyncio import run as run_loop, timeout
 from collections import defaultdict
 from collections.abc import Iterable, Iterator
 from itertools import product
@@ -9,12 +9,24 @@
 from rich.table import Table
 
 from redwingpost.bench.measures import Measures
-from redwingpost.bench.runner import Order, Progress, run_scenario
+from redwingpost.bench.runner import (
+    Finished,
+    Order,
+    Progress,
+    run_scenario,
+)
+from redwingpost.bench.turns import take_turn
 
 #: Seconds that a run may take in all.
 RUN_LIMIT_S = 40.0
 
 
+async def run_limited(order: Order, say: Progress) -> Finished:
+    """Run one scenario within the time that a run may take."""
+    async with timeout(RUN_LIMIT_S):
+        return await run_scenario(order, say)
+
+
 class SweepResult(NamedTuple):
     """Measures of the runs that ended, reasons of those that didn't."""
 
@@ -42,7 +54,8 @@
         name = " ".join(map(str, order))
         say(name)
         try:
-            finished = run_loop(run_scenario(order, lambda _: None))
+            with take_turn(say):
+                finished = run_loop(run_limited(order, lambda _: None))
         except Exception as error:
             # Whatever broke one run must not throw the others' results
             # away; the table lists it as a run that did not end.
--- a/redwingpost/cli/bench.py
+++ b/redwingpost/cli/bench.py
@@ -1,6 +1,6 @@
 """``redwing-bench``: load, faults, and what callers received."""
 
-from asyncio import run as run_loop, timeout
+from asyncio import run as run_loop
 from json import loads
 from pathlib import Path
 from sys import stderr
@@ -20,20 +20,19 @@
 from redwingpost.bench.report import write_report
 from redwingpost.bench.runner import (
     POLICIES,
-    Finished,
     Order,
     Progress,
-    run_scenario,
 )
 from redwingpost.bench.scenario import SCENARIOS
 from redwingpost.bench.sites import SITES
 from redwingpost.bench.sweep import (
-    RUN_LIMIT_S,
     make_spread_table,
     plan,
     run_all,
+    run_limited,
 )
 from redwingpost.bench.tables import make_detail_table, make_table
+from redwingpost.bench.turns import take_turn
 
 app = Typer(
     add_completion=False,
@@ -80,11 +79,6 @@
     return say
 
 
-async def _limited(order: Order, say: Progress) -> Finished:
-    async with timeout(RUN_LIMIT_S):
-        return await run_scenario(order, say)
-
-
 @app.command("list")
 def list_scenarios() -> None:
     """List scenarios and sites.
@@ -120,7 +114,8 @@
     order = Order(scenario, site, seed, policy)
     say = _progress()
     try:
-        finished = run_loop(_limited(order, say))
+        with take_turn(say):
+            finished = run_loop(run_limited(order, say))
     except Exception as error:
         # Any failure of the run is reported in one line; the children's
         # logs hold the rest.
