--- a/redwingpost/agent/promoter.py
+++ b/redwingpost/agent/promoter.py
@@ -291,6 +291,11 @@
         if may_propose(rank, now - state.suspected_since):
             await self._promote(watch, state, verdict)
 
+    async def promote_now(self, watch: Any) -> None:
+        """Conduct one promotion, whoever leads and whose turn it is."""
+        state = self._states_by_group.setdefault(watch.group, _GroupState())
+        await self._promote(watch, state, Verdict.LEADERLESS)
+
     def _rank(self, watch: Any, reports: list[Report]) -> int:
         """Return this VM's rank among the observers that answer."""
         answering = {report.observer for report in reports}
