--- a/redwingpost/proxy/attempts.py
+++ b/redwingpost/proxy/attempts.py
@@ -98,7 +98,7 @@
         await connection.execute("BEGIN", timeout)
         taken = await _take_key(connection, insert, timeout)
         if taken is not None:
-            return await _answer_duplicate(connection, write, taken, timeout)
+            return await _duplicate(connection, write, taken, timeout)
         result = await connection.execute(write.sql, timeout)
         update = update_sql(*name, result.affected_rows, result.last_insert_id)
         await connection.execute(update, timeout)
@@ -130,6 +130,16 @@
         raise
 
 
+async def _duplicate(
+    connection: Any, write: KeyedWrite, taken: TargetError, timeout: float
+) -> Outcome:
+    """Answer a copy; one that fails has run all the same, elsewhere."""
+    try:
+        return await _answer_duplicate(connection, write, taken, timeout)
+    except TargetLost:
+        return Failed(Failure.NO_ANSWER)
+
+
 async def _answer_duplicate(
     connection: Any, write: KeyedWrite, taken: TargetError, timeout: float
 ) -> Outcome:
