--- a/redwingpost/bench/fleet.py
+++ b/redwingpost/bench/fleet.py
@@ -9,6 +9,7 @@
 
 from asyncmy import connect
 from loguru import logger
+from prometheus_client.parser import text_string_to_metric_families
 
 from redwingpost.bench.children import Children, Ended, find_free_port
 from redwingpost.bench.history import Contents, EditRow, OrderRow
@@ -35,6 +36,10 @@
 
 _PROXY = "redwingpost.cli.proxy"
 
+#: Counter of a process's control traffic by link and way; what stays on
+#: the VM (link "local") crosses no network.
+_CONTROL_BYTES = "redwing_control_bytes_total"
+
 REDWINGPOST = "redwingpost"
 NAIVE = "naive"
 
@@ -207,6 +212,27 @@
         port = self.layout.platform_faults
         return await self.orders.fault(port, fault, **more)
 
+    # -- what it costs
+
+    def cpu_s(self) -> float:
+        """Return processor seconds of all proxies and agents so far."""
+        children = self.children
+        return children.cpu_s("proxy") + children.cpu_s("agent")
+
+    async def control_bytes(self) -> float:
+        """Return bytes between VMs and to the platform, both ways.
+
+        Processes that have ended since are left out.
+        """
+        ports = []
+        for vm in self.layout.vms_by_name.values():
+            ports.append(HttpPort(vm.ip, vm.proxy_http_port))
+            ports.append(HttpPort(vm.ip, vm.agent_http_port))
+        pages = await gather(
+            *(self.orders.text(port, "/metrics") for port in ports)
+        )
+        return sum(map(sum_control_bytes, pages))
+
     # -- what the targets hold
 
     async def dial(self, member: GroupMember) -> Any:
@@ -276,6 +302,25 @@
             raise NotReady(submission.result.error.describe())
 
 
+def sum_control_bytes(page: str) -> float:
+    """Add up a metrics page's control bytes that crossed a network.
+
+    Examples
+    --------
+    >>> sum_control_bytes(
+    ...     'redwing_control_bytes_total{link="peer",way="sent"} 2.0\\n'
+    ...     'redwing_control_bytes_total{link="local",way="sent"} 9.0'
+    ... )
+    2.0
+    """
+    return sum(
+        sample.value
+        for family in text_string_to_metric_families(page)
+        for sample in family.samples
+        if sample.name == _CONTROL_BYTES and sample.labels["link"] != "local"
+    )
+
+
 def _rows(table: dict[str, Any]) -> Iterator[dict[str, Any]]:
     """Iterate over a dumped table's rows by column name."""
     return (dict(zip(table["columns"], row)) for row in table["rows"])
--- a/redwingpost/bench/runner.py
+++ b/redwingpost/bench/runner.py
@@ -2,6 +2,7 @@
 
 from asyncio import create_task, gather
 from collections.abc import Callable
+from os import getloadavg
 from pathlib import Path
 from tempfile import mkdtemp
 from time import monotonic
@@ -97,7 +98,8 @@
     stage = Stage(fleet, load, order.seed)
     await balancer.start()
     say(f"load: {len(arrivals)} requests in {scenario.load_s:.0f} s")
-    cpu_before_s = _cpu_s(fleet)
+    cpu_before_s = fleet.cpu_s()
+    bytes_before = await fleet.control_bytes()
     began_at = monotonic()
     disturbing = create_task(scenario.disturb(stage))
     try:
@@ -109,13 +111,17 @@
         await load.close()
         await balancer.stop()
     duration_s = monotonic() - began_at
-    cpu_s = _cpu_s(fleet) - cpu_before_s
+    cpu_s = fleet.cpu_s() - cpu_before_s
+    control_bytes = await fleet.control_bytes() - bytes_before
     say("reading the targets' final contents")
     run = await _finish_run(fleet, load, stage)
     leads_by_group = await _find_leads(stage, run)
     say("checking the history")
     counts = _count(stage, load, run, leads_by_group)._replace(
-        duration_s=duration_s, cpu_s=cpu_s
+        duration_s=duration_s,
+        cpu_s=cpu_s,
+        # Where processes were replaced their counts are gone.
+        control_bytes=control_bytes if control_bytes > 0 else None,
     )
     measures = measure(
         order.scenario,
@@ -126,15 +132,16 @@
         find_violations(run) + stage.violations,
         counts,
     )
-    notes = {"load_late_s": round(load.max_late_s, 3), **stage.notes}
+    notes = {
+        "load_late_s": round(load.max_late_s, 3),
+        "machine_load_average": round(getloadavg()[0], 1),
+        **stage.notes,
+    }
+    if load.max_late_s > LATE_LIMIT_S:
+        say(f"the load generator was up to {load.max_late_s:.2f} s late")
     return Finished(measures, run, fleet.children.directory, notes)
 
 
-def _cpu_s(fleet: Fleet) -> float:
-    children = fleet.children
-    return children.cpu_s("proxy") + children.cpu_s("agent")
-
-
 async def _finish_run(fleet: Fleet, load: LoadGenerator, stage: Stage) -> Run:
     groups = fleet.site.groups
     contents = await gather(*(fleet.contents(group) for group in groups))
