--- a/redwingpost/proxy/confirm.py
+++ b/redwingpost/proxy/confirm.py
@@ -13,7 +13,6 @@
     sleep,
     wait_for,
 )
-from collections import deque
 from itertools import count
 from typing import Any, NamedTuple
 
@@ -21,7 +20,6 @@
 from redwingpost.ports import (
     Clock,
     MonotonicClock,
-    TargetDialler,
     TargetError,
     TargetLost,
 )
@@ -34,11 +32,9 @@
     WaitAnswer,
     replicas_needed,
 )
+from redwingpost.proxy.control_lines import ControlLines
 from redwingpost.proxy.directory import Directory
 
-#: Seconds to open a control connection.
-_DIAL_TIMEOUT_S = 1.0
-
 #: Seconds that a replica holds a wait. Shorter than the bound on a
 #: confirmation, so that a replica that is behind still answers what it
 #: has promised before the bound.
@@ -57,39 +53,6 @@
     by_term: bool
 
 
-class _ReplicaLines:
-    """Control connections to one replica, one wait each at a time."""
-
-    def __init__(self, dialler: TargetDialler) -> None:
-        self._dialler = dialler
-        self._idle: deque[Any] = deque()
-
-    async def ask(
-        self, address: MemberAddress, position: Position, wait_s: float
-    ) -> WaitAnswer:
-        """Send one wait and return the answer."""
-        connection = None
-        while self._idle and connection is None:
-            connection = self._idle.pop()
-            connection = connection if connection.usable else None
-        if connection is None:
-            connection = await self._dialler.dial(address, _DIAL_TIMEOUT_S)
-        try:
-            answer = await connection.wait_received(position, wait_s)
-        except BaseException:
-            await connection.close()
-            raise
-        self._idle.append(connection)
-        return WaitAnswer(
-            address.member, answer.promised_term, answer.position
-        )
-
-    async def close(self) -> None:
-        """Close what is idle."""
-        while self._idle:
-            await self._idle.pop().close()
-
-
 class Confirmer:
     """Proves that writes are safe and that a term is still current.
 
@@ -97,8 +60,8 @@
     ----------
     directory : Directory
         Tells the replicas and the term of a group.
-    dialler : TargetDialler
-        Opens control connections.
+    lines : ControlLines
+        Control connections.
     clock : Clock, optional
         Source of time.
 
@@ -111,13 +74,12 @@
     def __init__(
         self,
         directory: Directory,
-        dialler: TargetDialler,
+        lines: ControlLines,
         clock: Clock | None = None,
     ) -> None:
         self._directory = directory
-        self._dialler = dialler
+        self._lines = lines
         self._clock = clock or MonotonicClock()
-        self._lines_by_address: dict[MemberAddress, _ReplicaLines] = {}
         self._ledgers_by_key: dict[_LedgerKey, Acknowledgements] = {}
         self._futures_by_number: dict[int, Future] = {}
         self._numbers = count(1)
@@ -232,18 +194,21 @@
         address: MemberAddress,
         wait: Wait,
     ) -> None:
-        lines = self._lines_by_address.setdefault(
-            address, _ReplicaLines(self._dialler)
-        )
         self.waits_sent += 1
         wait_s = 0.0 if key.by_term else _WAIT_S
         try:
-            answer = await lines.ask(address, wait.position, wait_s)
+            answer = await self._lines.ask(
+                address,
+                lambda line: line.wait_received(wait.position, wait_s),
+            )
         except (TargetError, TargetLost):
             await sleep(_FAILED_PAUSE_S)
             ledger.failed(address.member, wait.number)
         else:
-            self._settle(ledger.answered(wait.number, answer))
+            named = WaitAnswer(
+                address.member, answer.promised_term, answer.position
+            )
+            self._settle(ledger.answered(wait.number, named))
         self._pump(key, ledger)
 
     def _settle(self, decided: tuple[Decided, ...]) -> None:
@@ -255,8 +220,6 @@
                 self.writes_confirmed += 1
 
     async def close(self) -> None:
-        """End the waits and close the control connections."""
+        """End the waits."""
         for task in tuple(self._tasks):
             task.cancel()
-        for lines in self._lines_by_address.values():
-            await lines.close()
--- a/redwingpost/proxy/reads.py
+++ b/redwingpost/proxy/reads.py
@@ -26,10 +26,11 @@
 from redwingpost.proxy.attempts import Failed, failed_by
 from redwingpost.proxy.confirm import Confirmer
 from redwingpost.proxy.directory import Directory
-from redwingpost.proxy.pools import ConnectionPool
+from redwingpost.proxy.targets import AdmissionRefused, Targets
 from redwingpost.proxy.status_board import StatusBoard
 from redwingpost.proxy.view_watch import ViewWatch
 from redwingpost.retries import Action, Failure, RequestClass, next_step
+from redwingpost.scheduling import shape_of
 
 #: Seconds to wait for a replica's proof that a primary still leads.
 _CONFIRM_S = 1.0
@@ -69,7 +70,7 @@
         self,
         directory: Directory,
         board: StatusBoard,
-        pool: ConnectionPool,
+        pool: Targets,
         confirmer: Confirmer,
         clock: Clock,
         views: ViewWatch,
@@ -95,7 +96,10 @@
             view = self._directory.view(request.group)
             if view is not None and _is_lost(request, view.history):
                 return Error(Refusal(Code.POSITION_LOST))
-            outcome = await self._attempt(request, sql)
+            try:
+                outcome = await self._attempt(request, sql)
+            except AdmissionRefused as refused:
+                return Error(refused.refusal)
             if isinstance(outcome, ReadAnswer):
                 return Ok(outcome)
             left = request.deadline_at - self._clock.now()
@@ -118,12 +122,20 @@
         return await self._read_primary(request, sql)
 
     def _fresh_replicas(self, request: Request) -> list[MemberAddress]:
-        return [
+        fresh = [
             address
             for address in self._directory.replicas(request.group)
             if not self._directory.is_draining(address.member)
             and self._is_fresh(address, request)
         ]
+        return sorted(fresh, key=self._expected_time)
+
+    def _expected_time(self, address: MemberAddress) -> float:
+        load = self._pool.load(address)
+        if load.share <= 0.0:
+            return 0.0 if self._pool.take_probe(address) else float("inf")
+        waiting = load.in_flight + load.queued_cost
+        return (waiting / load.limit + 1.0) * load.service_s / load.share
 
     def _is_fresh(self, address: MemberAddress, request: Request) -> bool:
         observed = self._board.latest(address.member)
@@ -170,7 +182,9 @@
         known = self._board.applied(address.member)
         remaining = request.deadline_at - self._clock.now()
         try:
-            connection = await self._pool.acquire(address)
+            connection = await self._pool.acquire(
+                address, request, shape_of(sql)
+            )
         except TargetError as error:
             return failed_by(error)
         except TargetLost:
--- a/redwingpost/proxy/service.py
+++ b/redwingpost/proxy/service.py
@@ -29,11 +29,12 @@
     Withdrawal,
     parse_configuration,
 )
-from redwingpost.core import Code, Refusal, VmAddress
+from redwingpost.core import Code, GroupView, Refusal, VmAddress
 from redwingpost.ports import Clock, MonotonicClock
 from redwingpost.proxy.caller import Caller
 from redwingpost.proxy.confirm import Confirmer
 from redwingpost.proxy.drain import Drain, DrainStep
+from redwingpost.proxy.control_lines import ControlLines
 from redwingpost.proxy.directory import Directory
 from redwingpost.proxy.feed import AgentFeed, FedPeer
 from redwingpost.proxy.forward_server import ForwardServer
@@ -43,10 +44,10 @@
 from redwingpost.proxy.lending import LendingServer, RateDesk
 from redwingpost.proxy.metrics import ProxyMetrics
 from redwingpost.proxy.parts import Parts
-from redwingpost.proxy.pools import ConnectionPool
 from redwingpost.proxy.reads import Reader
 from redwingpost.proxy.session import StatementSession
 from redwingpost.proxy.status_board import StatusBoard
+from redwingpost.proxy.targets import Targets
 from redwingpost.proxy.transactions import Transactions
 from redwingpost.proxy.view_watch import ViewWatch
 from redwingpost.proxy.writes import Writer
@@ -119,8 +120,15 @@
         dialler = MySQLTargetDialler(
             settings.targets.user, settings.targets.password
         )
-        self.pool = ConnectionPool(dialler)
-        self.confirmer = Confirmer(self.directory, dialler, self.clock)
+        self.lines = ControlLines(dialler)
+        self.pool = Targets(
+            self.directory,
+            dialler,
+            self.clock,
+            lambda _group: settings.proxy.homes,
+        )
+        self.directory.on_view.append(self._leave_old_primary)
+        self.confirmer = Confirmer(self.directory, self.lines, self.clock)
         self.tls = TlsContexts(settings.tls)
         self.clients = PeerClients(settings.vm.ip, self.tls, self.clock)
         self.desk = RateDesk(
@@ -137,7 +145,7 @@
         )
         self.board = StatusBoard(
             self.directory,
-            dialler,
+            self.lines,
             self.clock,
             self.homes.is_home,
             loop=self.loop,
@@ -221,6 +229,12 @@
             loop=self.loop,
         )
 
+    def _leave_old_primary(self, view: GroupView) -> None:
+        if not view.primary:
+            return
+        for address in self.directory.replicas(view.group):
+            self.pool.give_up(address)
+
     def _note_configured(self) -> None:
         self._configured_at = min(self._configured_at, self.clock.now())
         self.desk.configure()
@@ -343,6 +357,7 @@
         """Close what is open."""
         await self.confirmer.close()
         await self.pool.close()
+        await self.lines.close()
 
     async def on_shutdown(self) -> None:
         """Close what the parts needed until their own end."""
--- a/redwingpost/proxy/status_board.py
+++ b/redwingpost/proxy/status_board.py
@@ -15,10 +15,10 @@
 from redwingpost.ports import (
     Clock,
     MemberStatus,
-    TargetDialler,
     TargetError,
     TargetLost,
 )
+from redwingpost.proxy.control_lines import ControlLines
 from redwingpost.proxy.directory import Directory
 
 #: Seconds between polls of a member. Replicas lag by some 100 ms in the
@@ -58,8 +58,8 @@
     ----------
     directory : Directory
         Members to poll; learns primaries from the answers.
-    dialler : TargetDialler
-        Opens the control connections.
+    lines : ControlLines
+        The control connections.
     clock : Clock
         Source of time.
     serves : callable, optional
@@ -70,7 +70,7 @@
     def __init__(
         self,
         directory: Directory,
-        dialler: TargetDialler,
+        lines: ControlLines,
         clock: Clock,
         serves: Callable[[str], bool] = _always,
         **kwargs: Any,
@@ -78,7 +78,7 @@
         super().__init__(**kwargs)
         self._serves = serves
         self._directory = directory
-        self._dialler = dialler
+        self._lines = lines
         self._clock = clock
         self._observed_by_member: dict[str, Observed] = {}
         self._asked_at_by_group: dict[str, float] = {}
@@ -120,30 +120,24 @@
             await self.sleep(IDLE_POLL_INTERVAL_S)
 
     async def _poll_member(self, address: MemberAddress) -> None:
-        connection = None
-        while not self.should_stop:
-            if self._directory.address(address.member) != address:
-                break
-            if not self._serves(address.group):
-                break
+        while not self.should_stop and self._is_wanted(address):
             try:
-                if connection is None:
-                    connection = await self._dialler.dial(
-                        address, POLL_TIMEOUT_S
-                    )
-                await self._ask(address, connection)
+                await self._lines.ask(
+                    address, lambda line: self._ask(address, line)
+                )
             except (TargetError, TargetLost):
-                if connection is not None:
-                    await connection.close()
-                connection = None
+                pass
             await sleep(self._interval(address.group))
         self._polled.discard(address.member)
-        if connection is not None:
-            await connection.close()
+        await self._lines.close_to(address)
+
+    def _is_wanted(self, address: MemberAddress) -> bool:
+        known = self._directory.address(address.member)
+        return known == address and self._serves(address.group)
 
-    async def _ask(self, address: MemberAddress, connection: Any) -> None:
+    async def _ask(self, address: MemberAddress, line: Any) -> None:
         asked_at = self._clock.now()
-        status = await connection.status(POLL_TIMEOUT_S)
+        status = await line.status(POLL_TIMEOUT_S)
         self._observed_by_member[address.member] = Observed(status, asked_at)
         self._directory.observe_status(address.group, status)
 
--- a/redwingpost/proxy/targets.py
+++ b/redwingpost/proxy/targets.py
@@ -64,6 +64,7 @@
         self.desk = Desk(connections)
         self.idle: deque[TargetConnection] = deque()
         self.used: set[Any] = set()
+        self.pin_waiters: deque[Future] = deque()
 
 
 class _Use(NamedTuple):
@@ -172,9 +173,31 @@
         self._uses_by_connection[connection] = use._replace(pinned=True)
         self._wake(use.counter.desk.pin(self._clock.now(), use.ticket))
 
-    def may_pin(self, address: MemberAddress) -> bool:
-        """Say whether one more transaction may be open at a member."""
-        return self._counter(address).desk.may_pin
+    async def wait_to_pin(
+        self, address: MemberAddress, request: Request
+    ) -> None:
+        """Wait until one more transaction may be open at a member.
+
+        Raises
+        ------
+        AdmissionRefused
+            If none ended before the request's deadline.
+        """
+        counter = self._counter(address)
+        while not counter.desk.may_pin:
+            left = request.deadline_at - self._clock.now()
+            ended = get_running_loop().create_future()
+            counter.pin_waiters.append(ended)
+            try:
+                await wait_for(ended, max(0.0, left))
+            except TimeoutError as late:
+                refusal = Refusal(
+                    Code.OVER_CAPACITY, retry_after_ms=_EXPIRED_RETRY_MS
+                )
+                raise AdmissionRefused(refusal) from late
+            finally:
+                if ended in counter.pin_waiters:
+                    counter.pin_waiters.remove(ended)
 
     async def release(self, connection: TargetConnection, clean: bool) -> None:
         """Give slot and connection back.
@@ -206,7 +229,7 @@
     def _end(self, use: _Use, ended_at: float) -> None:
         desk = use.counter.desk
         if use.pinned:
-            self._wake(desk.unpin(ended_at))
+            self._unpin(use.counter, ended_at)
             return
         if use.shape:
             self.lengths.observe(use.shape, ended_at - use.started_at)
@@ -226,7 +249,7 @@
         desk, now = use.counter.desk, self._clock.now()
         self._wake(desk.fail(now, use.ticket))
         if use.pinned:
-            self._wake(desk.unpin(now))
+            self._unpin(use.counter, now)
 
     async def warm(self, address: MemberAddress) -> None:
         """Open one connection ahead of the first statement."""
@@ -345,6 +368,11 @@
                 return connection
         return await self._dialler.dial(counter.address, DIAL_TIMEOUT_S)
 
+    def _unpin(self, counter: _Counter, now: float) -> None:
+        self._wake(counter.desk.unpin(now))
+        if counter.pin_waiters and not counter.pin_waiters[0].done():
+            counter.pin_waiters.popleft().set_result(None)
+
     def _best(self, group: str, key: str) -> float | None:
         bases = (
             counter.desk.limit.base(key)
--- a/redwingpost/proxy/transactions.py
+++ b/redwingpost/proxy/transactions.py
@@ -18,7 +18,7 @@
     TargetLost,
 )
 from redwingpost.proxy.attempts import Committed, Failed, failed_by
-from redwingpost.proxy.pools import ConnectionPool
+from redwingpost.proxy.targets import Targets
 from redwingpost.proxy.view_watch import ViewWatch
 from redwingpost.proxy.writes import Writer, WriteAnswer
 from redwingpost.retries import (
@@ -79,7 +79,7 @@
     def __init__(
         self,
         writer: Writer,
-        pool: ConnectionPool,
+        pool: Targets,
         views: ViewWatch,
         clock: Clock,
     ) -> None:
@@ -170,9 +170,9 @@
         step = next_step(request_class, failed.failure, can_retry=False)
         if step.action is Action.PASS_ERROR:
             if request_class is RequestClass.COMMIT or is_over(failed.error):
-                await transaction.connection.close()
+                await self._pool.drop(transaction.connection)
             return Error(failed.error)
-        await transaction.connection.close()
+        await self._pool.drop(transaction.connection)
         why = _LOST_WHY_BY_FAILURE.get(failed.failure, "")
         code = step.code or Code.TRANSACTION_ROLLED_BACK
         rolled_back = code is Code.TRANSACTION_ROLLED_BACK
@@ -186,7 +186,7 @@
                 "ROLLBACK", ROLLBACK_TIMEOUT_S
             )
         except (TargetError, TargetLost):
-            await transaction.connection.close()
+            await self._pool.drop(transaction.connection)
             return
         await self._pool.release(transaction.connection, clean=False)
 
--- a/redwingpost/proxy/writes.py
+++ b/redwingpost/proxy/writes.py
@@ -16,10 +16,12 @@
     Position,
     Refusal,
     Request,
+    StatementClass,
 )
 from redwingpost.ports import (
     Clock,
     StatementResult,
+    TargetConnection,
     TargetError,
     TargetLost,
 )
@@ -40,7 +42,7 @@
 )
 from redwingpost.proxy.confirm import Confirmer
 from redwingpost.proxy.directory import Directory
-from redwingpost.proxy.pools import ConnectionPool
+from redwingpost.proxy.targets import AdmissionRefused, Targets
 from redwingpost.proxy.view_watch import ViewWatch
 from redwingpost.retries import (
     MAX_KEY_CHARS,
@@ -53,6 +55,7 @@
     may_have_run,
     purge_sql,
 )
+from redwingpost.scheduling import shape_of
 
 #: Pause before a member that failed is tried again without another
 #: primary being known; grows to the second figure (seconds). A restart
@@ -86,6 +89,7 @@
     def __init__(self, request: Request, sql: str) -> None:
         self.request = request
         self.sql = sql
+        self.shape = shape_of(sql)
         self.may_have_run = False
         self.attempts = 0
 
@@ -116,7 +120,7 @@
     def __init__(
         self,
         directory: Directory,
-        pool: ConnectionPool,
+        pool: Targets,
         confirmer: Confirmer,
         clock: Clock,
         views: ViewWatch,
@@ -141,7 +145,10 @@
         progress = _Progress(request, sql)
         while True:
             term = self._views.term(request.group)
-            outcome = await self._attempt(progress)
+            try:
+                outcome = await self._attempt(progress)
+            except AdmissionRefused as refused:
+                return Error(_refuse(progress, refused))
             if isinstance(outcome, Committed):
                 outcome = await self._acknowledge(progress, outcome)
             if isinstance(outcome, Committed):
@@ -166,7 +173,10 @@
         progress = _Progress(request, sql)
         while True:
             term = self._views.term(request.group)
-            opened = await self._open(progress)
+            try:
+                opened = await self._open(progress)
+            except AdmissionRefused as refused:
+                return Error(refused.refusal)
             if not isinstance(opened, Failed):
                 return Ok((opened, term))
             answer = await self._after_failure(progress, opened, term)
@@ -178,7 +188,7 @@
         if primary is None:
             return Failed(Failure.NOT_SENT)
         try:
-            connection = await self._pool.acquire(primary)
+            connection = await self._acquire(primary, progress)
         except TargetError as error:
             return failed_by(error)
         except TargetLost:
@@ -191,10 +201,19 @@
             await self._pool.release(connection, clean=False)
             return failed_by(error)
         except TargetLost:
-            await connection.close()
+            await self._pool.drop(connection)
             return Failed(Failure.COMMIT_NOT_SENT)
+        self._pool.pin(connection)
         return connection
 
+    async def _acquire(
+        self, primary: MemberAddress, progress: _Progress
+    ) -> TargetConnection:
+        request = progress.request
+        if request.statement_class is StatementClass.BEGIN:
+            await self._pool.wait_to_pin(primary, request)
+        return await self._pool.acquire(primary, request, progress.shape)
+
     async def acknowledge_commit(
         self, request: Request, committed: Committed
     ) -> Answer:
@@ -221,7 +240,7 @@
         if primary is None:
             return Failed(Failure.NOT_SENT)
         try:
-            connection = await self._pool.acquire(primary)
+            connection = await self._acquire(primary, progress)
         except TargetError as error:
             return failed_by(error)
         except TargetLost:
@@ -233,7 +252,7 @@
         clean = isinstance(outcome, Committed)
         await self._pool.release(connection, clean=clean)
         if progress.is_keyed and clean and self._purges.due():
-            self._spawn(self._purge(primary))
+            self._spawn(self._purge(primary, request))
         return outcome
 
     async def _run(
@@ -351,17 +370,25 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _purge(self, primary: MemberAddress) -> None:
+    async def _purge(self, primary: MemberAddress, request: Request) -> None:
         """Delete a batch of expired records; the next one tries again."""
         try:
-            connection = await self._pool.acquire(primary)
-        except (TargetError, TargetLost):
+            connection = await self._pool.acquire(primary, request)
+        except (TargetError, TargetLost, AdmissionRefused):
             return
         outcome = await run_unkeyed(connection, purge_sql(int(time())), 1.0)
         clean = isinstance(outcome, Committed)
         await self._pool.release(connection, clean=clean)
 
 
+def _refuse(progress: _Progress, refused: AdmissionRefused) -> Refusal:
+    # An earlier attempt may have run: "not run" would be a lie, although
+    # this attempt sent nothing.
+    if progress.may_have_run:
+        return Refusal(Code.OUTCOME_UNKNOWN)
+    return refused.refusal
+
+
 def _check_key(request: Request, sql: str) -> Refusal | None:
     key = request.marks.idempotency_key
     if not key:
