Serve a full member fairly: limits, queues, early refusal, long jobs

Change: one desk per member decides without network or clock who starts, waits or is refused; the limit follows the target's queueing, organisations and kinds share by weight, what can't be served in time is refused on arrival, two VMs run a group's long jobs, a slow member is left. Connections are divided equally, not yet by demand.

--- a/redwingpost/admission/__init__.py
+++ b/redwingpost/admission/__init__.py
@@ -15,6 +15,7 @@
 from redwingpost.admission.queue import (
     MAX_QUEUED,
     Backlog,
+    DrainRate,
     ServiceTimes,
     estimate_wait,
     judge_arrival,
@@ -24,6 +25,7 @@
 __all__ = [
     "Arrival",
     "Desk",
+    "DrainRate",
     "MemberLoad",
     "Verdict",
     "Backlog",
--- a/redwingpost/admission/desk.py
+++ b/redwingpost/admission/desk.py
@@ -17,6 +17,7 @@
 from redwingpost.admission.queue import (
     MAX_QUEUED,
     Backlog,
+    DrainRate,
     ServiceTimes,
     estimate_wait,
     judge_arrival,
@@ -100,6 +101,7 @@
         self._waiting_by_ticket: dict[int, Arrival] = {}
         self.limit = ConcurrencyLimit(connections)
         self.service = ServiceTimes()
+        self._drain = DrainRate()
         self.breaker = TargetBreaker()
 
     @property
@@ -141,7 +143,7 @@
         if not len(queue) and self._can_start(arrival.is_long):
             self._start(now, arrival)
             return Verdict(starts=True)
-        wait_s = self._estimate(queue, arrival)
+        wait_s = self._estimate(now, queue, arrival)
         refusal = judge_arrival(
             wait_s,
             self.service.seconds * arrival.cost,
@@ -252,7 +254,9 @@
                 started.append(arrival.ticket)
         return tuple(started)
 
-    def _estimate(self, queue: FairQueue[Arrival], arrival: Arrival) -> float:
+    def _estimate(
+        self, now: float, queue: FairQueue[Arrival], arrival: Arrival
+    ) -> float:
         flow = arrival.flow
         others = queue.active_weight(but=flow.organisation)
         own = flow.organisation_weight
@@ -261,9 +265,15 @@
             own=queue.backlog(flow.organisation),
             weight_share=own / (own + others),
         )
-        return estimate_wait(
-            backlog, arrival.cost, self.allowed, self.service.seconds
-        )
+        return estimate_wait(backlog, arrival.cost, self._drain_rate(now))
+
+    def _drain_rate(self, now: float) -> float:
+        measured = self._drain.rate(now)
+        if measured is not None:
+            return measured
+        free = self._connections - self._pinned
+        at_once = max(1, min(self.limit.promised, free))
+        return at_once / self.service.seconds
 
     def _evict(
         self, queue: FairQueue[Arrival], wait_s: float
@@ -285,6 +295,7 @@
         seconds = now - running.started_at
         self.limit.observe(now, arrival.key, seconds, running.was_full)
         self.service.observe(seconds, arrival.cost)
+        self._drain.note(now, arrival.cost, len(self._short) > 0)
         best = best_of_group(arrival.key)
         self.breaker.succeed(now, seconds / best if best else 1.0)
 
--- a/redwingpost/admission/limits.py
+++ b/redwingpost/admission/limits.py
@@ -80,6 +80,7 @@
         self._limit = float(min(FIRST_LIMIT, self._maximum))
         self._queueing = 0.0
         self._changed_at = float("-inf")
+        self._has_met_queueing = False
         self._bases_by_key: dict[str, _Base] = {}
 
     @property
@@ -87,6 +88,17 @@
         """Statements that may be under way at once."""
         return int(self._limit)
 
+    @property
+    def promised(self) -> int:
+        """Statements at once to count on when a wait is estimated.
+
+        A new limit starts low and grows within a few answers. Taken at
+        its word, it would refuse the first burst that the target could
+        well serve; until the target has shown queueing, what the
+        connections allow is the better guess.
+        """
+        return self.value if self._has_met_queueing else self._maximum
+
     def set_maximum(self, maximum: int) -> None:
         """Take what the connections now allow."""
         self._maximum = max(1, maximum)
@@ -124,6 +136,8 @@
 
     def _adjust(self, now: float, was_full: bool) -> None:
         waiting = self._limit * self._queueing
+        if waiting >= GROW_BELOW:
+            self._has_met_queueing = True
         if waiting > SHRINK_ABOVE:
             self._limit = max(1.0, self._limit - 1.0)
             self._changed_at = now
--- a/redwingpost/admission/queue.py
+++ b/redwingpost/admission/queue.py
@@ -8,9 +8,10 @@
 learns after its whole deadline what was known on arrival.
 
 Grounds: the wait is estimated from what the organisation has queued, the
-share that its weight gives it of the target, and the service time
-measured lately. Fair queueing makes this an upper bound as long as the
-others don't grow. ``MARGIN`` of the remaining time is kept back for
+share that its weight gives it of the target, and the rate at which the
+target was seen to serve a backlog. Fair queueing makes this an upper
+bound as long as the others don't grow.
+``MARGIN`` of the remaining time is kept back for
 errors of the estimate; a request refused with it to spare may come back
 when ``retry_after`` says, which is when the queue will have shrunk to
 its time.
@@ -34,6 +35,13 @@
 #: Weight of the newest service time in the average.
 _NEWEST = 0.1
 
+#: Seconds over which a drain rate is measured, and for which it is
+#: believed: a quarter second holds some tens of answers, and a rate from
+#: a slow spell long past would refuse what can be served now.
+DRAIN_WINDOW_S = 0.25
+DRAIN_VALID_S = 2.0
+_NEWEST_DRAIN = 0.3
+
 #: Service time assumed before one was measured (seconds per cost unit).
 _FIRST_SERVICE_S = 0.01
 
@@ -67,9 +75,57 @@
         self._seconds += _NEWEST * (newest - self._seconds)
 
 
-def estimate_wait(
-    backlog: Backlog, cost: float, limit: int, service_s: float
-) -> float:
+class DrainRate:
+    """Cost units a second that a member serves while others wait.
+
+    Limit by service time overstates it: the limit moves with every few
+    answers, and the newest one meets times measured under the last.
+
+    Examples
+    --------
+    >>> drain = DrainRate()
+    >>> for turn in range(101):
+    ...     drain.note(turn * 0.01, 1.0, is_backlogged=True)
+    >>> round(drain.rate(1.0))
+    100
+    >>> drain.rate(9.0) is None
+    True
+    """
+
+    def __init__(self) -> None:
+        self._since: float | None = None
+        self._served = 0.0
+        self._rate: float | None = None
+        self._measured_at = float("-inf")
+
+    def note(self, now: float, cost: float, is_backlogged: bool) -> None:
+        """Take in an answer; without a backlog it says nothing."""
+        if not is_backlogged:
+            self._since = None
+            return
+        if self._since is None:
+            self._since, self._served = now, 0.0
+            return
+        self._served += cost
+        span = now - self._since
+        if span >= DRAIN_WINDOW_S:
+            self._take(now, self._served / span)
+            self._since, self._served = now, 0.0
+
+    def _take(self, now: float, newest: float) -> None:
+        fresh = self.rate(now)
+        known = newest if fresh is None else fresh
+        self._rate = known + _NEWEST_DRAIN * (newest - known)
+        self._measured_at = now
+
+    def rate(self, now: float) -> float | None:
+        """Return the rate, None where it isn't known just now."""
+        if now - self._measured_at > DRAIN_VALID_S:
+            return None
+        return self._rate
+
+
+def estimate_wait(backlog: Backlog, cost: float, drain: float) -> float:
     """Return the seconds until a request's turn, by estimate.
 
     Parameters
@@ -78,23 +134,21 @@
         What waits already.
     cost : float
         The request's cost units.
-    limit : int
-        Statements the target takes at once from here.
-    service_s : float
-        Seconds in a slot per cost unit.
+    drain : float
+        Cost units a second that the target serves from here.
 
     Examples
     --------
     >>> alone = Backlog(total=10.0, own=10.0, weight_share=1.0)
-    >>> estimate_wait(alone, 1.0, limit=2, service_s=0.01)
+    >>> estimate_wait(alone, 1.0, drain=200.0)
     0.05
     >>> flooded = Backlog(total=1000.0, own=0.0, weight_share=0.5)
-    >>> estimate_wait(flooded, 1.0, limit=2, service_s=0.01)
+    >>> estimate_wait(flooded, 1.0, drain=200.0)
     0.01
     """
     by_share = (backlog.own + cost) / max(backlog.weight_share, 1e-6)
     ahead = min(backlog.total, by_share) if backlog.total else 0.0
-    return ahead * service_s / max(1, limit)
+    return ahead / max(drain, 1e-6)
 
 
 def judge_arrival(
--- a/redwingpost/proxy/forwarder.py
+++ b/redwingpost/proxy/forwarder.py
@@ -28,6 +28,7 @@
     choose_forward_targets,
     choose_homes,
 )
+from redwingpost.scheduling import LONG_HOMES
 from redwingpost.wire.forwarding import (
     decode_answer,
     decode_positions,
@@ -62,6 +63,7 @@
     whole: bool
     arrived_at: float
     deadline_at: float
+    is_long: bool
 
 
 class Homes:
@@ -122,12 +124,23 @@
             return True
         return any(home.vm == self._own.vm for home in self.of(group))
 
-    def targets(self, group: str, session: str) -> tuple[ForwardTarget, ...]:
-        """Return the homes in the order in which to try them."""
-        return choose_forward_targets(
-            self.of(group), self._own.data_centre, session
+    def runs_long_jobs(self, group: str) -> bool:
+        """Say whether this VM runs the group's long jobs itself.
+
+        Counted per VM, six VMs with one long job each would hold all
+        five slots of a member (``redwingpost.scheduling.long_jobs``).
+        """
+        return any(
+            home.vm == self._own.vm for home in self.of(group)[:LONG_HOMES]
         )
 
+    def targets(
+        self, group: str, session: str, is_long: bool
+    ) -> tuple[ForwardTarget, ...]:
+        """Return the homes in the order in which to try them."""
+        homes = self.of(group)[: LONG_HOMES if is_long else None]
+        return choose_forward_targets(homes, self._own.data_centre, session)
+
 
 class _Open(NamedTuple):
     """An open forwarded connection: at whom and for which group."""
@@ -175,7 +188,7 @@
             Arguments of ``Forward.open``.
         """
         may_have_run = False
-        for address in self._addresses(opening):
+        for address in self._addresses(opening, call.is_long):
             sent = await self._open_at(address, opening)
             if sent.is_ok():
                 outcome = await self._run_once(call)
@@ -192,11 +205,13 @@
         step = self._judge(call, Failure.NOT_SENT, may_have_run, False)
         return _ended(Refusal(step.code, "no home VM", retry_after_ms=500))
 
-    def _addresses(self, opening: dict[str, Any]) -> list[PeerAddress]:
+    def _addresses(
+        self, opening: dict[str, Any], is_long: bool
+    ) -> list[PeerAddress]:
         if self.in_transaction and self._open is not None:
             return [self._open.address]
         spread = f"{opening['organisation']}/{opening['connection']}"
-        targets = self._homes.targets(opening["group"], spread)
+        targets = self._homes.targets(opening["group"], spread, is_long)
         return [PeerAddress(t.vm.ip, t.vm.proxy_port) for t in targets]
 
     def _judge(
--- a/redwingpost/proxy/parts.py
+++ b/redwingpost/proxy/parts.py
@@ -11,6 +11,7 @@
 from redwingpost.proxy.metrics import ProxyMetrics
 from redwingpost.proxy.reads import Reader
 from redwingpost.proxy.status_board import StatusBoard
+from redwingpost.proxy.targets import Targets
 from redwingpost.proxy.transactions import Transactions
 from redwingpost.proxy.writes import Writer
 from redwingpost.sessions import TokenMinter
@@ -25,6 +26,7 @@
     directory: Directory
     board: StatusBoard
     gate: Gate
+    pool: Targets
     reader: Reader
     writer: Writer
     transactions: Transactions
--- a/redwingpost/proxy/service.py
+++ b/redwingpost/proxy/service.py
@@ -165,6 +165,7 @@
             tokens=TokenMinter(settings.fleet.token_secrets),
             directory=self.directory,
             board=self.board,
+            pool=self.pool,
             gate=Gate(self.desk),
             reader=Reader(
                 self.directory,
--- a/redwingpost/proxy/session.py
+++ b/redwingpost/proxy/session.py
@@ -29,6 +29,7 @@
 )
 from redwingpost.proxy.parts import Parts
 from redwingpost.proxy.transactions import Transaction, is_over
+from redwingpost.scheduling import shape_of
 
 Answer = Result[StatementResult, Refusal | MemberError]
 
@@ -147,19 +148,28 @@
         if refusal is not None:
             return Error(refusal)
         self._request = request
-        if self._is_elsewhere(request):
-            return await self._forward(marked, request)
+        is_long = self._is_long(request, marked.sql)
+        if self._is_elsewhere(request, is_long):
+            return await self._forward(marked, request, is_long)
         return await self._dispatch(request, marked.sql)
 
-    def _is_elsewhere(self, request: Request) -> bool:
+    def _is_long(self, request: Request, sql: str) -> bool:
+        if self.in_transaction:
+            return False
+        return self._parts.pool.is_long(request, shape_of(sql))
+
+    def _is_elsewhere(self, request: Request, is_long: bool) -> bool:
         if self.is_forwarded or self._transaction is not None:
             return False
         if self._forwarder.in_transaction:
             return True
-        return not self._parts.homes.is_home(request.group)
+        homes = self._parts.homes
+        if is_long:
+            return not homes.runs_long_jobs(request.group)
+        return not homes.is_home(request.group)
 
     async def _forward(
-        self, marked: MarkedStatement, request: Request
+        self, marked: MarkedStatement, request: Request, is_long: bool
     ) -> Answer:
         state = self._state(request)
         call = ForwardedCall(
@@ -170,6 +180,7 @@
             whole=state.positions.whole,
             arrived_at=request.arrived_at,
             deadline_at=request.deadline_at,
+            is_long=is_long,
         )
         opening = {
             "organisation": request.organisation,
@@ -393,8 +404,8 @@
         request = self._make_request(
             marked, StatementClass.COMMIT, self._parts.clock.now()
         )
-        if self._is_elsewhere(request):
-            return await self._forward(marked, request)
+        if self._is_elsewhere(request, is_long=False):
+            return await self._forward(marked, request, is_long=False)
         return await self._commit(request, "COMMIT")
 
     async def use(self, group: str) -> Result[None, Refusal]:
--- /dev/null
+++ b/redwingpost/scheduling/tests/test_fair.py
@@ -0,0 +1,122 @@
+"""Tests of fair queueing."""
+
+from collections import Counter
+from random import Random
+from unittest import TestCase
+
+from redwingpost.scheduling import FairQueue, Flow, JobLengths, shape_of
+
+
+def _drain(queue, limit=None):
+    items = []
+    while len(queue) and (limit is None or len(items) < limit):
+        items.append(queue.pop())
+    return items
+
+
+class FairQueueTest(TestCase):
+    def test_weights(self):
+        queue = FairQueue()
+        for number in range(100):
+            queue.push(("a", number), Flow("a", "", 3.0), 1.0)
+            queue.push(("b", number), Flow("b", "", 1.0), 1.0)
+        counts = Counter(name for name, _ in _drain(queue, 80))
+        self.assertEqual(counts, {"a": 60, "b": 20})
+
+    def test_costs(self):
+        queue = FairQueue()
+        for number in range(100):
+            queue.push(("dear", number), Flow("dear", ""), 4.0)
+            queue.push(("cheap", number), Flow("cheap", ""), 1.0)
+        counts = Counter(name for name, _ in _drain(queue, 50))
+        self.assertEqual(counts, {"dear": 10, "cheap": 40})
+
+    def test_kinds_inside_an_organisation(self):
+        queue = FairQueue()
+        for number in range(40):
+            queue.push("page", Flow("a", "page", 1.0, 1.0), 1.0)
+            queue.push("order", Flow("a", "order", 1.0, 4.0), 1.0)
+        counts = Counter(_drain(queue, 25))
+        self.assertEqual(counts, {"order": 20, "page": 5})
+
+    def test_first_come_first_served_within_a_flow(self):
+        queue = FairQueue()
+        for number in range(10):
+            queue.push(number, Flow("a", ""), 1.0)
+        self.assertEqual(_drain(queue), list(range(10)))
+
+    def test_idling_earns_no_credit(self):
+        queue = FairQueue()
+        for number in range(50):
+            queue.push(("busy", number), Flow("busy", ""), 1.0)
+        _drain(queue, 40)
+        for number in range(10):
+            queue.push(("late", number), Flow("late", ""), 1.0)
+        names = [name for name, _ in _drain(queue, 10)]
+        self.assertEqual(Counter(names), {"busy": 5, "late": 5})
+
+    def test_starvation_bound(self):
+        # An organisation's single request among floods of nine others
+        # must wait for at most one request of each of them.
+        random = Random(7)
+        for _ in range(50):
+            queue = FairQueue()
+            for name in "bcdefghij":
+                for number in range(random.randrange(1, 200)):
+                    queue.push((name, number), Flow(name, ""), 1.0)
+            _drain(queue, random.randrange(0, 9))
+            queue.push(("a", 0), Flow("a", ""), 1.0)
+            ahead = _drain(queue).index(("a", 0))
+            self.assertLessEqual(ahead, 9)
+
+    def test_removed_requests_cost_nothing(self):
+        queue = FairQueue()
+        gone, kept, other = ["gone"], ["kept"], ["other"]
+        queue.push(gone, Flow("a", ""), 100.0)
+        queue.push(kept, Flow("a", ""), 1.0)
+        queue.push(other, Flow("b", ""), 1.0)
+        self.assertTrue(queue.remove(gone, Flow("a", "")))
+        self.assertFalse(queue.remove(gone, Flow("a", "")))
+        self.assertEqual(_drain(queue), [kept, other])
+        self.assertEqual(queue.queued_cost, 0.0)
+
+    def test_the_longest_flow_gives_way(self):
+        queue = FairQueue()
+        for number in range(9):
+            queue.push(("flood", number), Flow("flood", ""), 1.0)
+        queue.push(("quiet", 0), Flow("quiet", ""), 1.0)
+        self.assertEqual(queue.longest(), ("flood", 8))
+
+    def test_random_use_keeps_the_counts(self):
+        random = Random(3)
+        queue = FairQueue()
+        waiting = {}
+        for number in range(5000):
+            name = random.choice("abcde")
+            flow = Flow(name, random.choice("xy"), random.choice((1.0, 2.0)))
+            action = random.random()
+            if action < 0.5:
+                item = [number]
+                queue.push(item, flow, random.uniform(0.5, 3.0))
+                waiting[number] = (item, flow)
+            elif action < 0.9 and waiting:
+                del waiting[queue.pop()[0]]
+            elif waiting:
+                key = random.choice(sorted(waiting))
+                item, flow = waiting.pop(key)
+                self.assertTrue(queue.remove(item, flow))
+            self.assertEqual(len(queue), len(waiting))
+        self.assertEqual(len(_drain(queue)), len(waiting))
+
+
+class JobLengthsTest(TestCase):
+    def test_a_shape_is_learned(self):
+        lengths = JobLengths()
+        shape = shape_of("SELECT SUM(x) FROM years WHERE y = 2026")
+        self.assertFalse(lengths.is_long(shape))
+        lengths.observe(shape, 3.0)
+        other = shape_of("SELECT SUM(x) FROM years WHERE y = 1999")
+        self.assertTrue(lengths.is_long(other))
+        for _ in range(20):
+            lengths.observe(shape, 0.01)
+        self.assertFalse(lengths.is_long(shape))
