Search how a write's fate is told after a promotion

The rule that tells a dropped write from a surviving one by the next term's history stood unchecked. In the model it first broke: a dropped write was sent again to the replaced primary, which still held it. The proxies' views only grow, so they can't do that; the model now says so, and the module too.

--- a/redwingpost/promotion/resolution.py
+++ b/redwingpost/promotion/resolution.py
@@ -7,7 +7,10 @@
 
 Both hold only once the new term's own first entry is held by a majority:
 before that, a second promotion may still fall back on the old primary's
-log and bring the tail back. Load pattern: every lost primary leaves some
+log and bring the tail back. And a dropped write is sent again only to
+the primary of that term or a later one: the replaced one still holds it.
+
+Load pattern: every lost primary leaves some
 dozens of writes in this state; each "unknown" is a call to the operators.
 """
 
--- a/redwingpost/verify/__init__.py
+++ b/redwingpost/verify/__init__.py
@@ -13,7 +13,7 @@
     initial_state,
     violation,
 )
-from redwingpost.verify.search import Found, search
+from redwingpost.verify.search import Found, replay, search
 
 __all__ = [
     "Bounds",
@@ -22,6 +22,7 @@
     "Rules",
     "State",
     "initial_state",
+    "replay",
     "search",
     "violation",
 ]
--- a/redwingpost/verify/member.py
+++ b/redwingpost/verify/member.py
@@ -20,6 +20,7 @@
     majority: bool = True
     most_advanced: bool = True
     retry_table: bool = True
+    confirm_fate: bool = True
 
 
 class Entry(NamedTuple):
@@ -86,6 +87,15 @@
     )
 
 
+def history_of(member: Member) -> tuple[Position, ...]:
+    """Return the first position of each term in the member's log."""
+    history = []
+    for place, entry in enumerate(member.log, start=1):
+        if not history or history[-1].term != entry.term:
+            history.append(Position(entry.term, place))
+    return tuple(history)
+
+
 def takes_writes(member: Member, rules: Rules) -> bool:
     """Say whether the member commits a write now."""
     if not member.primary:
--- a/redwingpost/verify/search.py
+++ b/redwingpost/verify/search.py
@@ -83,3 +83,25 @@
         steps.append(name)
         link = parents[state]
     return tuple(reversed(steps))
+
+
+def replay(initial: S, successors: Successors, names: Iterable[str]) -> S:
+    """Return the state that the named steps lead to.
+
+    Raises
+    ------
+    ValueError
+        If a step isn't possible where its turn comes.
+
+    Examples
+    --------
+    >>> replay(0, lambda n: [("add", n + 1)], ["add", "add"])
+    2
+    """
+    state = initial
+    for name in names:
+        following = dict(successors(state))
+        if name not in following:
+            raise ValueError(f"{name!r} isn't among {sorted(following)}")
+        state = following[name]
+    return state
--- a/redwingpost/verify/tests/test_search.py
+++ b/redwingpost/verify/tests/test_search.py
@@ -11,6 +11,7 @@
     Model,
     Rules,
     initial_state,
+    replay,
     search,
     violation,
 )
@@ -43,6 +44,45 @@
                 self.assertTrue(found.complete)
 
 
+#: A write commits on a primary that two others have already replaced.
+REPLACED = (
+    "p0 starts",
+    "p0/1 claims b",
+    "p0/1 claims c",
+    "p0 hears of b's claim",
+    "p0 hears of c's claim",
+    "p0 grace over",
+    "w0 sends to a",
+    "a gets w0's attempt 1",
+    "w0 hears 1:2",
+    "c promoted by p0/1",
+)
+
+
+class FateTest(TestCase):
+    """A write committed on a replaced primary; then a second promotion.
+
+    Its caller is told what the new term's history says. Told too early,
+    an order is called dropped and sent again while the old primary's
+    log may still come back, or called stored while it may yet go.
+    """
+
+    def check(self, rules, limit):
+        bounds = Bounds(3, (2,), (False,), 2)
+        model = Model(rules, bounds)
+        state = replay(initial_state(bounds), model.steps, REPLACED)
+        return search(state, model.steps, violation, limit)
+
+    def test_fate_is_told_in_time(self):
+        found = self.check(Rules(), 60_000)
+        print(f"searched {found.states} states: a replaced primary's write")
+        self.assertEqual(found.violation, "", found.trace)
+
+    def test_unconfirmed_history_is_noticed(self):
+        found = self.check(Rules(confirm_fate=False), 60_000)
+        self.assertTrue(found.violation)
+
+
 class BrokenVariantTest(TestCase):
     """Each rule left out breaks a promise, and the search finds how."""
 
