--- a/redwingpost/agent/tests/fleet.py
+++ b/redwingpost/agent/tests/fleet.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from expression import Ok, Result
+from expression import Error, Ok, Result
 
 from redwingpost.adapters.peer import PeerAddress, PeerClients
 from redwingpost.adapters.tls import TlsContexts
@@ -16,7 +16,7 @@
     Withdrawal,
 )
 from redwingpost.bench.memory_store import MemoryStore
-from redwingpost.core import Refusal
+from redwingpost.core import Code, Refusal
 from redwingpost.ports import VmEntry
 from redwingpost.settings import (
     AgentSettings,
@@ -42,6 +42,20 @@
         return Ok(tuple(self.entries))
 
 
+class PlatformLink:
+    """One VM's way to the platform, which can be cut."""
+
+    def __init__(self, platform: FakePlatform) -> None:
+        self._platform = platform
+        self.is_cut = False
+
+    def __getattr__(self, name: str) -> Any:
+        return self._refuse if self.is_cut else getattr(self._platform, name)
+
+    async def _refuse(self, *args: Any, **kwargs: Any) -> Any:
+        return Error(Refusal(Code.STORE_UNAVAILABLE, "cut"))
+
+
 class TestFleet:
     """Agents by VM; ``vms`` maps names to data centres."""
 
@@ -49,9 +63,10 @@
 
     def __init__(self, vms: dict[str, str], net: int) -> None:
         self.platform = FakePlatform()
+        self.links = {vm: PlatformLink(self.platform) for vm in vms}
         self.agents: dict[str, Agent] = {}
         self._data_centres = vms
-        self._ips = {
+        self.ips = {
             vm: f"127.{net}.{number + 1}.1" for number, vm in enumerate(vms)
         }
         self._clients = PeerClients("", TlsContexts(None))
@@ -64,11 +79,11 @@
 
     async def start_one(self, vm: str) -> Agent:
         """Start an agent, in place of an earlier one of that name."""
-        data_centre, ip = self._data_centres[vm], self._ips[vm]
+        data_centre, ip = self._data_centres[vm], self.ips[vm]
         settings = Settings(
             vm=VmSettings(vm, data_centre, ip), agent=AgentSettings()
         )
-        agent = Agent(settings, platform=self.platform)
+        agent = Agent(settings, platform=self.links[vm])
         await agent.start()
         self.agents[vm] = agent
         entry = VmEntry(vm, data_centre, ip, agent.server.port, 0, "live")
@@ -114,7 +129,7 @@
 
     async def call(self, vm: str, method: Callable[[Any], Any]) -> Any:
         """Call an agent as another process would."""
-        address = PeerAddress(self._ips[vm], self.agents[vm].server.port)
+        address = PeerAddress(self.ips[vm], self.agents[vm].server.port)
         answer = await self._clients.call(address, method, 20.0)
         assert answer.is_ok(), answer
         return answer.ok
@@ -128,6 +143,10 @@
         missing = [vm for vm, a in self.agents.items() if not holds(a)]
         raise AssertionError(f"still missing: {missing}")
 
+    async def pause(self) -> None:
+        """Let the agents go on for one round."""
+        await sleep(ROUND_S)
+
     async def until_met(self) -> None:
         """Wait until every agent has heard of every other."""
         count = len(self.agents)
