--- /dev/null
+++ b/redwingpost/proxy/tests/test_withdrawal.py
@@ -0,0 +1,87 @@
+"""Tests of keys withdrawn, and of stops, while callers are connected."""
+
+from threading import Thread
+from unittest import TestCase
+
+from pymysql import Error as PyMySQLError
+from pymysql import connect
+
+from redwingpost.configuration import Withdrawal, hash_key
+from redwingpost.core import Code
+from redwingpost.proxy.tests.small_site import (
+    GROUP,
+    KEYS_BY_ORGANISATION,
+    SmallSite,
+)
+
+PUNO, CUSCO = "diocese-puno", "diocese-cusco"
+
+
+class ConnectedCallersTest(TestCase):
+    def setUp(self):
+        self.site = SmallSite().start()
+        self.addCleanup(self.site.stop)
+        self.proxy = self.site.proxies[0]
+
+    def connect(self, organisation=PUNO, autocommit=True):
+        """Return a caller's connection."""
+        connection = connect(
+            host=self.proxy.settings.vm.ip,
+            port=self.site.port(),
+            database=GROUP,
+            autocommit=autocommit,
+            **self.site.login(organisation),
+        )
+        self.addCleanup(connection._force_close)
+        return connection
+
+    def withdraw(self, organisation):
+        """Withdraw an organisation's key, as the agent's feed does."""
+        key_hash = hash_key(KEYS_BY_ORGANISATION[organisation])
+        keys = frozenset([Withdrawal(organisation, key_hash)])
+
+        async def take():
+            self.proxy.feed._withdraw(keys)
+
+        self.site.call(take())
+
+    def test_a_withdrawn_key_loses_its_open_transaction(self):
+        # A caller whose key is withdrawn has a transaction open and
+        # falls silent. Its locks must not keep the others waiting, its
+        # half-done work must not show, and its next request is refused,
+        # on the connection it has and on a new one.
+        setup = self.connect()
+        setup.cursor().execute("CREATE TABLE stock (id INT PRIMARY KEY)")
+        held = self.connect(autocommit=False)
+        held.cursor().execute("INSERT INTO stock VALUES (1)")
+        self.withdraw(PUNO)
+        other = self.connect(CUSCO)
+        with other.cursor() as cursor:
+            cursor.execute("INSERT INTO stock VALUES (1)")
+            self.assertEqual(cursor.rowcount, 1)
+        for caller in (held, setup):
+            with self.assertRaises(PyMySQLError) as caught:
+                caller.cursor().execute("SELECT 1 FROM stock")
+            self.assertEqual(
+                caught.exception.args[0], Code.KEY_WITHDRAWN.number
+            )
+
+    def test_a_planned_stop_cuts_no_request(self):
+        # The VM is replaced while a statement runs. The caller gets its
+        # whole answer; only then do connections end.
+        connection = self.connect()
+        answers = []
+
+        def run():
+            cursor = connection.cursor()
+            cursor.execute("SELECT SLEEP(0.5)")
+            answers.extend(cursor.fetchall())
+
+        caller = Thread(target=run)
+        caller.start()
+        while not any(session.busy for session in self.proxy.sessions):
+            pass
+        self.site.call(self.proxy.drain())
+        self.assertFalse(self.proxy.ready)
+        caller.join()
+        self.assertEqual(len(answers), 1)
