--- a/redwingpost/agent/service.py
+++ b/redwingpost/agent/service.py
@@ -44,6 +44,8 @@
         The platform's ports, for tests; else over HTTP.
     incarnation : int, optional
         Grows with each start; by default wall-clock milliseconds.
+    parts : tuple of str, optional
+        Names of the parts to run; by default all that are registered.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         clock: Clock | None = None,
         platform: Any = None,
         incarnation: int = 0,
+        parts: tuple[str, ...] = (),
         **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
@@ -72,7 +75,8 @@
             FleetState(settings, self.clock, incarnation),
         )
         self.parts_by_name = {
-            name: make(self.context) for name, make in AGENT_PARTS.items()
+            name: AGENT_PARTS.get(name)(self.context)
+            for name in parts or AGENT_PARTS.names()
         }
         self.server = PeerServer(
             PeerAddress(settings.vm.ip, settings.agent.peer_port),
