--- a/redwingpost/bench/turns.py
+++ b/redwingpost/bench/turns.py
@@ -11,7 +11,7 @@
 
 from redwingpost.bench.runner import Progress
 
-_LOCK_FILE = Path(gettempdir(), "redwing-bench.lock")
+_LOCK_FILE = Path(gettempdir(), "redwing-bench-turns")
 
 
 @contextmanager
