--- a/redwingpost/adapters/mysql_server.py
+++ b/redwingpost/adapters/mysql_server.py
@@ -40,12 +40,17 @@
 from mysql_mimic.charset import CharacterSet
 from mysql_mimic.connection import Connection
 from mysql_mimic.control import LocalControl
-from mysql_mimic.errors import MysqlError
+from mysql_mimic.errors import ErrorCode, MysqlError
 from mysql_mimic.prepared import PreparedStatement
 from mysql_mimic.stream import ConnectionClosed, MysqlStream
 from mysql_mimic.types import ServerStatus, read_uint_4, uint_len
 from mysql_mimic.utils import aiterate
 
+from redwingpost.adapters.mysql_guards import (
+    MAX_LONG_DATA_BYTES,
+    is_whole_change_user,
+    is_whole_handshake,
+)
 from redwingpost.adapters.mysql_prepared import (
     ValueType,
     count_placeholders,
@@ -71,6 +76,9 @@
 #: server; a caller that prepares without closing is stopped here.
 MAX_PREPARED = 1024
 
+#: Limit of a stream that takes no further packet, not even an empty one.
+_CUT_OFF = -1
+
 _TOO_MANY_PREPARED = 1461
 _NONCE_LETTERS = ascii_letters + digits
 _NONCE_LENGTH = 20
@@ -219,6 +227,9 @@
                 raise ConnectionClosed()
             data += await self._reader.readexactly(length)
             if length < 0xFFFFFF:
+                in_handshake = self.limit == MAX_HANDSHAKE_BYTES
+                if in_handshake and not is_whole_handshake(data):
+                    raise ConnectionClosed()
                 return data
 
 
@@ -260,6 +271,9 @@
 
     async def handle_change_user(self, data: bytes) -> None:
         """Change the caller: nothing of the former one is kept."""
+        if not is_whole_change_user(data):
+            self.stream.limit = _CUT_OFF
+            raise MysqlError("malformed packet", ErrorCode.MALFORMED_PACKET)
         await self.session.abandon()
         await super().handle_change_user(data)
         self.session.begin()
@@ -269,6 +283,25 @@
         await self.session.handler.reset()
         await self.stream.write(self.ok())
 
+    async def handle_field_list(self, data: bytes) -> None:
+        """Refuse COM_FIELD_LIST, which MySQL has given up."""
+        raise MysqlError("unsupported", ErrorCode.UNKNOWN_COM_ERROR)
+
+    async def handle_stmt_send_long_data(self, data: bytes) -> None:
+        """Keep a value for an execution, within the connection's bound.
+
+        Such a packet isn't answered, so a caller that sends too much is
+        cut off at its next packet.
+        """
+        await super().handle_stmt_send_long_data(data)
+        held = sum(
+            len(buffer)
+            for statement in self.prepared_stmts.values()
+            for buffer in (statement.param_buffers or {}).values()
+        )
+        if held > MAX_LONG_DATA_BYTES:
+            self.stream.limit = _CUT_OFF
+
     async def handle_stmt_prepare(self, data: bytes) -> None:
         """Prepare a statement; it runs when it is executed."""
         sql = decode_text(data)
--- /dev/null
+++ b/redwingpost/adapters/tests/test_fuzz_packets.py
@@ -0,0 +1,217 @@
+"""Packets of a broken or hostile driver, before and after the key check.
+
+The proxy answers with an error packet or closes the connection; it never
+crashes, hangs or lets a stranger in, and goes on serving the others.
+"""
+
+from asyncio import open_connection, run, wait_for
+from hashlib import sha1
+from logging import CRITICAL, getLogger
+from random import Random
+from unittest import TestCase
+
+from asyncmy import connect
+from expression import Ok
+from loguru import logger
+
+from redwingpost.adapters.mysql_server import CallerServer
+from redwingpost.ports import StatementResult
+
+IP = "127.1.1.77"
+KEY = "a-key-for-the-test"
+PATIENCE_S = 10.0
+
+#: PROTOCOL_41, SECURE_CONNECTION, PLUGIN_AUTH, QUERY_ATTRIBUTES.
+CAPABILITIES = 1 << 9 | 1 << 15 | 1 << 19 | 1 << 27
+
+#: Connections with garbage before the key check, packets after it.
+GREETINGS = 1000
+COMMANDS = 4000
+
+
+class Keys:
+    """Knows one organisation's key."""
+
+    def key_hashes(self, organisation):
+        if organisation != "diocese-puno":
+            return ()
+        return (sha1(sha1(KEY.encode()).digest()).hexdigest(),)
+
+
+class Handler:
+    """Counts statements; answers each with an empty result."""
+
+    in_transaction = False
+    autocommit = True
+    statements = 0
+
+    async def handle(self, sql, attributes):
+        Handler.statements += 1
+        return Ok(StatementResult((), (), 0, 0))
+
+    async def use(self, group):
+        return Ok(None)
+
+    async def reset(self):
+        return None
+
+    async def close(self):
+        return None
+
+
+def random_packet(random, sequence):
+    """Return a packet; its length or sequence number may be a lie."""
+    body = random.randbytes(random.choice((0, 1, 5, 40, 300)))
+    length = len(body)
+    if random.random() < 0.1:
+        length = random.choice((0, length + 1, 0xFFFFFF))
+    if random.random() < 0.1:
+        sequence = random.randrange(256)
+    return length.to_bytes(3, "little") + bytes([sequence]) + body
+
+
+def damaged_handshake(random):
+    """Return a good handshake, cut short and with a few bytes changed."""
+    body = bytearray(handshake(b"\0" * 20))
+    for _ in range(random.randint(0, 4)):
+        body[random.randrange(len(body))] = random.randrange(256)
+    body = body[: random.randint(0, len(body))]
+    return len(body).to_bytes(3, "little") + b"\1" + bytes(body)
+
+
+def random_command(random):
+    """Return a command's packet, its first byte a known command."""
+    body = random.randbytes(random.choice((0, 2, 9, 30, 120)))
+    command = bytes([random.choice(range(0x20))])
+    if random.random() < 0.3:
+        body = b"SELECT ?, '?' FROM t" + body[:4]
+    payload = command + body
+    return len(payload).to_bytes(3, "little") + b"\0" + payload
+
+
+async def greet_with_garbage(port, random):
+    """Answer the greeting with garbage; wait until the proxy closes."""
+    reader, writer = await open_connection(IP, port)
+    await wait_for(reader.read(4096), PATIENCE_S)
+    if random.random() < 0.5:
+        writer.write(damaged_handshake(random))
+    else:
+        for sequence in range(1, random.randint(2, 4)):
+            writer.write(random_packet(random, sequence))
+    writer.write_eof()
+    while await wait_for(reader.read(65536), PATIENCE_S):
+        pass
+    writer.close()
+
+
+def greeting_nonce(greeting):
+    """Return the nonce of a greeting packet, without its header."""
+    at = greeting.index(b"\0", 5) + 5
+    return greeting[at : at + 8] + greeting[at + 27 : at + 39]
+
+
+def scramble(nonce):
+    """Return the answer to a nonce that proves the key."""
+    once = sha1(KEY.encode()).digest()
+    mask = sha1(nonce + sha1(once).digest()).digest()
+    return bytes(a ^ b for a, b in zip(once, mask))
+
+
+def handshake(proof):
+    """Return the body of a handshake response with a proof of the key."""
+    body = CAPABILITIES.to_bytes(4, "little") + b"\0\0\0\1" + b"\x2d"
+    body += b"\0" * 23 + b"diocese-puno\0" + b"\x14" + proof
+    return body + b"mysql_native_password\0"
+
+
+async def log_in(port):
+    """Return a raw connection after a good key check."""
+    reader, writer = await open_connection(IP, port)
+    greeting = await wait_for(reader.read(4096), PATIENCE_S)
+    body = handshake(scramble(greeting_nonce(greeting)))
+    writer.write(len(body).to_bytes(3, "little") + b"\1" + body)
+    answer = await wait_for(reader.read(4096), PATIENCE_S)
+    assert answer[4] == 0, answer
+    return reader, writer
+
+
+async def send_garbage_commands(port, random, count):
+    """Send commands over connections that the proxy may close."""
+    sent = 0
+    while sent < count:
+        reader, writer = await log_in(port)
+        for _ in range(random.randint(1, 20)):
+            writer.write(random_command(random))
+            sent += 1
+        writer.write_eof()
+        while await wait_for(reader.read(65536), PATIENCE_S):
+            pass
+        writer.close()
+
+
+async def serve_and(attack):
+    """Run an attack, then check that a driver is served as before."""
+    server = CallerServer(IP, 0, Keys(), lambda *_: Handler())
+    await server.start()
+    try:
+        before = Handler.statements
+        await attack(server.port)
+        attacked = Handler.statements - before
+        driver = await connect(
+            host=IP, port=server.port, user="diocese-puno", password=KEY
+        )
+        async with driver.cursor() as cursor:
+            await cursor.execute("SELECT 1")
+        driver.close()
+        return attacked
+    finally:
+        await server.stop()
+
+
+class FuzzPacketsTest(TestCase):
+    def setUp(self):
+        getLogger("mysql_mimic").setLevel(CRITICAL)
+        logger.disable("redwingpost.adapters.mysql_server")
+        self.addCleanup(logger.enable, "redwingpost.adapters.mysql_server")
+
+    def test_unended_texts(self):
+        """A text in a packet has no zero byte at its end.
+
+        The library's reader would never come back, for a handshake sent
+        by anyone, a change of user or a field list.
+        """
+
+        async def attack(port):
+            handshake = b"\xff" * 8 + b"\x2d" + b"\0" * 23 + b"no-end"
+            for head, body in ((b"\1", handshake),):
+                reader, writer = await open_connection(IP, port)
+                size = len(body).to_bytes(3, "little")
+                writer.write(size + head + body)
+                writer.write_eof()
+                while await wait_for(reader.read(65536), PATIENCE_S):
+                    pass
+                writer.close()
+            for command in (b"\x11user", b"\x11u\0\x05abc", b"\x04table"):
+                reader, writer = await log_in(port)
+                size = len(command).to_bytes(3, "little")
+                writer.write(size + b"\0" + command)
+                writer.write_eof()
+                while await wait_for(reader.read(65536), PATIENCE_S):
+                    pass
+                writer.close()
+
+        run(serve_and(attack))
+
+    def test_strangers_reach_no_statement(self):
+        async def attack(port):
+            random = Random(1)
+            for _ in range(GREETINGS):
+                await greet_with_garbage(port, random)
+
+        self.assertEqual(run(serve_and(attack)), 0)
+
+    def test_callers_packets(self):
+        async def attack(port):
+            await send_garbage_commands(port, Random(2), COMMANDS)
+
+        run(serve_and(attack))
