--- /dev/null
+++ b/redwingpost/cli/tests/test_docs.py
@@ -0,0 +1,87 @@
+"""The pages say what the code says: codes, promises, commands.
+
+A page that names a test, a module or a command that is gone misleads
+whoever reads it in the middle of a failure.
+"""
+
+from importlib import import_module
+from pathlib import Path
+from re import DOTALL, findall
+from unittest import TestCase
+
+from redwingpost.bench import scenarios
+from redwingpost.bench.scenario import SCENARIOS
+from redwingpost.core import render_code_table
+
+ROOT = Path(__file__).resolve().parents[3]
+DOCS = ROOT / "docs"
+
+
+def promise_rows():
+    """Return the cells of each row of the promises' table."""
+    lines = (DOCS / "PROMISES.md").read_text().splitlines()
+    rows = [line for line in lines if line.startswith("| ")]
+    return [
+        [cell.strip() for cell in row.strip("|").split("|")]
+        for row in rows[2:]
+    ]
+
+
+def quoted(cell):
+    """Return the names in backticks of a cell."""
+    return findall(r"`([^`]+)`", cell)
+
+
+class ResultCodesTest(TestCase):
+    def test_page_is_the_registry(self):
+        page = (DOCS / "RESULT-CODES.md").read_text()
+        self.assertIn(render_code_table(), page)
+
+
+class PromisesTest(TestCase):
+    def test_thirteen_promises(self):
+        self.assertEqual(len(promise_rows()), 13)
+
+    def test_code_exists(self):
+        for promise, code, _, _ in promise_rows():
+            for name in quoted(code):
+                with self.subTest(promise=promise, name=name):
+                    path = ROOT / "redwingpost" / name
+                    self.assertTrue(path.exists())
+
+    def test_tests_exist(self):
+        for promise, _, tests, _ in promise_rows():
+            for name in quoted(tests):
+                with self.subTest(promise=promise, name=name):
+                    module, case, test = name.rsplit(".", 2)
+                    found = import_module(f"redwingpost.{module}")
+                    self.assertTrue(hasattr(getattr(found, case), test))
+
+    def test_scenarios_exist(self):
+        self.assertTrue(scenarios.__all__)
+        for promise, _, _, scenario in promise_rows():
+            for name in quoted(scenario):
+                with self.subTest(promise=promise, name=name):
+                    self.assertIn(name, SCENARIOS.names())
+
+
+class LinksTest(TestCase):
+    def test_pages_link_to_pages_that_exist(self):
+        pages = [ROOT / "README.md", *DOCS.rglob("*.md")]
+        for page in pages:
+            for target in findall(r"\]\(([^)#:]+)\)", page.read_text()):
+                with self.subTest(page=page.name, target=target):
+                    self.assertTrue((page.parent / target).exists())
+
+
+class MakeTest(TestCase):
+    def test_readme_names_targets_that_exist(self):
+        makefile = (ROOT / "Makefile").read_text()
+        blocks = findall(
+            r"```sh\n(.*?)```", (ROOT / "README.md").read_text(), DOTALL
+        )
+        targets = findall(r"^make (\w+)", "\n".join(blocks), 8)
+        self.assertEqual(targets, ["demo", "test"])
+        for target in targets:
+            with self.subTest(target=target):
+                self.assertIn(f"\n{target}: ", makefile)
