--- a/redwingpost/standin/dialect.py
+++ b/redwingpost/standin/dialect.py
@@ -7,14 +7,8 @@
 statements.
 """
 
-from collections.abc import Callable
-from datetime import datetime
-from functools import lru_cache
-from re import IGNORECASE, compile as compile_pattern, search, sub
 from typing import Any, NamedTuple
-from uuid import uuid4
 
-from redwingpost.standin.ddl import rewrite_create_table
 from redwingpost.standin.literals import (
     Token,
     bytes_value,
@@ -24,38 +18,18 @@
     scan,
     string_value,
 )
-
-READS = frozenset(("SELECT", "WITH", "VALUES", "TABLE"))
-WRITES = frozenset(("INSERT", "UPDATE", "DELETE", "REPLACE"))
-DEFINITIONS = frozenset(("CREATE", "DROP", "ALTER", "TRUNCATE", "RENAME"))
-
-
-class SessionValues(NamedTuple):
-    """What a statement may ask of its connection."""
-
-    now: datetime
-    last_insert_id: int = 0
-    row_count: int = 0
-    connection: int = 0
-    database: str = ""
-    variables: dict[str, Any] = {}
-    system: dict[str, Any] = {}
-
-
-class Plan(NamedTuple):
-    """How a shape runs.
-
-    ``statements`` are in SQLite's dialect; ``probe`` is the same insert
-    with OR IGNORE, which tells an ON DUPLICATE KEY UPDATE's inserts from
-    its updates. ``kind`` is the first word.
-    """
-
-    kind: str
-    statements: tuple[str, ...]
-    probe: str = ""
-    locks: bool = False
-    temporary: bool = False
-    answers: bool = False
+from redwingpost.standin.plans import (
+    DEFINITIONS,
+    READS,
+    Plan,
+    plan_shape,
+)
+from redwingpost.standin.statement_values import (
+    VALUES_BY_FUNCTION,
+    WITHOUT_BRACKETS,
+    SessionValues,
+    system_value,
+)
 
 
 class Statement(NamedTuple):
@@ -66,34 +40,6 @@
     sleep: float
 
 
-def _now(values: SessionValues, digits: int) -> str:
-    text = values.now.strftime("%Y-%m-%d %H:%M:%S")
-    if digits:
-        text += f".{values.now.microsecond:06d}"[: digits + 1]
-    return text
-
-
-_VALUES_BY_FUNCTION: dict[str, Callable[[SessionValues, int], Any]] = {
-    "NOW": _now,
-    "CURRENT_TIMESTAMP": _now,
-    "LOCALTIMESTAMP": _now,
-    "SYSDATE": _now,
-    "UTC_TIMESTAMP": _now,
-    "CURDATE": lambda values, _: values.now.strftime("%Y-%m-%d"),
-    "CURRENT_DATE": lambda values, _: values.now.strftime("%Y-%m-%d"),
-    "CURTIME": lambda values, _: values.now.strftime("%H:%M:%S"),
-    "UNIX_TIMESTAMP": lambda values, _: int(values.now.timestamp()),
-    "UUID": lambda values, _: str(uuid4()),
-    "LAST_INSERT_ID": lambda values, _: values.last_insert_id,
-    "ROW_COUNT": lambda values, _: values.row_count,
-    "CONNECTION_ID": lambda values, _: values.connection,
-    "DATABASE": lambda values, _: values.database or None,
-    "SCHEMA": lambda values, _: values.database or None,
-    "VERSION": lambda values, _: "8.0.29-redwing-standin",
-}
-_WITHOUT_BRACKETS = ("CURRENT_TIMESTAMP", "CURRENT_DATE", "LOCALTIMESTAMP")
-
-
 class _Writer:
     """Collects a shape and its parameters."""
 
@@ -147,12 +93,12 @@
             writer.sleep += _seconds(inside)
             writer.pieces.append("0")
             return end
-    elif upper in _VALUES_BY_FUNCTION:
+    elif upper in VALUES_BY_FUNCTION:
         end, inside = _call_end(tokens, place)
         plain = not inside or inside.isdigit()
-        if plain and (end > place or upper in _WITHOUT_BRACKETS):
+        if plain and (end > place or upper in WITHOUT_BRACKETS):
             digits = int(inside) if inside else 0
-            found = _VALUES_BY_FUNCTION[upper](values, min(digits, 6))
+            found = VALUES_BY_FUNCTION[upper](values, min(digits, 6))
             writer.value(found)
             return end
     writer.pieces.append(text)
@@ -171,6 +117,7 @@
 
     Examples
     --------
+    >>> from datetime import datetime
     >>> values = SessionValues(datetime(2026, 1, 2, 3, 4, 5))
     >>> found = translate("INSERT INTO t VALUES (1, 'a\\\\'b', NOW())", values)
     >>> found.plan.statements
@@ -212,7 +159,7 @@
         writer.value(values.variables.get(text[1:].lower()))
         _name_variable(tokens, place, writer, first)
     elif kind == "sysvar":
-        writer.value(_system_value(text, values))
+        writer.value(system_value(text, values))
         _name_variable(tokens, place, writer, first)
     elif kind == "word":
         if first in DEFINITIONS:
@@ -254,112 +201,3 @@
     rest = (t.text for t in tokens[place + 1 :] if t.kind != "space")
     if first == "SELECT" and next(rest, ",") == ",":
         writer.pieces.append(f" AS `{tokens[place].text}`")
-
-
-_SYSTEM_VALUES = {
-    "autocommit": 1,
-    "max_allowed_packet": 67108864,
-    "read_only": 0,
-    "sql_mode": "STRICT_TRANS_TABLES",
-    "time_zone": "SYSTEM",
-    "transaction_isolation": "REPEATABLE-READ",
-    "version": "8.0.29-redwing-standin",
-    "version_comment": "redwing stand-in",
-    "wait_timeout": 28800,
-}
-
-
-def _system_value(text: str, values: SessionValues) -> Any:
-    name = text.lower().lstrip("@").rpartition(".")[2]
-    return values.system.get(name, _SYSTEM_VALUES.get(name))
-
-
-_DUPLICATE = compile_pattern(
-    r"\s+(?:AS\s+(?P<alias>\w+)\s+)?ON\s+DUPLICATE\s+KEY\s+UPDATE\s+",
-    IGNORECASE,
-)
-_LOCKING = compile_pattern(
-    r"\s+(?:FOR\s+(?:UPDATE|SHARE)(?:\s+(?:NOWAIT|SKIP\s+LOCKED))?"
-    r"|LOCK\s+IN\s+SHARE\s+MODE)\s*$",
-    IGNORECASE,
-)
-
-
-@lru_cache(maxsize=4096)
-def plan_shape(first: str, shape: str) -> Plan:
-    """Return how a shape runs; cached, for most statements repeat."""
-    if first in READS:
-        return _plan_read(first, shape)
-    if first in WRITES:
-        return _plan_write(first, shape)
-    if first in DEFINITIONS:
-        return _plan_definition(first, shape)
-    return Plan(first, (shape,))
-
-
-def _common(shape: str) -> str:
-    shape = shape.replace("<=>", " IS ").replace("&&", " AND ")
-    return sub(r"(?i)\bLIMIT\s+(\?|\d+)\s*,\s*(\?|\d+)", _limit, shape)
-
-
-def _limit(match) -> str:
-    # SQLite knows "LIMIT offset, count" too; parameters keep their order.
-    return f"LIMIT {match[1]}, {match[2]}"
-
-
-def _plan_read(first: str, shape: str) -> Plan:
-    locking = _LOCKING.search(shape)
-    if locking is not None:
-        shape = shape[: locking.start()]
-    exclusive = locking is not None and "UPDATE" in locking.group().upper()
-    shape = sub(r"(?i)\bFROM\s+DUAL\b", "", shape)
-    return Plan(first, (_common(shape),), locks=exclusive, answers=True)
-
-
-def _plan_write(first: str, shape: str) -> Plan:
-    shape = sub(r"(?i)^INSERT\s+IGNORE\b", "INSERT OR IGNORE", shape)
-    shape = sub(r"(?i)^UPDATE\s+IGNORE\b", "UPDATE OR IGNORE", shape)
-    shape = sub(
-        r"(?i)^(INSERT\s+(?:OR\s+IGNORE\s+)?)(?!INTO|OR)(\w)",
-        r"\1INTO \2",
-        shape,
-    )
-    shape = sub(r"(?i)\(\s*\)\s*VALUES\s*\(\s*\)", "DEFAULT VALUES", shape)
-    match = _DUPLICATE.search(shape)
-    if match is None:
-        return Plan(first, (_common(shape),))
-    insert, updates = shape[: match.start()], shape[match.end() :]
-    updates = sub(
-        r"(?i)\bVALUES\s*\(\s*([^)]+?)\s*\)", r"excluded.\1", updates
-    )
-    if match["alias"]:
-        updates = sub(rf"\b{match['alias']}\.", "excluded.", updates)
-    probe = sub(r"(?i)^INSERT\b", "INSERT OR IGNORE", insert)
-    upsert = f"{insert} ON CONFLICT DO UPDATE SET {updates}"
-    return Plan(first, (upsert,), probe=probe)
-
-
-def _plan_definition(first: str, shape: str) -> Plan:
-    if first == "TRUNCATE":
-        table = sub(r"(?i)^TRUNCATE\s+(?:TABLE\s+)?", "", shape)
-        return Plan(first, (f"DELETE FROM {table}",))
-    temporary = search(r"(?i)^(CREATE|DROP)\s+TEMPORARY\b", shape) is not None
-    if search(r"(?i)^(CREATE|DROP)\s+(DATABASE|SCHEMA)\b", shape):
-        return Plan(first, ())
-    statements = rewrite_create_table(shape)
-    if first == "DROP":
-        statements = [_drop(shape)]
-    if first == "RENAME":
-        renamed = sub(r"(?i)^RENAME\s+TABLE\s+", "ALTER TABLE ", shape)
-        statements = [sub(r"(?i)\s+TO\s+", " RENAME TO ", renamed)]
-    return Plan(first, tuple(statements), temporary=temporary)
-
-
-def _drop(shape: str) -> str:
-    shape = sub(r"(?i)^DROP\s+TEMPORARY\s+", "DROP ", shape)
-    return sub(r"(?i)^(DROP\s+INDEX\s+\S+)\s+ON\s+(\S+)$", _drop_index, shape)
-
-
-def _drop_index(match) -> str:
-    label = match[1].split()[-1].strip("`")
-    return f"DROP INDEX `{match[2].strip('`')}__{label}`"
--- a/redwingpost/standin/member.py
+++ b/redwingpost/standin/member.py
@@ -40,6 +40,10 @@
 #: would otherwise be refused by the kernel instead of by the limit.
 BACKLOG = 512
 
+#: Turns of the loop from a readable listening socket to its transport:
+#: the accept, and the task that it starts.
+ACCEPT_TURNS = 2
+
 Address = tuple[str, int]
 
 
@@ -141,8 +145,7 @@
         await gather(*self.replica.stop(), return_exceptions=True)
         if self.writing is not None:
             self.writing.rollback()
-        self._server.close()
-        self._replication.close()
+        await self._stop_listening()
         self.connections.end_all()
         for writer in list(self._pulling):
             writer.transport.abort()
@@ -150,6 +153,22 @@
         # Let the broken connections end before the ports may come back.
         await sleep(0.01)
 
+    async def _stop_listening(self) -> None:
+        """Close the listening sockets once accepted ones have settled.
+
+        The loop makes an accepted connection's transport a turn after
+        the accept, and logs an assertion where the server has been
+        closed in between.
+        """
+        servers = (self._server, self._replication)
+        loop = get_running_loop()
+        for listening in (*self._server.sockets(), *self._replication.sockets):
+            loop.remove_reader(listening.fileno())
+        for _ in range(ACCEPT_TURNS):
+            await sleep(0)
+        for server in servers:
+            server.close()
+
     async def restart(self) -> None:
         """Come back after ``die`` with what survives a crash."""
         if not self.is_alive:
--- a/redwingpost/standin/session.py
+++ b/redwingpost/standin/session.py
@@ -18,21 +18,16 @@
 )
 from redwingpost.standin.connection import MemberConnection, decode_statement
 from redwingpost.standin.control import find_control
-from redwingpost.standin.dialect import (
-    DEFINITIONS,
-    READS,
-    WRITES,
-    SessionValues,
-    Statement,
-    translate,
-)
+from redwingpost.standin.dialect import Statement, translate
 from redwingpost.standin.mysql_errors import (
     SYNTAX,
     MemberError,
     from_store,
     read_only,
 )
+from redwingpost.standin.plans import DEFINITIONS, READS, WRITES
 from redwingpost.standin.session_statements import find_session_statement
+from redwingpost.standin.statement_values import SessionValues
 from redwingpost.standin.transactions import Transaction
 
 _STORE_ERRORS = (StoreError, StoreWarning, OverflowError, ValueError)
