Pause before asking a replica that is behind in its term

A member that hasn't heard of a new term answers a request for proof of it at once and without a proof, and was asked again at once: a loop at full speed for as long as a read waited.

--- a/redwingpost/proxy/confirm.py
+++ b/redwingpost/proxy/confirm.py
@@ -43,6 +43,10 @@
 #: Seconds before a replica that failed is asked again.
 _FAILED_PAUSE_S = 0.1
 
+#: Seconds before a replica that is behind in its term is asked again;
+#: the observers tell it within half a second.
+_BEHIND_PAUSE_S = 0.02
+
 
 class _LedgerKey(NamedTuple):
     """What a ledger belongs to; a change of any makes a new one."""
@@ -209,6 +213,11 @@
                 address.member, answer.promised_term, answer.position
             )
             self._settle(ledger.answered(wait.number, named))
+            if answer.promised_term < key.term:
+                # A member that hasn't heard of the term yet answers at
+                # once; asked again without a pause, it would be asked
+                # thousands of times until somebody tells it.
+                await sleep(_BEHIND_PAUSE_S)
         self._pump(key, ledger)
 
     def _settle(self, decided: tuple[Decided, ...]) -> None:
