Don't call a write unknown that met a dead idle connection

A primary that died while the proxy's connections lay idle had closed them; a write without a key over one of these was answered "unknown", although nothing could have run. The driver knows that the stream has ended; such a connection isn't used any more and the write waits for the next primary.

--- a/redwingpost/adapters/mysql_target.py
+++ b/redwingpost/adapters/mysql_target.py
@@ -83,13 +83,17 @@
     @property
     def usable(self) -> bool:
         """Say whether the connection is still open at this end."""
-        return self._connection.connected
+        # A member that died while the connection lay idle has closed its
+        # end. A statement sent all the same can't have run, but could
+        # only be answered "unknown"; the driver's own check shows it.
+        broken = getattr(self._connection, "_stream_broken", False)
+        return self._connection.connected and not broken
 
     async def execute(
         self, sql: str, timeout: float | None = None
     ) -> StatementResult:
         """Run one statement; see ``ports.TargetConnection``."""
-        if not self._connection.connected:
+        if not self.usable:
             raise TargetLost(sent=False, reason="connection was closed")
         try:
             async with time_limit(timeout):
--- a/redwingpost/promotion/tests/test_detection.py
+++ b/redwingpost/promotion/tests/test_detection.py
@@ -11,6 +11,7 @@
     SilenceMeter,
     Verdict,
     choose_observers,
+    judge_leaving,
     judge_office,
     judge_primary,
     may_propose,
@@ -37,6 +38,11 @@
     def judge(self, *reports):
         return judge_primary("a", MEMBERS, reports, 3)
 
+    def test_member_that_no_observer_knows_is_silent(self):
+        reports = [Report(f"vm-{n}", f"dc-{n}", ()) for n in range(4)]
+        verdict = judge_primary("a", MEMBERS, reports, 3)
+        self.assertIs(verdict, Verdict.MEMBERS_AWAY)
+
     def test_table(self):
         silent, heard = 0.8, 0.1
         everyone = [report(n, silent) for n in range(6)]
@@ -154,6 +160,25 @@
                 self.assertIs(verdict, expected or Verdict.HEALTHY)
 
 
+class JudgeLeavingTest(TestCase):
+    def test_table(self):
+        every = tuple(Sighting(member, 0.1) for member in MEMBERS)
+        one_away = every[:2] + (Sighting("c", 3.0),)
+        table = [
+            ("nobody leaves", (), every, Verdict.HEALTHY),
+            ("a replica leaves", ("b",), every, Verdict.HEALTHY),
+            ("the primary leaves", ("a",), every, Verdict.LEAVING),
+            ("a member is away", ("a",), one_away, Verdict.MEMBERS_AWAY),
+            ("most leave", ("a", "b"), every, Verdict.HEALTHY),
+        ]
+        for name, leaving, sightings, expected in table:
+            with self.subTest(name):
+                verdict = judge_leaving(
+                    "a", MEMBERS, frozenset(leaving), sightings
+                )
+                self.assertIs(verdict, expected)
+
+
 class ObserversTest(TestCase):
     def vms(self, count, data_centres):
         return [
--- a/redwingpost/promotion/tests/test_election.py
+++ b/redwingpost/promotion/tests/test_election.py
@@ -8,6 +8,7 @@
     Announce,
     Candidate,
     ClaimAnswer,
+    Fate,
     GiveUp,
     MemberFailed,
     PromoteAnswer,
@@ -18,6 +19,7 @@
     TimerFired,
     backoff_s,
     continue_from,
+    judge_fate,
     leader_of,
     must_follow,
     start,
@@ -102,6 +104,36 @@
             with self.subTest(events=events):
                 self.assertEqual(self.promoted(*events), [])
 
+    def test_leaving_member_is_chosen_only_without_a_choice(self):
+        """An operator drains the primary, which is ahead of the others.
+
+        Any majority's most advanced log will do, so the group needn't
+        stay with the member that leaves.
+        """
+        ahead = claim("a", 9)
+        candidates = (Candidate("a", 0, True), *CANDIDATES[1:])
+        three = (ahead, claim("b", 5), claim("c", 6))
+        two = (ahead, claim("b", 5), MemberFailed("c"))
+        for events, expected in ((three, "c"), (two, "a")):
+            with self.subTest(expected=expected):
+                chosen = self.promoted(*events, candidates=candidates)
+                self.assertEqual(chosen, [expected])
+
+    def test_late_and_foreign_answers_change_nothing(self):
+        done = (claim("a", 5), claim("b", 6), claim("c", 5))
+        table = [
+            (*done, claim("a", 9)),
+            (*done, PromoteAnswer("a", True, Position(2, 7))),
+            (*done, TimerFired(Timer.CLAIM)),
+            (*done, TimerFired(Timer.GRACE)),
+            (claim("a", 5), PromoteAnswer("a", True), MemberFailed("a")),
+        ]
+        for events in table:
+            with self.subTest(last=events[-1]):
+                election, sent = run(*events)
+                self.assertEqual(of_type(sent, Announce), [])
+                self.assertNotIn(election.phase.name, ("DONE", "GAVE_UP"))
+
     def test_refusal_teaches_the_higher_term(self):
         _, sent = run(ClaimAnswer("b", False, 7), ClaimAnswer("c", False, 3))
         self.assertEqual(of_type(sent, GiveUp)[0].highest_term, 7)
@@ -158,6 +190,25 @@
     return MemberStatus(member, role, promised, at, at, follows, history, 0)
 
 
+class FateTest(TestCase):
+    def test_table(self):
+        """The primary was replaced before a replica had confirmed."""
+        history = (Position(1, 1), Position(2, 8))
+        start_of_term = Position(2, 8)
+        table = [
+            (Position(1, 7), start_of_term, Fate.SURVIVED),
+            (Position(1, 8), start_of_term, Fate.DROPPED),
+            (Position(1, 8), Position(0, 0), Fate.OPEN),
+            (Position(2, 9), Position(2, 9), Fate.OPEN),
+            (Position(3, 1), start_of_term, Fate.OPEN),
+        ]
+        for position, confirmed, expected in table:
+            with self.subTest(position=position, confirmed=confirmed):
+                fate = judge_fate(position, history, confirmed)
+                self.assertIs(fate, expected)
+        self.assertIs(judge_fate(Position(1, 1), (), history[0]), Fate.OPEN)
+
+
 class RejoinTest(TestCase):
     def test_table(self):
         new = status("b", "primary", 2, term=2)
--- a/redwingpost/proxy/tests/test_writes.py
+++ b/redwingpost/proxy/tests/test_writes.py
@@ -133,6 +133,21 @@
         self.assertEqual(self.count("puno"), 1)
         self.assertEqual(self.count("arequipa"), 1)
 
+    def test_unkeyed_write_over_a_connection_that_died_idle(self):
+        """The primary dies while the proxy's connections lie idle.
+
+        Nothing was sent when the order comes, so it waits for the new
+        primary like any other; "unknown" would mean a call to the
+        office for nothing.
+        """
+        self.order(self.one, "arequipa")
+        self.site.call(self.member("a").die())
+        with ThreadPoolExecutor(1) as pool:
+            waiting = pool.submit(self.order, self.one, "puno")
+            self.promote("b", "c")
+            self.assertEqual(waiting.result()[1], 1)
+        self.assertEqual(self.count("puno"), 1)
+
     def test_cut_primary_acknowledges_nothing(self):
         """The primary is cut off; the others have promised a new term.
 
