Let every observer bring members back in line, in turn

Only the first observer repeated the order to follow. Where it died with the primary, a replica that had missed the promotion followed nobody until the fleet took that VM for gone, and no write could be confirmed.

--- a/redwingpost/agent/promoter.py
+++ b/redwingpost/agent/promoter.py
@@ -42,6 +42,9 @@
 #: Seconds between two orders to follow to the same member.
 FOLLOW_PAUSE_S = 0.5
 
+#: Seconds between one observer's turn to give that order and the next's.
+FOLLOW_TURN_S = 0.6
+
 #: Seconds of silence that keep a status from being acted upon.
 _FRESH_S = 0.45
 
@@ -67,6 +70,7 @@
         self.quiet_until = float("-inf")
         self.failures = 0
         self.followed_at_by_member: dict[str, float] = {}
+        self.astray_since_by_member: dict[str, float] = {}
         self.work: Task | None = None
 
 
@@ -160,23 +164,33 @@
         statuses: tuple[MemberStatus, ...],
     ) -> None:
         leader = leader_of(statuses)
-        if leader is None or not self._is_first(watch):
+        if leader is None:
             return
         now = self._context.clock.now()
-        for status in must_follow(statuses):
-            last = state.followed_at_by_member.get(
-                status.member, float("-inf")
-            )
-            if now - last < FOLLOW_PAUSE_S:
+        astray = {status.member: status for status in must_follow(statuses)}
+        for member in set(state.astray_since_by_member) - set(astray):
+            del state.astray_since_by_member[member]
+        for member, status in astray.items():
+            since = state.astray_since_by_member.setdefault(member, now)
+            last = state.followed_at_by_member.get(member, float("-inf"))
+            if now - since < self._turn_s(watch):
                 continue
-            state.followed_at_by_member[status.member] = now
-            self._spawn(self._follow(watch, status, leader))
-        self._diverged.watch(watch, statuses, self._spawn)
-
-    def _is_first(self, watch: Any) -> bool:
-        """Say whether this VM is the first observer that is not gone."""
-        first = watch.observers[0].vm if watch.observers else ""
-        return first == self._context.settings.vm.name
+            if now - last >= FOLLOW_PAUSE_S:
+                state.followed_at_by_member[member] = now
+                self._spawn(self._follow(watch, status, leader))
+        if self._turn_s(watch) == 0.0:
+            self._diverged.watch(watch, statuses, self._spawn)
+
+    def _turn_s(self, watch: Any) -> float:
+        """Return after how long this observer does what the first does.
+
+        The first may have died with the primary, and it takes seconds
+        until the fleet takes it for gone.
+        """
+        own = self._context.settings.vm.name
+        names = [observer.vm for observer in watch.observers]
+        rank = names.index(own) if own in names else len(names)
+        return rank * FOLLOW_TURN_S
 
     async def _follow(
         self, watch: Any, status: MemberStatus, leader: MemberStatus
