Choose replicas by expected time, believe only the term in force

A member's words now count only in the term in force. A session's next read stays on its member until what it saw is known, and waits up to 0.15 s for a replica to catch up. Second tries of reads have a budget.

--- a/redwingpost/proxy/reads.py
+++ b/redwingpost/proxy/reads.py
@@ -26,19 +26,22 @@
 from redwingpost.proxy.attempts import Failed, failed_by
 from redwingpost.proxy.confirm import Confirmer
 from redwingpost.proxy.directory import Directory
+from redwingpost.proxy.replica_choice import ReplicaChoice
 from redwingpost.proxy.targets import AdmissionRefused, Targets
 from redwingpost.proxy.status_board import StatusBoard
 from redwingpost.proxy.view_watch import ViewWatch
-from redwingpost.retries import Action, Failure, RequestClass, next_step
+from redwingpost.retries import (
+    Action,
+    Failure,
+    RequestClass,
+    RetryBudget,
+    next_step,
+)
 from redwingpost.scheduling import shape_of
 
 #: Seconds to wait for a replica's proof that a primary still leads.
 _CONFIRM_S = 1.0
 
-#: Seconds without a status after which a replica gets no reads: one and
-#: a half of the slowest poll.
-SILENT_S = 0.75
-
 #: Pauses before a read is tried again while no other primary is known;
 #: see ``redwingpost.proxy.writes`` for the grounds (seconds).
 FIRST_PAUSE_S = 0.05
@@ -64,6 +67,8 @@
     ----------
     directory, board, pool, confirmer, clock, views
         The proxy's parts.
+    data_centre : str
+        Where this VM is.
     """
 
     def __init__(
@@ -74,7 +79,12 @@
         confirmer: Confirmer,
         clock: Clock,
         views: ViewWatch,
+        data_centre: str = "",
     ) -> None:
+        self._choice = ReplicaChoice(
+            directory, board, pool, clock, data_centre
+        )
+        self._budget = RetryBudget()
         self._directory = directory
         self._views = views
         self._board = board
@@ -83,13 +93,23 @@
         self._clock = clock
 
     async def read(
-        self, request: Request, sql: str
+        self, request: Request, sql: str, stay_on: str = ""
     ) -> Result[ReadAnswer, Refusal | MemberError]:
         """Run a read where its freshness is proven.
 
         A read that met a member that is lost, full or replaced goes to
         another one, or waits for the next primary, until its deadline.
+
+        Parameters
+        ----------
+        request : Request
+            The read.
+        sql : str
+            Its text.
+        stay_on : str
+            See `ReplicaChoice.choose`.
         """
+        self._budget.earn()
         attempts = 0
         while True:
             term = self._views.term(request.group)
@@ -97,7 +117,7 @@
             if view is not None and _is_lost(request, view.history):
                 return Error(Refusal(Code.POSITION_LOST))
             try:
-                outcome = await self._attempt(request, sql)
+                outcome = await self._attempt(request, sql, stay_on)
             except AdmissionRefused as refused:
                 return Error(refused.refusal)
             if isinstance(outcome, ReadAnswer):
@@ -113,45 +133,23 @@
             attempts += 1
 
     async def _attempt(
-        self, request: Request, sql: str
+        self, request: Request, sql: str, stay_on: str
     ) -> ReadAnswer | Failed:
-        for address in self._fresh_replicas(request):
+        tried: set[str] = set()
+        while True:
+            address = await self._choice.choose(request, tried, stay_on)
+            if address is None:
+                return await self._read_primary(request, sql)
             outcome = await self._run(address, request, sql)
-            if _is_final(outcome):
+            if _is_final(outcome) or not self._may_retry(outcome):
                 return outcome
-        return await self._read_primary(request, sql)
-
-    def _fresh_replicas(self, request: Request) -> list[MemberAddress]:
-        fresh = [
-            address
-            for address in self._directory.replicas(request.group)
-            if not self._directory.is_draining(address.member)
-            and self._is_fresh(address, request)
-        ]
-        return sorted(fresh, key=self._expected_time)
-
-    def _expected_time(self, address: MemberAddress) -> float:
-        load = self._pool.load(address)
-        if load.share <= 0.0:
-            return 0.0 if self._pool.take_probe(address) else float("inf")
-        waiting = load.in_flight + load.queued_cost
-        return (waiting / load.limit + 1.0) * load.service_s / load.share
-
-    def _is_fresh(self, address: MemberAddress, request: Request) -> bool:
-        observed = self._board.latest(address.member)
-        if observed is None:
-            return False
-        # A member that was cut off stays as fresh as it was last seen:
-        # reads sent there would hang until their deadlines.
-        if self._clock.now() - observed.asked_at > SILENT_S:
-            return False
-        if request.marks.max_staleness_ms:
-            known_for = self._clock.now() - observed.asked_at
-            age_ms = observed.status.age_ms + known_for * 1000
-            return age_ms <= request.marks.max_staleness_ms
-        if request.after is None:
-            return False
-        return observed.status.applied >= request.after
+            tried.add(address.member)
+
+    def _may_retry(self, failed: Failed) -> bool:
+        # Without a budget a member's death would double the load of the
+        # others just when they have to carry its part. What wasn't sent
+        # has loaded nobody.
+        return failed.failure is Failure.NOT_SENT or self._budget.spend()
 
     async def _read_primary(
         self, request: Request, sql: str
--- a/redwingpost/proxy/service.py
+++ b/redwingpost/proxy/service.py
@@ -174,6 +174,7 @@
                 self.confirmer,
                 self.clock,
                 views,
+                settings.vm.data_centre,
             ),
             writer=writer,
             transactions=Transactions(writer, self.pool, views, self.clock),
--- a/redwingpost/proxy/session.py
+++ b/redwingpost/proxy/session.py
@@ -273,6 +273,7 @@
         if marked.marks.session and not marked.marks.token:
             return None
         state = self.caller.state(self.caller.current_session)
+        self._settle(state)
         return state.positions.after(self.caller.group)
 
     async def _dispatch(self, request: Request, sql: str) -> Answer:
@@ -304,7 +305,9 @@
         return await self._write(request, sql)
 
     async def _read(self, request: Request, sql: str) -> Answer:
-        answer = await self._parts.reader.read(request, sql)
+        seen = self._state(request).seen_by_group.get(request.group)
+        stay_on = seen.member if seen else ""
+        answer = await self._parts.reader.read(request, sql, stay_on)
         if answer.is_error():
             self._note_lost(request, answer.error)
             return answer
