--- a/redwingpost/bench/tables.py
+++ b/redwingpost/bench/tables.py
@@ -59,6 +59,18 @@
     return table
 
 
+def make_side_by_side(runs: list[Measures], title: str) -> Table:
+    """Return a narrow table: a line per measure, a column per run."""
+    table = Table(title=title)
+    table.add_column("measure")
+    for run in runs:
+        table.add_column(run["site"], justify="right")
+    for column in COLUMNS:
+        if column.heading not in ("scenario", "site", "policy", "seed"):
+            table.add_row(column.heading, *(column.show(r) for r in runs))
+    return table
+
+
 def make_detail_table(run: Measures) -> Table:
     """Return a table of everything that one run measured."""
     title = f"{run['scenario']} at {run['site']}, {run['policy']}"
--- a/redwingpost/bench/tests/test_pages.py
+++ b/redwingpost/bench/tests/test_pages.py
@@ -15,7 +15,11 @@
 from redwingpost.bench.scenario import SCENARIOS
 from redwingpost.bench.sites import SITES
 from redwingpost.bench.sweep import plan, spread
-from redwingpost.bench.tables import make_detail_table, make_table
+from redwingpost.bench.tables import (
+    make_detail_table,
+    make_side_by_side,
+    make_table,
+)
 from redwingpost.bench.tests.test_measures import a_run, attempt
 from redwingpost.cli.bench import app
 
@@ -72,6 +76,7 @@
         output = StringIO()
         console = Console(file=output, width=200)
         console.print(make_table([measures()], "title"))
+        console.print(make_side_by_side([measures()], "title"))
         console.print(make_detail_table(measures("naive", [planted])))
         self.assertIn("0.750", output.getvalue())
         self.assertIn("r1 is stored twice", output.getvalue())
