--- a/redwingpost/agent/store_watch.py
+++ b/redwingpost/agent/store_watch.py
@@ -19,11 +19,15 @@
 from redwingpost.membership.relays import RELAY_LEASE_S
 
 #: Seconds between two looks at the head. Operators tell agents at once;
-#: this finds what they could not tell, within the 2 s of a change.
-HEAD_POLL_S = 0.5
+#: this finds what they could not tell, within the 2 s of a change. Each
+#: look costs some 700 bytes of HTTP.
+HEAD_POLL_S = 1.0
 
-#: The platform's list lags by seconds anyway.
+#: The platform's list lags by seconds anyway. It grows with the fleet,
+#: some 100 bytes a VM, so that a large one is read less often; VMs that
+#: are new are known by their heartbeats long before.
 LIST_POLL_S = 2.0
+LIST_VMS_PER_S = 5.0
 
 #: Seconds that a withdrawal may stay unrecorded before a relay records
 #: it: an operator's own tool does so within one.
@@ -173,7 +177,9 @@
 
     async def _poll_list(self) -> None:
         now = self._context.clock.now()
-        if now - self._polled_list_at < LIST_POLL_S:
+        listed_vms = len(self._state.members.by_vm)
+        every_s = max(LIST_POLL_S, listed_vms / LIST_VMS_PER_S)
+        if now - self._polled_list_at < every_s:
             return
         self._polled_list_at = now
         listed = await self._context.vm_list.vms()
