--- a/redwingpost/operator/desk.py
+++ b/redwingpost/operator/desk.py
@@ -232,6 +232,8 @@
             ),
             self.log.withdraw(wanted, change),
         )
+        if recorded.is_ok():
+            await self.announce(recorded.ok.version)
         return told, recorded
 
     async def status(self) -> tuple[int, list[VmReport]]:
