Let a transaction that holds the writer lock take its steps

Cause: a keyed write takes its steps under the stand-in's one writer lock and queued for a slot at each; with the slots full of others' work every writer waited for a holder that waited behind them. InnoDB lets a thread that is inside go on and locks rows, not the store. Change: steps of a transaction that has written take no slot.

--- a/redwingpost/standin/member.py
+++ b/redwingpost/standin/member.py
@@ -205,6 +205,17 @@
         cost = settings.step_ms if is_step else settings.write_ms
         await self._serve(cost, stated_s)
 
+    async def serve_step(self, stated_s: float) -> None:
+        """Take a step of a transaction that has written before.
+
+        It doesn't queue for a slot again: MySQL lets a thread that is
+        inside go on (``innodb_concurrency_tickets``). The store here has
+        one lock for all writers where InnoDB has row locks; a holder that
+        queued behind its own waiters would stop every write.
+        """
+        cost_s = self.settings.step_ms / 1000 * self.slow_factor
+        await sleep(cost_s + stated_s)
+
     async def _serve(self, cost_ms: float, stated_s: float) -> None:
         slots = self.slots
         await slots.acquire()
--- a/redwingpost/standin/session.py
+++ b/redwingpost/standin/session.py
@@ -193,7 +193,10 @@
             self.transaction.check()
             raise read_only()
         in_transaction = self.transaction.is_open
-        await self.member.serve_write(statement.sleep, in_transaction)
+        if self.transaction.is_writing:
+            await self.member.serve_step(statement.sleep)
+        else:
+            await self.member.serve_write(statement.sleep, in_transaction)
         await self._pass_gate()
         await self.transaction.lock()
         await self._pass_gate()
