Judge a slow member by the best one's average, not its shortest time

Change: the breaker's ratio compares smoothed times. Figures: in virtual time, noise of one to six times common to all members opens no breaker; it opened all of them before.

--- a/redwingpost/admission/breaker.py
+++ b/redwingpost/admission/breaker.py
@@ -46,8 +46,10 @@
 class TargetBreaker:
     """One target's breaker at one VM.
 
-    Times given as ``ratio`` are a statement's time by the shortest that
-    any member of the group took for its kind.
+    Times given as ``ratio`` are a statement's time by what the group's
+    best member takes on average for its kind. Measured by the shortest
+    time instead, a busy VM's own noise opens the breakers of all members
+    at once, and every read falls on the primary.
 
     Examples
     --------
--- a/redwingpost/admission/desk.py
+++ b/redwingpost/admission/desk.py
@@ -170,7 +170,7 @@
         ticket : int
             Whose answer it is.
         best_of_group : callable
-            Shortest time of a key at any member of the group.
+            Smoothed time of a key at the group's best member.
         """
         running = self._running_by_ticket.pop(ticket, None)
         if running is not None and not running.arrival.is_long:
--- a/redwingpost/admission/limits.py
+++ b/redwingpost/admission/limits.py
@@ -82,6 +82,7 @@
         self._changed_at = float("-inf")
         self._has_met_queueing = False
         self._bases_by_key: dict[str, _Base] = {}
+        self._typical_by_key: dict[str, float] = {}
 
     @property
     def value(self) -> int:
@@ -104,10 +105,9 @@
         self._maximum = max(1, maximum)
         self._limit = min(self._limit, float(self._maximum))
 
-    def base(self, key: str) -> float | None:
-        """Return the shortest time lately of a kind of statement."""
-        found = self._bases_by_key.get(key)
-        return found.least if found else None
+    def typical(self, key: str) -> float | None:
+        """Return the smoothed time of a kind of statement (seconds)."""
+        return self._typical_by_key.get(key)
 
     def observe(
         self, now: float, key: str, seconds: float, was_full: bool
@@ -126,6 +126,8 @@
             Whether as many were under way as the limit allows.
         """
         least = self._learn(now, key, seconds)
+        known = self._typical_by_key.setdefault(key, seconds)
+        self._typical_by_key[key] = known + _NEWEST * (seconds - known)
         share = 0.0
         if seconds > least * NOISE:
             share = 1.0 - least / seconds
@@ -149,7 +151,9 @@
         found = self._bases_by_key.get(key)
         if found is None:
             if len(self._bases_by_key) >= MAX_KEYS:
-                self._bases_by_key.pop(next(iter(self._bases_by_key)))
+                oldest = next(iter(self._bases_by_key))
+                del self._bases_by_key[oldest]
+                del self._typical_by_key[oldest]
             found = _Base(now, seconds, float("inf"))
         elif now - found.since > BASE_WINDOW_S:
             found = _Base(now, seconds, found.current)
--- a/redwingpost/admission/tests/test_breaker.py
+++ b/redwingpost/admission/tests/test_breaker.py
@@ -1,8 +1,9 @@
 """Tests of leaving a target and returning to it."""
 
+from random import Random
 from unittest import TestCase
 
-from redwingpost.admission import State, TargetBreaker
+from redwingpost.admission import ConcurrencyLimit, State, TargetBreaker
 
 
 def _serve(breaker, start, rate, seconds, ratio):
@@ -73,3 +74,22 @@
         self.assertEqual(shares, sorted(shares))
         self.assertLess(shares[0], 0.2)
         self.assertEqual(shares[-1], 1.0)
+
+
+class NoiseTest(TestCase):
+    def test_noise_common_to_all_members_opens_none(self):
+        # A VM that is short of processor time sees every statement take
+        # one to six times as long, whichever member answers. With all
+        # replicas left at once the primary would drown in their reads.
+        random = Random(5)
+        limits = [ConcurrencyLimit(5) for _ in range(3)]
+        breakers = [TargetBreaker() for _ in range(3)]
+        for turn in range(3000):
+            place = turn % 3
+            now = turn * 0.01
+            seconds = 0.01 * random.uniform(1.0, 6.0)
+            limits[place].observe(now, "read", seconds, was_full=True)
+            best = min(limit.typical("read") or seconds for limit in limits)
+            breakers[place].succeed(now, seconds / best)
+            states = {breaker.state for breaker in breakers}
+            self.assertEqual(states, {State.CLOSED})
--- a/redwingpost/proxy/targets.py
+++ b/redwingpost/proxy/targets.py
@@ -374,12 +374,12 @@
             counter.pin_waiters.popleft().set_result(None)
 
     def _best(self, group: str, key: str) -> float | None:
-        bases = (
-            counter.desk.limit.base(key)
+        times = (
+            counter.desk.limit.typical(key)
             for address, counter in self._counters_by_address.items()
             if address.group == group
         )
-        known = [base for base in bases if base is not None]
+        known = [seconds for seconds in times if seconds is not None]
         return min(known, default=None)
 
 
