--- a/redwingpost/proxy/tests/test_caller_tls.py
+++ b/redwingpost/proxy/tests/test_caller_tls.py
@@ -1,6 +1,8 @@
 """Callers over TLS, with a real driver."""
 
 from pathlib import Path
+from socket import create_connection
+from ssl import MemoryBIO, SSLWantReadError, create_default_context
 from tempfile import TemporaryDirectory
 from unittest import TestCase
 
@@ -69,3 +71,29 @@
             body = "x" * 200_000
             cursor.execute("SELECT %s", (body,))
             self.assertEqual(cursor.fetchone(), (body,))
+
+    def test_tls_that_comes_with_its_request(self):
+        # A driver asks for TLS and sends its first bytes in the same
+        # breath; on a busy VM both arrive before the proxy looks. The
+        # handshake must go on with the bytes that have come.
+        address = (self.site.proxies[0].settings.vm.ip, self.site.port())
+        context = create_default_context(cafile=self.public)
+        context.check_hostname = False
+        incoming, outgoing = MemoryBIO(), MemoryBIO()
+        tls = context.wrap_bio(incoming, outgoing)
+        with create_connection(address, timeout=10) as plain:
+            plain.recv(4096)
+            with self.assertRaises(SSLWantReadError):
+                tls.do_handshake()
+            flags = (0x0200 | 0x0800 | 0x8000 | 0x80000).to_bytes(4, "little")
+            request = flags + bytes(4) + b"\x2d" + bytes(23)
+            head = len(request).to_bytes(3, "little") + b"\x01"
+            plain.sendall(head + request + outgoing.read())
+            while not tls.version():
+                incoming.write(plain.recv(16384))
+                try:
+                    tls.do_handshake()
+                except SSLWantReadError:
+                    continue
+            plain.sendall(outgoing.read())
+        self.assertIn("TLS", tls.version())
