Replace a primary that only its replicas have lost

The members' positions are evidence enough: all answer and follow, the primary is ahead, none has received anything for 2 s.

--- a/redwingpost/agent/promoter.py
+++ b/redwingpost/agent/promoter.py
@@ -15,10 +15,12 @@
 from redwingpost.core import GroupView, VmAddress
 from redwingpost.ports import Condition, MemberStatus, Write
 from redwingpost.promotion import (
+    ISOLATED_S,
     SILENCE_S,
     Announce,
     Candidate,
     GiveUp,
+    ReplicationMeter,
     Report,
     Sighting,
     Verdict,
@@ -57,6 +59,7 @@
     Verdict.LEADERLESS,
     Verdict.STRANDED,
     Verdict.LEAVING,
+    Verdict.ISOLATED,
 }
 
 
@@ -71,6 +74,7 @@
         self.failures = 0
         self.followed_at_by_member: dict[str, float] = {}
         self.astray_since_by_member: dict[str, float] = {}
+        self.replication = ReplicationMeter()
         self.work: Task | None = None
 
 
@@ -127,6 +131,7 @@
         self._publish_leader(watch.group, statuses)
         self._bring_in_line(watch, state, statuses)
         self._time_leaderless(watch, state)
+        self._time_replication(watch, state, statuses)
         now = self._context.clock.now()
         if state.work is not None or now < state.quiet_until:
             return
@@ -213,6 +218,28 @@
         elif state.leaderless_since is None:
             state.leaderless_since = self._context.clock.now()
 
+    def _time_replication(
+        self,
+        watch: Any,
+        state: _GroupState,
+        statuses: tuple[MemberStatus, ...],
+    ) -> None:
+        leader = leader_of(statuses)
+        if leader is None:
+            return
+        following = tuple(
+            status.received
+            for status in statuses
+            if status.follows == leader.member
+            and status.promised_term == own_term(leader)
+        )
+        whole = len(following) == len(watch.members) - 1
+        state.replication.observe(
+            leader.received,
+            following if whole else (),
+            self._context.clock.now(),
+        )
+
     def _own(self, watch: Any) -> Report:
         vm = self._context.settings.vm
         return watch.report(vm.name, vm.data_centre)
@@ -236,6 +263,8 @@
         verdict = judge_office(watch.members, sightings, leaderless_s)
         if verdict is not Verdict.HEALTHY:
             return verdict
+        if state.replication.stalled_s(now) >= ISOLATED_S:
+            return Verdict.ISOLATED
         view = self._view(watch.group)
         return judge_leaving(
             view.primary, watch.members, watch.leaving, sightings
@@ -339,7 +368,12 @@
             watch.probes_by_member,
             lambda view: self._context.announce([view]),
         )
-        ended = await conductor.run(self._candidates(watch), term)
+        leaving = watch.leaving
+        if verdict is Verdict.ISOLATED:
+            # Ahead of the others by what nobody confirmed, it would be
+            # chosen again, and nothing would have changed.
+            leaving = leaving | {old.primary}
+        ended = await conductor.run(self._candidates(watch, leaving), term)
         if isinstance(ended, GiveUp):
             self._note_failure(watch.group, state, ended)
             return
@@ -356,13 +390,15 @@
         )
         return tuple(known)
 
-    def _candidates(self, watch: Any) -> tuple[Candidate, ...]:
+    def _candidates(
+        self, watch: Any, leaving: frozenset[str]
+    ) -> tuple[Candidate, ...]:
         data_centre = self._context.settings.vm.data_centre
         return tuple(
             Candidate(
                 member,
                 int(watch.address(member).data_centre != data_centre),
-                member in watch.leaving,
+                member in leaving,
             )
             for member in watch.members
         )
@@ -383,6 +419,7 @@
         state.failures = 0
         state.suspected_since = None
         state.leaderless_since = None
+        state.replication = ReplicationMeter()
         logger.warning(
             "{}: {} leads term {} from {}",
             group,
--- a/redwingpost/agent/tests/test_promoter.py
+++ b/redwingpost/agent/tests/test_promoter.py
@@ -1,13 +1,17 @@
 """Agents order promotions, and don't, over real stand-ins."""
 
 from asyncio import gather, sleep
+from ipaddress import ip_network
 from json import dumps
 from unittest import TestCase
 
+from redwingpost.adapters.link_rules import LinkRule
+from redwingpost.adapters.links import install_link_faults
 from redwingpost.adapters.tests.test_peer import in_kj_loop
 from redwingpost.agent.tests.fleet import TestFleet, state_of
 from redwingpost.configuration import hash_key
 from redwingpost.standin import Endpoint, GroupSettings, GroupStandin
+from redwingpost.standin.replication_log import LogEntry
 
 GROUP = "catalogue-1"
 FOUR = {"vm-1": "dc-1", "vm-2": "dc-2", "vm-3": "dc-3", "vm-4": "dc-4"}
@@ -184,3 +188,27 @@
         await site.settle("a")
         self.assertEqual(len(site.leaders()), 1)
         await site.stop()
+
+    @in_kj_loop
+    async def test_primary_without_replicas_is_replaced(self):
+        # The links between the primary and its replicas fail; agents
+        # reach all three. No write can be confirmed any more, so the
+        # group needs another primary although this one answers.
+        faults = install_link_faults("127.56.1.1")
+        site = Site(net=56)
+        await site.start()
+        primary = ip_network(site.member("a").endpoint.ip)
+        faults.set_rules(
+            tuple(
+                LinkRule(
+                    ip_network(site.member(name).endpoint.ip), primary, "cut"
+                )
+                for name in "bc"
+            )
+        )
+        site.member("a").replica.commit(LogEntry(1))
+        await site.fleet.until(
+            lambda agent: view_of(agent).primary not in ("", f"{GROUP}-a")
+        )
+        await site.stop()
+        faults.uninstall()
--- a/redwingpost/promotion/__init__.py
+++ b/redwingpost/promotion/__init__.py
@@ -18,7 +18,9 @@
     replicas_needed,
 )
 from redwingpost.promotion.detection import (
+    ISOLATED_S,
     PROBE_INTERVAL_S,
+    ReplicationMeter,
     Report,
     Sighting,
     SilenceMeter,
@@ -80,9 +82,11 @@
     "Fate",
     "GiveUp",
     "MemberFailed",
+    "ISOLATED_S",
     "PROBE_INTERVAL_S",
     "PastBound",
     "PromoteAnswer",
+    "ReplicationMeter",
     "Report",
     "SendClaim",
     "SendFollow",
--- a/redwingpost/promotion/detection.py
+++ b/redwingpost/promotion/detection.py
@@ -20,6 +20,8 @@
 from enum import Enum
 from typing import NamedTuple
 
+from redwingpost.core import Position
+
 PROBE_INTERVAL_S = 0.15
 
 #: See the module's docstring.
@@ -43,6 +45,11 @@
 #: A member that promised a term which nobody leads takes no more log.
 STRANDED_S = 3.0
 
+#: For how long no replica may have received anything although the primary
+#: holds more. Replicas ask for news many times a second; two seconds of
+#: that leave nothing but a cut between them and the primary.
+ISOLATED_S = 2.0
+
 #: Between one proposer and the next in rank; a claim round with its
 #: grace is done within it.
 STAGGER_S = 0.4
@@ -128,6 +135,7 @@
     LEADERLESS = "no primary in office"
     STRANDED = "a member follows nobody"
     LEAVING = "the primary is to leave"
+    ISOLATED = "the primary's replicas receive nothing from it"
     MEMBERS_AWAY = "no majority of members answers"
     TOO_FEW_OBSERVERS = "too few observers agree"
 
@@ -283,6 +291,52 @@
     return Verdict.MEMBERS_AWAY
 
 
+class ReplicationMeter:
+    """For how long replication of one primary has stood still.
+
+    A primary that observers reach, but its replicas don't, answers every
+    probe. Its writes are committed and never confirmed, so that callers
+    get "not confirmed" for as long as the cut lasts.
+
+    Examples
+    --------
+    >>> meter = ReplicationMeter()
+    >>> meter.observe(Position(1, 9), (Position(1, 7),), now=0.0)
+    >>> meter.observe(Position(1, 9), (Position(1, 7),), now=2.5)
+    >>> meter.stalled_s(2.5)
+    2.5
+    >>> meter.observe(Position(1, 9), (Position(1, 8),), now=2.6)
+    >>> meter.stalled_s(2.6)
+    0.0
+    """
+
+    def __init__(self) -> None:
+        self._received: tuple[Position, ...] = ()
+        self._stalled_since: float | None = None
+
+    def observe(
+        self, primary: Position, replicas: tuple[Position, ...], now: float
+    ) -> None:
+        """Note what the primary and its followers hold.
+
+        ``replicas`` is empty where not all the others answer and follow;
+        then nothing can be said.
+        """
+        behind = bool(replicas) and max(replicas) < primary
+        moved = replicas != self._received or self._stalled_since is None
+        if not behind:
+            self._stalled_since = None
+        elif moved:
+            self._stalled_since = now
+        self._received = replicas
+
+    def stalled_s(self, now: float) -> float:
+        """Return the seconds since a replica received anything."""
+        if self._stalled_since is None:
+            return 0.0
+        return now - self._stalled_since
+
+
 def may_propose(rank: int, suspected_for_s: float) -> bool:
     """Say whether the turn of the proposer of ``rank`` has come.
 
--- a/redwingpost/promotion/tests/test_detection.py
+++ b/redwingpost/promotion/tests/test_detection.py
@@ -3,9 +3,10 @@
 from random import Random
 from unittest import TestCase
 
-from redwingpost.core import VmAddress
+from redwingpost.core import Position, VmAddress
 from redwingpost.promotion import (
     PROBE_INTERVAL_S,
+    ReplicationMeter,
     Report,
     Sighting,
     SilenceMeter,
@@ -179,6 +180,46 @@
                 self.assertIs(verdict, expected)
 
 
+class ReplicationMeterTest(TestCase):
+    def test_table(self):
+        """The links between a primary and its replicas are cut.
+
+        Observers still reach all three. Callers would be told "not
+        confirmed" for every write until somebody mends the network.
+        """
+        head, behind = Position(1, 9), Position(1, 7)
+        table = [
+            ("nothing to send", [(head, (head, head))] * 3, 0.0),
+            ("one keeps up", [(head, (head, behind))] * 3, 0.0),
+            ("all stand still", [(head, (behind, behind))] * 3, 2.0),
+            ("not all answer", [(head, ())] * 3, 0.0),
+            (
+                "fell behind later",
+                [
+                    (behind, (behind, behind)),
+                    (head, (behind, behind)),
+                    (head, (behind, behind)),
+                ],
+                1.0,
+            ),
+            (
+                "one moves",
+                [
+                    (head, (behind, behind)),
+                    (head, (behind, behind)),
+                    (head, (Position(1, 8), behind)),
+                ],
+                0.0,
+            ),
+        ]
+        for name, seen, expected in table:
+            with self.subTest(name):
+                meter = ReplicationMeter()
+                for second, (primary, replicas) in enumerate(seen):
+                    meter.observe(primary, replicas, float(second))
+                self.assertEqual(meter.stalled_s(2.0), expected)
+
+
 class ObserversTest(TestCase):
     def vms(self, count, data_centres):
         return [
