--- a/redwingpost/proxy/tests/test_writes.py
+++ b/redwingpost/proxy/tests/test_writes.py
@@ -6,7 +6,7 @@
 from pymysql import connect
 from pymysql.err import MySQLError
 
-from redwingpost.core import Code
+from redwingpost.core import Code, Position
 from redwingpost.proxy.tests.small_site import GROUP, SmallSite
 
 _CREATE = (
@@ -206,6 +206,23 @@
         self.assertEqual(self.count("puno"), 0)
         self.assertEqual(self.count("cusco"), 1)
 
+    def test_session_that_saw_a_dropped_write_is_told_once(self):
+        """A session holds a position that a promotion has dropped.
+
+        Served silently it would miss what it had seen; refused for
+        ever, its caller would have to log in again.
+        """
+        self.promote("b", "c")
+        self.order(self.one, "puno", "k1")
+        token = self.site.proxies[0].parts.tokens.mint(
+            "diocese-puno", "s1", {GROUP: Position(1, 10_000)}, False
+        )
+        sql = f"/* redwing: token={token} */ SELECT COUNT(*) FROM orders"
+        code = self.code_of(self.run_on, self.one, sql)
+        self.assertEqual(code, Code.POSITION_LOST.number)
+        rows = self.run_on(self.one, sql)[0]
+        self.assertEqual(int(rows[0][0]), 1)
+
     def test_commits_are_confirmed_together(self):
         """Many writes at once share the waits at the replicas."""
         before = [proxy.confirmer.waits_sent for proxy in self.site.proxies]
