--- a/redwingpost/verify/__init__.py
+++ b/redwingpost/verify/__init__.py
@@ -6,14 +6,14 @@
 """
 
 from redwingpost.verify.member import Rules
-from redwingpost.verify.model import (
+from redwingpost.verify.model import Model
+from redwingpost.verify.search import Found, replay, search
+from redwingpost.verify.state import (
     Bounds,
-    Model,
     State,
     initial_state,
     violation,
 )
-from redwingpost.verify.search import Found, replay, search
 
 __all__ = [
     "Bounds",
--- a/redwingpost/verify/model.py
+++ b/redwingpost/verify/model.py
@@ -19,9 +19,8 @@
 """
 
 from collections.abc import Iterator
-from typing import NamedTuple
 
-from redwingpost.core import Code, Outcome, Position
+from redwingpost.core import Code, Position
 from redwingpost.promotion.acknowledgement import (
     Acknowledgements,
     Decision,
@@ -51,7 +50,6 @@
     next_step,
 )
 from redwingpost.verify.member import (
-    Entry,
     Member,
     Rules,
     claim,
@@ -63,111 +61,15 @@
     pull,
     takes_writes,
 )
-
-
-class Bounds(NamedTuple):
-    """How large the model is.
-
-    ``keyed`` says of each writer whether its write has a key;
-    ``elections`` how many each proposer may start.
-    """
-
-    members: int = 3
-    elections: tuple[int, ...] = (1, 1)
-    keyed: tuple[bool, ...] = (True,)
-    attempts: int = 2
-
-
-class Proposer(NamedTuple):
-    """One agent: its election under way and the starts it has left."""
-
-    name: str
-    left: int
-    known_term: int
-    election: Election | None = None
-
-    @property
-    def claimant(self) -> str:
-        """Return the name it claims under; every start has its own."""
-        return f"{self.name}/{self.left}"
-
-
-class Writer(NamedTuple):
-    """One caller's write with its proxy.
-
-    ``attempt`` counts sendings; ``sent_to`` holds those still in the
-    network as (attempt, member). ``answers`` are the replicas' answers
-    for the attempt that committed at ``position``. ``known_term`` is
-    the newest that its proxy has learnt of from a history.
-    """
-
-    name: str
-    keyed: bool
-    attempt: int = 0
-    sent_to: frozenset[tuple[int, str]] = frozenset()
-    replies: frozenset[tuple[int, str, Position]] = frozenset()
-    waits: bool = False
-    primary: str = ""
-    position: Position | None = None
-    answers: frozenset[WaitAnswer] = frozenset()
-    may_have_run: bool = False
-    outcome: str = ""
-    known_term: int = 0
-
-
-class ClaimSent(NamedTuple):
-    """A claim in the network, for every member, for ever."""
-
-    proposer: int
-    claimant: str
-    term: int
-
-
-class PromoteSent(NamedTuple):
-    """A promotion order in the network, for ever."""
-
-    proposer: int
-    claimant: str
-    term: int
-    member: str
-
-
-class State(NamedTuple):
-    """Everything: members, proposers, writers and the network."""
-
-    members: tuple[Member, ...]
-    proposers: tuple[Proposer, ...]
-    writers: tuple[Writer, ...]
-    claims: frozenset[ClaimSent] = frozenset()
-    claim_answers: frozenset[tuple[int, str, ClaimAnswer]] = frozenset()
-    promotes: frozenset[PromoteSent] = frozenset()
-    promoted: frozenset[tuple[int, str, PromoteAnswer]] = frozenset()
-    led: frozenset[tuple[int, str]] = frozenset()
-    acknowledged: frozenset[tuple[str, int]] = frozenset()
-
-
-ACKNOWLEDGED = "acknowledged"
-
-
-def initial_state(bounds: Bounds) -> State:
-    """Return the group in good order: the first member leads term 1."""
-    names = [chr(ord("a") + number) for number in range(bounds.members)]
-    log = (Entry(1, ""),)
-    members = tuple(
-        Member(name, log, 1, "", name == "a", "" if name == "a" else "a")
-        for name in names
-    )
-    proposers = tuple(
-        Proposer(f"p{number}", left, 1)
-        for number, left in enumerate(bounds.elections)
-    )
-    writers = tuple(
-        Writer(f"w{number}", keyed)
-        for number, keyed in enumerate(bounds.keyed)
-    )
-    led = frozenset({(1, "a")})
-    return State(members, proposers, writers, led=led)
-
+from redwingpost.verify.state import (
+    ACKNOWLEDGED,
+    Bounds,
+    ClaimSent,
+    PromoteSent,
+    Proposer,
+    State,
+    Writer,
+)
 
 Steps = Iterator[tuple[str, State]]
 
@@ -218,6 +120,7 @@
 
     Examples
     --------
+    >>> from redwingpost.verify.state import initial_state
     >>> model = Model(Rules(), Bounds())
     >>> names = [name for name, _ in model.steps(initial_state(Bounds()))]
     >>> names
@@ -579,29 +482,3 @@
         code = following.code or Code.OUTCOME_UNKNOWN
         done = _finished(writer, code.outcome.value)
         return _with_writer(state, index, done)
-
-
-def violation(state: State) -> str:
-    """Return which promise a state breaks, or an empty string."""
-    terms = [term for term, _ in state.led]
-    if len(terms) != len(set(terms)):
-        return "two primaries of one term"
-    for name, term in state.acknowledged:
-        for member in state.members:
-            later = member.primary and member.own_term >= term
-            if later and name not in member.writes():
-                return f"{name} was acknowledged, {member.name} lacks it"
-    not_run = {
-        writer.name
-        for writer in state.writers
-        if writer.outcome == Outcome.NOT_RUN.value
-    }
-    for member in state.members:
-        writes = member.writes()
-        if len(writes) != len(set(writes)):
-            return f"{member.name} ran a write twice"
-        # A replaced primary may hold a dropped write until it follows;
-        # what counts is that no log in force ever holds it.
-        if member.own_term == max(terms) and not_run.intersection(writes):
-            return f"{member.name} ran what was called not run"
-    return ""
