--- a/redwingpost/proxy/replica_choice.py
+++ b/redwingpost/proxy/replica_choice.py
@@ -134,8 +134,13 @@
             return False
         return holds(observed.status, request.after)
 
-    def _pick(self, fresh: list[MemberAddress]) -> MemberAddress | None:
-        """Choose among the fresh; None where all of them are left."""
+    def _pick(self, fresh: list[MemberAddress]) -> MemberAddress:
+        """Choose among the fresh.
+
+        Where all of them are left, the least slow one: on a busy machine
+        everything is slow, and all reads at the primary would take the
+        slots that only writes can use.
+        """
         candidates = []
         for address in fresh:
             load = self._pool.load(address)
@@ -144,7 +149,7 @@
             elif self._pool.take_probe(address):
                 return address
         if not candidates:
-            return None
+            return min(fresh, key=lambda a: self._pool.load(a).ratio)
         chosen = self._policy(candidates, self._random).member
         return next(a for a in fresh if a.member == chosen)
 
