End the bench's children when the bench itself is told to stop

Cause: a bench stopped by SIGTERM (a time limit around it) left stand-ins and agents running without a parent. Change: SIGTERM counts as an interrupt, which ends the children first.

--- a/redwingpost/cli/bench.py
+++ b/redwingpost/cli/bench.py
@@ -3,6 +3,7 @@
 from asyncio import run as run_loop
 from json import loads
 from pathlib import Path
+from signal import SIGTERM, default_int_handler, signal
 from sys import stderr, stdout
 from time import monotonic
 from typing import Annotated
@@ -245,6 +246,9 @@
     """Run the command line; its log goes to standard error."""
     logger.remove()
     logger.add(stderr, level="WARNING")
+    # A bench that is told to stop would leave its children running, seen
+    # as programs without a parent: as an interrupt it ends them first.
+    signal(SIGTERM, default_int_handler)
     app()
 
 
