--- a/redwingpost/bench/children.py
+++ b/redwingpost/bench/children.py
@@ -61,6 +61,11 @@
         """Whether the process has not ended yet."""
         return self._process.returncode is None
 
+    @property
+    def pid(self) -> int:
+        """The process's id."""
+        return self._process.pid
+
     def cpu_s(self) -> float:
         """Return user and system seconds so far; 0 once it has ended."""
         try:
--- a/redwingpost/bench/hotpath.py
+++ b/redwingpost/bench/hotpath.py
@@ -79,7 +79,7 @@
 
     async def start(self) -> None:
         """Start both and wait until a caller is served."""
-        group, proxy = self._write()
+        group, proxy = self.write_files()
         await self.children.start(
             "standin",
             ["redwingpost.cli.standin", "group", "--settings", group],
@@ -120,8 +120,7 @@
 
     def proxy_rss_kb(self) -> int:
         """Return the proxy's resident memory, kB."""
-        pid = self.proxy._process.pid
-        text = Path(f"/proc/{pid}/status").read_text()
+        text = Path(f"/proc/{self.proxy.pid}/status").read_text()
         line = next(x for x in text.splitlines() if x.startswith("VmRSS"))
         return int(line.split()[1])
 
@@ -137,7 +136,8 @@
                     raise
                 await sleep(0.2)
 
-    def _write(self) -> tuple[str, str]:
+    def write_files(self) -> tuple[str, str]:
+        """Write settings and configuration; return the settings' paths."""
         members = "\n".join(
             f'[members.m-{number}]\nip = "{ip}"\nport = {self.member_port}'
             for number, ip in enumerate(MEMBER_IPS)
@@ -149,7 +149,7 @@
             f'{members}\n[faults]\nip = "{MEMBER_IPS[0]}"\n'
         )
         configuration = self.directory / "configuration.json"
-        configuration.write_text(dumps(self._configuration()))
+        configuration.write_text(dumps(self.configuration()))
         proxy = self.directory / "proxy.toml"
         proxy.write_text(
             f'[vm]\nname = "vm-1"\ndata_centre = "dc-1"\nip = "{PROXY_IP}"\n'
@@ -161,7 +161,8 @@
         )
         return str(group), str(proxy)
 
-    def _configuration(self) -> dict[str, Any]:
+    def configuration(self) -> dict[str, Any]:
+        """Return the configuration; only its first group runs."""
         return {
             "site": "hot-path",
             "organisations": {
--- /dev/null
+++ b/redwingpost/bench/tests/test_hotpath.py
@@ -0,0 +1,27 @@
+"""The hot path's site: what the proxy is given is valid at every size."""
+
+from json import dumps
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from unittest import TestCase
+
+from redwingpost.bench.hotpath import Site
+from redwingpost.configuration import parse_configuration
+from redwingpost.settings import load_settings
+from redwingpost.standin.settings import parse_group
+
+
+class SiteTest(TestCase):
+    def test_files_are_valid(self):
+        for organisations, groups in ((1, 1), (8, 3), (1000, 100)):
+            with self.subTest(organisations=organisations, groups=groups):
+                with TemporaryDirectory() as name:
+                    site = Site(Path(name), organisations, groups)
+                    group, proxy = site.write_files()
+                    found = parse_group(Path(group).read_text(), group)
+                    self.assertTrue(found.is_ok(), found)
+                    found = load_settings(proxy)
+                    self.assertTrue(found.is_ok(), found)
+                    body = dumps(site.configuration()).encode()
+                    read = parse_configuration(body)
+                    self.assertTrue(read.is_ok(), read)
