Keep base shares through a store outage

Change: watching and vouching never wait for the store; an answer that was asked for before a pause counts for nothing.

--- a/redwingpost/agent/shares.py
+++ b/redwingpost/agent/shares.py
@@ -68,6 +68,7 @@
         self._read_at = float("-inf")
         self._try_after = 0.0
         self._last_tick_at = now
+        self._woke_at = now
         self._lowered_to: int | None = None
         self._lowered_at = 0.0
         self._listed_at = float("-inf")
@@ -76,26 +77,42 @@
         self._random = Random(f"{self._state.vm}/{self._state.incarnation}")
 
     @Service.task
-    async def _keep(self) -> None:
+    async def _watch_forever(self) -> None:
         while not self.should_stop:
-            await self.tick()
+            self.watch()
             await self.sleep(TICK_S)
 
-    async def tick(self) -> None:
-        """Do whatever is due."""
+    @Service.task
+    async def _work_forever(self) -> None:
+        while not self.should_stop:
+            await self.work()
+            await self.sleep(TICK_S)
+
+    def watch(self) -> None:
+        """Notice a pause of this VM, and vouch.
+
+        This never waits for the store. In one loop with the store's
+        calls, a call that timed out after two seconds looked like a
+        pause: every VM of the fleet gave up its part in an outage, and
+        two thirds of all requests were refused.
+        """
         now = self._context.clock.now()
         if now - self._last_tick_at > PAUSED_S:
             # Another VM may hold this part since the pause began.
             self._read_at = float("-inf")
+            self._woke_at = now
         self._last_tick_at = now
-        if self._read_is_due(now):
+        self._vouch()
+
+    async def work(self) -> None:
+        """Do whatever is due at the store."""
+        if self._read_is_due(self._context.clock.now()):
             await self._read()
         if self._is_known:
             await self._claim()
             await self._keep_equal()
             if self._state.is_relay:
                 await self._remove_gone()
-        self._vouch()
 
     @property
     def _is_known(self) -> bool:
@@ -116,6 +133,9 @@
             self._try_after = asked_at + pause_s
             return
         row = answer.ok
+        if asked_at < self._woke_at:
+            # Asked before a pause, the answer may be older than it.
+            return
         self._roster = parse(row.value if row else None)
         self._version = row.version if row else 0
         self._read_at = asked_at
@@ -180,14 +200,16 @@
 
     async def _write(self, roster: Roster) -> None:
         """Write the row if nobody else has; read it anew otherwise."""
+        asked_at = self._context.clock.now()
         answer = await self._context.tables.transact(
             (Condition(_TABLE, _KEY, self._version),),
             (Write(_TABLE, _KEY, render(roster)),),
         )
         now = self._context.clock.now()
-        if answer.is_ok() and answer.ok.committed:
+        is_current = asked_at >= self._woke_at
+        if answer.is_ok() and answer.ok.committed and is_current:
             self._roster, self._version = roster, answer.ok.versions[0]
-            self._read_at = now
+            self._read_at = asked_at
             return
         # A lost answer may have taken effect: only a read tells.
         self._read_at = float("-inf")
