Bound the line of requests that wait for lent tokens

Cause: while a lender's answer was out every request of an organisation waited for it. A flood at one VM filled the line, each arrival walked it and settled the ledger anew: 46% of the proxy's time at 100% of a core, the VM refused connections. Change: no more wait than the whole fleet's tokens could serve in time; a ledger that is up to date isn't settled again.

--- a/redwingpost/rates/ledger.py
+++ b/redwingpost/rates/ledger.py
@@ -103,7 +103,9 @@
         Each lapse on the way takes effect at its own time, so that a
         part brings tokens up to its lapse and none after.
         """
-        if now < self._now:
+        # Up to date already: a line of waiters asks many times about one
+        # moment.
+        if now <= self._now:
             return
         for moment in self._changes_until(now):
             self.bucket.settle(moment)
--- a/redwingpost/rates/waiting.py
+++ b/redwingpost/rates/waiting.py
@@ -13,9 +13,10 @@
 """
 
 from collections import deque
-from math import ceil, inf
+from math import ceil, floor, inf
 from typing import Any, NamedTuple
 
+from redwingpost.rates.bucket import WHOLE
 from redwingpost.rates.ledger import Ledger
 
 #: Seconds that a request may wait for tokens that are known to come. A
@@ -88,16 +89,18 @@
         now : float
             Seconds.
         may_gain : bool
-            True while a lender's answer is out: then only passed
-            deadlines count.
+            True while a lender's answer is out: then what the whole
+            fleet's tokens could serve in time may wait for it.
         """
+        most = self._most_in_time()
         kept: deque[Waiter] = deque()
         refused = []
         ahead = 0
         for waiter in self._waiters:
             wait_s = self._ledger.seconds_until(ahead + waiter.tokens, now)
             limit_s = min(WAIT_S, waiter.deadline_at - now)
-            hopeless = wait_s > limit_s and not may_gain
+            beyond_all = ahead + waiter.tokens > most
+            hopeless = wait_s > limit_s and (beyond_all or not may_gain)
             if hopeless or waiter.deadline_at <= now:
                 refused.append(Refused(waiter, self._retry_ms(wait_s)))
             else:
@@ -107,6 +110,16 @@
         self.waiting = ahead
         return refused
 
+    def _most_in_time(self) -> int:
+        """Return the micro-tokens that all VMs together could bring.
+
+        A flood far over the rate arrives faster than lenders answer.
+        Without this bound all of it waited for each answer, held its
+        connections meanwhile and kept the VM busy with its own line.
+        """
+        bucket = self._ledger.bucket
+        return floor((bucket.burst + bucket.rate * WAIT_S) * WHOLE)
+
     def discard(self, handle: Any) -> None:
         """Drop a waiter whose caller has gone."""
         self._waiters = deque(w for w in self._waiters if w.handle != handle)
