Don't take what an overload slows for long jobs; bound the wait

Cause: at twice a group's capacity every statement took longer than 0.2 s inside the member, so the shapes of orders were learned as long jobs and had to pass through two slots of the group: 9% of orders were answered beside 75% of edits. Change: a shape is long only if it takes five times the member's usual time as well, and only reads are learned; an estimated wait above one second is refused on arrival; a kind's own backlog and weight count in the estimate.

--- a/redwingpost/admission/desk.py
+++ b/redwingpost/admission/desk.py
@@ -257,13 +257,10 @@
     def _estimate(
         self, now: float, queue: FairQueue[Arrival], arrival: Arrival
     ) -> float:
-        flow = arrival.flow
-        others = queue.active_weight(but=flow.organisation)
-        own = flow.organisation_weight
         backlog = Backlog(
             total=queue.queued_cost,
-            own=queue.backlog(flow.organisation),
-            weight_share=own / (own + others),
+            own=queue.backlog(arrival.flow),
+            weight_share=queue.share(arrival.flow),
         )
         return estimate_wait(backlog, arrival.cost, self._drain_rate(now))
 
--- a/redwingpost/admission/queue.py
+++ b/redwingpost/admission/queue.py
@@ -24,6 +24,12 @@
 #: Part of the remaining time that the estimated wait may fill.
 MARGIN = 0.8
 
+#: Longest estimated wait (seconds), whatever the deadline. Without it the
+#: queue grows to the longest deadline, and requests with shorter ones find
+#: no place. A second holds the bursts of all organisations at once, which
+#: are half a second of their rates each.
+MAX_WAIT_S = 1.0
+
 #: Requests that wait for one target at one VM, all organisations. At 250
 #: statements a second and deadlines of 5 s more than 1,250 can't be
 #: served in time; the double bounds memory, not service.
@@ -49,8 +55,8 @@
 class Backlog(NamedTuple):
     """What waits at a target when a request arrives, in cost units.
 
-    ``own`` waits for the same organisation, ``weight_share`` is the part
-    of the target that the organisation is entitled to, 0 to 1.
+    ``own`` waits for the same organisation and kind, ``weight_share`` is
+    the part of the target that the two are entitled to, 0 to 1.
     """
 
     total: float
@@ -169,15 +175,19 @@
     True
     >>> judge_arrival(2.0, 0.01, 1.0).code.name
     'deadline-too-short'
+    >>> judge_arrival(2.0, 0.01, 9.0).code.name
+    'over-capacity'
     """
     if remaining_s <= 0.0:
         return Refusal(Code.DEADLINE_PASSED)
     needed = wait_s + service_s
     allowed = remaining_s * MARGIN
-    if wait_s == 0.0 or needed <= allowed:
+    if wait_s == 0.0 or (needed <= allowed and wait_s <= MAX_WAIT_S):
         return None
-    retry_ms = max(MIN_RETRY_MS, int((needed - allowed) * 1000))
-    return Refusal(Code.DEADLINE_TOO_SHORT, retry_after_ms=retry_ms)
+    retry_ms = int((needed - min(allowed, MAX_WAIT_S)) * 1000)
+    is_short = needed > allowed
+    code = Code.DEADLINE_TOO_SHORT if is_short else Code.OVER_CAPACITY
+    return Refusal(code, retry_after_ms=max(MIN_RETRY_MS, retry_ms))
 
 
 def refuse_full(wait_s: float) -> Refusal:
--- a/redwingpost/proxy/targets.py
+++ b/redwingpost/proxy/targets.py
@@ -125,6 +125,8 @@
     def is_long(self, request: Request, shape: str) -> bool:
         """Say whether a request counts as a long job."""
         kind = self._directory.configuration.kind(request.marks.kind)
+        if request.statement_class is not StatementClass.READ:
+            return kind.long
         return kind.long or self.lengths.is_long(shape)
 
     async def acquire(
@@ -152,6 +154,8 @@
         """
         counter = self._counter(address)
         ticket = next(self._tickets)
+        if request.statement_class is not StatementClass.READ:
+            shape = ""
         await self._take_turn(counter, ticket, request, shape)
         try:
             connection = await self._connect(counter)
@@ -232,7 +236,8 @@
             self._unpin(use.counter, ended_at)
             return
         if use.shape:
-            self.lengths.observe(use.shape, ended_at - use.started_at)
+            seconds = ended_at - use.started_at
+            self.lengths.observe(use.shape, seconds, desk.service.seconds)
         group = use.counter.address.group
         started = desk.finish(
             ended_at, use.ticket, lambda key: self._best(group, key)
--- a/redwingpost/scheduling/fair.py
+++ b/redwingpost/scheduling/fair.py
@@ -45,6 +45,7 @@
     def __init__(self) -> None:
         self.items: deque[tuple[T, float, float]] = deque()
         self.finish = 0.0
+        self.queued_cost = 0.0
 
 
 class _Organisation(Generic[T]):
@@ -89,18 +90,36 @@
         """Cost of all that waits, in cost units."""
         return self._queued_cost
 
-    def backlog(self, organisation: str) -> float:
-        """Return the cost that an organisation has waiting."""
-        found = self._organisations_by_name.get(organisation)
-        return found.queued_cost if found else 0.0
+    def backlog(self, flow: Flow) -> float:
+        """Return the cost that waits before a new request of a flow."""
+        found = self._organisations_by_name.get(flow.organisation)
+        kind = found.kinds_by_name.get(flow.kind) if found else None
+        return kind.queued_cost if kind else 0.0
+
+    def share(self, flow: Flow) -> float:
+        """Return the part of the service that a flow is entitled to.
 
-    def active_weight(self, but: str = "") -> float:
-        """Return the weights of those who wait, one of them left out."""
-        return sum(
+        Its organisation's part among those who wait, times the kind's
+        part among the organisation's kinds that wait.
+        """
+        own = max(flow.organisation_weight, MIN_WEIGHT)
+        others = sum(
             found.weight
             for name, found in self._organisations_by_name.items()
-            if found.queued and name != but
+            if found.queued and name != flow.organisation
+        )
+        return own / (own + others) * self._kind_share(flow)
+
+    def _kind_share(self, flow: Flow) -> float:
+        own = max(flow.kind_weight, MIN_WEIGHT)
+        found = self._organisations_by_name.get(flow.organisation)
+        kinds = found.kinds_by_name if found else {}
+        others = sum(
+            kind.items[-1][2]
+            for name, kind in kinds.items()
+            if kind.items and name != flow.kind
         )
+        return own / (own + others)
 
     def push(self, item: T, flow: Flow, cost: float) -> None:
         """Add a request of ``cost`` units."""
@@ -113,6 +132,7 @@
         if not kind.items:
             kind.finish = max(kind.finish, found.virtual_time)
         kind.items.append((item, cost, max(flow.kind_weight, MIN_WEIGHT)))
+        kind.queued_cost += cost
         found.queued += 1
         found.queued_cost += cost
         self._queued += 1
@@ -151,6 +171,7 @@
         for entry in kind.items if kind else ():
             if entry[0] is item:
                 kind.items.remove(entry)
+                kind.queued_cost = max(0.0, kind.queued_cost - entry[1])
                 self._count_out(found, entry[1])
                 return True
         return False
@@ -195,4 +216,5 @@
     item, cost, weight = kind.items.popleft()
     found.virtual_time = kind.finish
     kind.finish += cost / weight
+    kind.queued_cost = max(0.0, kind.queued_cost - cost)
     return item, cost
--- a/redwingpost/scheduling/long_jobs.py
+++ b/redwingpost/scheduling/long_jobs.py
@@ -13,8 +13,9 @@
 the others forward long jobs to them. Counted per VM, six VMs with one
 long job each would hold all five slots.
 
-A job is long by its kind's mark in the configuration, or by what
-statements of the same shape took before.
+A job is long by its kind's mark in the configuration, or, for reads, by
+what statements of the same shape took before. Writes aren't learned:
+waiting for another's lock makes any of them long now and then.
 """
 
 from collections import OrderedDict
@@ -27,6 +28,12 @@
 #: hundred times a short statement, but no failover or lock wait.
 LONG_S = 0.2
 
+#: Times the member's usual time that a statement must take besides. At
+#: twice the capacity every statement takes longer than ``LONG_S``, queued
+#: inside the member; taken for long jobs, all orders of a group had to
+#: pass through two slots, and 9% of them were answered.
+LONG_FACTOR = 5.0
+
 #: Weight of the newest time in a shape's average: after five long runs a
 #: shape that was short counts as long, and the other way round.
 _NEWEST = 0.3
@@ -60,8 +67,18 @@
     def __init__(self) -> None:
         self._seconds_by_shape: OrderedDict[str, float] = OrderedDict()
 
-    def observe(self, shape: str, seconds: float) -> None:
-        """Note how long a statement held its slot."""
+    def observe(self, shape: str, seconds: float, usual_s: float) -> None:
+        """Note how long a statement held its slot.
+
+        Parameters
+        ----------
+        shape : str
+            The statement's shape.
+        seconds, usual_s : float
+            Its time, and the member's usual one just now.
+        """
+        if seconds < LONG_FACTOR * usual_s:
+            seconds = min(seconds, usual_s, LONG_S / 2)
         known = self._seconds_by_shape.pop(shape, None)
         if known is not None:
             seconds = known + _NEWEST * (seconds - known)
--- a/redwingpost/scheduling/tests/test_fair.py
+++ b/redwingpost/scheduling/tests/test_fair.py
@@ -114,9 +114,19 @@
         lengths = JobLengths()
         shape = shape_of("SELECT SUM(x) FROM years WHERE y = 2026")
         self.assertFalse(lengths.is_long(shape))
-        lengths.observe(shape, 3.0)
+        lengths.observe(shape, 3.0, usual_s=0.01)
         other = shape_of("SELECT SUM(x) FROM years WHERE y = 1999")
         self.assertTrue(lengths.is_long(other))
         for _ in range(20):
-            lengths.observe(shape, 0.01)
+            lengths.observe(shape, 0.01, usual_s=0.01)
+        self.assertFalse(lengths.is_long(shape))
+
+    def test_an_overload_makes_no_long_jobs(self):
+        # Everybody prints at once and every statement takes half a
+        # second inside the member. None of them is a report; sent
+        # through the few slots for reports they would starve.
+        lengths = JobLengths()
+        shape = shape_of("SELECT page FROM plans WHERE id = 7")
+        for _ in range(50):
+            lengths.observe(shape, 0.5, usual_s=0.4)
         self.assertFalse(lengths.is_long(shape))
