Store a body again whose answer was lost

Change: storing a body is tried again after a lost answer, as the commit is; the body is named by its hash, so this does no harm.

--- a/redwingpost/configuration/log.py
+++ b/redwingpost/configuration/log.py
@@ -182,9 +182,14 @@
     async def _store_body(self, planned: Plan) -> Result[None, Refusal]:
         """Store the body first: a version never names a missing body."""
         key = object_key(planned.version.body_hash)
-        stored = await self._objects.put(key, planned.version.body)
-        if stored.is_ok():
-            return stored
+        for _ in range(ATTEMPTS):
+            stored = await self._objects.put(key, planned.version.body)
+            if stored.is_ok():
+                return stored
+            # A lost answer alone would end the submission although the
+            # store is well; storing the same body again does no harm.
+            if stored.error.code != Code.STORE_OUTCOME_UNKNOWN:
+                break
         # Bodies are named by their hash, so that a stored body without
         # a version is as if nothing had happened.
         detail = f"the body was not stored: {stored.error.detail}"
--- a/redwingpost/configuration/tests/test_log.py
+++ b/redwingpost/configuration/tests/test_log.py
@@ -4,6 +4,8 @@
 from json import dumps, loads
 from unittest import TestCase
 
+from expression import Error
+
 from redwingpost.configuration import Change, ConfigurationLog, Withdrawal
 from redwingpost.bench.memory_store import (
     LOSE_ANSWER,
@@ -12,7 +14,7 @@
     MemoryStore,
 )
 from redwingpost.configuration.tests.test_parse import GOOD, PUNO, with_change
-from redwingpost.core import Code
+from redwingpost.core import Code, Refusal
 
 BODY = dumps(GOOD).encode()
 FASTER = with_change(PUNO + ("rate",), 240.0)
@@ -23,6 +25,20 @@
     return Change(body, base, who, "2030-01-01T00:00:00Z", submission)
 
 
+class LossyBodies(MemoryStore):
+    """A store that loses its answers to bodies."""
+
+    lost = 0
+
+    async def put(self, key, body):
+        """Store a body; the answer may be lost."""
+        stored = await super().put(key, body)
+        if self.lost:
+            self.lost -= 1
+            return Error(Refusal(Code.STORE_OUTCOME_UNKNOWN))
+        return stored
+
+
 class ConfigurationLogTest(TestCase):
     def setUp(self):
         self.store = MemoryStore()
@@ -90,6 +106,19 @@
                 self.assertEqual(again.ok.version, 1)
                 self.assertEqual(len(run(self.log.audit()).ok), 1)
 
+    def test_lost_answers_to_the_body(self):
+        # The store takes the body and loses the answer, twice, then is
+        # well. The operator's change must not end there.
+        self.store = LossyBodies()
+        self.log = ConfigurationLog(self.store, self.store)
+        for lost, code in ((2, None), (9, Code.STORE_UNAVAILABLE)):
+            with self.subTest(lost=lost):
+                self.store.lost = lost
+                result = self.submit(submission=f"s-{lost}", base=0)
+                known = result.error.code if result.is_error() else None
+                self.assertEqual(known, code)
+                self.store.rows.clear()
+
     def test_a_lost_answer_and_another_operator(self):
         # While an operator's answer is lost, a second operator's change
         # follows on top. The first must still learn that it won.
