--- a/redwingpost/rates/tests/test_conservation.py
+++ b/redwingpost/rates/tests/test_conservation.py
@@ -184,7 +184,7 @@
         run_state_machine_as_test(
             Fleet,
             settings=settings(
-                max_examples=120,
+                max_examples=200,
                 stateful_step_count=80,
                 deadline=None,
                 derandomize=True,
