Work out a shape for reads only; drop what nothing calls

Cause: each write's text was reduced to its shape twice, and the members' desks then threw it away; two methods had no caller. Change: writes have no shape from the start, so the desk needs no check for them; Targets.warm and FairQueue.forget_idle go. Conclusion: behaviour as it was.

--- a/redwingpost/proxy/session.py
+++ b/redwingpost/proxy/session.py
@@ -156,7 +156,9 @@
     def _is_long(self, request: Request, sql: str) -> bool:
         if self.in_transaction:
             return False
-        return self._parts.pool.is_long(request, shape_of(sql))
+        is_read = request.statement_class is StatementClass.READ
+        shape = shape_of(sql) if is_read else ""
+        return self._parts.pool.is_long(request, shape)
 
     def _is_elsewhere(self, request: Request, is_long: bool) -> bool:
         if self.is_forwarded or self._transaction is not None:
--- a/redwingpost/proxy/targets.py
+++ b/redwingpost/proxy/targets.py
@@ -125,8 +125,6 @@
     def is_long(self, request: Request, shape: str) -> bool:
         """Say whether a request counts as a long job."""
         kind = self._directory.configuration.kind(request.marks.kind)
-        if request.statement_class is not StatementClass.READ:
-            return kind.long
         return kind.long or self.lengths.is_long(shape)
 
     async def acquire(
@@ -141,7 +139,8 @@
         request : Request
             Whose turn it is to be.
         shape : str, optional
-            The statement's shape, by which long jobs are learned.
+            A read's shape, by which long jobs are learned; writes have
+            none.
 
         Raises
         ------
@@ -154,8 +153,6 @@
         """
         counter = self._counter(address)
         ticket = next(self._tickets)
-        if request.statement_class is not StatementClass.READ:
-            shape = ""
         await self._take_turn(counter, ticket, request, shape)
         try:
             connection = await self._connect(counter)
@@ -256,17 +253,6 @@
         if use.pinned:
             self._unpin(use.counter, now)
 
-    async def warm(self, address: MemberAddress) -> None:
-        """Open one connection ahead of the first statement."""
-        counter = self._counter(address)
-        if counter.idle or counter.used:
-            return
-        try:
-            connection = await self._dialler.dial(address, DIAL_TIMEOUT_S)
-        except (TargetError, TargetLost):
-            return
-        counter.idle.append(connection)
-
     def give_up(self, address: MemberAddress) -> None:
         """Send all who wait for a member elsewhere; nothing was sent.
 
--- a/redwingpost/proxy/writes.py
+++ b/redwingpost/proxy/writes.py
@@ -55,7 +55,6 @@
     may_have_run,
     purge_sql,
 )
-from redwingpost.scheduling import shape_of
 
 #: Pause before a member that failed is tried again without another
 #: primary being known; grows to the second figure (seconds). A restart
@@ -89,7 +88,6 @@
     def __init__(self, request: Request, sql: str) -> None:
         self.request = request
         self.sql = sql
-        self.shape = shape_of(sql)
         self.may_have_run = False
         self.attempts = 0
 
@@ -212,7 +210,7 @@
         request = progress.request
         if request.statement_class is StatementClass.BEGIN:
             await self._pool.wait_to_pin(primary, request)
-        return await self._pool.acquire(primary, request, progress.shape)
+        return await self._pool.acquire(primary, request)
 
     async def acknowledge_commit(
         self, request: Request, committed: Committed
--- a/redwingpost/scheduling/fair.py
+++ b/redwingpost/scheduling/fair.py
@@ -194,14 +194,6 @@
         lightest = min(kinds, key=lambda kind: kind.items[-1][2])
         return lightest.items[-1][0]
 
-    def forget_idle(self) -> None:
-        """Drop organisations that wait for nothing and owe nothing."""
-        self._organisations_by_name = {
-            name: found
-            for name, found in self._organisations_by_name.items()
-            if found.queued or found.finish > self._virtual_time
-        }
-
     def _count_out(self, found: _Organisation[T], cost: float) -> None:
         found.queued -= 1
         found.queued_cost = max(0.0, found.queued_cost - cost)
