--- /dev/null
+++ b/redwingpost/adapters/http_client.py
@@ -0,0 +1,158 @@
+"""A lean HTTP/1.1 client on one kept connection.
+
+``h11`` frames the messages. ``aiohttp`` costs 18 MB and a third of a
+second at start (measured at import), a quarter of what a whole node may
+use.
+"""
+
+from asyncio import StreamReader, StreamWriter, open_connection, wait_for
+from socket import IPPROTO_TCP, TCP_NODELAY, TCP_USER_TIMEOUT
+from typing import NamedTuple
+
+from h11 import (
+    CLIENT,
+    NEED_DATA,
+    Connection,
+    ConnectionClosed,
+    Data,
+    EndOfMessage,
+    RemoteProtocolError,
+    Request,
+    Response,
+)
+
+#: Bytes read at once.
+_CHUNK = 65536
+
+#: Milliseconds after which unacknowledged bytes end a connection: one
+#: that is cut off would hang otherwise.
+_USER_TIMEOUT_MS = 3000
+
+
+class HttpAnswer(NamedTuple):
+    """A whole response."""
+
+    status: int
+    body: bytes
+
+
+class HttpLost(Exception):
+    """No whole response came.
+
+    Parameters
+    ----------
+    sent : bool
+        Whether the request may have arrived.
+    """
+
+    def __init__(self, detail: str, sent: bool) -> None:
+        super().__init__(detail)
+        self.sent = sent
+
+
+class HttpClient:
+    """Sends one request at a time; connects again when it must.
+
+    Parameters
+    ----------
+    ip, port : str, int
+        The server.
+    """
+
+    def __init__(self, ip: str, port: int) -> None:
+        self._ip = ip
+        self._port = port
+        self._reader: StreamReader | None = None
+        self._writer: StreamWriter | None = None
+        self._framing = Connection(our_role=CLIENT)
+
+    async def request(
+        self,
+        method: str,
+        target: str,
+        timeout_s: float,
+        body: bytes = b"",
+        headers: tuple[tuple[str, str], ...] = (),
+    ) -> HttpAnswer:
+        """Send a request and return the whole response.
+
+        Raises
+        ------
+        HttpLost
+            If the connection fails or the time is over.
+        """
+        sent = False
+        try:
+            if self._writer is None:
+                await wait_for(self._connect(), timeout_s)
+            sent = True
+            exchange = self._exchange(method, target, body, headers)
+            return await wait_for(exchange, timeout_s)
+        except (OSError, RemoteProtocolError, TimeoutError) as error:
+            self.close()
+            detail = f"{type(error).__name__} {error}".strip()
+            raise HttpLost(detail, sent) from error
+        except BaseException:
+            # A cancelled exchange leaves half a response behind, which
+            # the next request would take for its own.
+            self.close()
+            raise
+
+    def close(self) -> None:
+        """Close the connection; the next request opens another."""
+        if self._writer is not None:
+            self._writer.close()
+        self._reader = self._writer = None
+
+    async def _connect(self) -> None:
+        self._reader, self._writer = await open_connection(
+            self._ip, self._port
+        )
+        tune_socket(self._writer)
+        self._framing = Connection(our_role=CLIENT)
+
+    async def _exchange(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        headers: tuple[tuple[str, str], ...],
+    ) -> HttpAnswer:
+        lines = [("Host", f"{self._ip}:{self._port}"), *headers]
+        if body or method in ("POST", "PUT"):
+            lines.append(("Content-Length", str(len(body))))
+        head = Request(method=method, target=target, headers=lines)
+        parts = [self._framing.send(head)]
+        if body:
+            parts.append(self._framing.send(Data(data=body)))
+        parts.append(self._framing.send(EndOfMessage()))
+        self._writer.write(b"".join(part for part in parts if part))
+        answer = await self._receive()
+        if self._framing.our_state is self._framing.their_state:
+            self._framing.start_next_cycle()
+        else:
+            self.close()
+        return answer
+
+    async def _receive(self) -> HttpAnswer:
+        status = 0
+        body = bytearray()
+        while True:
+            event = self._framing.next_event()
+            if event is NEED_DATA:
+                self._framing.receive_data(await self._reader.read(_CHUNK))
+            elif isinstance(event, Response):
+                status = event.status_code
+            elif isinstance(event, Data):
+                body += event.data
+            elif isinstance(event, EndOfMessage):
+                return HttpAnswer(status, bytes(body))
+            elif isinstance(event, ConnectionClosed):
+                raise ConnectionResetError("closed before the response")
+
+
+def tune_socket(writer: StreamWriter) -> None:
+    """Send small messages at once; notice a peer that is cut off."""
+    socket = writer.get_extra_info("socket")
+    socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+    socket.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
--- a/redwingpost/admission/connections.py
+++ b/redwingpost/admission/connections.py
@@ -22,7 +22,9 @@
 RESERVE = 2
 
 
-def data_connections(limit: int, vms: int) -> int:
+def data_connections(
+    limit: int, vms: int, control: int = CONTROL_PER_VM
+) -> int:
     """Return the connections for statements that one VM may hold.
 
     Parameters
@@ -31,6 +33,8 @@
         Connections that the member takes.
     vms : int
         VMs that serve the group.
+    control : int, optional
+        Control connections that each VM holds besides.
 
     Examples
     --------
@@ -39,5 +43,5 @@
     >>> data_connections(10, 6)
     1
     """
-    left = limit - RESERVE - CONTROL_PER_VM * vms
+    left = limit - RESERVE - control * vms
     return max(1, left // max(1, vms))
--- /dev/null
+++ b/redwingpost/cli/node.py
@@ -0,0 +1,85 @@
+"""``redwing-node``: serve callers on one VM of the users' platform."""
+
+from asyncio import Event, get_running_loop, run
+from os import environ
+from pathlib import Path
+from signal import SIGHUP, SIGINT, SIGTERM
+from sys import argv, exit as sys_exit, stderr
+
+from redwingpost.node.service import Node, Outside
+from redwingpost.observability.journal import configure_journal, log_event
+from redwingpost.platform.caller_server import CallerServer
+from redwingpost.platform.entries import FORMAT
+from redwingpost.platform.member_link import LineLinkFactory
+from redwingpost.platform.orders import PromotionCalls
+from redwingpost.platform.settings import PATH_VARIABLE, load_node_settings
+from redwingpost.platform.store import RowStore
+from redwingpost.ports.clock import MonotonicClock
+from redwingpost.settings.node import NodeSettings
+
+USAGE = """Serve callers on one VM.
+
+Usage: redwing-node [--check] [--help]
+
+The settings file is named by REDWINGPOST_NODE_FILE.
+  --check  read the settings, say what is wrong with them, and end
+"""
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the node until SIGTERM; return the exit code."""
+    words = argv[1:] if arguments is None else arguments
+    if "--help" in words:
+        print(USAGE)
+        return 0
+    path = Path(environ.get(PATH_VARIABLE, ""))
+    loaded = load_node_settings(path)
+    if loaded.is_error():
+        print(loaded.error.describe(), file=stderr)
+        return 2
+    if "--check" in words:
+        print(f"{path}: settings of {loaded.ok.vm} are good")
+        return 0
+    configure_journal()
+    run(_serve(loaded.ok, path))
+    return 0
+
+
+async def _serve(settings: NodeSettings, path: Path) -> None:
+    outside = Outside(
+        RowStore(settings.store.ip, settings.store.port),
+        LineLinkFactory(),
+        PromotionCalls(settings.orders.ip, settings.orders.port),
+        FORMAT,
+        MonotonicClock(),
+    )
+    node = Node(settings, outside)
+    callers = CallerServer(settings.callers.ip, settings.callers.port, node)
+    stop = Event()
+    loop = get_running_loop()
+    for number in (SIGTERM, SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(SIGHUP, _reload, settings, path)
+    await callers.start()
+    await node.start()
+    log_event("started", vm=settings.vm, data_centre=settings.data_centre)
+    await stop.wait()
+    await node.drain(callers)
+    await callers.stop()
+    await node.stop()
+
+
+def _reload(settings: NodeSettings, path: Path) -> None:
+    """Say what changed; addresses take effect at the next start."""
+    loaded = load_node_settings(path)
+    if loaded.is_error():
+        log_event("settings-refused", detail=loaded.error.detail)
+        return
+    before = settings._asdict()
+    after = loaded.ok._asdict()
+    changed = sorted(name for name in after if after[name] != before[name])
+    log_event("settings-read", changed=changed)
+
+
+if __name__ == "__main__":
+    sys_exit(main())
--- a/redwingpost/core/codes.py
+++ b/redwingpost/core/codes.py
@@ -138,6 +138,12 @@
         _NOT_RUN,
         "no member is proven to hold what the read needs",
     )
+    TIMED_OUT = ResultCode(
+        20311,
+        "timed-out",
+        Outcome.UNKNOWN,
+        "no member answered the read in time",
+    )
     BAD_MARK = ResultCode(
         20401, "bad-mark", _NOT_RUN, "a request mark can't be read"
     )
--- /dev/null
+++ b/redwingpost/groups/directory.py
@@ -0,0 +1,137 @@
+"""Which members there are, from a registry that may be away for a while.
+
+The registry drops a member that has been silent for three heartbeats, at
+times only because the registry itself was away. Taken at its word right
+after an outage, it would leave a group without members although all of
+them run, and every caller would be refused. So what is missing then is
+kept for ``REAPPEAR_S`` after the registry's return, the time within
+which living members are back; what is still missing is gone.
+"""
+
+from typing import NamedTuple
+
+from redwingpost.ports.database import MemberEntry
+
+#: Seconds after the registry's return within which living members have
+#: registered again: about two by the platform's word, and some margin.
+REAPPEAR_S = 2.5
+
+#: Seconds for which a member that is gone can still be asked whether it
+#: lives, before a takeover concludes without it. Its log may hold an
+#: acknowledged commit while only its registration has lapsed.
+REMEMBER_GONE_S = 30.0
+
+
+class Listed(NamedTuple):
+    """A member and since when we know of its state (seconds).
+
+    ``restarted_at`` is when it was first seen in another life than
+    before; minus infinity where it has always been the same.
+    """
+
+    entry: MemberEntry
+    draining_since: float | None
+    restarted_at: float
+
+
+class Directory:
+    """The members by name, with their grace after an outage.
+
+    Examples
+    --------
+    >>> directory = Directory()
+    >>> entry = MemberEntry("m1", "g", "10.0.0.1", 80, "a", False, True)
+    >>> directory.put(entry, now=1.0)
+    >>> directory.note_outage(now=5.0)
+    >>> directory.remove("m1", now=5.5)
+    >>> [item.member for item in directory.members_of("g")]
+    ['m1']
+    >>> directory.expire(now=8.0)
+    >>> directory.members_of("g")
+    ()
+    """
+
+    def __init__(self) -> None:
+        self._listed_by_member: dict[str, Listed] = {}
+        self._gone_at_by_member: dict[str, tuple[float, MemberEntry]] = {}
+        self._leaving_at_by_member: dict[str, float] = {}
+        self._outage_at = float("-inf")
+
+    def put(self, entry: MemberEntry, now: float) -> None:
+        """Take in a member's present entry."""
+        known = self._listed_by_member.get(entry.member)
+        since = now if entry.is_draining else None
+        restarted_at = float("-inf")
+        if known is not None:
+            if entry.is_draining and known.draining_since is not None:
+                since = known.draining_since
+            restarted_at = known.restarted_at
+            if known.entry.started_ms != entry.started_ms:
+                restarted_at = now
+        listed = Listed(entry, since, restarted_at)
+        self._listed_by_member[entry.member] = listed
+        self._leaving_at_by_member.pop(entry.member, None)
+        self._gone_at_by_member.pop(entry.member, None)
+
+    def remove(self, member: str, now: float) -> None:
+        """Take in that the registry no longer lists a member."""
+        if member not in self._listed_by_member:
+            return
+        if now < self._outage_at + REAPPEAR_S:
+            leave_at = self._outage_at + REAPPEAR_S
+            self._leaving_at_by_member.setdefault(member, leave_at)
+            return
+        self._drop(member, now)
+
+    def replace(self, entries: tuple[MemberEntry, ...], now: float) -> None:
+        """Take in the whole list."""
+        present = {entry.member for entry in entries}
+        for entry in entries:
+            self.put(entry, now)
+        for member in tuple(self._listed_by_member):
+            if member not in present:
+                self.remove(member, now)
+
+    def note_outage(self, now: float) -> None:
+        """Note that the registry is, or was until now, away."""
+        self._outage_at = now
+
+    def expire(self, now: float) -> None:
+        """Drop what did not come back in time, forget what is long gone."""
+        for member, leave_at in tuple(self._leaving_at_by_member.items()):
+            if now >= leave_at:
+                self._drop(member, now)
+        for member, (gone_at, _) in tuple(self._gone_at_by_member.items()):
+            if now - gone_at > REMEMBER_GONE_S:
+                del self._gone_at_by_member[member]
+
+    def get(self, member: str) -> Listed | None:
+        """Return a listed member."""
+        return self._listed_by_member.get(member)
+
+    def members_of(self, group: str) -> tuple[MemberEntry, ...]:
+        """Return a group's members."""
+        return tuple(
+            listed.entry
+            for listed in self._listed_by_member.values()
+            if listed.entry.group == group
+        )
+
+    def lately_gone(self, group: str) -> tuple[MemberEntry, ...]:
+        """Return a group's members that have gone a short while ago."""
+        return tuple(
+            entry
+            for _, entry in self._gone_at_by_member.values()
+            if entry.group == group
+        )
+
+    def groups(self) -> frozenset[str]:
+        """Return the groups that have members."""
+        return frozenset(
+            listed.entry.group for listed in self._listed_by_member.values()
+        )
+
+    def _drop(self, member: str, now: float) -> None:
+        listed = self._listed_by_member.pop(member)
+        self._leaving_at_by_member.pop(member, None)
+        self._gone_at_by_member[member] = (now, listed.entry)
--- /dev/null
+++ b/redwingpost/membership/hearing.py
@@ -0,0 +1,144 @@
+"""Which VMs there are, which of them are heard, and what they reach.
+
+Heartbeats go from VM to VM; the list of VMs comes from the platform's
+table service. A VM that is listed but not heard may be dead or cut off:
+whoever can't tell must assume that it goes on working.
+"""
+
+from typing import NamedTuple
+
+#: Seconds between heartbeats: a fifth of a second finds a dead VM within
+#: a second and costs about a kilobyte a second to five others.
+BEAT_S = 0.2
+
+#: Seconds without a heartbeat after which a VM isn't heard: three lost
+#: datagrams in a row.
+HEARD_S = 0.7
+
+#: Seconds after which a VM that nobody hears is taken off the list: far
+#: above a restart, so that its place is kept meanwhile.
+REMOVE_AFTER_S = 20.0
+
+#: VMs assumed while no list has been read.
+ASSUMED_VMS = 6
+
+
+class VmAddress(NamedTuple):
+    """Where a VM's heartbeats arrive."""
+
+    vm: str
+    ip: str
+    port: int
+
+
+class Beacon(NamedTuple):
+    """What a heartbeat says besides usage.
+
+    ``silent_ms_by_member`` tells for each primary how long it hasn't
+    answered this VM.
+    """
+
+    vm: str
+    boot: int
+    ip: str
+    config_version: int
+    silent_ms_by_member: dict[str, int]
+
+
+class Hearing(NamedTuple):
+    """The last heartbeat of a VM and when it came (seconds)."""
+
+    beacon: Beacon
+    heard_at: float
+
+
+class VmTable:
+    """Listed and heard VMs, as one VM sees them.
+
+    Examples
+    --------
+    >>> table = VmTable("a", now=0.0)
+    >>> table.set_listed((VmAddress("a", "ip1", 1), VmAddress("b", "ip2", 1)))
+    >>> table.part(now=1.0)
+    0.5
+    >>> table.note(Beacon("b", 1, "ip2", 7, {}), now=1.0)
+    >>> table.part(now=1.1)
+    1.0
+    """
+
+    def __init__(self, vm: str, now: float) -> None:
+        self._vm = vm
+        self._started_at = now
+        self._listed_by_vm: dict[str, VmAddress] = {}
+        self._hearing_by_vm: dict[str, Hearing] = {}
+        self._has_list = False
+
+    def set_listed(self, addresses: tuple[VmAddress, ...]) -> None:
+        """Take in the list of VMs."""
+        self._listed_by_vm = {address.vm: address for address in addresses}
+        self._has_list = True
+
+    def note(self, beacon: Beacon, now: float) -> None:
+        """Take in a heartbeat."""
+        if beacon.vm != self._vm:
+            self._hearing_by_vm[beacon.vm] = Hearing(beacon, now)
+
+    def heard(self, now: float) -> tuple[Beacon, ...]:
+        """Return the heartbeats that are fresh."""
+        return tuple(
+            hearing.beacon
+            for hearing in self._hearing_by_vm.values()
+            if now - hearing.heard_at <= HEARD_S
+        )
+
+    def known(self) -> frozenset[str]:
+        """Return all VMs that may be at work, this one included."""
+        return frozenset(self._listed_by_vm) | {self._vm}
+
+    def count(self) -> int:
+        """Return how many VMs there are, as far as known."""
+        if not self._has_list:
+            return max(ASSUMED_VMS, len(self._hearing_by_vm) + 1)
+        return len(self.known() | frozenset(self._hearing_by_vm))
+
+    def part(self, now: float) -> float:
+        """Return the part of all VMs that hear each other (0 to 1)."""
+        return (1 + len(self.heard(now))) / self.count()
+
+    def hears_half(self, now: float) -> bool:
+        """Say whether at least half of the VMs are in hearing."""
+        return 2 * (1 + len(self.heard(now))) >= self.count()
+
+    def silent_vms(self, now: float) -> tuple[str, ...]:
+        """Return listed VMs that have long not been heard."""
+        return tuple(
+            vm
+            for vm in self._listed_by_vm
+            if vm != self._vm and now - self._last(vm) > REMOVE_AFTER_S
+        )
+
+    def forget_long_silent(self, now: float) -> tuple[str, ...]:
+        """Forget VMs that are off the list and silent; return them."""
+        gone = tuple(
+            vm
+            for vm, hearing in self._hearing_by_vm.items()
+            if vm not in self._listed_by_vm
+            and now - hearing.heard_at > REMOVE_AFTER_S
+        )
+        for vm in gone:
+            del self._hearing_by_vm[vm]
+        return gone
+
+    def addresses(self, port: int) -> tuple[VmAddress, ...]:
+        """Return where heartbeats go; heard VMs count besides listed."""
+        by_vm = {
+            vm: VmAddress(vm, hearing.beacon.ip, port)
+            for vm, hearing in self._hearing_by_vm.items()
+        }
+        by_vm.update(self._listed_by_vm)
+        by_vm.pop(self._vm, None)
+        return tuple(by_vm.values())
+
+    def _last(self, vm: str) -> float:
+        hearing = self._hearing_by_vm.get(vm)
+        return self._started_at if hearing is None else hearing.heard_at
--- /dev/null
+++ b/redwingpost/membership/readiness.py
@@ -0,0 +1,75 @@
+"""Whether the balancer may send callers to this VM.
+
+Load pattern: a data centre is cut off while its callers still reach it.
+A VM there can serve next to nothing, but others can; the balancer sends
+callers elsewhere only if the VM says that it isn't ready. A VM must not
+say so when nobody could do better: with all VMs out of rotation callers
+are sent anywhere.
+"""
+
+from typing import NamedTuple
+
+#: Seconds that a VM must have been worse off than others before it says
+#: so: shorter ones are over before the balancer acts on two misses.
+WORSE_FOR_S = 1.0
+
+
+class Outlook(NamedTuple):
+    """What a VM can do, and whether others can do more.
+
+    ``reached`` of ``groups`` primaries have answered lately.
+    """
+
+    has_rules: bool
+    is_stopping: bool
+    groups: int
+    reached: int
+    hears_half: bool
+    others_reach_more: bool
+
+
+def is_worse_off(outlook: Outlook) -> bool:
+    """Say whether callers would fare better at another VM.
+
+    Examples
+    --------
+    >>> fine = Outlook(True, False, 3, 3, True, False)
+    >>> is_worse_off(fine), is_worse_off(fine._replace(reached=0))
+    (False, False)
+    >>> is_worse_off(fine._replace(reached=0, others_reach_more=True))
+    True
+    """
+    if 2 * outlook.reached >= outlook.groups:
+        return False
+    return outlook.others_reach_more or not outlook.hears_half
+
+
+class Readiness:
+    """Readiness over time.
+
+    Examples
+    --------
+    >>> readiness = Readiness()
+    >>> fine = Outlook(True, False, 3, 3, True, False)
+    >>> readiness.judge(fine, now=0.0)
+    True
+    >>> cut_off = fine._replace(reached=0, hears_half=False)
+    >>> readiness.judge(cut_off, 1.0), readiness.judge(cut_off, 2.5)
+    (True, False)
+    """
+
+    def __init__(self) -> None:
+        self._worse_since: float | None = None
+
+    def judge(self, outlook: Outlook, now: float) -> bool:
+        """Return whether to report ready at ``now`` (seconds)."""
+        if not outlook.has_rules or outlook.is_stopping:
+            return False
+        if outlook.groups == 0:
+            return False
+        if not is_worse_off(outlook):
+            self._worse_since = None
+            return True
+        if self._worse_since is None:
+            self._worse_since = now
+        return now - self._worse_since < WORSE_FOR_S
--- /dev/null
+++ b/redwingpost/node/__init__.py
@@ -0,0 +1,1 @@
+"""One node: callers' sessions over pooled connections to members."""
--- /dev/null
+++ b/redwingpost/node/admission.py
@@ -0,0 +1,94 @@
+"""May this operation run: its key, its route, its rate."""
+
+from typing import NamedTuple
+
+from redwingpost.configuration.routes import (
+    NO_RULES,
+    OrganisationRule,
+    RouteRule,
+    ServiceRules,
+)
+from redwingpost.core.codes import Code
+from redwingpost.core.requests import Refusal
+from redwingpost.membership.hearing import VmTable
+from redwingpost.observability.journal import log_event
+from redwingpost.ports.clock import Clock
+from redwingpost.rates.usage import UsageLedger
+
+#: Name that members see for callers of a public route without a key.
+PUBLIC_NAME = "public"
+
+_NO_LIMIT = OrganisationRule(
+    PUBLIC_NAME, frozenset(), float("inf"), float("inf"), 1
+)
+
+
+class Admitted(NamedTuple):
+    """An operation that may run, by the rules of one version."""
+
+    route: RouteRule
+    organisation: OrganisationRule
+    sync_replicas: int
+
+
+class Admission:
+    """Holds the rules in force and the organisations' rates."""
+
+    def __init__(self, vms: VmTable, ledger: UsageLedger, clock: Clock):
+        self.rules: ServiceRules = NO_RULES
+        self._vms = vms
+        self._ledger = ledger
+        self._clock = clock
+
+    @property
+    def has_rules(self) -> bool:
+        """Whether a configuration has arrived."""
+        return self.rules is not NO_RULES
+
+    def take_rules(self, rules: ServiceRules) -> bool:
+        """Put a version in force; never goes back to an older one."""
+        if rules.version <= self.rules.version:
+            return False
+        log_event(
+            "rules-in-force",
+            version=rules.version,
+            before=self.rules.version,
+            routes=len(rules.routes_by_database),
+            organisations=len(rules.organisations_by_name),
+        )
+        self.rules = rules
+        return True
+
+    def check(self, database: str, key: str) -> Admitted | Refusal:
+        """Check key and route by the version in force."""
+        if not self.has_rules:
+            return Refusal(Code.STARTING, "", 500)
+        route = self.rules.routes_by_database.get(database)
+        if route is None:
+            return Refusal(Code.UNKNOWN_GROUP, database)
+        organisation = self.rules.organisation_of(key)
+        if organisation is None:
+            if not route.is_public:
+                return Refusal(Code.WRONG_KEY)
+            organisation = _NO_LIMIT
+        group = self.rules.groups_by_name.get(route.group)
+        sync_replicas = group.sync_replicas if group is not None else 0
+        return Admitted(route, organisation, sync_replicas)
+
+    def spend(self, organisation: OrganisationRule) -> Refusal | None:
+        """Take one operation from an organisation's rate, or refuse."""
+        if organisation.rate == float("inf"):
+            return None
+        now = self._clock.now()
+        part = self._vms.part(now)
+        if self._ledger.admit(organisation, part, now):
+            return None
+        wait_s = self._ledger.wait_s(organisation, part)
+        log_event(
+            "over-rate",
+            organisation=organisation.name,
+            rate=organisation.rate,
+            part=round(part, 3),
+            version=self.rules.version,
+        )
+        return Refusal(Code.OVER_RATE, "", max(1, int(wait_s * 1000)))
--- /dev/null
+++ b/redwingpost/node/duty.py
@@ -0,0 +1,66 @@
+"""Take the duty of ordering promotions, at the fleet's store."""
+
+from redwingpost.core.codes import Code
+from redwingpost.leases.duty import DUTY_MS, DutyRow, HeldDuty, claim
+from redwingpost.leases.lease import holder_valid_until
+from redwingpost.node.fleet import FLEET_TABLE
+from redwingpost.observability.journal import log_event
+from redwingpost.ports.clock import Clock
+from redwingpost.ports.fleet_store import FleetStore
+from redwingpost.ports.platform import Condition, Write
+
+DUTY_KEY = "duty/promotions"
+
+
+class DutyKeeper:
+    """Claims the duty for one VM."""
+
+    def __init__(self, store: FleetStore, vm: str, clock: Clock) -> None:
+        self._store = store
+        self._vm = vm
+        self._clock = clock
+
+    async def take(self) -> HeldDuty | None:
+        """Take or extend the duty; None where another VM holds it."""
+        asked_at = self._clock.now()
+        got = await self._store.snapshot(FLEET_TABLE)
+        if got.is_error():
+            log_event("duty-unknown", detail=got.error.detail)
+            return None
+        found = [row for row in got.ok.rows if row.key == DUTY_KEY]
+        version = found[0].version if found else 0
+        row = DutyRow.from_value(found[0].value if found else None)
+        wanted = claim(row, self._vm, got.ok.now_ms)
+        if wanted is None:
+            log_event("duty-elsewhere", holder=row.holder, fence=row.fence)
+            return None
+        if not await self._write(wanted, version):
+            return None
+        log_event("duty-taken", fence=wanted.fence)
+        until = holder_valid_until(asked_at, DUTY_MS / 1000.0)
+        return HeldDuty(wanted.fence, until)
+
+    async def _write(self, wanted: DutyRow, version: int) -> bool:
+        done = await self._store.transact(
+            (Condition(FLEET_TABLE, DUTY_KEY, version),),
+            (Write(FLEET_TABLE, DUTY_KEY, wanted.to_value()),),
+        )
+        if done.is_ok():
+            return done.ok.committed
+        if done.error.code.name != Code.STORE_OUTCOME_UNKNOWN.name:
+            return False
+        return await self._has_taken(wanted)
+
+    async def _has_taken(self, wanted: DutyRow) -> bool:
+        """Read back a write whose answer was lost.
+
+        The row names its holder, its fence and its end, which no other
+        write of this VM repeats.
+        """
+        got = await self._store.snapshot(FLEET_TABLE)
+        if got.is_error():
+            return False
+        return any(
+            row.key == DUTY_KEY and DutyRow.from_value(row.value) == wanted
+            for row in got.ok.rows
+        )
--- /dev/null
+++ b/redwingpost/node/fleet.py
@@ -0,0 +1,109 @@
+"""The list of VMs in the fleet's store: enter, follow, tidy."""
+
+from typing import Any
+
+from mode import Service
+
+from redwingpost.membership.hearing import VmAddress, VmTable
+from redwingpost.observability.journal import log_event
+from redwingpost.ports.clock import Clock
+from redwingpost.ports.fleet_store import FleetStore, Snapshot
+from redwingpost.ports.platform import Row, Write
+
+FLEET_TABLE = "redwing"
+VM_PREFIX = "vm/"
+
+#: Seconds between tries to enter the list.
+_RETRY_S = 0.5
+
+#: Seconds between looks for VMs that are gone for good.
+_TIDY_S = 5.0
+
+
+class FleetReader:
+    """Keeps the table of VMs in step with the list."""
+
+    def __init__(self, vms: VmTable) -> None:
+        self._vms = vms
+        self._address_by_vm: dict[str, VmAddress] = {}
+
+    def on_snapshot(self, snapshot: Snapshot) -> None:
+        """Take in the whole list."""
+        self._address_by_vm.clear()
+        self.on_rows(snapshot.rows)
+
+    def on_rows(self, rows: tuple[Row, ...]) -> None:
+        """Take in entries that changed."""
+        for row in rows:
+            address = _decode(row)
+            if address is not None:
+                self._address_by_vm[address.vm] = address
+        self._vms.set_listed(tuple(self._address_by_vm.values()))
+
+    def on_removed(self, keys: tuple[str, ...]) -> None:
+        """Take in entries that were removed."""
+        for key in keys:
+            self._address_by_vm.pop(key.removeprefix(VM_PREFIX), None)
+        self._vms.set_listed(tuple(self._address_by_vm.values()))
+
+
+class FleetEntry(Service):
+    """Enters this VM in the list and takes long silent ones off it."""
+
+    def __init__(
+        self,
+        store: FleetStore,
+        vms: VmTable,
+        address: VmAddress,
+        clock: Clock,
+        **kwargs: Any,
+    ) -> None:
+        super().__init__(**kwargs)
+        self._store = store
+        self._vms = vms
+        self._address = address
+        self._clock = clock
+        self._is_leaving = False
+
+    async def leave(self) -> None:
+        """Take this VM off the list."""
+        self._is_leaving = True
+        await self._write(self._address.vm, None)
+
+    @Service.task
+    async def _enter(self) -> None:
+        value = {"ip": self._address.ip, "port": self._address.port}
+        while not self.should_stop and not self._is_leaving:
+            if await self._write(self._address.vm, value):
+                return
+            await self.sleep(_RETRY_S)
+
+    @Service.task
+    async def _tidy(self) -> None:
+        while not self.should_stop:
+            await self.sleep(_TIDY_S)
+            now = self._clock.now()
+            self._vms.forget_long_silent(now)
+            # A VM that hears few may be the one that is cut off.
+            if not self._vms.hears_half(now):
+                continue
+            for vm in self._vms.silent_vms(now)[:1]:
+                log_event("vm-taken-off", vm=vm)
+                await self._write(vm, None)
+
+    async def _write(self, vm: str, value: dict | None) -> bool:
+        write = Write(FLEET_TABLE, VM_PREFIX + vm, value)
+        done = await self._store.transact((), (write,))
+        if done.is_error():
+            log_event("fleet-entry-failed", detail=done.error.detail)
+        return done.is_ok()
+
+
+def _decode(row: Row) -> VmAddress | None:
+    if not row.key.startswith(VM_PREFIX) or not isinstance(row.value, dict):
+        return None
+    ip = row.value.get("ip")
+    port = row.value.get("port")
+    if not isinstance(ip, str) or not isinstance(port, int):
+        return None
+    return VmAddress(row.key.removeprefix(VM_PREFIX), ip, port)
--- /dev/null
+++ b/redwingpost/node/group.py
@@ -0,0 +1,328 @@
+"""One group of members: its status rounds, proofs, and samples."""
+
+from asyncio import (
+    Event,
+    Future,
+    Task,
+    create_task,
+    gather,
+    get_running_loop,
+    shield,
+    wait_for,
+)
+
+from redwingpost.groups.choice import Candidate, rank
+from redwingpost.groups.directory import Directory
+from redwingpost.groups.evidence import FRESH_START_S, GroupEvidence
+from redwingpost.node.member import MemberClient
+from redwingpost.observability.journal import log_event
+from redwingpost.ports.clock import Clock
+from redwingpost.ports.database import LinkFactory, MemberEntry
+from redwingpost.takeover.stall import StallWatch
+
+#: Seconds between rounds of status questions. Three members, asked twice
+#: a second by six VMs, answer 12 questions a second each, about a
+#: percent of their slots.
+ROUND_S = 0.5
+
+#: Seconds between rounds while something looks wrong.
+ALERT_ROUND_S = 0.15
+
+#: Part of the time in which a leaving member may get new work that is
+#: used: other VMs and the caller's way to here take their part.
+DRAIN_PART = 0.6
+
+
+class GroupClient:
+    """Members of one group, and what is proven of them."""
+
+    def __init__(
+        self,
+        name: str,
+        directory: Directory,
+        links: LinkFactory,
+        clock: Clock,
+        data_centre: str,
+        drain_s: float,
+    ) -> None:
+        self.name = name
+        self.evidence = GroupEvidence()
+        self.member_by_name: dict[str, MemberClient] = {}
+        self.stalled_s = 0.0
+        self.leaderless_since: float | None = clock.now()
+        self.paused_since: float | None = None
+        self.round_at = float("-inf")
+        self._directory = directory
+        self._links = links
+        self._clock = clock
+        self._data_centre = data_centre
+        self._drain_s = drain_s
+        self._stall = StallWatch()
+        self._round: Task | None = None
+        self._proof: Future | None = None
+        self._proving: Task | None = None
+        self._changed = Event()
+
+    # Members -----------------------------------------------------------
+
+    def follow_directory(self, max_connections: int, vms: int) -> None:
+        """Take over who is listed, and how many connections each takes."""
+        entries = self._directory.members_of(self.name)
+        listed = {entry.member: entry for entry in entries}
+        for member in tuple(self.member_by_name):
+            if member not in listed:
+                self._remove(member)
+        for member, entry in listed.items():
+            self._update(member, entry)
+            self.member_by_name[member].budget.set_terms(max_connections, vms)
+        for client in self.member_by_name.values():
+            client.close_idle(not self.takes_work(client))
+
+    def takes_work(self, client: MemberClient) -> bool:
+        """Say whether a member may get new work."""
+        listed = self._directory.get(client.entry.member)
+        if listed is None:
+            return False
+        if listed.draining_since is None:
+            return True
+        leaving_s = self._clock.now() - listed.draining_since
+        return leaving_s < self._drain_s * DRAIN_PART
+
+    def is_leaving(self, member: str) -> bool:
+        """Say whether a member has announced that it will stop."""
+        client = self.member_by_name.get(member)
+        return client is not None and client.entry.is_draining
+
+    def leader(self) -> MemberClient | None:
+        """Return the primary if it may get new work."""
+        client = self.member_by_name.get(self.evidence.leader or "")
+        if client is None or not self.takes_work(client):
+            return None
+        return client
+
+    def ranked(self, organisation: str, held_out: set) -> list[MemberClient]:
+        """Return members for a read, the best first."""
+        now = self._clock.now()
+        candidates = []
+        for name, client in self.member_by_name.items():
+            if name in held_out or not self._may_read(client, now):
+                continue
+            candidates.append(self._candidate(client, organisation))
+        return [self.member_by_name[name] for name in rank(candidates)]
+
+    # Rounds ------------------------------------------------------------
+
+    def is_alert(self) -> bool:
+        """Say whether something looks wrong with the primary."""
+        leader = self.member_by_name.get(self.evidence.leader or "")
+        return (
+            leader is None
+            or leader.silent_s > 2 * ROUND_S
+            or self.stalled_s > 0.0
+            or self.paused_since is not None
+            or leader.entry.is_draining
+        )
+
+    def next_round_in(self) -> float:
+        """Return when the next round is due (seconds from now)."""
+        pause = ALERT_ROUND_S if self.is_alert() else ROUND_S
+        return max(0.0, self.round_at + pause - self._clock.now())
+
+    async def run_round(self) -> None:
+        """Ask all members for a report; join a round under way."""
+        if self._round is None or self._round.done():
+            self._round = create_task(self._ask_all())
+        await shield(self._round)
+
+    async def fresh_round(self) -> None:
+        """Run a round that begins after this call."""
+        if self._round is not None and not self._round.done():
+            await shield(self._round)
+        await self.run_round()
+
+    async def wait_change(self, patience: float) -> None:
+        """Wait until the primary or the proofs change."""
+        event = self._changed
+        try:
+            await wait_for(event.wait(), max(patience, 0.001))
+        except TimeoutError:
+            # Whoever waits looks at the state again in either case.
+            return
+
+    def note_refused_as_replica(self, client: MemberClient) -> None:
+        """Note that a member refused a write as no primary."""
+        self.evidence.disavow(client.entry.member)
+        self._settle()
+
+    def note_commit(
+        self, client: MemberClient, position, sent_at: float
+    ) -> None:
+        """Note an acknowledged commit."""
+        member = client.entry.member
+        self.evidence.note_commit(member, position, sent_at)
+
+    async def prove(self) -> bool:
+        """Say whether the primary led at some moment after this call.
+
+        Callers that arrive while a question is under way share the next.
+        """
+        if self._proof is None or self._proof.done():
+            self._proof = get_running_loop().create_future()
+        waiting = self._proof
+        if self._proving is None or self._proving.done():
+            self._proving = create_task(self._prove_waiting())
+        return await shield(waiting)
+
+    async def _prove_waiting(self) -> None:
+        while self._proof is not None and not self._proof.done():
+            waiting = self._proof
+            self._proof = None
+            is_proven = False
+            try:
+                is_proven = await self._ask_a_replica()
+            finally:
+                if not waiting.done():
+                    waiting.set_result(is_proven)
+
+    async def _ask_a_replica(self) -> bool:
+        asked_at = self._clock.now()
+        for client in self._provers():
+            report = await client.ask("status")
+            if report is None:
+                continue
+            member = client.entry.member
+            self.evidence.note_report(member, report, asked_at)
+            if self.evidence.is_proof(report):
+                self.evidence.note_proof(asked_at)
+                return True
+        self._settle()
+        return False
+
+    def _provers(self) -> list[MemberClient]:
+        """Return replicas whose word counts, the nearest first."""
+        now = self._clock.now()
+        able = [
+            client
+            for name, client in self.member_by_name.items()
+            if name != self.evidence.leader and self._may_prove(name, now)
+        ]
+        return sorted(able, key=lambda c: (c.silent_s > 1.0, self._far(c)))
+
+    def _may_prove(self, member: str, now: float) -> bool:
+        listed = self._directory.get(member)
+        if listed is None:
+            return False
+        return now - listed.restarted_at > FRESH_START_S
+
+    async def _ask_all(self) -> None:
+        asked_at = self.round_at = self._clock.now()
+        clients = tuple(self.member_by_name.values())
+        await gather(*(self._ask_one(item, asked_at) for item in clients))
+        self._note_stall()
+        self._note_pauses()
+        self._settle()
+
+    async def _ask_one(self, client: MemberClient, asked_at: float) -> None:
+        report = await client.ask("status")
+        member = client.entry.member
+        if report is None or member not in self.member_by_name:
+            return
+        self.evidence.note_report(member, report, asked_at)
+        now = self._clock.now()
+        provers = frozenset(
+            name for name in self.member_by_name if self._may_prove(name, now)
+        )
+        self.evidence.conclude(asked_at, provers)
+        self._settle()
+
+    def _note_stall(self) -> None:
+        leader = self.evidence.leader
+        heard = self.evidence.heard(leader) if leader else None
+        if heard is None:
+            return
+        replicas = [
+            other.report.received
+            for name in self.member_by_name
+            if name != leader
+            and (other := self.evidence.heard(name)) is not None
+            and other.asked_at >= self.round_at
+        ]
+        head = heard.report.received
+        now = self._clock.now()
+        self.stalled_s = self._stall.note(head, replicas, now)
+
+    def _note_pauses(self) -> None:
+        is_paused = any(
+            (heard := self.evidence.heard(name)) is not None
+            and heard.report.paused_for > self.evidence.term
+            for name in self.member_by_name
+        )
+        if not is_paused:
+            self.paused_since = None
+        elif self.paused_since is None:
+            self.paused_since = self._clock.now()
+
+    def _settle(self) -> None:
+        """Wake who waits for a primary; note since when there is none."""
+        if self.evidence.leader is not None:
+            if self.leaderless_since is not None:
+                log_event(
+                    "primary-known",
+                    group=self.name,
+                    member=self.evidence.leader,
+                    term=self.evidence.term,
+                )
+            self.leaderless_since = None
+        elif self.leaderless_since is None:
+            self.leaderless_since = self._clock.now()
+            log_event("primary-unknown", group=self.name)
+        self._changed.set()
+        self._changed = Event()
+
+    # Members, in detail ------------------------------------------------
+
+    def _update(self, member: str, entry: MemberEntry) -> None:
+        client = self.member_by_name.get(member)
+        if client is not None and _is_same_life(client.entry, entry):
+            client.entry = entry
+            return
+        if client is not None:
+            self._remove(member)
+        self.member_by_name[member] = MemberClient(
+            entry, self._links, self._clock
+        )
+
+    def _remove(self, member: str) -> None:
+        self.member_by_name.pop(member).close()
+        self.evidence.forget(member)
+        self._settle()
+
+    def _may_read(self, client: MemberClient, now: float) -> bool:
+        if now < client.behind_until or not self.takes_work(client):
+            return False
+        # A member that failed since it last answered is left until a
+        # round hears from it again.
+        return client.failed_at <= client.answered_at
+
+    def _candidate(self, client: MemberClient, organisation: str) -> Candidate:
+        heard = self.evidence.heard(client.entry.member)
+        return Candidate(
+            client.entry.member,
+            client.latency.usual_s,
+            client.under_way,
+            heard.report.busy if heard is not None else 0,
+            client.pool.has_idle(organisation),
+            client.entry.member == self.evidence.leader,
+            not self._far(client),
+        )
+
+    def _far(self, client: MemberClient) -> bool:
+        return client.entry.data_centre != self._data_centre
+
+
+def _is_same_life(known: MemberEntry, entry: MemberEntry) -> bool:
+    return (known.ip, known.port, known.started_ms) == (
+        entry.ip,
+        entry.port,
+        entry.started_ms,
+    )
--- /dev/null
+++ b/redwingpost/node/member.py
@@ -0,0 +1,236 @@
+"""One member as this node uses it: pool, control connection, health."""
+
+from asyncio import Future, Lock, get_running_loop, wait_for
+from heapq import heappop, heappush
+from itertools import count
+
+from redwingpost.core.statements import Shape
+from redwingpost.groups.latency import LatencyTracker
+from redwingpost.pools.pool import (
+    Busy,
+    ConnectionBudget,
+    MemberPool,
+    Open,
+    PooledLink,
+)
+from redwingpost.ports.clock import Clock
+from redwingpost.ports.database import (
+    DatabaseLink,
+    FailureKind,
+    LinkFactory,
+    LinkLost,
+    MemberEntry,
+    MemberFailure,
+    Reply,
+    StatusReport,
+)
+from redwingpost.statements.session import SessionState
+from redwingpost.statements.setup import Discard, SetValue, steps_to
+
+#: Seconds for a new connection: a handshake waits its turn for a slot.
+CONNECT_S = 0.6
+
+#: Seconds for a control command. Answers come within milliseconds; a
+#: member that takes longer is as good as silent to whoever decides.
+CONTROL_S = 0.4
+
+#: Name under which control connections are opened.
+CONTROL_NAME = "redwing-control"
+
+
+class MemberRefused(Exception):
+    """The member took no connection, or no set-up step."""
+
+    def __init__(self, failure: MemberFailure) -> None:
+        super().__init__(failure.word)
+        self.failure = failure
+
+
+class NoPlace(Exception):
+    """No connection came free in time."""
+
+
+class MemberClient:
+    """Connections of this node to one member."""
+
+    def __init__(
+        self, entry: MemberEntry, links: LinkFactory, clock: Clock
+    ) -> None:
+        self.entry = entry
+        self.budget = ConnectionBudget()
+        self.pool = MemberPool(self.budget)
+        self.latency = LatencyTracker()
+        self.under_way = 0
+        self.behind_until = float("-inf")
+        self.answered_at = clock.now()
+        self.failed_at = float("-inf")
+        self._links = links
+        self._clock = clock
+        self._control: DatabaseLink | None = None
+        self._control_lock = Lock()
+        self._waiting: list[tuple[int, int, Future]] = []
+        self._order = count()
+
+    @property
+    def silent_s(self) -> float:
+        """Return for how long nothing has been heard (seconds)."""
+        return self._clock.now() - self.answered_at
+
+    def note_answer(self) -> None:
+        """Note that the member has just answered something."""
+        self.answered_at = self._clock.now()
+
+    async def acquire(
+        self,
+        organisation: str,
+        values_by_name: dict[str, str],
+        priority: int,
+        until: float,
+    ) -> PooledLink:
+        """Claim a connection for one organisation.
+
+        Parameters
+        ----------
+        organisation : str
+            Whose statement is to run.
+        values_by_name : dict
+            The session's values.
+        priority : int
+            Lower goes first where many wait.
+        until : float
+            When to give up (seconds).
+
+        Raises
+        ------
+        NoPlace, MemberRefused, LinkLost
+        """
+        while True:
+            now = self._clock.now()
+            taken = self.pool.take(organisation, values_by_name, now)
+            if isinstance(taken, PooledLink):
+                if taken.link.is_open:
+                    return taken
+                self.discard(taken)
+            elif isinstance(taken, Open):
+                return await self._open(taken, organisation, until)
+            elif isinstance(taken, Busy):
+                await self._wait(priority, until)
+
+    async def make_ready(
+        self, item: PooledLink, state: SessionState, shape: Shape | None
+    ) -> None:
+        """Tell a connection what the session's statement needs."""
+        needed = steps_to(item.contents, state.values_by_name, shape)
+        for step in needed:
+            if isinstance(step, Discard):
+                reply = await item.link.discard()
+            elif isinstance(step, SetValue):
+                reply = await item.link.set_value(step.name, step.value)
+            else:
+                reply = await item.link.prepare(step.name, step.shape)
+            if reply.failure is not None:
+                raise MemberRefused(reply.failure)
+            item.contents.apply(step)
+
+    def release(self, item: PooledLink) -> None:
+        """Give a connection back; a broken one is dropped."""
+        if not item.link.is_open:
+            self.discard(item)
+            return
+        self.pool.give_back(item, self._clock.now())
+        self._wake()
+
+    def discard(self, item: PooledLink) -> None:
+        """Close a claimed connection whose state is in doubt."""
+        if item.is_dropped:
+            return
+        item.is_dropped = True
+        item.link.close()
+        self._drop()
+
+    async def ask(self, command: str, *arguments: int) -> StatusReport | None:
+        """Send a control command; None where no report came."""
+        try:
+            return await wait_for(
+                self._ask_in_turn(command, arguments), CONTROL_S
+            )
+        except (LinkLost, MemberRefused, TimeoutError):
+            # The wait may have ended before its turn came; the command
+            # that is under way is closed by its own cancellation.
+            self.failed_at = self._clock.now()
+            return None
+
+    def close_idle(self, all_of_them: bool) -> None:
+        """Close connections that rest for no use."""
+        now = self._clock.now()
+        for item in self.pool.close_idle(now, all_of_them):
+            item.link.close()
+
+    def close(self) -> None:
+        """Close what rests, when the member is gone."""
+        self.close_idle(all_of_them=True)
+        if self._control is not None:
+            self._control.close()
+
+    async def _ask_in_turn(
+        self, command: str, arguments: tuple[int, ...]
+    ) -> StatusReport | None:
+        async with self._control_lock:
+            if self._control is None or not self._control.is_open:
+                self._control = await self._connect(CONTROL_NAME, CONNECT_S)
+            report = await getattr(self._control, command)(*arguments)
+            self.note_answer()
+            return report
+
+    async def _open(
+        self, taken: Open, organisation: str, until: float
+    ) -> PooledLink:
+        if taken.instead_of is not None:
+            taken.instead_of.link.close()
+        patience = min(CONNECT_S, until - self._clock.now())
+        try:
+            link = await self._connect(organisation, max(patience, 0.01))
+        except BaseException:
+            self._drop()
+            raise
+        return PooledLink(link, organisation)
+
+    async def _connect(self, organisation: str, patience: float):
+        try:
+            opened = await self._links.open(self.entry, organisation, patience)
+        except LinkLost:
+            self.failed_at = self._clock.now()
+            raise
+        self.note_answer()
+        if isinstance(opened, MemberFailure):
+            if opened.kind is FailureKind.TOO_MANY_CONNECTIONS:
+                self.budget.note_refused(self._clock.now())
+            raise MemberRefused(opened)
+        return opened
+
+    async def _wait(self, priority: int, until: float) -> None:
+        patience = until - self._clock.now()
+        if patience <= 0.0:
+            raise NoPlace()
+        future = get_running_loop().create_future()
+        heappush(self._waiting, (priority, next(self._order), future))
+        try:
+            await wait_for(future, patience)
+        except TimeoutError as error:
+            raise NoPlace() from error
+
+    def _drop(self) -> None:
+        self.pool.drop()
+        self._wake()
+
+    def _wake(self) -> None:
+        while self._waiting:
+            _, _, future = heappop(self._waiting)
+            if not future.done():
+                future.set_result(None)
+                return
+
+
+def is_good(reply: Reply) -> bool:
+    """Say whether a reply is a success with the member's proof."""
+    return reply.failure is None and reply.proof not in ("", "-")
--- /dev/null
+++ b/redwingpost/node/metrics.py
@@ -0,0 +1,60 @@
+"""Counters and histograms of a node, by ``prometheus_client``."""
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+#: Upper bounds (seconds): targets of today lie between 0.2 and 0.8 s.
+_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0)
+
+
+class NodeMetrics:
+    """What a node counts."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._statements = Counter(
+            "redwing_statements_total",
+            "Statements answered, by kind and result code",
+            ("kind", "code"),
+            registry=self._registry,
+        )
+        self._seconds = Histogram(
+            "redwing_statement_seconds",
+            "Seconds from a statement to its answer, by kind",
+            ("kind",),
+            buckets=_BUCKETS,
+            registry=self._registry,
+        )
+        self.sessions = Gauge(
+            "redwing_sessions", "Open sessions", registry=self._registry
+        )
+        self.version = Gauge(
+            "redwing_configuration_version",
+            "Version of the configuration in force",
+            registry=self._registry,
+        )
+        self.part = Gauge(
+            "redwing_fleet_part",
+            "Part of the VMs that hear each other (0 to 1)",
+            registry=self._registry,
+        )
+        self.takeovers = Counter(
+            "redwing_takeovers_total",
+            "Takeovers conducted, by reason and outcome",
+            ("reason", "outcome"),
+            registry=self._registry,
+        )
+
+    def note(self, kind: str, code: str, seconds: float) -> None:
+        """Count one statement."""
+        self._statements.labels(kind, code).inc()
+        self._seconds.labels(kind).observe(seconds)
+
+    def render(self) -> bytes:
+        """Return all metrics as text."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/redwingpost/node/peers.py
@@ -0,0 +1,125 @@
+"""Heartbeats between VMs: who is there, what was used, what is reached."""
+
+from asyncio import DatagramProtocol, DatagramTransport, get_running_loop
+from collections.abc import Callable
+from time import time_ns
+from typing import Any
+
+from mode import Service
+
+from redwingpost.membership.hearing import BEAT_S, Beacon, VmTable
+from redwingpost.observability.journal import log_event
+from redwingpost.ports.clock import Clock
+from redwingpost.rates.usage import UsageLedger
+from redwingpost.wire.beacon import pack_beacon, unpack_beacon
+
+#: Heartbeats after which all counters are sent rather than those that
+#: changed: a VM that came late, or lost datagrams, is complete again
+#: within this many.
+FULL_EVERY = 10
+
+
+class PeerBeacons(Service):
+    """Sends and takes in heartbeats.
+
+    Parameters
+    ----------
+    vms : VmTable
+        Gets what is heard.
+    ledger : UsageLedger
+        Counters to send and to take in.
+    describe : callable
+        Returns this VM's heartbeat.
+    clock : Clock
+        For the time of hearing.
+    ip, port : str, int
+        Where heartbeats arrive; the port is the same at all VMs.
+    seeds : tuple of str
+        Addresses to try while no list could be read.
+    """
+
+    def __init__(
+        self,
+        vms: VmTable,
+        ledger: UsageLedger,
+        describe: Callable[[], Beacon],
+        clock: Clock,
+        ip: str,
+        port: int,
+        seeds: tuple[str, ...] = (),
+        **kwargs: Any,
+    ) -> None:
+        super().__init__(**kwargs)
+        self._vms = vms
+        self._ledger = ledger
+        self._describe = describe
+        self._clock = clock
+        self._ip = ip
+        self._port = port
+        self._seeds = seeds
+        self._transport: DatagramTransport | None = None
+        self._sent = 0
+        self.newer_at: Beacon | None = None
+
+    async def on_start(self) -> None:
+        """Open the socket."""
+        loop = get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: _Receiver(self._take_in), local_addr=(self._ip, self._port)
+        )
+
+    async def on_stop(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def report_if_due(self, organisation: str) -> None:
+        """Tell the others at once where much was admitted."""
+        if self._ledger.is_report_due(organisation):
+            self._send(everything=False)
+
+    @Service.task
+    async def _beat(self) -> None:
+        while not self.should_stop:
+            self._send(everything=self._sent % FULL_EVERY == 0)
+            await self.sleep(BEAT_S)
+
+    def _send(self, everything: bool) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._sent += 1
+        usages = self._ledger.take_report(everything)
+        datagram = pack_beacon(self._describe(), usages)
+        for ip in self._targets():
+            self._transport.sendto(datagram, (ip, self._port))
+
+    def _targets(self) -> set[str]:
+        ips = {address.ip for address in self._vms.addresses(self._port)}
+        if not ips:
+            ips = set(self._seeds)
+        return ips - {self._ip}
+
+    def _take_in(self, datagram: bytes) -> None:
+        unpacked = unpack_beacon(datagram)
+        if unpacked is None:
+            log_event("beacon-unreadable", size=len(datagram))
+            return
+        beacon, usages = unpacked
+        self._vms.note(beacon, self._clock.now())
+        self._ledger.note_peer(beacon.vm, beacon.boot, usages)
+
+
+class _Receiver(DatagramProtocol):
+    def __init__(self, take_in: Callable[[bytes], None]) -> None:
+        self._take_in = take_in
+
+    def datagram_received(self, data: bytes, addr: tuple) -> None:
+        self._take_in(data)
+
+    def error_received(self, exc: Exception) -> None:
+        log_event("beacon-unsent", reason=type(exc).__name__)
+
+
+def new_boot() -> int:
+    """Return a number that tells this start from others of this VM."""
+    return time_ns()
--- /dev/null
+++ b/redwingpost/node/service.py
@@ -0,0 +1,354 @@
+"""The node: puts its parts together, keeps them in step, stops in order."""
+
+from asyncio import create_task, gather
+from typing import Any, NamedTuple
+
+from mode import Service
+
+from redwingpost.adapters.http_pages import Page, PageServer
+from redwingpost.core.requests import Refusal
+from redwingpost.groups.directory import Directory
+from redwingpost.membership.hearing import Beacon, VmAddress, VmTable
+from redwingpost.membership.readiness import Outlook, Readiness
+from redwingpost.node.admission import Admission
+from redwingpost.node.copies import COPY_PATH, Copies, fetch_copy
+from redwingpost.node.duty import DutyKeeper
+from redwingpost.node.fleet import FLEET_TABLE, FleetEntry, FleetReader
+from redwingpost.node.group import GroupClient
+from redwingpost.node.metrics import NodeMetrics
+from redwingpost.node.peers import PeerBeacons, new_boot
+from redwingpost.node.reads import ReadRunner
+from redwingpost.node.registry import MemberReader, RulesReader
+from redwingpost.node.session import NodeSession, Services
+from redwingpost.node.takeover import TakeoverKeeper
+from redwingpost.node.watcher import TableWatcher
+from redwingpost.node.writes import WriteRunner
+from redwingpost.observability.journal import log_event
+from redwingpost.ports.clock import Clock
+from redwingpost.ports.database import LinkFactory, PromotionOrders
+from redwingpost.ports.fleet_store import FleetStore
+from redwingpost.ports.platform import Row
+from redwingpost.ports.registry import RegistryFormat
+from redwingpost.rates.usage import UsageLedger
+from redwingpost.settings.node import NodeSettings
+
+#: Seconds between looks at directory, readiness and pools.
+STEP_S = 0.1
+
+#: Connections assumed for a group that the configuration doesn't name.
+_DEFAULT_CONNECTIONS = 32
+
+#: Seconds for which a stopping node goes on as before: the balancer takes
+#: a node out after two missed checks, one a second.
+LEAVE_S = 2.2
+
+#: Seconds of the grace that are kept for the end itself.
+_END_MARGIN_S = 0.7
+
+#: Seconds within which a primary answered lately enough to count.
+_REACHED_S = 1.5
+
+#: Seconds that the store must be lost before a peer's copy is used for
+#: a configuration that a peer already has.
+_COPY_AFTER_S = 0.5
+
+
+class Outside(NamedTuple):
+    """What the node needs from outside."""
+
+    store: FleetStore
+    links: LinkFactory
+    orders: PromotionOrders
+    format: RegistryFormat
+    clock: Clock
+
+
+class Node(Service):
+    """One node of the fleet; opens callers' sessions."""
+
+    def __init__(
+        self, settings: NodeSettings, outside: Outside, **kwargs: Any
+    ) -> None:
+        super().__init__(**kwargs)
+        clock = outside.clock
+        self.settings = settings
+        self.metrics = NodeMetrics()
+        self.directory = Directory()
+        self.group_by_name: dict[str, GroupClient] = {}
+        self.is_stopping = False
+        self.is_ready = False
+        self._outside = outside
+        self._clock = clock
+        self._boot = new_boot()
+        self._ledger = UsageLedger()
+        self._vms = VmTable(settings.vm, clock.now())
+        self._admission = Admission(self._vms, self._ledger, clock)
+        self._readiness = Readiness()
+        self._copies = Copies()
+        self._behind_since: float | None = None
+        self._services = Services(
+            self._admission,
+            self.group_by_name,
+            ReadRunner(clock),
+            WriteRunner(clock),
+            self.metrics,
+            clock,
+        )
+        self._make_watchers()
+        self._make_fleet_parts()
+        self._make_pages()
+
+    # Callers -----------------------------------------------------------
+
+    def open_session(self, database: str, key: str) -> NodeSession | Refusal:
+        """Return a session for a caller, or why there is none."""
+        session = NodeSession(self._services, database, key)
+        checked = session.check()
+        if isinstance(checked, Refusal):
+            log_event(
+                "session-refused", database=database, code=checked.code.name
+            )
+            return checked
+        return session
+
+    # Parts -------------------------------------------------------------
+
+    def _make_watchers(self) -> None:
+        outside = self._outside
+        self._rules_reader = RulesReader(
+            self._admission, outside.format, self._on_rules
+        )
+        self._member_reader = MemberReader(
+            self.directory, outside.format, self._clock, self._follow
+        )
+        self._rules_watcher = TableWatcher(
+            outside.store,
+            outside.format.configuration_table,
+            self._rules_reader,
+            self._clock,
+        )
+        self._member_watcher = TableWatcher(
+            outside.store,
+            outside.format.member_table,
+            self._member_reader,
+            self._clock,
+        )
+        self._fleet_watcher = TableWatcher(
+            outside.store, FLEET_TABLE, FleetReader(self._vms), self._clock
+        )
+
+    def _make_fleet_parts(self) -> None:
+        settings = self.settings
+        outside = self._outside
+        address = VmAddress(settings.vm, settings.ip, settings.beacon_port)
+        self._entry = FleetEntry(
+            outside.store, self._vms, address, self._clock
+        )
+        self._beacons = PeerBeacons(
+            self._vms,
+            self._ledger,
+            self._describe,
+            self._clock,
+            settings.ip,
+            settings.beacon_port,
+            settings.peer_ips,
+        )
+        self._takeovers = TakeoverKeeper(
+            self.group_by_name,
+            self.directory,
+            outside.links,
+            outside.orders,
+            DutyKeeper(outside.store, settings.vm, self._clock),
+            self._vms,
+            settings.vm,
+            self.metrics,
+            self._clock,
+        )
+
+    def _make_pages(self) -> None:
+        settings = self.settings
+        self._ready_pages = PageServer(
+            settings.readiness.ip,
+            settings.readiness.port,
+            {"/ready": self._ready_page},
+        )
+        self._metrics_pages = PageServer(
+            settings.ip,
+            settings.metrics_port,
+            {
+                "/metrics": lambda: Page(200, self.metrics.render()),
+                COPY_PATH: self._copies.page,
+            },
+        )
+
+    def on_init_dependencies(self) -> list[Service]:
+        """Return the parts, which start and stop with the node."""
+        return [
+            self._ready_pages,
+            self._metrics_pages,
+            self._rules_watcher,
+            self._member_watcher,
+            self._fleet_watcher,
+            self._entry,
+            self._beacons,
+            self._takeovers,
+        ]
+
+    # Steps -------------------------------------------------------------
+
+    @Service.task
+    async def _step(self) -> None:
+        while not self.should_stop:
+            self._tidy()
+            self._judge_readiness()
+            await self._copy_if_behind()
+            await self.sleep(STEP_S)
+
+    @Service.task
+    async def _rounds(self) -> None:
+        while not self.should_stop:
+            for group in tuple(self.group_by_name.values()):
+                if group.next_round_in() <= 0.0:
+                    create_task(group.run_round())
+            await self.sleep(0.05)
+
+    def _tidy(self) -> None:
+        now = self._clock.now()
+        if self._member_watcher.is_lost:
+            self.directory.note_outage(now)
+        self.directory.expire(now)
+        self._follow()
+        self.metrics.version.set(self._admission.rules.version)
+        self.metrics.part.set(self._vms.part(now))
+
+    def _on_rules(self) -> None:
+        self._copies.configuration = self._rules_reader.row
+        self._follow()
+
+    def _follow(self) -> None:
+        """Bring the groups in step with directory and rules."""
+        for name in self.directory.groups():
+            if name not in self.group_by_name:
+                self.group_by_name[name] = GroupClient(
+                    name,
+                    self.directory,
+                    self._outside.links,
+                    self._clock,
+                    self.settings.data_centre,
+                    self.settings.drain_s,
+                )
+        vms = self._vms.count()
+        for name, group in self.group_by_name.items():
+            rule = self._admission.rules.groups_by_name.get(name)
+            limit = rule.max_connections if rule else _DEFAULT_CONNECTIONS
+            group.follow_directory(limit, vms)
+
+    def _describe(self) -> Beacon:
+        silent_ms_by_member = {}
+        for group in self.group_by_name.values():
+            leader = group.member_by_name.get(group.evidence.leader or "")
+            if leader is not None:
+                silent_ms = int(min(leader.silent_s, 1e6) * 1000)
+                silent_ms_by_member[leader.entry.member] = silent_ms
+        return Beacon(
+            self.settings.vm,
+            self._boot,
+            self.settings.ip,
+            self._admission.rules.version,
+            silent_ms_by_member,
+        )
+
+    # Readiness ---------------------------------------------------------
+
+    def _judge_readiness(self) -> None:
+        now = self._clock.now()
+        is_ready = self._readiness.judge(self._outlook(now), now)
+        if is_ready != self.is_ready:
+            self.is_ready = is_ready
+            outlook = self._outlook(now)
+            log_event("readiness", ready=is_ready, **outlook._asdict())
+
+    def _outlook(self, now: float) -> Outlook:
+        reached = {
+            group.name
+            for group in self.group_by_name.values()
+            if (leader := group.leader()) is not None
+            and leader.silent_s < _REACHED_S
+        }
+        return Outlook(
+            has_rules=self._admission.has_rules,
+            is_stopping=self.is_stopping,
+            groups=len(self.group_by_name),
+            reached=len(reached),
+            hears_half=self._vms.hears_half(now),
+            others_reach_more=self._others_reach_more(len(reached), now),
+        )
+
+    def _others_reach_more(self, reached: int, now: float) -> bool:
+        return any(
+            sum(
+                silent_ms < _REACHED_S * 1000
+                for silent_ms in beacon.silent_ms_by_member.values()
+            )
+            > reached
+            for beacon in self._vms.heard(now)
+        )
+
+    def _ready_page(self) -> Page:
+        return Page(200 if self.is_ready else 503)
+
+    # Copies ------------------------------------------------------------
+
+    async def _copy_if_behind(self) -> None:
+        """Fetch a peer's copy where it has a newer configuration."""
+        now = self._clock.now()
+        ahead = [
+            beacon
+            for beacon in self._vms.heard(now)
+            if beacon.config_version > self._admission.rules.version
+        ]
+        if not ahead:
+            self._behind_since = None
+            return
+        if self._behind_since is None:
+            self._behind_since = now
+        if now - self._behind_since < _COPY_AFTER_S:
+            return
+        self._behind_since = now
+        beacon = max(ahead, key=lambda item: item.config_version)
+        got = await fetch_copy(beacon.ip, self.settings.metrics_port)
+        if got.is_error():
+            log_event("copy-failed", vm=beacon.vm, detail=got.error.detail)
+            return
+        if got.ok.configuration is not None:
+            log_event("copy-taken", vm=beacon.vm)
+            self._rules_reader.take(got.ok.configuration)
+        if not self._member_watcher.has_read:
+            self._take_members(got.ok.members)
+
+    def _take_members(self, rows: tuple[Row, ...]) -> None:
+        self._member_reader.on_rows(rows)
+
+    # Stop --------------------------------------------------------------
+
+    async def drain(self, callers: Any) -> None:
+        """Stop in order: leave the balancer, end sessions, then go.
+
+        Parameters
+        ----------
+        callers : CallerServer
+            Its resting connections are closed once the balancer has had
+            time to send new ones elsewhere.
+        """
+        started_at = self._clock.now()
+        self.is_stopping = True
+        log_event("stopping", sessions=callers.open_connections)
+        leave = create_task(self._entry.leave())
+        await self.sleep(LEAVE_S)
+        callers.stop_listening()
+        until = started_at + self.settings.grace_s - _END_MARGIN_S
+        while callers.open_connections and self._clock.now() < until:
+            callers.close_resting()
+            await self.sleep(0.03)
+        await gather(leave, return_exceptions=True)
+        log_event("stopped", sessions=callers.open_connections)
--- /dev/null
+++ b/redwingpost/node/watcher.py
@@ -0,0 +1,126 @@
+"""Follow one table of the fleet's store, through its outages."""
+
+from typing import Any, Protocol
+
+from mode import Service
+
+from redwingpost.observability.journal import log_event
+from redwingpost.ports.clock import Clock
+from redwingpost.ports.fleet_store import FleetStore, Snapshot
+from redwingpost.ports.platform import Row
+
+#: Seconds that a feed waits for a change: the store is asked rarely, and
+#: a feed that went silent is noticed soon after.
+FEED_WAIT_S = 8.0
+
+#: Seconds between tries while the store doesn't answer. Six VMs ask for
+#: three tables then, 45 calls a second of the 2,000 that it takes.
+RETRY_S = 0.4
+
+
+class TableReader(Protocol):
+    """What is done with the rows of a table."""
+
+    def on_snapshot(self, snapshot: Snapshot) -> None:
+        """Take in the whole table."""
+
+    def on_rows(self, rows: tuple[Row, ...]) -> None:
+        """Take in rows that changed."""
+
+    def on_removed(self, keys: tuple[str, ...]) -> None:
+        """Take in that rows were removed."""
+
+
+class TableWatcher(Service):
+    """Keeps a reader up to date with a table.
+
+    Parameters
+    ----------
+    store : FleetStore
+        Where the table is.
+    table : str
+        Its name.
+    reader : TableReader
+        Gets what the table holds and what changes.
+    clock : Clock
+        For ``silent_s``.
+    """
+
+    def __init__(
+        self,
+        store: FleetStore,
+        table: str,
+        reader: TableReader,
+        clock: Clock,
+        **kwargs: Any,
+    ) -> None:
+        super().__init__(**kwargs)
+        self._store = store
+        self._table = table
+        self._reader = reader
+        self._clock = clock
+        self._version: int | None = None
+        self._answered_at = float("-inf")
+        self._was_lost = False
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the last call failed."""
+        return self._was_lost
+
+    @property
+    def has_read(self) -> bool:
+        """Whether the table was read at least once."""
+        return self._answered_at > float("-inf")
+
+    async def read_now(self) -> bool:
+        """Read the whole table; False where the store didn't answer."""
+        got = await self._store.snapshot(self._table)
+        if got.is_error():
+            self._note_lost(got.error.detail)
+            return False
+        self._note_answer()
+        self._version = got.ok.version
+        self._reader.on_snapshot(got.ok)
+        return True
+
+    @Service.task
+    async def _follow(self) -> None:
+        while not self.should_stop:
+            if self._version is None and not await self.read_now():
+                await self.sleep(RETRY_S)
+            elif self._version is not None and not await self._wait_once():
+                await self.sleep(RETRY_S)
+
+    async def _wait_once(self) -> bool:
+        got = await self._store.changes(
+            self._table, self._version, FEED_WAIT_S
+        )
+        if got.is_error():
+            self._note_lost(got.error.detail)
+            # What was removed while the feed was away shows in the whole
+            # table only if the history is gone; the feed tells the rest.
+            return False
+        self._note_answer()
+        changes = got.ok
+        if changes.history_lost:
+            log_event("store-history-lost", table=self._table)
+            self._version = None
+            return True
+        self._version = max(self._version, changes.version)
+        if changes.rows:
+            self._reader.on_rows(changes.rows)
+        if changes.removed_keys:
+            self._reader.on_removed(changes.removed_keys)
+        return True
+
+    def _note_answer(self) -> None:
+        self._answered_at = self._clock.now()
+        if self._was_lost:
+            self._was_lost = False
+            log_event("store-regained", table=self._table)
+
+    def _note_lost(self, detail: str) -> None:
+        if not self._was_lost:
+            self._was_lost = True
+            log_event("store-lost", table=self._table, detail=detail)
--- /dev/null
+++ b/redwingpost/node/writes.py
@@ -0,0 +1,126 @@
+"""Serve writes that stand alone: once, at the primary."""
+
+from asyncio import wait_for
+
+from redwingpost.core.codes import Code
+from redwingpost.core.requests import Refusal
+from redwingpost.core.statements import Answer
+from redwingpost.node.attempt import NoAnswer, NotSent, Outcome, run_alone
+from redwingpost.node.group import GroupClient
+from redwingpost.node.member import MemberClient, is_good
+from redwingpost.node.reads import (
+    MAX_TRIES,
+    ReadRequest,
+    Result,
+    await_leader,
+)
+from redwingpost.observability.journal import log_event
+from redwingpost.ports.clock import Clock
+from redwingpost.ports.database import (
+    DID_NOT_RUN,
+    FailureKind,
+    MemberFailure,
+    Reply,
+)
+
+#: Failures after which the write may do better a moment later.
+_WORTH_ANOTHER_TRY = DID_NOT_RUN
+
+
+class WriteRunner:
+    """Runs writes of one node.
+
+    A write whose answer is lost is never sent again: it may have run.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+
+    async def run(
+        self, group: GroupClient, write: ReadRequest, sync_replicas: int
+    ) -> Result:
+        """Return the answer to a write, or what became of it."""
+        result: Result | None = None
+        for _ in range(MAX_TRIES):
+            leader = await await_leader(group, write.deadline, self._clock)
+            if leader is None:
+                return result or Refusal(Code.NO_PRIMARY, "", 500)
+            outcome = await self._attempt(leader, write)
+            done = await self._judge(
+                group, leader, write, outcome, sync_replicas
+            )
+            if not isinstance(done, MemberFailure | Refusal):
+                return done
+            result = done
+            if not self._may_try_again(done):
+                return done
+            if write.deadline - self._clock.now() <= 0.0:
+                return done
+            await group.fresh_round()
+        return result
+
+    async def _attempt(
+        self, leader: MemberClient, write: ReadRequest
+    ) -> Outcome | None:
+        attempt = run_alone(
+            leader,
+            write.caller,
+            write.statement,
+            None,
+            write.deadline,
+            self._clock,
+        )
+        left_s = write.deadline - self._clock.now()
+        try:
+            return await wait_for(attempt, max(left_s, 0.01))
+        except TimeoutError:
+            return NoAnswer("no answer in time")
+
+    async def _judge(
+        self,
+        group: GroupClient,
+        leader: MemberClient,
+        write: ReadRequest,
+        outcome: Outcome,
+        sync_replicas: int,
+    ) -> Result:
+        if isinstance(outcome, NotSent):
+            return Refusal(Code.TARGET_LOST, outcome.reason, 100)
+        if isinstance(outcome, NoAnswer):
+            return self._unknown(leader, write, outcome.reason)
+        if not is_good(outcome):
+            return self._refused(group, leader, outcome)
+        if sync_replicas == 0 and not await group.prove():
+            # No replica had to confirm it: a primary that was replaced
+            # would have taken it all the same.
+            return self._unknown(leader, write, "lead not proven")
+        write.caller.state.note_commit(outcome.position)
+        if sync_replicas > 0:
+            group.note_commit(leader, outcome.position, write.arrived_at)
+        return Answer(outcome.rows, outcome.proof)
+
+    def _refused(
+        self, group: GroupClient, leader: MemberClient, reply: Reply
+    ) -> Result:
+        if reply.failure is None:
+            return Refusal(Code.OUTCOME_UNKNOWN, "the member gave no proof")
+        if reply.failure.kind is FailureKind.NOT_PRIMARY:
+            group.note_refused_as_replica(leader)
+        return reply.failure
+
+    def _unknown(
+        self, leader: MemberClient, write: ReadRequest, reason: str
+    ) -> Refusal:
+        log_event(
+            "write-unknown",
+            request=write.statement.request,
+            member=leader.entry.member,
+            waited_s=round(self._clock.now() - write.arrived_at, 3),
+            reason=reason,
+        )
+        return Refusal(Code.OUTCOME_UNKNOWN, reason)
+
+    def _may_try_again(self, result: Result) -> bool:
+        if isinstance(result, MemberFailure):
+            return result.kind in _WORTH_ANOTHER_TRY
+        return result.code.name == Code.TARGET_LOST.name
--- /dev/null
+++ b/redwingpost/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics of a node."""
--- /dev/null
+++ b/redwingpost/platform/caller_server.py
@@ -0,0 +1,202 @@
+"""Callers' connections: lines in, typed statements to a session."""
+
+from asyncio import (
+    CancelledError,
+    IncompleteReadError,
+    LimitOverrunError,
+    Server,
+    StreamReader,
+    StreamWriter,
+    start_server,
+)
+from typing import Any, Protocol
+
+from mode import Service
+
+from redwingpost.adapters.http_client import tune_socket
+from redwingpost.core.codes import Code
+from redwingpost.core.positions import Position
+from redwingpost.core.requests import Refusal
+from redwingpost.core.statements import Answer, Statement
+from redwingpost.platform.lines import (
+    ENCODING,
+    MAX_MESSAGE_BYTES,
+    Malformed,
+    Startup,
+    Terminate,
+    parse_caller_line,
+    render_answer,
+    render_error,
+)
+from redwingpost.platform.member_link import read_line
+from redwingpost.ports.database import MemberFailure
+from redwingpost.statements.session import Phase
+
+
+class Session(Protocol):
+    """A caller's session as the server drives it."""
+
+    phase: Phase
+    position: Position | None
+
+    async def run(
+        self, statement: Statement
+    ) -> Answer | MemberFailure | Refusal:
+        """Run one statement and return what to answer."""
+
+    async def close(self) -> None:
+        """Give up whatever the session holds."""
+
+
+class SessionMaker(Protocol):
+    """Opens sessions."""
+
+    def open_session(self, database: str, key: str) -> Session | Refusal:
+        """Return a session, or why there can't be one."""
+
+
+class CallerConnection:
+    """One caller's connection."""
+
+    def __init__(self, reader: StreamReader, writer: StreamWriter) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._session: Session | None = None
+        self._is_waiting = False
+
+    @property
+    def is_resting(self) -> bool:
+        """Whether nothing is outstanding and no transaction is open."""
+        if self._session is None:
+            return False
+        return self._is_waiting and self._session.phase is Phase.IDLE
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._writer.close()
+
+    async def serve(self, sessions: SessionMaker) -> None:
+        """Serve the connection until either side ends it."""
+        try:
+            if await self._start(sessions):
+                while await self._serve_line():
+                    pass
+        except (OSError, IncompleteReadError):
+            # The caller left; what it held is given up below.
+            pass
+        except LimitOverrunError:
+            self._send(render_error(Refusal(Code.TOO_LARGE)))
+        finally:
+            if self._session is not None:
+                await self._session.close()
+            self._writer.close()
+
+    async def _start(self, sessions: SessionMaker) -> bool:
+        message = parse_caller_line(await read_line(self._reader))
+        if not isinstance(message, Startup):
+            self._send(render_error(Refusal(Code.UNSUPPORTED, "no start")))
+            return False
+        opened = sessions.open_session(message.database, message.key)
+        if isinstance(opened, Refusal):
+            self._send(render_error(opened))
+            return False
+        self._session = opened
+        self._send("READY I -")
+        return True
+
+    async def _serve_line(self) -> bool:
+        self._is_waiting = True
+        line = await read_line(self._reader)
+        self._is_waiting = False
+        message = parse_caller_line(line)
+        if isinstance(message, (Terminate, Startup)):
+            return False
+        if isinstance(message, Malformed):
+            outcome = Refusal(Code.UNSUPPORTED, message.detail)
+            if not message.request:
+                # Where the line's bounds are in doubt, so is what follows.
+                self._send(render_error(outcome))
+                return False
+        else:
+            outcome = await self._session.run(message)
+        phase, position = self._session.phase, self._session.position
+        self._writer.write(render_answer(outcome, phase, position))
+        await self._writer.drain()
+        return True
+
+    def _send(self, line: str) -> None:
+        self._writer.write(f"{line}\r\n".encode(ENCODING, "replace"))
+
+
+class CallerServer(Service):
+    """Listens for callers.
+
+    Parameters
+    ----------
+    ip, port : str, int
+        Where to listen; port 0 takes a free one.
+    sessions : SessionMaker
+        Opens their sessions.
+    """
+
+    def __init__(
+        self, ip: str, port: int, sessions: SessionMaker, **kwargs: Any
+    ) -> None:
+        super().__init__(**kwargs)
+        self._ip = ip
+        self._port = port
+        self._sessions = sessions
+        self._server: Server | None = None
+        self._open: set[CallerConnection] = set()
+
+    @property
+    def port(self) -> int:
+        """Return the port in use."""
+        return self._server.sockets[0].getsockname()[1]
+
+    @property
+    def open_connections(self) -> int:
+        """Return how many callers are connected."""
+        return len(self._open)
+
+    async def on_start(self) -> None:
+        """Listen."""
+        self._server = await start_server(
+            self._accept,
+            self._ip,
+            self._port,
+            limit=MAX_MESSAGE_BYTES + 2,
+            backlog=1024,
+        )
+
+    async def on_stop(self) -> None:
+        """Stop listening and close what is left."""
+        self.stop_listening()
+        for connection in tuple(self._open):
+            connection.close()
+
+    def stop_listening(self) -> None:
+        """Take no further connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_resting(self) -> int:
+        """Close connections with nothing outstanding; return how many."""
+        resting = [item for item in self._open if item.is_resting]
+        for connection in resting:
+            connection.close()
+        return len(resting)
+
+    async def _accept(
+        self, reader: StreamReader, writer: StreamWriter
+    ) -> None:
+        tune_socket(writer)
+        connection = CallerConnection(reader, writer)
+        self._open.add(connection)
+        try:
+            await connection.serve(self._sessions)
+        except CancelledError:
+            # The loop ends: the connection is closed by now.
+            pass
+        finally:
+            self._open.discard(connection)
--- /dev/null
+++ b/redwingpost/platform/lines.py
@@ -0,0 +1,323 @@
+"""Lines of callers and members: texts into typed statements, and back.
+
+Text is decoded as Latin-1, which maps every byte to one character and
+back, so that opaque texts pass unchanged.
+"""
+
+from typing import NamedTuple
+
+from redwingpost.core.codes import Code, Outcome
+from redwingpost.core.positions import Position
+from redwingpost.core.requests import Refusal
+from redwingpost.core.statements import (
+    Answer,
+    Shape,
+    Statement,
+    StatementKind,
+)
+from redwingpost.ports.database import (
+    FailureKind,
+    MemberFailure,
+    Reply,
+    StatusReport,
+)
+from redwingpost.statements.session import Phase
+
+ENCODING = "latin-1"
+
+#: Bytes of one message, by the platform's word.
+MAX_MESSAGE_BYTES = 1024 * 1024
+
+#: Id of statements that no caller sent.
+OWN_ID = "-"
+
+_END = "\r\n"
+_KIND_BY_WORD = {
+    "COMMIT": StatementKind.COMMIT,
+    "ROLLBACK": StatementKind.ROLLBACK,
+    "READ": StatementKind.READ,
+    "WRITE": StatementKind.WRITE,
+    "EXECUTE": StatementKind.EXECUTE,
+    "SET": StatementKind.SET_VALUE,
+    "PREPARE": StatementKind.PREPARE,
+    "CLOSE": StatementKind.CLOSE,
+}
+_FAILURE_BY_WORD = {
+    "BUSY": FailureKind.FULL,
+    "MAXCONN": FailureKind.TOO_MANY_CONNECTIONS,
+    "WRONGNODE": FailureKind.WRONG_MEMBER,
+    "LAGGING": FailureKind.BEHIND,
+    "READONLY": FailureKind.NOT_PRIMARY,
+    "NOSTMT": FailureKind.NOT_PREPARED,
+    "EXECFAIL": FailureKind.FAILED,
+    "TIMEOUT": FailureKind.TIMED_OUT,
+    "MALFORMED": FailureKind.MALFORMED,
+}
+_STATE_BY_PHASE = {
+    Phase.IDLE: "I",
+    Phase.IN_TRANSACTION: "T",
+    Phase.FAILED: "E",
+}
+_WORD_BY_CODE = {
+    Code.WRONG_KEY.name: "AUTHFAIL",
+    Code.KEY_WITHDRAWN.name: "AUTHFAIL",
+    Code.UNKNOWN_GROUP.name: "NODB",
+    Code.TOO_LARGE.name: "TOOLARGE",
+    Code.UNSUPPORTED.name: "MALFORMED",
+    Code.NOT_FRESH.name: "LAGGING",
+    Code.TIMED_OUT.name: "TIMEOUT",
+}
+_WORD_BY_OUTCOME = {
+    Outcome.NOT_RUN: "BUSY",
+    Outcome.ROLLED_BACK: "ABORTED",
+    Outcome.UNKNOWN: "INDOUBT",
+    Outcome.NOT_APPLICABLE: "BUSY",
+}
+
+
+class Startup(NamedTuple):
+    """A caller opens a session; ``key`` may be empty."""
+
+    database: str
+    key: str
+
+
+class Terminate(NamedTuple):
+    """A caller ends its session."""
+
+
+class Malformed(NamedTuple):
+    """A line that can't be read; ``request`` is its id if it has one."""
+
+    detail: str
+    request: str = ""
+
+
+CallerMessage = Startup | Statement | Terminate | Malformed
+
+
+def has_control_characters(line: str) -> bool:
+    """Say whether a line holds characters that end or hide lines.
+
+    A bare LF or CR could end a line for a member that didn't for us: the
+    rest would run as another statement. A NUL could cut it short.
+    """
+    return any(character in line for character in "\r\n\0")
+
+
+def parse_caller_line(line: str) -> CallerMessage:
+    """Return what a caller's line, without its end, says.
+
+    Examples
+    --------
+    >>> parse_caller_line("STARTUP shop u3f1")
+    Startup(database='shop', key='u3f1')
+    >>> parse_caller_line("QUERY 7 READ 1a4").kind.value
+    'read'
+    >>> parse_caller_line("QUERY 7 STATUS").detail
+    'unknown statement'
+    """
+    if has_control_characters(line):
+        return Malformed("control characters")
+    word, _, rest = line.partition(" ")
+    if word == "QUERY":
+        request, _, text = rest.partition(" ")
+        return _parse_statement(request, text)
+    if word == "STARTUP":
+        database, _, key = rest.partition(" ")
+        return Startup(database, key)
+    if line == "TERMINATE":
+        return Terminate()
+    return Malformed("unknown message")
+
+
+def _parse_statement(request: str, text: str) -> Statement | Malformed:
+    if request in ("", OWN_ID):
+        return Malformed("no id")
+    if text == "BEGIN":
+        return Statement(request, StatementKind.BEGIN, text)
+    if text == "BEGIN READ":
+        return Statement(request, StatementKind.BEGIN_READ_ONLY, text)
+    word, _, rest = text.partition(" ")
+    kind = _KIND_BY_WORD.get(word)
+    if kind is None:
+        return Malformed("unknown statement", request)
+    if kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
+        if rest:
+            return Malformed("nothing may follow", request)
+        return Statement(request, kind, text)
+    if not rest:
+        return Malformed("something must follow", request)
+    return _parse_named(request, kind, text, rest)
+
+
+def _parse_named(
+    request: str, kind: StatementKind, text: str, rest: str
+) -> Statement | Malformed:
+    if kind in (StatementKind.READ, StatementKind.WRITE):
+        return Statement(request, kind, text)
+    name, _, argument = rest.partition(" ")
+    if kind is not StatementKind.PREPARE:
+        return Statement(request, kind, text, name, argument)
+    mode, _, shape = argument.partition(" ")
+    if mode not in ("READ", "WRITE") or not shape:
+        return Malformed("READ or WRITE and a shape must follow", request)
+    prepared = Shape(mode == "WRITE", shape)
+    return Statement(request, kind, text, name, argument, prepared)
+
+
+def render_answer(
+    outcome: Answer | MemberFailure | Refusal,
+    phase: Phase,
+    position: Position | None,
+) -> bytes:
+    """Return the bytes that answer a caller's statement.
+
+    Examples
+    --------
+    >>> render_answer(Answer(("x",), "p"), Phase.IDLE, Position(3, 9))
+    b'DATAROW x\\r\\nCOMPLETE p\\r\\nREADY I 3.9\\r\\n'
+    """
+    if isinstance(outcome, Answer):
+        lines = [f"DATAROW {row}" for row in outcome.rows]
+        lines.append(f"COMPLETE {outcome.proof or OWN_ID}")
+    else:
+        lines = [render_error(outcome)]
+    state = _STATE_BY_PHASE[phase]
+    lines.append(f"READY {state} {format_position(position)}")
+    return (_END.join(lines) + _END).encode(ENCODING, "replace")
+
+
+def render_error(error: MemberFailure | Refusal) -> str:
+    """Return the line of an error, without its end.
+
+    Examples
+    --------
+    >>> render_error(Refusal(Code.OVER_RATE, "", 120)).split()[:2]
+    ['ERROR', 'BUSY']
+    """
+    if isinstance(error, MemberFailure):
+        return f"ERROR {error.word} {error.detail or OWN_ID}"
+    word = _WORD_BY_CODE.get(error.code.name)
+    if word is None:
+        word = _WORD_BY_OUTCOME[error.code.outcome]
+    return f"ERROR {word} {error.code.number} {error.describe()}"
+
+
+def format_position(position: Position | None) -> str:
+    """Return a position as members write it."""
+    return "-" if position is None else f"{position.term}.{position.index}"
+
+
+def parse_position(text: str) -> Position | None:
+    """Return a position; None for "-" and what can't be read.
+
+    Examples
+    --------
+    >>> parse_position("3.1207")
+    Position(term=3, index=1207)
+    >>> parse_position("-") is None
+    True
+    """
+    term, dot, index = text.partition(".")
+    if not (dot and term.isdigit() and index.isdigit()):
+        return None
+    return Position(int(term), int(index))
+
+
+def statement_text(
+    statement: Statement, after: Position | None, prepared_as: str
+) -> str:
+    """Return a statement's text for a member.
+
+    The text is the caller's own, but for the connection's name of a
+    prepared statement and the position that a read must wait for.
+    """
+    text = statement.text
+    if prepared_as:
+        text = f"EXECUTE {prepared_as} {statement.argument}".rstrip(" ")
+    if after is not None:
+        text = f"WAITLSN {format_position(after)} {text}"
+    return text
+
+
+class ReplyParts:
+    """Collects the lines of a member's answer until it is whole."""
+
+    def __init__(self) -> None:
+        self._rows: list[str] = []
+        self._proof = ""
+        self._failure: MemberFailure | None = None
+        self._is_decided = False
+
+    def feed(self, line: str) -> Reply | None:
+        """Take in one line; return the answer once it is whole.
+
+        Raises
+        ------
+        ValueError
+            For a line that has no place here.
+        """
+        word, _, rest = line.partition(" ")
+        if word == "READY" and self._is_decided:
+            state, _, position = rest.partition(" ")
+            return Reply(
+                tuple(self._rows),
+                self._proof,
+                self._failure,
+                parse_position(position),
+                state != "I",
+            )
+        if self._is_decided:
+            raise ValueError(f"unexpected {word!r}")
+        if word == "DATAROW":
+            self._rows.append(rest)
+        elif word == "COMPLETE":
+            self._proof = rest
+            self._is_decided = True
+        elif word == "ERROR":
+            self._failure = parse_failure(rest)
+            self._is_decided = True
+        else:
+            raise ValueError(f"unexpected {word!r}")
+        return None
+
+
+def parse_failure(rest: str) -> MemberFailure:
+    """Return what follows ERROR as a failure.
+
+    Examples
+    --------
+    >>> parse_failure("LAGGING 3.1").kind.value
+    'behind'
+    """
+    word, _, detail = rest.partition(" ")
+    kind = _FAILURE_BY_WORD.get(word, FailureKind.OTHER)
+    return MemberFailure(kind, word, detail)
+
+
+def parse_status(row: str) -> StatusReport | None:
+    """Return the row of a member's report; None if it can't be read.
+
+    Examples
+    --------
+    >>> parse_status("replica 3 3.1209 0 12 2 17").received
+    Position(term=3, index=1209)
+    """
+    fields = row.split(" ")
+    if len(fields) < 7:
+        return None
+    received = parse_position(fields[2])
+    numbers = [fields[1], *fields[3:7]]
+    if received is None or not all(item.isdigit() for item in numbers):
+        return None
+    term, paused_for, lag_ms, busy, connections = map(int, numbers)
+    return StatusReport(
+        fields[0] == "primary",
+        term,
+        received,
+        paused_for,
+        lag_ms,
+        busy,
+        connections,
+    )
--- /dev/null
+++ b/redwingpost/platform/member_link.py
@@ -0,0 +1,172 @@
+"""One connection to a member, in the members' line protocol."""
+
+from asyncio import (
+    CancelledError,
+    IncompleteReadError,
+    LimitOverrunError,
+    StreamReader,
+    StreamWriter,
+    open_connection,
+    wait_for,
+)
+
+from redwingpost.adapters.http_client import tune_socket
+from redwingpost.core.positions import Position
+from redwingpost.core.statements import Shape, Statement
+from redwingpost.platform.lines import (
+    ENCODING,
+    MAX_MESSAGE_BYTES,
+    OWN_ID,
+    ReplyParts,
+    parse_failure,
+    parse_status,
+    statement_text,
+)
+from redwingpost.ports.database import (
+    LinkLost,
+    MemberEntry,
+    MemberFailure,
+    Reply,
+    StatusReport,
+)
+
+
+class LineLink:
+    """Implements ``DatabaseLink``."""
+
+    def __init__(
+        self, reader: StreamReader, writer: StreamWriter, organisation: str
+    ) -> None:
+        self.organisation = organisation
+        self._reader = reader
+        self._writer = writer
+        self._is_broken = False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether another exchange can be tried."""
+        return not (
+            self._is_broken
+            or self._reader.at_eof()
+            or self._writer.is_closing()
+        )
+
+    async def run(
+        self,
+        statement: Statement,
+        after: Position | None = None,
+        prepared_as: str = "",
+    ) -> Reply:
+        """Run a caller's statement once the member holds ``after``."""
+        text = statement_text(statement, after, prepared_as)
+        return await self._exchange(statement.request, text)
+
+    async def set_value(self, name: str, value: str) -> Reply:
+        """Set a session value on the connection."""
+        return await self._exchange(OWN_ID, f"SET {name} {value}")
+
+    async def prepare(self, name: str, shape: Shape) -> Reply:
+        """Prepare a statement on the connection."""
+        mode = "WRITE" if shape.writes else "READ"
+        return await self._exchange(
+            OWN_ID, f"PREPARE {name} {mode} {shape.text}"
+        )
+
+    async def discard(self) -> Reply:
+        """Drop all values and prepared statements of the connection."""
+        return await self._exchange(OWN_ID, "DISCARD")
+
+    async def roll_back(self) -> Reply:
+        """Roll the open transaction back."""
+        return await self._exchange(OWN_ID, "ROLLBACK")
+
+    async def status(self) -> StatusReport | None:
+        """Ask for a report; None where the member refused."""
+        return await self._report("STATUS")
+
+    async def pause(self, term: int) -> StatusReport | None:
+        """Let the member take nothing from primaries below ``term``."""
+        return await self._report(f"PAUSE {term}")
+
+    async def resume(self) -> StatusReport | None:
+        """Undo a pause."""
+        return await self._report("RESUME")
+
+    async def step_down(self, term: int) -> StatusReport | None:
+        """Make a primary of a lower term a replica."""
+        return await self._report(f"STEPDOWN {term}")
+
+    def close(self) -> None:
+        """Close at once; an open transaction rolls back."""
+        self._is_broken = True
+        self._writer.close()
+
+    async def _report(self, command: str) -> StatusReport | None:
+        reply = await self._exchange(OWN_ID, command)
+        if reply.failure is not None or not reply.rows:
+            return None
+        return parse_status(reply.rows[0])
+
+    async def _exchange(self, request: str, text: str) -> Reply:
+        if not self.is_open:
+            raise LinkLost("closed while idle", sent=False)
+        line = f"QUERY {request} {text}\r\n"
+        self._writer.write(line.encode(ENCODING, "replace"))
+        try:
+            return await self._receive()
+        except (OSError, IncompleteReadError, ValueError) as error:
+            self.close()
+            raise LinkLost(type(error).__name__, sent=True) from error
+        except LimitOverrunError as error:
+            self.close()
+            raise LinkLost("answer too large", sent=True) from error
+        except CancelledError:
+            # The answer is still to come and would be taken for that of
+            # the next statement.
+            self.close()
+            raise
+
+    async def _receive(self) -> Reply:
+        parts = ReplyParts()
+        while True:
+            reply = parts.feed(await read_line(self._reader))
+            if reply is not None:
+                return reply
+
+
+async def read_line(reader: StreamReader) -> str:
+    """Return the next line without its end."""
+    raw = await reader.readuntil(b"\r\n")
+    return raw[:-2].decode(ENCODING)
+
+
+class LineLinkFactory:
+    """Implements ``LinkFactory``."""
+
+    async def open(
+        self, entry: MemberEntry, organisation: str, timeout_s: float
+    ) -> LineLink | MemberFailure:
+        """Open a link, or say with what the member refused it."""
+        try:
+            return await wait_for(self._open(entry, organisation), timeout_s)
+        except (OSError, IncompleteReadError, TimeoutError) as error:
+            raise LinkLost(type(error).__name__, sent=False) from error
+
+    async def _open(
+        self, entry: MemberEntry, organisation: str
+    ) -> LineLink | MemberFailure:
+        reader, writer = await open_connection(
+            entry.ip, entry.port, limit=MAX_MESSAGE_BYTES + 2
+        )
+        try:
+            tune_socket(writer)
+            hello = f"STARTUP {entry.group} {organisation} {entry.member}\r\n"
+            writer.write(hello.encode(ENCODING, "replace"))
+            word, _, rest = (await read_line(reader)).partition(" ")
+        except BaseException:
+            writer.close()
+            raise
+        if word == "READY":
+            return LineLink(reader, writer, organisation)
+        writer.close()
+        return parse_failure(rest)
--- /dev/null
+++ b/redwingpost/platform/orders.py
@@ -0,0 +1,43 @@
+"""The platform's promotion calls."""
+
+from msgspec.json import encode
+
+from redwingpost.adapters.http_client import HttpClient, HttpLost
+from redwingpost.observability.journal import log_event
+
+#: Seconds to wait for the platform's word; whether the order took effect
+#: shows at the member.
+_TIMEOUT_S = 1.0
+
+
+class PromotionCalls:
+    """Implements ``PromotionOrders``."""
+
+    def __init__(self, ip: str, port: int) -> None:
+        self._client = HttpClient(ip, port)
+
+    async def promote(
+        self, group: str, member: str, holder: str, fence: int
+    ) -> bool:
+        """Return whether the platform took the order."""
+        headers = (
+            ("Content-Type", "application/json"),
+            ("X-Redwingpost-Duty-Holder", holder),
+            ("X-Redwingpost-Fence-Token", str(fence)),
+        )
+        body = encode({"service": group, "id": member})
+        try:
+            answer = await self._client.request(
+                "POST", "/promote", _TIMEOUT_S, body, headers
+            )
+        except HttpLost as lost:
+            log_event("promote-unanswered", group=group, detail=str(lost))
+            return False
+        log_event(
+            "promote-answered",
+            group=group,
+            member=member,
+            fence=fence,
+            status=answer.status,
+        )
+        return answer.status == 200
--- /dev/null
+++ b/redwingpost/statements/__init__.py
@@ -0,0 +1,24 @@
+"""Sessions of typed statements, apart from any protocol."""
+
+from redwingpost.statements.session import Phase, SessionState
+from redwingpost.statements.setup import (
+    Discard,
+    LinkContents,
+    Prepare,
+    SetValue,
+    Step,
+    shared_name,
+    steps_to,
+)
+
+__all__ = [
+    "Discard",
+    "LinkContents",
+    "Phase",
+    "Prepare",
+    "SessionState",
+    "SetValue",
+    "Step",
+    "shared_name",
+    "steps_to",
+]
--- /dev/null
+++ b/redwingpost/takeover/__init__.py
@@ -0,0 +1,1 @@
+"""Replacing a group's primary through the members' own commands."""
--- /dev/null
+++ b/redwingpost/takeover/triggers.py
@@ -0,0 +1,120 @@
+"""When a group needs another primary, and who sees to it.
+
+Load pattern: a primary crashes, goes silent, is cut off from its
+replicas or from some of the VMs, or announces that it will stop. Acting
+on one VM's silence replaces a primary that only that VM can't reach, and
+every caller pays for it with a second without writes. So a primary
+counts as lost only if no VM in hearing has reached it lately.
+"""
+
+from enum import Enum
+from typing import NamedTuple
+
+#: Seconds without an answer after which a primary counts as silent:
+#: several times the longest ordinary answer and the probe's interval.
+SILENT_S = 1.0
+
+#: What others must report at least (seconds): their probes are spread
+#: over an interval, and a report is one heartbeat old.
+OTHERS_SILENT_S = 0.6
+
+#: Seconds that commits may wait for a replica before the primary counts
+#: as cut off from its replicas. Replicas receive a commit within
+#: milliseconds, however long they take to apply it.
+STALLED_S = 1.2
+
+#: Seconds without any primary among members that answer.
+NONE_LEADS_S = 0.8
+
+#: Seconds that each further VM waits for the one before it to act.
+TURN_S = 0.4
+
+
+class Reason(Enum):
+    """Why another primary is needed."""
+
+    LEAVING = "leaving"
+    SILENT = "silent"
+    STALLED = "stalled"
+    NONE_LEADS = "none-leads"
+    LEFT_PAUSED = "left-paused"
+
+
+class LeaderView(NamedTuple):
+    """What one VM sees of a group's primary; times are seconds.
+
+    ``others_silent_s`` holds what the VMs in hearing say. ``hears_half``:
+    at least half of the VMs are in hearing, this one included.
+    """
+
+    leader: str | None
+    is_listed: bool
+    is_draining: bool
+    silent_s: float
+    others_silent_s: tuple[float, ...]
+    hears_half: bool
+    stalled_s: float
+    leaderless_s: float
+    replicas_answering: int
+    paused_s: float
+
+
+def reason_to_act(view: LeaderView) -> Reason | None:
+    """Return why the primary must be replaced, or None.
+
+    Examples
+    --------
+    >>> calm = LeaderView("a", True, False, 0.1, (), True, 0.0, 0.0, 2, 0.0)
+    >>> reason_to_act(calm) is None
+    True
+    >>> reason_to_act(calm._replace(is_draining=True)).value
+    'leaving'
+    """
+    if view.replicas_answering == 0:
+        return None
+    if view.leader is None:
+        return _without_leader(view)
+    if view.is_draining and view.silent_s < SILENT_S:
+        return Reason.LEAVING
+    if _is_silent(view):
+        return Reason.SILENT
+    if view.silent_s >= SILENT_S:
+        return None
+    if view.stalled_s >= STALLED_S:
+        return Reason.STALLED
+    if view.paused_s >= SILENT_S:
+        return Reason.LEFT_PAUSED
+    return None
+
+
+def turn_delay_s(vm: str, vms: tuple[str, ...], group: str) -> float:
+    """Return how long a VM lets others go first (seconds).
+
+    Without turns all VMs ask for the duty at once. The order differs by
+    group, so that one VM that fails delays one group in its turn only.
+
+    Examples
+    --------
+    >>> sorted(turn_delay_s(vm, ("a", "b"), "g") for vm in ("a", "b"))
+    [0.0, 0.4]
+    """
+    offset = sum(group.encode())
+    ordered = sorted(set(vms) | {vm})
+    place = (ordered.index(vm) + offset) % len(ordered)
+    return place * TURN_S
+
+
+def _without_leader(view: LeaderView) -> Reason | None:
+    if view.leaderless_s < NONE_LEADS_S or not view.hears_half:
+        return None
+    return Reason.NONE_LEADS
+
+
+def _is_silent(view: LeaderView) -> bool:
+    if view.silent_s < SILENT_S:
+        return False
+    if not view.is_listed:
+        return True
+    if not view.hears_half:
+        return False
+    return all(silent >= OTHERS_SILENT_S for silent in view.others_silent_s)
--- /dev/null
+++ b/redwingpost/wire/beacon.py
@@ -0,0 +1,62 @@
+"""Heartbeats as datagrams: pack and unpack, once each."""
+
+from pathlib import Path
+
+from capnp import KjException, SchemaParser
+
+from redwingpost.membership.hearing import Beacon
+from redwingpost.rates.usage import Usage
+
+_SCHEMA = SchemaParser().load(
+    str(Path(__file__).with_name("beacon.capnp")), imports=[]
+)
+
+
+def pack_beacon(beacon: Beacon, usages: tuple[Usage, ...]) -> bytes:
+    """Return the datagram of one heartbeat.
+
+    Examples
+    --------
+    >>> beacon = Beacon("a", 7, "10.0.0.1", 3, {"m1": 20})
+    >>> unpack_beacon(pack_beacon(beacon, (Usage("org", 5),)))[1]
+    (Usage(organisation='org', admitted=5),)
+    """
+    message = _SCHEMA.Beacon.new_message(
+        vm=beacon.vm,
+        boot=beacon.boot,
+        ip=beacon.ip,
+        configVersion=beacon.config_version,
+        usages=[usage._asdict() for usage in usages],
+        primaries=[
+            {"member": member, "silentMs": silent_ms}
+            for member, silent_ms in beacon.silent_ms_by_member.items()
+        ],
+    )
+    return message.to_bytes_packed()
+
+
+def unpack_beacon(
+    datagram: bytes,
+) -> tuple[Beacon, tuple[Usage, ...]] | None:
+    """Return a heartbeat and its usages; None for anything else.
+
+    Examples
+    --------
+    >>> unpack_beacon(b"\\xff\\xffbroken") is None
+    True
+    """
+    try:
+        message = _SCHEMA.Beacon.from_bytes_packed(datagram)
+        beacon = Beacon(
+            message.vm,
+            message.boot,
+            message.ip,
+            message.configVersion,
+            {item.member: item.silentMs for item in message.primaries},
+        )
+        usages = tuple(
+            Usage(item.organisation, item.admitted) for item in message.usages
+        )
+    except (KjException, UnicodeDecodeError, ValueError):
+        return None
+    return beacon, usages
