--- a/redwingpost/adapters/http_client.py
+++ b/redwingpost/adapters/http_client.py
@@ -151,6 +151,39 @@
                 raise ConnectionResetError("closed before the response")
 
 
+class HttpPool:
+    """Sends requests side by side, each on a connection of its own.
+
+    A connection whose answer is lost would hold up the requests behind
+    it until their time is over.
+    """
+
+    def __init__(self, ip: str, port: int) -> None:
+        self._ip = ip
+        self._port = port
+        self._idle: list[HttpClient] = []
+
+    async def request(
+        self,
+        method: str,
+        target: str,
+        timeout_s: float,
+        body: bytes = b"",
+        headers: tuple[tuple[str, str], ...] = (),
+    ) -> HttpAnswer:
+        """Send a request as ``HttpClient.request`` does."""
+        if self._idle:
+            client = self._idle.pop()
+        else:
+            client = HttpClient(self._ip, self._port)
+        try:
+            return await client.request(
+                method, target, timeout_s, body, headers
+            )
+        finally:
+            self._idle.append(client)
+
+
 def tune_socket(writer: StreamWriter) -> None:
     """Send small messages at once; notice a peer that is cut off."""
     socket = writer.get_extra_info("socket")
--- a/redwingpost/platform/orders.py
+++ b/redwingpost/platform/orders.py
@@ -2,7 +2,7 @@
 
 from msgspec.json import encode
 
-from redwingpost.adapters.http_client import HttpClient, HttpLost
+from redwingpost.adapters.http_client import HttpLost, HttpPool
 from redwingpost.observability.journal import log_event
 
 #: Seconds to wait for the platform's word; whether the order took effect
@@ -14,7 +14,7 @@
     """Implements ``PromotionOrders``."""
 
     def __init__(self, ip: str, port: int) -> None:
-        self._client = HttpClient(ip, port)
+        self._client = HttpPool(ip, port)
 
     async def promote(
         self, group: str, member: str, holder: str, fence: int
--- a/redwingpost/platform/store.py
+++ b/redwingpost/platform/store.py
@@ -9,7 +9,12 @@
 from msgspec import DecodeError
 from msgspec.json import decode, encode
 
-from redwingpost.adapters.http_client import HttpAnswer, HttpClient, HttpLost
+from redwingpost.adapters.http_client import (
+    HttpAnswer,
+    HttpClient,
+    HttpLost,
+    HttpPool,
+)
 from redwingpost.core.codes import Code
 from redwingpost.core.requests import Refusal
 from redwingpost.ports.fleet_store import Changes, Snapshot
@@ -45,7 +50,7 @@
     def __init__(self, ip: str, port: int) -> None:
         self._ip = ip
         self._port = port
-        self._calls = HttpClient(ip, port)
+        self._calls = HttpPool(ip, port)
         self._feed_by_table: dict[str, HttpClient] = {}
 
     async def snapshot(self, table: str) -> Result[Snapshot, Refusal]:
