--- a/redwingpost/rates/usage.py
+++ b/redwingpost/rates/usage.py
@@ -8,6 +8,11 @@
 they have admitted. What each VM admitted is a counter that only grows,
 so reports may be lost, repeated or come late: the next one repairs it.
 
+Where more is asked than the rate allows, each VM admits the part of the
+rate that corresponds to its part of the demand (``_Demand``). Whoever
+sees a token first would get it otherwise, and callers of one data centre
+would be refused three times as often as those of another.
+
 Safety when VMs can't hear each other: a VM uses the part of the rate that
 corresponds to the VMs it hears, itself included. Two halves of a cut
 fleet together then use no more than the rate, and a VM that wakes from a
@@ -18,6 +23,7 @@
 admissions. The debt is taken from what comes next.
 """
 
+from math import exp
 from typing import NamedTuple
 
 from redwingpost.configuration.routes import OrganisationRule
@@ -31,27 +37,91 @@
 #: fleet nobody knows what was used just before.
 FIRST_PART = 0.25
 
+#: Seconds over which demand is averaged: several heartbeats, so that a
+#: late report doesn't look like a VM without callers.
+DEMAND_S = 3.0
+
+#: Part of what the rate allows in five seconds by which the whole bucket
+#: may be overdrawn while VMs divide the rate by demand: their averages
+#: differ by a few percent for a moment.
+OVERDRAFT_PART = 0.04
+
 
 class Usage(NamedTuple):
-    """Operations of one organisation that a VM admitted since its start."""
+    """Operations of one organisation at a VM since its start."""
 
     organisation: str
     admitted: int
+    offered: int = 0
+
+
+class _Demand:
+    """Operations offered lately: here, and in all."""
+
+    def __init__(self, now: float) -> None:
+        self.own = 0.0
+        self.total = 0.0
+        self._at = now
+
+    def settle(self, now: float) -> None:
+        """Let what is past fade."""
+        kept = exp(-max(0.0, now - self._at) / DEMAND_S)
+        self._at = now
+        self.own *= kept
+        self.total *= kept
+
+    @property
+    def per_s(self) -> float:
+        """Return the whole demand (operations a second)."""
+        return self.total / DEMAND_S
+
+    @property
+    def share(self) -> float:
+        """Return this VM's part of the demand (0 to 1)."""
+        return self.own / self.total if self.total > 0.0 else 1.0
 
 
 class _Bucket:
-    """Tokens of one organisation; below zero after an excess."""
+    """Tokens of one organisation: all of them, and this VM's share.
+
+    ``tokens`` is below zero after an excess.
+    """
 
     def __init__(self, rule: OrganisationRule, now: float) -> None:
         self.tokens = rule.burst * FIRST_PART
-        self.settled_at = now
+        self.share_tokens = 0.0
+        self.demand = _Demand(now)
+        self.is_over = False
+        self._settled_at = now
 
     def settle(self, rule: OrganisationRule, part: float, now: float) -> None:
-        """Add what came in; ``part`` of the rate is this VM's to use."""
-        passed_s = max(0.0, now - self.settled_at)
-        self.settled_at = now
-        self.tokens += rule.rate * part * passed_s
-        self.tokens = min(self.tokens, max(1.0, rule.burst * part))
+        """Add what came in; ``part`` of the rate may be used in hearing."""
+        passed_s = max(0.0, now - self._settled_at)
+        self._settled_at = now
+        self.demand.settle(now)
+        came_in = rule.rate * part * passed_s
+        most = max(1.0, rule.burst * part)
+        self.tokens = min(self.tokens + came_in, most)
+        share = self.demand.share
+        was_over, self.is_over = self.is_over, self.demand.per_s > rule.rate
+        if self.is_over and not was_over:
+            self.share_tokens = max(0.0, self.tokens) * share
+        # Steers the whole bucket back to empty where the shares of all
+        # VMs together are a little more, or less, than the rate.
+        steering = 1.0 + max(-0.5, min(0.5, self.tokens / max(1.0, most)))
+        self.share_tokens = min(
+            self.share_tokens + came_in * share * steering,
+            max(1.0, most * share),
+        )
+
+    def may_admit(self, rule: OrganisationRule) -> bool:
+        """Say whether there is a token for one operation."""
+        if not self.is_over:
+            return self.tokens >= 1.0
+        allowed = rule.rate * 5.0 + rule.burst
+        if self.tokens < -OVERDRAFT_PART * allowed:
+            return False
+        return self.share_tokens >= 1.0
 
 
 class UsageLedger:
@@ -69,9 +139,9 @@
 
     def __init__(self) -> None:
         self._bucket_by_organisation: dict[str, _Bucket] = {}
-        self._own_by_organisation: dict[str, int] = {}
-        self._reported_by_organisation: dict[str, int] = {}
-        self._seen: dict[tuple[str, int, str], int] = {}
+        self._own_by_organisation: dict[str, Usage] = {}
+        self._reported_by_organisation: dict[str, Usage] = {}
+        self._seen: dict[tuple[str, int, str], Usage] = {}
 
     def admit(self, rule: OrganisationRule, part: float, now: float) -> bool:
         """Take a token for one operation if there is one.
@@ -87,12 +157,17 @@
         """
         bucket = self._bucket(rule, now)
         bucket.settle(rule, part, now)
-        if bucket.tokens < 1.0:
-            return False
-        bucket.tokens -= 1.0
-        own = self._own_by_organisation.get(rule.name, 0)
-        self._own_by_organisation[rule.name] = own + 1
-        return True
+        bucket.demand.own += 1.0
+        bucket.demand.total += 1.0
+        admitted = bucket.may_admit(rule)
+        if admitted:
+            bucket.tokens -= 1.0
+            bucket.share_tokens -= 1.0
+        own = self._own(rule.name)
+        self._own_by_organisation[rule.name] = Usage(
+            rule.name, own.admitted + int(admitted), own.offered + 1
+        )
+        return admitted
 
     def wait_s(self, rule: OrganisationRule, part: float) -> float:
         """Return after how long a token is there (seconds)."""
@@ -102,7 +177,9 @@
             return 1.0
         return round(max(0.0, 1.0 - bucket.tokens) / refill, 3)
 
-    def note_peer(self, vm: str, boot: int, usages: tuple[Usage, ...]) -> None:
+    def note_peer(
+        self, vm: str, boot: int, usages: tuple[Usage, ...], now: float
+    ) -> None:
         """Take in what another VM has admitted since its start.
 
         The first word of a VM is where counting starts: what it admitted
@@ -110,11 +187,15 @@
         """
         for usage in usages:
             key = (vm, boot, usage.organisation)
-            known = self._seen.get(key, usage.admitted)
-            self._seen[key] = max(known, usage.admitted)
+            known = self._seen.get(key, usage)
+            if usage.offered < known.offered:
+                continue
+            self._seen[key] = usage
             bucket = self._bucket_by_organisation.get(usage.organisation)
-            if bucket is not None and usage.admitted > known:
-                bucket.tokens -= usage.admitted - known
+            if bucket is not None:
+                bucket.demand.settle(now)
+                bucket.demand.total += usage.offered - known.offered
+                bucket.tokens -= usage.admitted - known.admitted
 
     def forget_peer(self, vm: str) -> None:
         """Drop the counters of a VM that is gone."""
@@ -123,21 +204,26 @@
 
     def is_report_due(self, organisation: str) -> bool:
         """Say whether the others must be told at once."""
-        own = self._own_by_organisation.get(organisation, 0)
-        told = self._reported_by_organisation.get(organisation, 0)
-        return own - told >= REPORT_AFTER
+        own = self._own(organisation)
+        told = self._reported_by_organisation.get(organisation)
+        before = 0 if told is None else told.admitted
+        return own.admitted - before >= REPORT_AFTER
 
     def take_report(self, everything: bool) -> tuple[Usage, ...]:
         """Return the counters to send: those that changed, or all."""
         usages = tuple(
-            Usage(name, own)
+            own
             for name, own in self._own_by_organisation.items()
             if everything or own != self._reported_by_organisation.get(name)
         )
         for usage in usages:
-            self._reported_by_organisation[usage.organisation] = usage.admitted
+            self._reported_by_organisation[usage.organisation] = usage
         return usages
 
+    def _own(self, organisation: str) -> Usage:
+        nothing = Usage(organisation, 0, 0)
+        return self._own_by_organisation.get(organisation, nothing)
+
     def _bucket(self, rule: OrganisationRule, now: float) -> _Bucket:
         bucket = self._bucket_by_organisation.get(rule.name)
         if bucket is None:
--- a/redwingpost/wire/beacon.capnp
+++ b/redwingpost/wire/beacon.capnp
@@ -5,21 +5,20 @@
 struct Beacon {
   vm @0 :Text;
   boot @1 :UInt64;
-  ip @2 :Text;
-  configVersion @3 :UInt64;
-  usages @4 :List(Usage);
-  primaries @5 :List(Primary);
-  clockMs @6 :UInt64;
+  configVersion @2 :UInt64;
+  usages @3 :List(Usage);
+  primaries @4 :List(Primary);
+  clockMs @5 :UInt64;
   # The sender's steady clock as it sent this.
-  echoes @7 :List(Echo);
-  samples @8 :List(Sample);
+  echo @6 :Echo;
+  # The receiver's clock, as it was last heard.
+  samples @7 :List(Sample);
 }
 
 struct Echo {
-  # The last clock heard from a VM, and for how long it was held.
-  vm @0 :Text;
-  clockMs @1 :UInt64;
-  heldMs @2 :UInt32;
+  # A clock that was heard, and for how long it was held; 0 for none.
+  clockMs @0 :UInt64;
+  heldMs @1 :UInt32;
 }
 
 struct Sample {
@@ -32,9 +31,10 @@
 }
 
 struct Usage {
-  # Operations that the VM admitted since its start.
+  # Operations at the VM since its start.
   organisation @0 :Text;
   admitted @1 :UInt64;
+  offered @2 :UInt64;
 }
 
 struct Primary {
