--- a/redwingpost/groups/choice.py
+++ b/redwingpost/groups/choice.py
@@ -17,6 +17,11 @@
 #: much busier.
 PRIMARY_WEIGHT = 1.5
 
+#: A member of another data centre counts as this much slower: traffic
+#: between data centres is paid for, and a near replica of equal load has
+#: the same data.
+FAR_WEIGHT = 1.25
+
 #: Slots that a member is taken to have; sets how fast a member that
 #: others fill becomes unattractive. Members of today have five.
 ASSUMED_SLOTS = 5
@@ -60,8 +65,7 @@
         seconds *= PRIMARY_WEIGHT
     if not candidate.has_link:
         seconds += OPEN_S
-    # Traffic between data centres is paid for; nearness breaks ties.
-    return seconds if candidate.is_near else seconds * 1.05
+    return seconds if candidate.is_near else seconds * FAR_WEIGHT
 
 
 def rank(candidates: list[Candidate]) -> list[str]:
--- a/redwingpost/membership/hearing.py
+++ b/redwingpost/membership/hearing.py
@@ -57,7 +57,8 @@
     """What a heartbeat says besides usage.
 
     ``silent_ms_by_member`` tells for each primary how long it hasn't
-    answered this VM. ``clock_ms`` is the sender's steady clock.
+    answered this VM. ``clock_ms`` is the sender's steady clock, ``echo``
+    the reader's as the sender last heard it.
     """
 
     vm: str
@@ -66,21 +67,20 @@
     config_version: int
     silent_ms_by_member: dict[str, int]
     clock_ms: int
-    echo_by_vm: dict[str, Echo]
+    echo: Echo | None
     samples: tuple[SharedSample, ...]
 
-    def left_after(self, vm: str) -> float | None:
-        """Return a moment on ``vm``'s clock that this left after (s).
+    def left_after(self) -> float | None:
+        """Return a moment of the reader's clock that this left after (s).
 
         A datagram may wait at a suspended VM for any time, so its age
         can't be told from when it is read. The echo of the reader's own
         clock bounds it from below: samples are never taken for younger
         than they are.
         """
-        echo = self.echo_by_vm.get(vm)
-        if echo is None:
+        if self.echo is None:
             return None
-        return (echo.clock_ms + echo.held_ms) / 1000.0
+        return (self.echo.clock_ms + self.echo.held_ms) / 1000.0
 
 
 class Hearing(NamedTuple):
@@ -99,7 +99,7 @@
     >>> table.set_listed((VmAddress("a", "ip1", 1), VmAddress("b", "ip2", 1)))
     >>> table.part(now=1.0)
     0.5
-    >>> table.note(Beacon("b", 1, "ip2", 7, {}, 5, {}, ()), now=1.0)
+    >>> table.note(Beacon("b", 1, "ip2", 7, {}, 5, None, ()), now=1.0)
     >>> table.part(now=1.1)
     1.0
     """
@@ -121,15 +121,23 @@
         if beacon.vm != self._vm:
             self._hearing_by_vm[beacon.vm] = Hearing(beacon, now)
 
-    def echoes(self, now: float) -> dict[str, Echo]:
-        """Return the clocks last heard, for the VMs they belong to."""
-        return {
-            vm: Echo(
-                hearing.beacon.clock_ms, int((now - hearing.heard_at) * 1000)
-            )
-            for vm, hearing in self._hearing_by_vm.items()
-            if now - hearing.heard_at <= HEARD_S
-        }
+    def echo_for(self, vm: str, now: float) -> Echo | None:
+        """Return a VM's clock as last heard from it."""
+        hearing = self._hearing_by_vm.get(vm)
+        if hearing is None:
+            return None
+        held_ms = int((now - hearing.heard_at) * 1000)
+        return Echo(hearing.beacon.clock_ms, held_ms)
+
+    def reached_elsewhere_s(self, member: str, now: float) -> float:
+        """Return how long ago another VM had an answer of a primary."""
+        ages = [
+            now - hearing.heard_at + silent_ms / 1000.0
+            for hearing in self._hearing_by_vm.values()
+            for named, silent_ms in hearing.beacon.silent_ms_by_member.items()
+            if named == member
+        ]
+        return min(ages, default=float("inf"))
 
     def heard(self, now: float) -> tuple[Beacon, ...]:
         """Return the heartbeats that are fresh."""
@@ -177,6 +185,16 @@
             del self._hearing_by_vm[vm]
         return gone
 
+    def place(self, subject: str) -> int:
+        """Return this VM's place in the order in which VMs see to it.
+
+        Without an order all would act at once. It differs by subject, so
+        that one VM that fails delays one matter in its turn only.
+        """
+        ordered = sorted(self.known())
+        offset = sum(subject.encode())
+        return (ordered.index(self._vm) + offset) % len(ordered)
+
     def addresses(self, port: int) -> tuple[VmAddress, ...]:
         """Return where heartbeats go; heard VMs count besides listed."""
         by_vm = {
--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -16,6 +16,7 @@
 from redwingpost.groups.choice import Candidate, rank
 from redwingpost.groups.directory import Directory
 from redwingpost.groups.evidence import FRESH_START_S, GroupEvidence
+from redwingpost.membership.hearing import VmTable
 from redwingpost.node.member import MemberClient
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
@@ -26,15 +27,17 @@
 #: show that a member lives, and heartbeats bring samples, so that a round
 #: only finds what neither shows. At 0.5 s questions were 6,000 of a quiet
 #: day's 10,000 exchanges with members.
-ROUND_S = 10.0
+ROUND_S = 15.0
 
 #: Seconds between rounds while something looks wrong.
 ALERT_ROUND_S = 0.15
 
-#: Seconds without any answer after which a primary, or a replica, is
-#: asked for one.
-QUIET_PRIMARY_S = 0.8
-QUIET_REPLICA_S = 3.0
+#: Seconds after which a primary that answered neither this VM nor, by
+#: their heartbeats, another is asked; each further VM leaves the one
+#: before it the time of a heartbeat. One question a second then shows all
+#: VMs that the primary of an idle group lives; six asked before.
+QUIET_S = 0.8
+QUIET_STEP_S = 0.3
 
 #: Seconds that a write may wait for its answer before the primary is
 #: looked at: a commit that reaches no replica hangs.
@@ -56,6 +59,7 @@
         clock: Clock,
         data_centre: str,
         drain_s: float,
+        vms: VmTable,
     ) -> None:
         self.name = name
         self.evidence = GroupEvidence()
@@ -69,6 +73,7 @@
         self._clock = clock
         self._data_centre = data_centre
         self._drain_s = drain_s
+        self._vms = vms
         self._stall = StallWatch()
         self._round: Task | None = None
         self._proof: Future | None = None
@@ -146,12 +151,13 @@
         if now - self.round_at >= pause:
             create_task(self.run_round())
             return
-        for name, client in self.member_by_name.items():
-            is_leader = name == self.evidence.leader
-            quiet_s = QUIET_PRIMARY_S if is_leader else QUIET_REPLICA_S
-            last = max(client.answered_at, client.asked_at)
-            if now - last >= quiet_s:
-                create_task(self._ask_one(client, now))
+        leader = self.member_by_name.get(self.evidence.leader)
+        quiet_s = min(
+            now - max(leader.answered_at, leader.asked_at),
+            self._vms.reached_elsewhere_s(leader.entry.member, now),
+        )
+        if quiet_s >= QUIET_S + QUIET_STEP_S * self._vms.place(self.name):
+            create_task(self._ask_one(leader, now))
 
     def note_shared(
         self, member: str, position: Position, taken_at: float
--- a/redwingpost/node/peers.py
+++ b/redwingpost/node/peers.py
@@ -7,7 +7,12 @@
 
 from mode import Service
 
-from redwingpost.membership.hearing import BEAT_S, Beacon, VmTable
+from redwingpost.membership.hearing import (
+    BEAT_S,
+    Beacon,
+    VmAddress,
+    VmTable,
+)
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
 from redwingpost.rates.usage import UsageLedger
@@ -92,33 +97,40 @@
             return
         self._sent += 1
         usages = self._ledger.take_report(everything)
-        datagram = pack_beacon(self._describe(), usages)
-        for ip in self._targets():
-            self._transport.sendto(datagram, (ip, self._port))
-
-    def _targets(self) -> set[str]:
-        ips = {address.ip for address in self._vms.addresses(self._port)}
-        if not ips:
-            ips = set(self._seeds)
-        return ips - {self._ip}
-
-    def _take_in(self, datagram: bytes) -> None:
-        unpacked = unpack_beacon(datagram)
+        beacon = self._describe()
+        for address in self._targets():
+            echo = self._vms.echo_for(address.vm, self._clock.now())
+            datagram = pack_beacon(beacon._replace(echo=echo), usages)
+            self._transport.sendto(datagram, (address.ip, self._port))
+
+    def _targets(self) -> tuple[VmAddress, ...]:
+        known = self._vms.addresses(self._port)
+        if known:
+            return known
+        return tuple(
+            VmAddress("", ip, self._port)
+            for ip in self._seeds
+            if ip != self._ip
+        )
+
+    def _take_in(self, datagram: bytes, ip: str) -> None:
+        unpacked = unpack_beacon(datagram, ip)
         if unpacked is None:
             log_event("beacon-unreadable", size=len(datagram))
             return
         beacon, usages = unpacked
         self._vms.note(beacon, self._clock.now())
         self._on_beacon(beacon)
-        self._ledger.note_peer(beacon.vm, beacon.boot, usages)
+        now = self._clock.now()
+        self._ledger.note_peer(beacon.vm, beacon.boot, usages, now)
 
 
 class _Receiver(DatagramProtocol):
-    def __init__(self, take_in: Callable[[bytes], None]) -> None:
+    def __init__(self, take_in: Callable[[bytes, str], None]) -> None:
         self._take_in = take_in
 
     def datagram_received(self, data: bytes, addr: tuple) -> None:
-        self._take_in(data)
+        self._take_in(data, addr[0])
 
     def error_received(self, exc: Exception) -> None:
         log_event("beacon-unsent", reason=type(exc).__name__)
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -244,6 +244,7 @@
                     self._clock,
                     self.settings.data_centre,
                     self.settings.drain_s,
+                    self._vms,
                 )
         vms = self._vms.count()
         for name, group in self.group_by_name.items():
@@ -266,7 +267,7 @@
             self._admission.rules.version,
             silent_ms_by_member,
             int(now * 1000),
-            self._vms.echoes(now),
+            None,
             self._shared_samples(now),
         )
 
@@ -286,7 +287,7 @@
         return tuple(shared)
 
     def _on_beacon(self, beacon: Beacon) -> None:
-        left_at = beacon.left_after(self.settings.vm)
+        left_at = beacon.left_after()
         if left_at is None:
             return
         for sample in beacon.samples:
--- a/redwingpost/node/takeover.py
+++ b/redwingpost/node/takeover.py
@@ -23,10 +23,10 @@
     pause_term,
 )
 from redwingpost.takeover.triggers import (
+    TURN_S,
     LeaderView,
     Reason,
     reason_to_act,
-    turn_delay_s,
 )
 
 #: Seconds between looks at the groups.
@@ -91,8 +91,7 @@
             self._due_by_group.pop(group.name, None)
             return
         if known is None or known[0] is not reason:
-            vms = tuple(beacon.vm for beacon in self._vms.heard(now))
-            delay = turn_delay_s(self._vm, vms, group.name)
+            delay = self._vms.place(group.name) * TURN_S
             self._due_by_group[group.name] = (reason, now + delay)
             log_event("takeover-due", group=group.name, reason=reason.value)
         elif now >= known[1]:
--- a/redwingpost/node/watcher.py
+++ b/redwingpost/node/watcher.py
@@ -11,7 +11,7 @@
 
 #: Seconds that a feed waits for a change. A connection that went silent
 #: is found by its keep-alive probes, long before.
-FEED_WAIT_S = 20.0
+FEED_WAIT_S = 30.0
 
 #: Seconds between tries while the store doesn't answer. Six VMs ask for
 #: three tables then, 45 calls a second of the 2,000 that it takes.
--- a/redwingpost/takeover/triggers.py
+++ b/redwingpost/takeover/triggers.py
@@ -87,23 +87,6 @@
     return None
 
 
-def turn_delay_s(vm: str, vms: tuple[str, ...], group: str) -> float:
-    """Return how long a VM lets others go first (seconds).
-
-    Without turns all VMs ask for the duty at once. The order differs by
-    group, so that one VM that fails delays one group in its turn only.
-
-    Examples
-    --------
-    >>> sorted(turn_delay_s(vm, ("a", "b"), "g") for vm in ("a", "b"))
-    [0.0, 0.4]
-    """
-    offset = sum(group.encode())
-    ordered = sorted(set(vms) | {vm})
-    place = (ordered.index(vm) + offset) % len(ordered)
-    return place * TURN_S
-
-
 def _without_leader(view: LeaderView) -> Reason | None:
     if view.leaderless_s < NONE_LEADS_S or not view.hears_half:
         return None
--- a/redwingpost/wire/beacon.py
+++ b/redwingpost/wire/beacon.py
@@ -18,14 +18,14 @@
 
     Examples
     --------
-    >>> beacon = Beacon("a", 7, "10.0.0.1", 3, {"m1": 20}, 5, {}, ())
-    >>> unpack_beacon(pack_beacon(beacon, (Usage("org", 5),)))[1]
-    (Usage(organisation='org', admitted=5),)
+    >>> beacon = Beacon("a", 7, "ip", 3, {"m1": 20}, 5, None, ())
+    >>> datagram = pack_beacon(beacon, (Usage("org", 5, 6),))
+    >>> unpack_beacon(datagram, "ip") == (beacon, (Usage("org", 5, 6),))
+    True
     """
     message = _SCHEMA.Beacon.new_message(
         vm=beacon.vm,
         boot=beacon.boot,
-        ip=beacon.ip,
         configVersion=beacon.config_version,
         usages=[usage._asdict() for usage in usages],
         primaries=[
@@ -33,23 +33,27 @@
             for member, silent_ms in beacon.silent_ms_by_member.items()
         ],
         clockMs=beacon.clock_ms,
-        echoes=[
-            {"vm": vm, "clockMs": echo.clock_ms, "heldMs": echo.held_ms}
-            for vm, echo in beacon.echo_by_vm.items()
-        ],
+        echo=_pack_echo(beacon.echo),
         samples=[_pack_sample(sample) for sample in beacon.samples],
     )
     return message.to_bytes_packed()
 
 
 def unpack_beacon(
-    datagram: bytes,
+    datagram: bytes, ip: str
 ) -> tuple[Beacon, tuple[Usage, ...]] | None:
     """Return a heartbeat and its usages; None for anything else.
 
+    Parameters
+    ----------
+    datagram : bytes
+        What arrived.
+    ip : str
+        Where it came from: a VM need not say so itself.
+
     Examples
     --------
-    >>> unpack_beacon(b"\\xff\\xffbroken") is None
+    >>> unpack_beacon(b"\\xff\\xffbroken", "10.0.0.1") is None
     True
     """
     try:
@@ -57,18 +61,16 @@
         beacon = Beacon(
             message.vm,
             message.boot,
-            message.ip,
+            ip,
             message.configVersion,
             {item.member: item.silentMs for item in message.primaries},
             message.clockMs,
-            {
-                item.vm: Echo(item.clockMs, item.heldMs)
-                for item in message.echoes
-            },
+            _unpack_echo(message.echo),
             tuple(_unpack_sample(item) for item in message.samples),
         )
         usages = tuple(
-            Usage(item.organisation, item.admitted) for item in message.usages
+            Usage(item.organisation, item.admitted, item.offered)
+            for item in message.usages
         )
     except (KjException, UnicodeDecodeError, ValueError):
         return None
@@ -88,3 +90,13 @@
 def _unpack_sample(item) -> SharedSample:
     position = Position(item.term, item.index)
     return SharedSample(item.group, item.member, position, item.ageMs)
+
+
+def _pack_echo(echo: Echo | None) -> dict:
+    if echo is None:
+        return {}
+    return {"clockMs": echo.clock_ms, "heldMs": echo.held_ms}
+
+
+def _unpack_echo(item) -> Echo | None:
+    return Echo(item.clockMs, item.heldMs) if item.clockMs else None
