--- a/redwingpost/groups/choice.py
+++ b/redwingpost/groups/choice.py
@@ -15,7 +15,7 @@
 #: A primary counts as this much slower than it is, so that reads which
 #: replicas can serve leave its slots to writes until replicas are that
 #: much busier.
-PRIMARY_WEIGHT = 1.5
+PRIMARY_WEIGHT = 3.0
 
 #: A member of another data centre counts as this much slower: traffic
 #: between data centres is paid for, and a near replica of equal load has
--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -27,11 +27,15 @@
 #: show that a member lives, and heartbeats bring samples, so that a round
 #: only finds what neither shows. At 0.5 s questions were 6,000 of a quiet
 #: day's 10,000 exchanges with members.
-ROUND_S = 15.0
+ROUND_S = 30.0
 
 #: Seconds between rounds while something looks wrong.
 ALERT_ROUND_S = 0.15
 
+#: Seconds between rounds until a first primary is known: members of a
+#: system that starts come one by one.
+FIRST_ROUND_S = 0.4
+
 #: Seconds after which a primary that answered neither this VM nor, by
 #: their heartbeats, another is asked; each further VM leaves the one
 #: before it the time of a heartbeat. One question a second then shows all
@@ -148,6 +152,8 @@
         """Ask whichever members must be asked now; don't wait."""
         now = self._clock.now()
         pause = ALERT_ROUND_S if self.is_alert() else ROUND_S
+        if self.evidence.term == 0:
+            pause = FIRST_ROUND_S
         if now - self.round_at >= pause:
             create_task(self.run_round())
             return
@@ -280,7 +286,6 @@
         self._settle()
 
     async def _ask_one(self, client: MemberClient, asked_at: float) -> None:
-        client.asked_at = asked_at
         report = await client.ask("status")
         member = client.entry.member
         if report is None or member not in self.member_by_name:
--- a/redwingpost/node/member.py
+++ b/redwingpost/node/member.py
@@ -38,6 +38,10 @@
 #: place left, unless one of this VM's own comes free.
 FULL_PAUSE_S = 0.03
 
+#: Seconds without a command after which the control connection closes:
+#: of a primary's connections it would take a sixth without any use.
+CONTROL_REST_S = 3.0
+
 #: Name under which control connections are opened.
 CONTROL_NAME = "redwing-control"
 
@@ -163,6 +167,7 @@
 
     async def ask(self, command: str, *arguments: int) -> StatusReport | None:
         """Send a control command; None where no report came."""
+        self.asked_at = self._clock.now()
         try:
             return await wait_for(
                 self._ask_in_turn(command, arguments), CONTROL_S
@@ -176,14 +181,20 @@
     def close_idle(self, all_of_them: bool) -> None:
         """Close connections that rest for no use."""
         now = self._clock.now()
+        if now - self.asked_at > CONTROL_REST_S:
+            self._close_control()
         for item in self.pool.close_idle(now, all_of_them):
             item.link.close()
 
     def close(self) -> None:
         """Close what rests, when the member is gone."""
         self.close_idle(all_of_them=True)
-        if self._control is not None:
+        self._close_control()
+
+    def _close_control(self) -> None:
+        if self._control is not None and not self._control_lock.locked():
             self._control.close()
+            self._control = None
 
     async def _ask_in_turn(
         self, command: str, arguments: tuple[int, ...]
