--- a/redwingpost/node/member.py
+++ b/redwingpost/node/member.py
@@ -6,6 +6,7 @@
 
 from redwingpost.core.statements import Shape
 from redwingpost.groups.latency import LatencyTracker
+from redwingpost.observability.journal import log_event
 from redwingpost.pools.pool import (
     Busy,
     ConnectionBudget,
@@ -42,6 +43,9 @@
 #: of a primary's connections it would take a sixth without any use.
 CONTROL_REST_S = 3.0
 
+#: Seconds for a connection that are worth a line in the log.
+LONG_WAIT_S = 0.05
+
 #: Name under which control connections are opened.
 CONTROL_NAME = "redwing-control"
 
@@ -118,16 +122,20 @@
         ------
         NoPlace, MemberRefused, LinkLost
         """
+        asked_at = self._clock.now()
         while True:
             now = self._clock.now()
             taken = self.pool.take(organisation, values_by_name, now)
             if isinstance(taken, PooledLink):
                 if taken.link.is_open:
+                    self._note_wait(organisation, now - asked_at)
                     return taken
                 self.discard(taken)
             elif isinstance(taken, Open):
                 opened = await self._open(taken, organisation, until)
                 if opened is not None:
+                    waited_s = self._clock.now() - asked_at
+                    self._note_wait(organisation, waited_s)
                     return opened
                 await self._wait(priority, until, FULL_PAUSE_S)
             elif isinstance(taken, Busy):
@@ -254,6 +262,18 @@
             if patience == left_s:
                 raise NoPlace() from error
 
+    def _note_wait(self, organisation: str, waited_s: float) -> None:
+        if waited_s < LONG_WAIT_S:
+            return
+        log_event(
+            "waited-for-connection",
+            member=self.entry.member,
+            organisation=organisation,
+            seconds=round(waited_s, 4),
+            in_use=self.pool.in_use,
+            allowed=self.budget.allowed(self._clock.now()),
+        )
+
     def _drop(self) -> None:
         self.pool.drop()
         self._wake()
--- a/redwingpost/node/session.py
+++ b/redwingpost/node/session.py
@@ -21,6 +21,10 @@
 from redwingpost.ports.database import MemberFailure
 from redwingpost.statements.session import Phase, SessionState
 
+#: Seconds for one statement that are worth a line in the log: the least
+#: target of today.
+LATE_S = 0.2
+
 Handler = Callable[["NodeSession", Statement], Awaitable[Result]]
 
 #: What answers a kind of statement, by the kind's value.
@@ -110,17 +114,29 @@
     ) -> None:
         if isinstance(result, Answer):
             self.services.metrics.note(statement.kind.value, "ok", seconds)
+            if seconds > LATE_S:
+                self._log("statement-late", statement, "ok", "", seconds)
             return
         is_own = isinstance(result, Refusal)
         word = result.code.name if is_own else result.word
         self.services.metrics.note(statement.kind.value, word, seconds)
+        self._log("statement-refused", statement, word, result.detail, seconds)
+
+    def _log(
+        self,
+        event: str,
+        statement: Statement,
+        code: str,
+        detail: str,
+        seconds: float,
+    ) -> None:
         log_event(
-            "statement-refused",
+            event,
             request=statement.request,
             statement=statement.kind.value,
             database=self._database,
-            code=word,
-            detail=result.detail,
+            code=code,
+            detail=detail,
             seconds=round(seconds, 4),
             version=self.services.admission.rules.version,
         )
