--- a/redwingpost/node/fleet.py
+++ b/redwingpost/node/fleet.py
@@ -5,6 +5,7 @@
 from mode import Service
 
 from redwingpost.membership.hearing import VmAddress, VmTable
+from redwingpost.node.steps import repeat
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.fleet_store import FleetStore, Snapshot
@@ -80,16 +81,17 @@
 
     @Service.task
     async def _tidy(self) -> None:
-        while not self.should_stop:
-            await self.sleep(_TIDY_S)
-            now = self._clock.now()
-            self._vms.forget_long_silent(now)
-            # A VM that hears few may be the one that is cut off.
-            if not self._vms.hears_half(now):
-                continue
-            for vm in self._vms.silent_vms(now)[:1]:
-                log_event("vm-taken-off", vm=vm)
-                await self._write(vm, None)
+        await repeat(self, self._take_off, _TIDY_S)
+
+    async def _take_off(self) -> None:
+        now = self._clock.now()
+        self._vms.forget_long_silent(now)
+        # A VM that hears few may be the one that is cut off.
+        if not self._vms.hears_half(now):
+            return
+        for vm in self._vms.silent_vms(now)[:1]:
+            log_event("vm-taken-off", vm=vm)
+            await self._write(vm, None)
 
     async def _write(self, vm: str, value: dict | None) -> bool:
         write = Write(FLEET_TABLE, VM_PREFIX + vm, value)
--- a/redwingpost/node/peers.py
+++ b/redwingpost/node/peers.py
@@ -13,6 +13,7 @@
     VmAddress,
     VmTable,
 )
+from redwingpost.node.steps import repeat
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
 from redwingpost.rates.usage import UsageLedger
@@ -88,9 +89,10 @@
 
     @Service.task
     async def _beat(self) -> None:
-        while not self.should_stop:
-            self._send(everything=self._sent % FULL_EVERY == 0)
-            await self.sleep(BEAT_S)
+        await repeat(self, self._send_beat, BEAT_S)
+
+    async def _send_beat(self) -> None:
+        self._send(everything=self._sent % FULL_EVERY == 0)
 
     def _send(self, everything: bool) -> None:
         if self._transport is None or self._transport.is_closing():
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -25,6 +25,7 @@
 from redwingpost.node.reads import ReadRunner
 from redwingpost.node.registry import MemberReader, RulesReader
 from redwingpost.node.session import NodeSession, Services
+from redwingpost.node.steps import repeat
 from redwingpost.node.takeover import TakeoverKeeper
 from redwingpost.node.watcher import TableWatcher
 from redwingpost.node.writes import WriteRunner
@@ -40,6 +41,9 @@
 #: Seconds between looks at directory, readiness and pools.
 STEP_S = 0.1
 
+#: Seconds between looks at which members must be asked.
+ASK_S = 0.05
+
 #: Connections assumed for a group that the configuration doesn't name.
 _DEFAULT_CONNECTIONS = 32
 
@@ -207,18 +211,20 @@
 
     @Service.task
     async def _step(self) -> None:
-        while not self.should_stop:
-            self._tidy()
-            self._judge_readiness()
-            await self._copy_if_behind()
-            await self.sleep(STEP_S)
+        await repeat(self, self._look_around, STEP_S)
 
     @Service.task
     async def _rounds(self) -> None:
-        while not self.should_stop:
-            for group in tuple(self.group_by_name.values()):
-                group.ask_if_due()
-            await self.sleep(0.05)
+        await repeat(self, self._ask_members, ASK_S)
+
+    async def _ask_members(self) -> None:
+        for group in tuple(self.group_by_name.values()):
+            group.ask_if_due()
+
+    async def _look_around(self) -> None:
+        self._tidy()
+        self._judge_readiness()
+        await self._copy_if_behind()
 
     def _tidy(self) -> None:
         now = self._clock.now()
--- a/redwingpost/node/takeover.py
+++ b/redwingpost/node/takeover.py
@@ -12,6 +12,7 @@
 from redwingpost.node.group import GroupClient
 from redwingpost.node.member import MemberClient
 from redwingpost.node.metrics import NodeMetrics
+from redwingpost.node.steps import repeat
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.database import LinkFactory, PromotionOrders
@@ -75,10 +76,11 @@
 
     @Service.task
     async def _watch(self) -> None:
-        while not self.should_stop:
-            await self.sleep(LOOK_S)
-            for group in tuple(self._group_by_name.values()):
-                self._look(group)
+        await repeat(self, self._look_at_all, LOOK_S)
+
+    async def _look_at_all(self) -> None:
+        for group in tuple(self._group_by_name.values()):
+            self._look(group)
 
     def _look(self, group: GroupClient) -> None:
         running = self._task_by_group.get(group.name)
--- a/redwingpost/node/watcher.py
+++ b/redwingpost/node/watcher.py
@@ -4,6 +4,7 @@
 
 from mode import Service
 
+from redwingpost.node.steps import repeat
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.fleet_store import FleetStore, Snapshot
@@ -86,11 +87,15 @@
 
     @Service.task
     async def _follow(self) -> None:
+        await repeat(self, self._follow_while_answered, RETRY_S)
+
+    async def _follow_while_answered(self) -> None:
+        """Read and wait for changes until the store fails to answer."""
         while not self.should_stop:
             if self._version is None and not await self.read_now():
-                await self.sleep(RETRY_S)
-            elif self._version is not None and not await self._wait_once():
-                await self.sleep(RETRY_S)
+                return
+            if self._version is not None and not await self._wait_once():
+                return
 
     async def _wait_once(self) -> bool:
         got = await self._store.changes(
--- a/redwingpost/platform/caller_server.py
+++ b/redwingpost/platform/caller_server.py
@@ -7,7 +7,10 @@
     Server,
     StreamReader,
     StreamWriter,
+    Task,
+    current_task,
     start_server,
+    wait,
 )
 from typing import Any, Protocol
 
@@ -32,6 +35,9 @@
 from redwingpost.ports.database import MemberFailure
 from redwingpost.statements.session import Phase
 
+#: Seconds for closed connections to give up what they hold.
+CLOSE_S = 0.3
+
 
 class Session(Protocol):
     """A caller's session as the server drives it."""
@@ -148,6 +154,7 @@
         self._sessions = sessions
         self._server: Server | None = None
         self._open: set[CallerConnection] = set()
+        self._handlers: set[Task] = set()
 
     @property
     def port(self) -> int:
@@ -174,6 +181,8 @@
         self.stop_listening()
         for connection in tuple(self._open):
             connection.close()
+        if self._handlers:
+            await wait(self._handlers, timeout=CLOSE_S)
 
     def stop_listening(self) -> None:
         """Take no further connections."""
@@ -193,6 +202,8 @@
         tune_socket(writer)
         connection = CallerConnection(reader, writer)
         self._open.add(connection)
+        handler = current_task()
+        self._handlers.add(handler)
         try:
             await connection.serve(self._sessions)
         except CancelledError:
@@ -200,3 +211,4 @@
             pass
         finally:
             self._open.discard(connection)
+            self._handlers.discard(handler)
