--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -157,7 +157,9 @@
         if now - self.round_at >= pause:
             create_task(self.run_round())
             return
-        leader = self.member_by_name.get(self.evidence.leader)
+        leader = self.member_by_name.get(self.evidence.leader or "")
+        if leader is None:
+            return
         quiet_s = min(
             now - max(leader.answered_at, leader.asked_at),
             self._vms.reached_elsewhere_s(leader.entry.member, now),
