Stand-ins for the platform, and nodes tested as processes against them

Change: a row store, groups with terms, logs and pauses, and promotion calls as stand-ins, and tests that run node processes against them. They found two faults of the node: a primary that takes connections and answers nothing never counted as silent, and a dead primary had to be paused before it could be replaced, so that a takeover waited for the registry to drop it.

--- a/redwingpost/groups/latency.py
+++ b/redwingpost/groups/latency.py
@@ -20,6 +20,10 @@
 _MEAN_WEIGHT = 0.125
 _DEVIATION_WEIGHT = 0.25
 
+#: Seconds after the last answer from which a member's time is taken for
+#: unknown: a member that others still use tells its time much sooner.
+FORGET_S = 3.0
+
 #: Seconds below which nothing is hedged: scheduling of a small VM alone
 #: delays an answer by as much.
 HEDGE_FLOOR_S = 0.04
@@ -32,7 +36,7 @@
     --------
     >>> tracker = LatencyTracker()
     >>> for _ in range(50):
-    ...     tracker.observe(0.02)
+    ...     tracker.observe(0.02, now=1.0)
     >>> tracker.usual_s < 0.021, tracker.late_after_s
     (True, 0.04)
     """
@@ -40,9 +44,19 @@
     def __init__(self) -> None:
         self.usual_s = FIRST_GUESS_S
         self._deviation_s = FIRST_GUESS_S
+        self._observed_at = float("-inf")
+
+    def is_known(self, now: float) -> bool:
+        """Say whether the smoothed time still tells something.
+
+        A member that was slow once gets no reads, so nothing would ever
+        show that it has recovered.
+        """
+        return now - self._observed_at < FORGET_S
 
-    def observe(self, seconds: float) -> None:
+    def observe(self, seconds: float, now: float) -> None:
         """Take in one answer's time."""
+        self._observed_at = now
         error = abs(seconds - self.usual_s)
         self._deviation_s += _DEVIATION_WEIGHT * (error - self._deviation_s)
         self.usual_s += _MEAN_WEIGHT * (seconds - self.usual_s)
--- a/redwingpost/node/attempt.py
+++ b/redwingpost/node/attempt.py
@@ -80,7 +80,8 @@
         client.discard(item)
         return outcome
     if outcome.failure is None:
-        client.latency.observe(clock.now() - started_at)
+        now = clock.now()
+        client.latency.observe(now - started_at, now)
     if _is_unusable(outcome):
         client.discard(item)
     else:
--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -13,7 +13,7 @@
 from itertools import count
 
 from redwingpost.core.positions import Position
-from redwingpost.groups.choice import Candidate, rank
+from redwingpost.groups.choice import FIRST_GUESS_S, Candidate, rank
 from redwingpost.groups.directory import Directory
 from redwingpost.groups.evidence import FRESH_START_S, GroupEvidence
 from redwingpost.membership.hearing import VmTable
@@ -126,11 +126,22 @@
     def ranked(self, organisation: str, held_out: set) -> list[MemberClient]:
         """Return members for a read, the best first."""
         now = self._clock.now()
-        candidates = []
-        for name, client in self.member_by_name.items():
-            if name in held_out or not self._may_read(client, now):
-                continue
-            candidates.append(self._candidate(client, organisation))
+        clients = [
+            client
+            for name, client in self.member_by_name.items()
+            if name not in held_out and self._may_read(client, now)
+        ]
+        # A member whose time isn't known counts as the best that is.
+        known_s = [
+            client.latency.usual_s
+            for client in clients
+            if client.latency.is_known(now)
+        ]
+        best_s = min(known_s, default=FIRST_GUESS_S)
+        candidates = [
+            self._candidate(client, organisation, best_s, now)
+            for client in clients
+        ]
         return [self.member_by_name[name] for name in rank(candidates)]
 
     # Rounds ------------------------------------------------------------
@@ -371,11 +382,18 @@
         # round hears from it again.
         return not client.is_failing
 
-    def _candidate(self, client: MemberClient, organisation: str) -> Candidate:
+    def _candidate(
+        self,
+        client: MemberClient,
+        organisation: str,
+        best_s: float,
+        now: float,
+    ) -> Candidate:
+        is_known = client.latency.is_known(now)
         heard = self.evidence.heard(client.entry.member)
         return Candidate(
             client.entry.member,
-            client.latency.usual_s,
+            client.latency.usual_s if is_known else best_s,
             client.under_way,
             heard.report.busy if heard is not None else 0,
             client.pool.has_idle(organisation),
--- a/redwingpost/node/member.py
+++ b/redwingpost/node/member.py
@@ -239,7 +239,6 @@
         except LinkLost:
             self.failed_at = self._clock.now()
             raise
-        self.note_answer()
         if isinstance(opened, MemberFailure):
             if opened.kind is FailureKind.TOO_MANY_CONNECTIONS:
                 self.budget.note_refused(self._clock.now())
--- a/redwingpost/node/takeover.py
+++ b/redwingpost/node/takeover.py
@@ -156,7 +156,8 @@
         if reason is Reason.LEFT_PAUSED and leader is not None:
             await self._resume(clients, standings)
             return "resumed"
-        choice = choose(standings, leader)
+        old = leader or group.evidence.leader
+        choice = choose(standings, old)
         if choice is None:
             return "no replica answers"
         term = pause_term(standings)
@@ -171,7 +172,7 @@
         if not done:
             await self._resume(clients, standings)
             return "not promoted"
-        await self._finish(group, clients, ready, leader)
+        await self._finish(group, clients, ready, old)
         return "done"
 
     def _is_settled(self, group: GroupClient) -> bool:
--- /dev/null
+++ b/redwingpost/node/tests/line_caller.py
@@ -0,0 +1,67 @@
+"""A caller of the line protocol, for tests."""
+
+from asyncio import StreamReader, StreamWriter, open_connection
+from typing import NamedTuple
+
+
+class Told(NamedTuple):
+    """What a caller was told; ``code`` is empty after a success."""
+
+    rows: tuple[str, ...]
+    code: str
+    state: str
+    proof: str = ""
+
+
+class LineCaller:
+    """One session."""
+
+    def __init__(self, reader: StreamReader, writer: StreamWriter) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._number = 0
+
+    @classmethod
+    async def connect(cls, ip: str, port: int) -> "LineCaller":
+        """Open a connection without a session."""
+        return cls(*await open_connection(ip, port))
+
+    async def start(self, database: str, key: str) -> str:
+        """Open the session; return "READY" or the code of the refusal."""
+        self.send(f"STARTUP {database} {key}")
+        word, _, rest = (await self.line()).partition(" ")
+        return word if word == "READY" else rest.partition(" ")[0]
+
+    async def run(self, text: str) -> Told:
+        """Run a statement with a new id."""
+        self._number += 1
+        return await self.run_as(f"r{id(self):x}{self._number}", text)
+
+    async def run_as(self, request: str, text: str) -> Told:
+        """Run a statement under an id."""
+        self.send(f"QUERY {request} {text}")
+        rows = []
+        code = proof = ""
+        while True:
+            word, _, rest = (await self.line()).partition(" ")
+            if word == "DATAROW":
+                rows.append(rest)
+            elif word == "COMPLETE":
+                proof = rest
+            elif word == "ERROR":
+                code = rest.partition(" ")[0]
+            elif word == "READY":
+                return Told(tuple(rows), code, rest[:1], proof)
+
+    def send(self, line: str) -> None:
+        """Send a line."""
+        self._writer.write(f"{line}\r\n".encode("latin-1"))
+
+    async def line(self) -> str:
+        """Return the next line."""
+        raw = await self._reader.readuntil(b"\r\n")
+        return raw[:-2].decode("latin-1")
+
+    def close(self) -> None:
+        """Leave without a word."""
+        self._writer.close()
--- /dev/null
+++ b/redwingpost/node/tests/line_site.py
@@ -0,0 +1,187 @@
+"""Real node processes against the stand-ins, for tests."""
+
+from asyncio import create_subprocess_exec, sleep, wait_for
+from asyncio.subprocess import DEVNULL, PIPE, Process
+from collections.abc import Callable
+from itertools import count
+from json import dumps
+from os import environ, getpid
+from pathlib import Path
+from signal import SIGKILL, SIGTERM
+from socket import SOCK_STREAM, socket
+from sys import executable
+from tempfile import mkdtemp
+from typing import Any
+
+from redwingpost.node.tests.line_caller import LineCaller
+from redwingpost.platform.settings import PATH_VARIABLE
+from redwingpost.standin.lines.site import LineSite
+
+#: Seconds for anything to come about: long enough for a busy machine,
+#: never waited for where it comes about sooner.
+PATIENCE_S = 20.0
+
+_SITES = count(1)
+
+
+def configuration(version: int, **changes: Any) -> dict[str, Any]:
+    """Return a configuration with a database of each consistency."""
+    value = {
+        "configVersion": version,
+        "routes": [
+            _route("strict", "primary", 0),
+            _route("stated", "bounded_staleness", 1500),
+            _route("own", "read_your_writes", 2500),
+        ],
+        "services": [{"name": "g1", "maxConns": 32, "syncReplicas": 1}],
+        "limits": {"txIdleMs": 3000},
+        "tenants": [
+            _organisation("parish", ["key-1", "key-2"]),
+            _organisation("diocese", ["key-3"]),
+        ],
+    }
+    value.update(changes)
+    return value
+
+
+def _route(name: str, kind: str, stale_ms: int) -> dict[str, Any]:
+    return {
+        "name": f"r-{name}",
+        "host": name,
+        "routeType": kind,
+        "timeoutMs": 1000,
+        "targetLatencyMs": 400,
+        "priority": 1,
+        "service": "g1",
+        "maxStalenessMs": stale_ms,
+        "public": False,
+    }
+
+
+def _organisation(name: str, keys: list[str]) -> dict[str, Any]:
+    return {"name": name, "apiKeys": keys, "ratePerS": 500, "burst": 500}
+
+
+class NodeProcess:
+    """One node and where it listens."""
+
+    def __init__(self, ip: str, ports: dict[str, int], process: Process):
+        self.ip = ip
+        self.ports = ports
+        self.process = process
+
+    async def caller(self, database: str, key: str = "key-1") -> LineCaller:
+        """Return a caller with an open session."""
+        caller = await LineCaller.connect(self.ip, self.ports["callers"])
+        told = await caller.start(database, key)
+        if told != "READY":
+            raise AssertionError(f"no session: {told}")
+        return caller
+
+    async def is_ready(self) -> bool:
+        """Ask for readiness as the balancer does."""
+        try:
+            caller = await LineCaller.connect(self.ip, self.ports["ready"])
+        except OSError:
+            return False
+        caller.send("GET /ready HTTP/1.1\r\nHost: balancer\r\n")
+        status = await caller.line()
+        caller.close()
+        return " 200 " in f"{status} "
+
+    async def end(self, signal: int = SIGTERM) -> int:
+        """Signal the process and return its exit code."""
+        if self.process.returncode is None:
+            self.process.send_signal(signal)
+        return await wait_for(self.process.wait(), PATIENCE_S)
+
+
+class NodeSite:
+    """Stand-ins and nodes of one test."""
+
+    def __init__(self) -> None:
+        number = next(_SITES)
+        # Addresses of its own: nodes share one inner port, and tests may
+        # run side by side.
+        self._prefix = f"127.{40 + getpid() % 200}.{number % 250}"
+        self.outside = LineSite()
+        self.nodes: list[NodeProcess] = []
+        self._inner = 0
+        self._folder = Path(mkdtemp(prefix="redwing-node-"))
+
+    async def start(self, nodes: int = 2) -> None:
+        """Start the stand-ins and the nodes; wait until all are ready."""
+        await self.outside.start(("g1",))
+        self.outside.configure(configuration(1))
+        self._inner = _free_port(f"{self._prefix}.1")
+        for _ in range(nodes):
+            await self.add_node()
+        for node in self.nodes:
+            await until(node.is_ready)
+
+    async def stop(self) -> None:
+        """End what was started."""
+        for node in self.nodes:
+            if node.process.returncode is None:
+                await node.end(SIGKILL)
+        await self.outside.stop()
+
+    async def add_node(self) -> NodeProcess:
+        """Start one more node."""
+        number = len(self.nodes) + 1
+        ip = f"{self._prefix}.{number}"
+        ports = {"callers": _free_port(ip), "ready": _free_port(ip)}
+        path = self._folder / f"node-{number}.json"
+        path.write_text(dumps(self._settings(f"vm-{number}", ip, ports)))
+        process = await create_subprocess_exec(
+            executable,
+            "-m",
+            "redwingpost.cli.node",
+            env={**environ, PATH_VARIABLE: str(path)},
+            stdout=DEVNULL,
+            stderr=PIPE,
+        )
+        node = NodeProcess(ip, ports, process)
+        self.nodes.append(node)
+        return node
+
+    def _settings(self, vm: str, ip: str, ports: dict) -> dict[str, Any]:
+        outside = self.outside
+        return {
+            "node": vm,
+            "zone": "dc-a",
+            "ip": ip,
+            "listen": {
+                "front": f"{ip}:{ports['callers']}",
+                "ready": f"{ip}:{ports['ready']}",
+            },
+            "innerPorts": [self._inner, self._inner + 1],
+            "seeds": [],
+            "bounds": {"drainMs": 7000, "graceS": 6},
+            "platform": {"address": f"{outside.ip}:{outside.store_port}"},
+            "cloudApi": {"address": f"{outside.ip}:{outside.orders_port}"},
+        }
+
+
+async def until(holds: Callable, what: str = "it") -> None:
+    """Wait until a condition holds."""
+
+    async def poll() -> None:
+        while True:
+            result = holds()
+            if hasattr(result, "__await__"):
+                result = await result
+            if result:
+                return
+            await sleep(0.02)
+
+    try:
+        await wait_for(poll(), PATIENCE_S)
+    except TimeoutError as error:
+        raise AssertionError(f"{what} did not come about") from error
+
+
+def _free_port(ip: str) -> int:
+    with socket(type=SOCK_STREAM) as probe:
+        probe.bind((ip, 0))
+        return probe.getsockname()[1]
--- a/redwingpost/node/transaction.py
+++ b/redwingpost/node/transaction.py
@@ -255,7 +255,8 @@
             self._is_over = True
             return NoAnswer("no answer in time")
         if isinstance(outcome, Reply) and outcome.failure is None:
-            client.latency.observe(self._clock.now() - started_at)
+            now = self._clock.now()
+            client.latency.observe(now - started_at, now)
         return outcome
 
     async def _is_proven(self, deadline: float) -> bool:
--- /dev/null
+++ b/redwingpost/standin/lines/group.py
@@ -0,0 +1,175 @@
+"""A replicated group by the platform's rules: terms, logs, pauses."""
+
+from asyncio import Event, wait_for
+from typing import NamedTuple
+
+from redwingpost.core.positions import ZERO_POSITION, Position
+
+#: Seconds that a primary waits for a replica before it fails a commit.
+SYNC_WAIT_S = 5.0
+
+
+class LogEntry(NamedTuple):
+    """One commit."""
+
+    position: Position
+    writes: dict[str, str]
+
+
+class LineMember:
+    """One member's state, and what is wrong with it."""
+
+    def __init__(self, name: str, is_primary: bool) -> None:
+        self.name = name
+        self.is_primary = is_primary
+        self.term = 1
+        self.log: list[LogEntry] = []
+        self.applied = 0
+        self.paused_for = 0
+        self.is_dark = False
+        self.is_cut_off = False
+        self.lags = False
+        self.lose_answers = 0
+        self.runs: list[tuple[str, str]] = []
+
+    @property
+    def head(self) -> Position:
+        """Return the last position received."""
+        return self.log[-1].position if self.log else ZERO_POSITION
+
+    @property
+    def applied_head(self) -> Position:
+        """Return the last position that reads see."""
+        if not self.applied:
+            return ZERO_POSITION
+        return self.log[self.applied - 1].position
+
+    def holds(self, position: Position) -> bool:
+        """Say whether reads see a position of this very log."""
+        if position == ZERO_POSITION:
+            return True
+        return any(
+            entry.position == position for entry in self.log[: self.applied]
+        )
+
+    def read(self, item: str) -> str | None:
+        """Return an item as reads see it."""
+        for entry in reversed(self.log[: self.applied]):
+            if item in entry.writes:
+                return entry.writes[item]
+        return None
+
+    def receive(self, entry: LogEntry) -> bool:
+        """Take an entry from a primary, unless paused or cut off."""
+        term = entry.position.term
+        if self.is_dark or self.is_cut_off or self.paused_for > term:
+            return False
+        if self.term > term:
+            return False
+        self.term = term
+        self.log.append(entry)
+        self.catch_up()
+        return True
+
+    def catch_up(self) -> None:
+        """Apply what was received, unless the member lags."""
+        if not self.lags:
+            self.applied = len(self.log)
+
+
+class LineGroup:
+    """Members of one group.
+
+    Parameters
+    ----------
+    name : str
+        Of the group.
+    members : tuple of str
+        Their names; the first is the primary.
+    """
+
+    def __init__(self, name: str, members: tuple[str, ...]) -> None:
+        self.name = name
+        self.member_by_name = {
+            member: LineMember(member, member == members[0])
+            for member in members
+        }
+        self.acknowledged: list[LogEntry] = []
+        self.lost: list[LogEntry] = []
+        self._changed = Event()
+
+    async def commit(self, member: LineMember, writes: dict) -> bool:
+        """Commit at a primary; False where it has lost the lead."""
+        if not member.is_primary:
+            return False
+        term = member.term
+        entry = LogEntry(Position(term, member.head.index + 1), writes)
+        member.log.append(entry)
+        member.applied = len(member.log)
+        while member.is_primary and member.term == term:
+            if self._replicate(member, entry):
+                break
+            await wait_for(self._changed.wait(), SYNC_WAIT_S)
+        else:
+            return False
+        self.acknowledged.append(entry)
+        return True
+
+    def promote(self, name: str) -> None:
+        """Make a member lead the next term with what it has."""
+        chosen = self.member_by_name[name]
+        if chosen.is_primary:
+            return
+        chosen.term = 1 + max(m.term for m in self.member_by_name.values())
+        chosen.is_primary = True
+        chosen.paused_for = 0
+        chosen.applied = len(chosen.log)
+        held = {entry.position for entry in chosen.log}
+        self.lost.extend(
+            entry for entry in self.acknowledged if entry.position not in held
+        )
+        for member in self.member_by_name.values():
+            if member is not chosen and not member.is_primary:
+                self.follow(member, chosen)
+        self.wake()
+
+    def follow(self, member: LineMember, leader: LineMember) -> None:
+        """Let a member take over a leader's log."""
+        if member.is_dark or member.is_cut_off:
+            return
+        member.is_primary = False
+        member.term = leader.term
+        member.paused_for = 0
+        member.log = list(leader.log)
+        member.applied = min(member.applied, len(member.log))
+        member.catch_up()
+
+    def step_down(self, member: LineMember, term: int) -> None:
+        """Make a primary of a lower term a replica."""
+        if member.is_primary and member.term < term:
+            leader = self.newest_primary()
+            member.is_primary = False
+            if leader is not None:
+                self.follow(member, leader)
+        self.wake()
+
+    def newest_primary(self) -> LineMember | None:
+        """Return the primary of the highest term."""
+        leading = [m for m in self.member_by_name.values() if m.is_primary]
+        return max(leading, key=lambda m: m.term, default=None)
+
+    def wake(self) -> None:
+        """Let waiting commits look again."""
+        self._changed.set()
+        self._changed = Event()
+
+    def _replicate(self, primary: LineMember, entry: LogEntry) -> bool:
+        if primary.is_dark or primary.is_cut_off:
+            return False
+        received = False
+        for member in self.member_by_name.values():
+            if member is primary or member.is_primary:
+                continue
+            if entry in member.log or member.receive(entry):
+                received = True
+        return received
--- /dev/null
+++ b/redwingpost/standin/lines/member_server.py
@@ -0,0 +1,242 @@
+"""A member over TCP: the members' side of the line protocol."""
+
+from asyncio import (
+    IncompleteReadError,
+    Semaphore,
+    Server,
+    StreamReader,
+    StreamWriter,
+    sleep,
+    start_server,
+)
+from hashlib import blake2b
+
+from redwingpost.core.positions import Position
+from redwingpost.standin.lines.group import LineGroup, LineMember
+
+#: Connections and slots of a member.
+MAX_CONNECTIONS = 32
+SLOTS = 5
+
+#: Seconds that a read, a write or a commit works.
+WORK_S = 0.002
+
+
+class _Refusal(Exception):
+    """A code to answer with."""
+
+
+class MemberServer:
+    """Serves one member of a group."""
+
+    def __init__(self, group: LineGroup, member: LineMember) -> None:
+        self.group = group
+        self.member = member
+        self.connections = 0
+        self.organisations: list[str] = []
+        self.slots = Semaphore(SLOTS)
+        self._server: Server | None = None
+        self._writers: set[StreamWriter] = set()
+
+    async def start(self, ip: str) -> int:
+        """Listen; return the port."""
+        self._server = await start_server(self._serve, ip, 0)
+        return self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stop listening and cut all connections."""
+        self._server.close()
+        for writer in tuple(self._writers):
+            writer.close()
+
+    async def rest_while_dark(self) -> None:
+        """Say nothing while the member is dark."""
+        while self.member.is_dark:
+            await sleep(0.02)
+
+    async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        self._writers.add(writer)
+        self.connections += 1
+        try:
+            await _Connection(self, reader, writer).run()
+        except (IncompleteReadError, OSError):
+            # The caller left: what was open rolls back.
+            pass
+        finally:
+            self.connections -= 1
+            self._writers.discard(writer)
+            writer.close()
+
+
+class _Connection:
+    def __init__(
+        self, server: MemberServer, reader: StreamReader, writer: StreamWriter
+    ) -> None:
+        self._server = server
+        self._member = server.member
+        self._reader = reader
+        self._writer = writer
+        self._state = "I"
+        self._is_plain = False
+        self._writes: dict[str, str] = {}
+        self._shapes: dict[str, str] = {}
+
+    async def run(self) -> None:
+        """Serve the connection until it ends."""
+        word, service, organisation, *expected = (await self._line()).split()
+        await self._server.rest_while_dark()
+        wrong = service != self._server.group.name or (
+            expected and expected[0] != self._member.name
+        )
+        if word != "STARTUP" or wrong:
+            self._send(f"ERROR WRONGNODE {self._member.name}")
+            return
+        if self._server.connections > MAX_CONNECTIONS:
+            self._send("ERROR MAXCONN full")
+            return
+        self._server.organisations.append(organisation)
+        self._send(self._ready())
+        while True:
+            line = await self._line()
+            word, _, rest = line.partition(" ")
+            if word != "QUERY":
+                return
+            request, _, text = rest.partition(" ")
+            await self._answer(request, text)
+
+    async def _answer(self, request: str, text: str) -> None:
+        await self._server.rest_while_dark()
+        try:
+            rows, proof = await self._execute(request, text)
+            lines = [f"DATAROW {row}" for row in rows]
+            lines.append(f"COMPLETE {proof}")
+        except _Refusal as refusal:
+            lines = [f"ERROR {refusal}"]
+            if self._state == "T":
+                self._state = "E"
+        if self._member.lose_answers > 0 and request != "-":
+            self._member.lose_answers -= 1
+            return
+        self._send("\r\n".join([*lines, self._ready()]))
+
+    async def _execute(self, request: str, text: str) -> tuple[list, str]:
+        after = None
+        if text.startswith("WAITLSN "):
+            _, position, text = text.split(" ", 2)
+            term, _, index = position.partition(".")
+            after = Position(int(term), int(index))
+        word, _, rest = text.partition(" ")
+        if self._state == "E" and word != "ROLLBACK":
+            raise _Refusal("MALFORMED failed")
+        if after is not None and not self._member.holds(after):
+            raise _Refusal("LAGGING behind")
+        handler = getattr(self, f"_do_{word.lower()}", None)
+        if handler is None:
+            raise _Refusal("MALFORMED unknown")
+        return await handler(request, rest)
+
+    async def _do_read(self, request: str, item: str) -> tuple[list, str]:
+        await self._work(request, f"READ {item}")
+        value = self._writes.get(item) or self._member.read(item)
+        return [value or "-"], self._proof(request)
+
+    async def _do_write(self, request: str, rest: str) -> tuple[list, str]:
+        if not self._member.is_primary:
+            raise _Refusal(f"READONLY {self._member.name}")
+        await self._work(request, f"WRITE {rest}")
+        item, _, data = rest.partition(" ")
+        if self._state == "T":
+            self._writes[item] = data
+        elif not await self._server.group.commit(self._member, {item: data}):
+            raise _Refusal(f"READONLY {self._member.name}")
+        return [], self._proof(request)
+
+    async def _do_begin(self, request: str, rest: str) -> tuple[list, str]:
+        if not rest and not self._member.is_primary:
+            raise _Refusal(f"READONLY {self._member.name}")
+        self._state = "T"
+        self._writes = {}
+        return [], "-"
+
+    async def _do_commit(self, request: str, rest: str) -> tuple[list, str]:
+        await self._work(request, "COMMIT")
+        writes, self._writes = self._writes, {}
+        self._state = "I"
+        if writes and not self._member.is_primary:
+            raise _Refusal(f"READONLY {self._member.name}")
+        if writes and not await self._server.group.commit(
+            self._member, writes
+        ):
+            raise _Refusal(f"READONLY {self._member.name}")
+        return [], self._proof(request)
+
+    async def _do_rollback(self, request: str, rest: str) -> tuple[list, str]:
+        self._writes = {}
+        self._state = "I"
+        return [], "-"
+
+    async def _do_set(self, request: str, rest: str) -> tuple[list, str]:
+        return [], "-"
+
+    async def _do_prepare(self, request: str, rest: str) -> tuple[list, str]:
+        name, _, shape = rest.partition(" ")
+        self._shapes[name] = shape
+        return [], "-"
+
+    async def _do_execute(self, request: str, rest: str) -> tuple[list, str]:
+        name, _, argument = rest.partition(" ")
+        if name not in self._shapes:
+            raise _Refusal(f"NOSTMT {name}")
+        if self._shapes[name].startswith("WRITE"):
+            return await self._do_write(request, argument)
+        return await self._do_read(request, argument)
+
+    async def _do_discard(self, request: str, rest: str) -> tuple[list, str]:
+        self._shapes.clear()
+        return [], "-"
+
+    async def _do_status(self, request: str, rest: str) -> tuple[list, str]:
+        member = self._member
+        role = "primary" if member.is_primary else "replica"
+        head = f"{member.head.term}.{member.head.index}"
+        fields = (role, member.term, head, member.paused_for, 0, 0)
+        row = " ".join(str(field) for field in fields)
+        return [f"{row} {self._server.connections}"], "-"
+
+    async def _do_pause(self, request: str, rest: str) -> tuple[list, str]:
+        self._member.paused_for = int(rest)
+        return await self._do_status(request, "")
+
+    async def _do_resume(self, request: str, rest: str) -> tuple[list, str]:
+        member = self._member
+        member.paused_for = 0
+        leader = self._server.group.newest_primary()
+        if leader is not None and leader is not member:
+            self._server.group.follow(member, leader)
+        self._server.group.wake()
+        return await self._do_status(request, "")
+
+    async def _do_stepdown(self, request: str, rest: str) -> tuple[list, str]:
+        self._server.group.step_down(self._member, int(rest))
+        return await self._do_status(request, "")
+
+    async def _work(self, request: str, text: str) -> None:
+        async with self._server.slots:
+            await sleep(WORK_S)
+        self._member.runs.append((request, text))
+
+    def _proof(self, request: str) -> str:
+        text = f"{self._member.name} {request}".encode()
+        return f"1.{blake2b(text, digest_size=8).hexdigest()}"
+
+    def _ready(self) -> str:
+        head = self._member.head
+        position = f"{head.term}.{head.index}" if head.index else "-"
+        return f"READY {self._state} {position}"
+
+    async def _line(self) -> str:
+        raw = await self._reader.readuntil(b"\r\n")
+        return raw[:-2].decode("latin-1")
+
+    def _send(self, line: str) -> None:
+        self._writer.write(f"{line}\r\n".encode("latin-1"))
--- /dev/null
+++ b/redwingpost/standin/lines/site.py
@@ -0,0 +1,124 @@
+"""A whole site of stand-ins in one process: store, groups, promotions."""
+
+from asyncio import create_task, sleep
+from typing import Any
+
+from aiohttp.web import (
+    Application,
+    AppRunner,
+    Request,
+    Response,
+    TCPSite,
+    post,
+)
+
+from redwingpost.standin.lines.group import LineGroup, LineMember
+from redwingpost.standin.lines.member_server import MemberServer
+from redwingpost.standin.lines.store import StandInStore
+
+#: Seconds from an order to its effect.
+PROMOTE_S = 0.2
+
+
+class Order:
+    """A promotion order as it came."""
+
+    def __init__(self, group: str, member: str, holder: str, fence: int):
+        self.group = group
+        self.member = member
+        self.holder = holder
+        self.fence = fence
+
+
+class LineSite:
+    """Store, groups of three members, and the promotion calls."""
+
+    def __init__(self, ip: str = "127.0.0.1") -> None:
+        self.ip = ip
+        self.store = StandInStore()
+        self.group_by_name: dict[str, LineGroup] = {}
+        self.server_by_member: dict[str, MemberServer] = {}
+        self.orders: list[Order] = []
+        self.store_port = 0
+        self.orders_port = 0
+        self._runner: AppRunner | None = None
+        self._entry_by_member: dict[str, dict[str, Any]] = {}
+
+    async def start(self, groups: tuple[str, ...]) -> None:
+        """Start everything and register the members."""
+        self.store_port = await self.store.start(self.ip)
+        app = Application()
+        app.add_routes([post("/promote", self._promote)])
+        self._runner = AppRunner(app, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await TCPSite(self._runner, self.ip, 0).start()
+        self.orders_port = self._runner.addresses[0][1]
+        for name in groups:
+            await self._start_group(name)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for server in self.server_by_member.values():
+            await server.stop()
+        await self._runner.cleanup()
+        await self.store.stop()
+
+    def configure(self, value: dict[str, Any]) -> None:
+        """Write a configuration as the operator does."""
+        self.store.put("op", "config", value)
+
+    def register(self, member: str, **changes: Any) -> None:
+        """Write a member's entry, with changes."""
+        entry = self._entry_by_member[member]
+        entry.update(changes)
+        entry["seq"] += 1
+        self.store.put("servers", member, entry)
+
+    def find(self, member: str) -> LineMember:
+        """Return a member's state."""
+        return self.server_by_member[member].member
+
+    def primary_of(self, group: str) -> str:
+        """Return the name of the newest primary."""
+        return self.group_by_name[group].newest_primary().name
+
+    async def _start_group(self, name: str) -> None:
+        members = tuple(f"{name}-m{number}" for number in (1, 2, 3))
+        group = LineGroup(name, members)
+        self.group_by_name[name] = group
+        for member in members:
+            server = MemberServer(group, group.member_by_name[member])
+            port = await server.start(self.ip)
+            self.server_by_member[member] = server
+            self._entry_by_member[member] = {
+                "service": name,
+                "address": f"{self.ip}:{port}",
+                "zone": "dc-a",
+                "configVersion": "v1",
+                "slots": 5,
+                "state": "ready",
+                "coldLeftMs": 0,
+                "dbRole": "primary" if server.member.is_primary else "replica",
+                "seq": 0,
+            }
+            self.register(member)
+
+    async def _promote(self, request: Request) -> Response:
+        body = await request.json()
+        fence = int(request.headers["X-Redwingpost-Fence-Token"])
+        holder = request.headers["X-Redwingpost-Duty-Holder"]
+        order = Order(body["service"], body["id"], holder, fence)
+        self.orders.append(order)
+        if self.find(order.member).is_dark:
+            return Response(status=409)
+        create_task(self._take_effect(order))
+        return Response(status=200)
+
+    async def _take_effect(self, order: Order) -> None:
+        await sleep(PROMOTE_S)
+        group = self.group_by_name[order.group]
+        group.promote(order.member)
+        for name, member in group.member_by_name.items():
+            if not member.is_dark:
+                role = "primary" if member.is_primary else "replica"
+                self.register(name, dbRole=role)
