--- a/redwingpost/membership/hearing.py
+++ b/redwingpost/membership/hearing.py
@@ -33,6 +33,19 @@
     port: int
 
 
+class PrimaryWord(NamedTuple):
+    """How a primary does by one VM's experience (milliseconds).
+
+    ``silent_ms`` since its last answer, ``stuck_ms`` since the first
+    write that waits for it in vain (0 for none), ``acked_ms`` since it
+    last acknowledged a write.
+    """
+
+    silent_ms: int
+    stuck_ms: int
+    acked_ms: int
+
+
 class Echo(NamedTuple):
     """A VM's clock as last heard from it, and how long ago that was."""
 
@@ -56,16 +69,15 @@
 class Beacon(NamedTuple):
     """What a heartbeat says besides usage.
 
-    ``silent_ms_by_member`` tells for each primary how long it hasn't
-    answered this VM. ``clock_ms`` is the sender's steady clock, ``echo``
-    the reader's as the sender last heard it.
+    ``clock_ms`` is the sender's steady clock, ``echo`` the reader's as
+    the sender last heard it.
     """
 
     vm: str
     boot: int
     ip: str
     config_version: int
-    silent_ms_by_member: dict[str, int]
+    word_by_primary: dict[str, PrimaryWord]
     clock_ms: int
     echo: Echo | None
     samples: tuple[SharedSample, ...]
@@ -132,9 +144,9 @@
     def reached_elsewhere_s(self, member: str, now: float) -> float:
         """Return how long ago another VM had an answer of a primary."""
         ages = [
-            now - hearing.heard_at + silent_ms / 1000.0
+            now - hearing.heard_at + word.silent_ms / 1000.0
             for hearing in self._hearing_by_vm.values()
-            for named, silent_ms in hearing.beacon.silent_ms_by_member.items()
+            for named, word in hearing.beacon.word_by_primary.items()
             if named == member
         ]
         return min(ages, default=float("inf"))
--- a/redwingpost/membership/tests/test_hearing.py
+++ b/redwingpost/membership/tests/test_hearing.py
@@ -7,6 +7,7 @@
     REMOVE_AFTER_S,
     Beacon,
     Echo,
+    PrimaryWord,
     VmAddress,
     VmTable,
 )
@@ -83,7 +84,10 @@
 
     def test_reached_elsewhere(self) -> None:
         table = _table()
-        table.note(_beacon("vm-1", silent_ms_by_member={"p": 300}), now=1.0)
+        table.note(
+            _beacon("vm-1", word_by_primary={"p": PrimaryWord(300, 0, 0)}),
+            now=1.0,
+        )
         self.assertEqual(0.8, table.reached_elsewhere_s("p", 1.5))
         self.assertEqual(float("inf"), table.reached_elsewhere_s("q", 1.5))
 
--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -43,6 +43,10 @@
 QUIET_S = 0.8
 QUIET_STEP_S = 0.3
 
+#: Seconds of failures only after which a primary counts as out of reach:
+#: one question and its time limit.
+OUT_OF_REACH_S = 0.5
+
 #: Seconds that a write may wait for its answer before the primary is
 #: looked at: a commit that reaches no replica hangs.
 SLOW_WRITE_S = 0.4
@@ -85,6 +89,8 @@
         self._changed = Event()
         self._write_numbers = count()
         self._write_started_at: dict[int, float] = {}
+        self._stuck_since: float | None = None
+        self._acked_at = float("-inf")
 
     # Members -----------------------------------------------------------
 
@@ -123,6 +129,19 @@
             return None
         return client
 
+    def is_out_of_reach(self) -> bool:
+        """Say whether the known primary doesn't answer this VM.
+
+        What is sent to it would hang until its time is over; the caller
+        may find another VM that reaches it.
+        """
+        client = self.member_by_name.get(self.evidence.leader or "")
+        return (
+            client is not None
+            and client.is_failing
+            and client.silent_s > OUT_OF_REACH_S
+        )
+
     def ranked(self, organisation: str, held_out: set) -> list[MemberClient]:
         """Return members for a read, the best first."""
         now = self._clock.now()
@@ -156,7 +175,7 @@
             or not leader.entry.claims_primary
             or self.stalled_s > 0.0
             or self.paused_since is not None
-            or self._slowest_write_s() > SLOW_WRITE_S
+            or self.stuck_s > SLOW_WRITE_S
         )
 
     def ask_if_due(self) -> None:
@@ -196,13 +215,30 @@
         self._write_started_at[number] = self._clock.now()
         return number
 
-    def end_write(self, number: int) -> None:
+    def end_write(self, number: int, is_answered: bool) -> None:
         """Note that a write has its answer, or never will."""
-        self._write_started_at.pop(number, None)
-
-    def _slowest_write_s(self) -> float:
+        started_at = self._write_started_at.pop(number, None)
+        if is_answered:
+            self._stuck_since = None
+        elif started_at is not None and self._stuck_since is None:
+            self._stuck_since = started_at
+
+    @property
+    def stuck_s(self) -> float:
+        """Return since when writes have waited in vain (seconds).
+
+        One lost answer among others that come is no sign of a primary
+        that acknowledges nothing.
+        """
         first = next(iter(self._write_started_at.values()), None)
-        return 0.0 if first is None else self._clock.now() - first
+        moments = [moment for moment in (first, self._stuck_since) if moment]
+        stuck_s = self._clock.now() - min(moments, default=float("inf"))
+        return max(0.0, stuck_s)
+
+    @property
+    def acked_s(self) -> float:
+        """Return how long ago a write was acknowledged (seconds)."""
+        return self._clock.now() - self._acked_at
 
     async def run_round(self) -> None:
         """Ask all members for a report; join a round under way."""
@@ -228,12 +264,14 @@
     def note_refused_as_replica(self, client: MemberClient) -> None:
         """Note that a member refused a write as no primary."""
         self.evidence.disavow(client.entry.member)
+        self._stuck_since = None
         self._settle()
 
     def note_commit(
         self, client: MemberClient, position: Position, sent_at: float
     ) -> None:
         """Note an acknowledged commit."""
+        self._acked_at = self._clock.now()
         member = client.entry.member
         self.evidence.note_commit(member, position, sent_at)
 
--- a/redwingpost/node/member.py
+++ b/redwingpost/node/member.py
@@ -52,6 +52,10 @@
 #: Seconds for a connection that are worth a line in the log.
 LONG_WAIT_S = 0.05
 
+#: Seconds after which a statement that waits for a place looks again: a
+#: place may be free that nobody gave back, once the member takes more.
+BUSY_PAUSE_S = 0.1
+
 #: Name under which control connections are opened.
 CONTROL_NAME = "redwing-control"
 
@@ -145,7 +149,7 @@
                     return opened
                 await self._wait(priority, until, FULL_PAUSE_S)
             elif isinstance(taken, Busy):
-                await self._wait(priority, until)
+                await self._wait(priority, until, BUSY_PAUSE_S)
 
     async def make_ready(
         self, item: PooledLink, state: SessionState, shape: Shape | None
--- a/redwingpost/node/reads.py
+++ b/redwingpost/node/reads.py
@@ -253,4 +253,4 @@
     until = min(deadline, clock.now() + LEADER_WAIT_S)
     while group.leader() is None and clock.now() < until:
         await group.wait_change(until - clock.now())
-    return group.leader()
+    return None if group.is_out_of_reach() else group.leader()
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -10,6 +10,7 @@
 from redwingpost.groups.directory import Directory
 from redwingpost.membership.hearing import (
     Beacon,
+    PrimaryWord,
     SharedSample,
     VmAddress,
     VmTable,
@@ -259,19 +260,22 @@
             group.follow_directory(limit, vms)
 
     def _describe(self) -> Beacon:
-        silent_ms_by_member = {}
+        word_by_primary = {}
         for group in self.group_by_name.values():
             leader = group.member_by_name.get(group.evidence.leader or "")
             if leader is not None:
-                silent_ms = int(min(leader.silent_s, 1e6) * 1000)
-                silent_ms_by_member[leader.entry.member] = silent_ms
+                word_by_primary[leader.entry.member] = PrimaryWord(
+                    _to_ms(leader.silent_s),
+                    _to_ms(group.stuck_s),
+                    _to_ms(group.acked_s),
+                )
         now = self._clock.now()
         return Beacon(
             self.settings.vm,
             self._boot,
             self.settings.ip,
             self._admission.rules.version,
-            silent_ms_by_member,
+            word_by_primary,
             int(now * 1000),
             None,
             self._shared_samples(now),
@@ -332,8 +336,8 @@
     def _others_reach_more(self, reached: int, now: float) -> bool:
         return any(
             sum(
-                silent_ms < _REACHED_S * 1000
-                for silent_ms in beacon.silent_ms_by_member.values()
+                word.silent_ms < _REACHED_S * 1000
+                for word in beacon.word_by_primary.values()
             )
             > reached
             for beacon in self._vms.heard(now)
@@ -397,3 +401,8 @@
             await self.sleep(0.03)
         await gather(leave, return_exceptions=True)
         log_event("stopped", sessions=callers.open_connections)
+
+
+def _to_ms(seconds: float) -> int:
+    """Return an age for a heartbeat; whatever is long ago is a day."""
+    return int(min(seconds, 86400.0) * 1000)
--- a/redwingpost/node/takeover.py
+++ b/redwingpost/node/takeover.py
@@ -104,11 +104,13 @@
     def _view(self, group: GroupClient, now: float) -> LeaderView:
         leader = group.evidence.leader
         client = group.member_by_name.get(leader or "")
-        others = tuple(
-            beacon.silent_ms_by_member[leader] / 1000.0
+        words = [
+            beacon.word_by_primary[leader]
             for beacon in self._vms.heard(now)
-            if leader in beacon.silent_ms_by_member
-        )
+            if leader in beacon.word_by_primary
+        ]
+        stuck_s = max(group.stuck_s, *(w.stuck_ms / 1000.0 for w in words), 0)
+        acked_s = min(group.acked_s, *(w.acked_ms / 1000.0 for w in words))
         answering = sum(
             not item.is_failing
             for name, item in group.member_by_name.items()
@@ -119,9 +121,10 @@
             is_listed=client is not None,
             is_draining=client is not None and client.entry.is_draining,
             silent_s=_silent_s(client),
-            others_silent_s=others,
+            others_silent_s=tuple(w.silent_ms / 1000.0 for w in words),
             hears_half=self._vms.hears_half(now),
             stalled_s=group.stalled_s,
+            stuck_s=stuck_s if acked_s > stuck_s else 0.0,
             leaderless_s=_since(group.leaderless_since, now),
             replicas_answering=answering,
             paused_s=_since(group.paused_since, now),
--- a/redwingpost/node/transaction.py
+++ b/redwingpost/node/transaction.py
@@ -121,7 +121,8 @@
         sent_at = self._clock.now()
         number = self._group.start_write()
         outcome = await self._send(statement, deadline)
-        self._group.end_write(number)
+        is_answered = isinstance(outcome, Reply)
+        self._group.end_write(number, is_answered)
         if not isinstance(outcome, Reply):
             return self._commit_unanswered(statement, outcome)
         if not is_good(outcome):
@@ -251,6 +252,7 @@
             )
         except TimeoutError:
             # The wait discarded the connection; count it as cut.
+            client.failed_at = self._clock.now()
             self._unpin()
             self._is_over = True
             return NoAnswer("no answer in time")
--- a/redwingpost/node/writes.py
+++ b/redwingpost/node/writes.py
@@ -72,12 +72,14 @@
         )
         left_s = write.deadline - self._clock.now()
         number = group.start_write()
+        outcome: Outcome = NoAnswer("no answer in time")
         try:
-            return await wait_for(attempt, max(left_s, 0.01))
+            outcome = await wait_for(attempt, max(left_s, 0.01))
         except TimeoutError:
-            return NoAnswer("no answer in time")
+            leader.failed_at = self._clock.now()
         finally:
-            group.end_write(number)
+            group.end_write(number, not isinstance(outcome, NoAnswer))
+        return outcome
 
     async def _judge(
         self,
--- a/redwingpost/pools/pool.py
+++ b/redwingpost/pools/pool.py
@@ -27,6 +27,9 @@
 #: a connection: long enough for others to give theirs back.
 KEEP_TO_SHARE_S = 2.0
 
+#: Seconds between tries at a member that has just refused one.
+REFUSED_PAUSE_S = 0.05
+
 #: Seconds after which an idle connection beyond the equal part closes.
 IDLE_BEYOND_SHARE_S = 2.0
 
@@ -82,6 +85,14 @@
         """Note that the member took no further connection."""
         self._refused_at = now
 
+    def may_open(self, now: float) -> bool:
+        """Say whether a new connection is worth a try.
+
+        Without a pause each of the statements that wait would try for
+        itself: 4,500 refused connections in a day of one minute.
+        """
+        return now - self._refused_at >= REFUSED_PAUSE_S
+
     def allowed(self, now: float) -> int:
         """Return how many connections may stand at ``now`` (seconds)."""
         if now - self._refused_at < KEEP_TO_SHARE_S:
@@ -126,7 +137,8 @@
             del self._idle[found]
             self._in_use += 1
             return found
-        if self._in_use + len(self._idle) < self._budget.allowed(now):
+        in_all = self._in_use + len(self._idle)
+        if in_all < self._budget.allowed(now) and self._budget.may_open(now):
             self._in_use += 1
             return Open(None)
         if self._idle:
--- a/redwingpost/takeover/tests/test_takeover.py
+++ b/redwingpost/takeover/tests/test_takeover.py
@@ -26,6 +26,7 @@
     others_silent_s=(0.1, 0.2),
     hears_half=True,
     stalled_s=0.0,
+    stuck_s=0.0,
     leaderless_s=0.0,
     replicas_answering=2,
     paused_s=0.0,
@@ -75,6 +76,16 @@
                 _CALM._replace(stalled_s=STALLED_S),
                 Reason.STALLED,
             ),
+            (
+                "writes wait in vain at every VM that has some",
+                _CALM._replace(stuck_s=STALLED_S),
+                Reason.STALLED,
+            ),
+            (
+                "writes wait in vain, and this VM can't reach it either",
+                silent._replace(others_silent_s=(0.1, 0.1), stuck_s=STALLED_S),
+                Reason.STALLED,
+            ),
             (
                 "nobody leads",
                 _CALM._replace(leader=None, leaderless_s=1.0),
--- a/redwingpost/takeover/triggers.py
+++ b/redwingpost/takeover/triggers.py
@@ -45,6 +45,8 @@
 
     ``others_silent_s`` holds what the VMs in hearing say. ``hears_half``:
     at least half of the VMs are in hearing, this one included.
+    ``stuck_s`` is since when writes of some VM have waited in vain while
+    no VM in hearing had one acknowledged.
     """
 
     leader: str | None
@@ -54,6 +56,7 @@
     others_silent_s: tuple[float, ...]
     hears_half: bool
     stalled_s: float
+    stuck_s: float
     leaderless_s: float
     replicas_answering: int
     paused_s: float
@@ -64,7 +67,9 @@
 
     Examples
     --------
-    >>> calm = LeaderView("a", True, False, 0.1, (), True, 0.0, 0.0, 2, 0.0)
+    >>> calm = LeaderView(
+    ...     "a", True, False, 0.1, (), True, 0.0, 0.0, 0.0, 2, 0.0
+    ... )
     >>> reason_to_act(calm) is None
     True
     >>> reason_to_act(calm._replace(is_draining=True)).value
@@ -78,10 +83,10 @@
         return Reason.LEAVING
     if _is_silent(view):
         return Reason.SILENT
+    if _is_stalled(view):
+        return Reason.STALLED
     if view.silent_s >= SILENT_S:
         return None
-    if view.stalled_s >= STALLED_S:
-        return Reason.STALLED
     if view.paused_s >= SILENT_S:
         return Reason.LEFT_PAUSED
     return None
@@ -93,6 +98,19 @@
     return Reason.NONE_LEADS
 
 
+def _is_stalled(view: LeaderView) -> bool:
+    """Say whether the primary can't get commits to its replicas.
+
+    Seen either in the logs, by a VM that reaches all members; or in that
+    writes wait in vain and none is acknowledged to anybody. The latter
+    also shows where the primary and some VMs are on one side of a cut
+    and its replicas on the other: no VM then sees both.
+    """
+    if view.stalled_s >= STALLED_S:
+        return True
+    return view.stuck_s >= STALLED_S and view.hears_half
+
+
 def _is_silent(view: LeaderView) -> bool:
     if view.silent_s < SILENT_S:
         return False
--- a/redwingpost/wire/beacon.capnp
+++ b/redwingpost/wire/beacon.capnp
@@ -38,7 +38,9 @@
 }
 
 struct Primary {
-  # How long a primary has not answered the VM.
+  # How a primary does by the VM's experience, in milliseconds.
   member @0 :Text;
   silentMs @1 :UInt32;
+  stuckMs @2 :UInt32;
+  ackedMs @3 :UInt32;
 }
--- a/redwingpost/wire/beacon.py
+++ b/redwingpost/wire/beacon.py
@@ -5,7 +5,12 @@
 from capnp import KjException, SchemaParser
 
 from redwingpost.core.positions import Position
-from redwingpost.membership.hearing import Beacon, Echo, SharedSample
+from redwingpost.membership.hearing import (
+    Beacon,
+    Echo,
+    PrimaryWord,
+    SharedSample,
+)
 from redwingpost.rates.usage import Usage
 
 _SCHEMA = SchemaParser().load(
@@ -18,7 +23,8 @@
 
     Examples
     --------
-    >>> beacon = Beacon("a", 7, "ip", 3, {"m1": 20}, 5, None, ())
+    >>> words = {"m1": PrimaryWord(20, 0, 35)}
+    >>> beacon = Beacon("a", 7, "ip", 3, words, 5, None, ())
     >>> datagram = pack_beacon(beacon, (Usage("org", 5, 6),))
     >>> unpack_beacon(datagram, "ip") == (beacon, (Usage("org", 5, 6),))
     True
@@ -29,8 +35,13 @@
         configVersion=beacon.config_version,
         usages=[usage._asdict() for usage in usages],
         primaries=[
-            {"member": member, "silentMs": silent_ms}
-            for member, silent_ms in beacon.silent_ms_by_member.items()
+            {
+                "member": member,
+                "silentMs": word.silent_ms,
+                "stuckMs": word.stuck_ms,
+                "ackedMs": word.acked_ms,
+            }
+            for member, word in beacon.word_by_primary.items()
         ],
         clockMs=beacon.clock_ms,
         echo=_pack_echo(beacon.echo),
@@ -63,7 +74,12 @@
             message.boot,
             ip,
             message.configVersion,
-            {item.member: item.silentMs for item in message.primaries},
+            {
+                item.member: PrimaryWord(
+                    item.silentMs, item.stuckMs, item.ackedMs
+                )
+                for item in message.primaries
+            },
             message.clockMs,
             _unpack_echo(message.echo),
             tuple(_unpack_sample(item) for item in message.samples),
