--- a/redwingpost/node/takeover.py
+++ b/redwingpost/node/takeover.py
@@ -28,6 +28,7 @@
     LeaderView,
     Reason,
     reason_to_act,
+    stuck_at_all_s,
 )
 
 #: Seconds between looks at the groups.
@@ -109,8 +110,6 @@
             for beacon in self._vms.heard(now)
             if leader in beacon.word_by_primary
         ]
-        stuck_s = max(group.stuck_s, *(w.stuck_ms / 1000.0 for w in words), 0)
-        acked_s = min(group.acked_s, *(w.acked_ms / 1000.0 for w in words))
         answering = sum(
             not item.is_failing
             for name, item in group.member_by_name.items()
@@ -124,7 +123,7 @@
             others_silent_s=tuple(w.silent_ms / 1000.0 for w in words),
             hears_half=self._vms.hears_half(now),
             stalled_s=group.stalled_s,
-            stuck_s=stuck_s if acked_s > stuck_s else 0.0,
+            stuck_s=stuck_at_all_s(group.stuck_s, group.acked_s, words),
             leaderless_s=_since(group.leaderless_since, now),
             replicas_answering=answering,
             paused_s=_since(group.paused_since, now),
--- a/redwingpost/takeover/triggers.py
+++ b/redwingpost/takeover/triggers.py
@@ -10,6 +10,8 @@
 from enum import Enum
 from typing import NamedTuple
 
+from redwingpost.membership.hearing import PrimaryWord
+
 #: Seconds without an answer after which a primary counts as silent:
 #: several times the longest ordinary answer and the probe's interval.
 SILENT_S = 1.0
@@ -92,6 +94,33 @@
     return None
 
 
+def stuck_at_all_s(
+    own_stuck_s: float, own_acked_s: float, words: list[PrimaryWord]
+) -> float:
+    """Return since when writes wait in vain and none is acknowledged.
+
+    Parameters
+    ----------
+    own_stuck_s, own_acked_s : float
+        This VM's experience (seconds).
+    words : list of PrimaryWord
+        That of the VMs in hearing.
+
+    Examples
+    --------
+    >>> stuck_at_all_s(2.0, 9.0, [])
+    2.0
+    >>> stuck_at_all_s(0.0, 9.0, [PrimaryWord(100, 1500, 8000)])
+    1.5
+    >>> stuck_at_all_s(2.0, 9.0, [PrimaryWord(100, 0, 300)])
+    0.0
+    """
+    stuck_s = [own_stuck_s, *(word.stuck_ms / 1000.0 for word in words)]
+    acked_s = [own_acked_s, *(word.acked_ms / 1000.0 for word in words)]
+    longest_s = max(stuck_s)
+    return longest_s if min(acked_s) > longest_s else 0.0
+
+
 def _without_leader(view: LeaderView) -> Reason | None:
     if view.leaderless_s < NONE_LEADS_S or not view.hears_half:
         return None
