Replace a primary that most VMs can't reach; beat on without a primary

Cause: between two primaries a heartbeat named none where a name must stand, so that VMs fell silent just when they had to agree on a takeover; and a primary that a cut left to two of six VMs was kept for 7 s.

--- a/redwingpost/membership/hearing.py
+++ b/redwingpost/membership/hearing.py
@@ -38,12 +38,15 @@
 
     ``silent_ms`` since its last answer, ``stuck_ms`` since the first
     write that waits for it in vain (0 for none), ``acked_ms`` since it
-    last acknowledged a write.
+    last acknowledged a write. ``failing_ms`` is how long whatever was
+    sent to it has failed (0 if nothing has): one that was simply not
+    asked is silent, but doesn't fail.
     """
 
     silent_ms: int
     stuck_ms: int
     acked_ms: int
+    failing_ms: int
 
 
 class Echo(NamedTuple):
--- a/redwingpost/membership/tests/test_hearing.py
+++ b/redwingpost/membership/tests/test_hearing.py
@@ -85,7 +85,7 @@
     def test_reached_elsewhere(self) -> None:
         table = _table()
         table.note(
-            _beacon("vm-1", word_by_primary={"p": PrimaryWord(300, 0, 0)}),
+            _beacon("vm-1", word_by_primary={"p": PrimaryWord(300, 0, 0, 0)}),
             now=1.0,
         )
         self.assertEqual(0.8, table.reached_elsewhere_s("p", 1.5))
--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -136,11 +136,7 @@
         may find another VM that reaches it.
         """
         client = self.member_by_name.get(self.evidence.leader or "")
-        return (
-            client is not None
-            and client.is_failing
-            and client.silent_s > OUT_OF_REACH_S
-        )
+        return client is not None and client.failing_s > OUT_OF_REACH_S
 
     def ranked(self, organisation: str, held_out: set) -> list[MemberClient]:
         """Return members for a read, the best first."""
--- a/redwingpost/node/member.py
+++ b/redwingpost/node/member.py
@@ -99,6 +99,14 @@
         """Whether something failed there since its last answer."""
         return self.failed_at > self.answered_at
 
+    @property
+    def failing_s(self) -> float:
+        """Return for how long everything has failed there (seconds).
+
+        A member that was simply not asked counts as answering.
+        """
+        return self.silent_s if self.is_failing else 0.0
+
     @property
     def silent_s(self) -> float:
         """Return for how long nothing has been heard (seconds)."""
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -268,6 +268,7 @@
                     _to_ms(leader.silent_s),
                     _to_ms(group.stuck_s),
                     _to_ms(group.acked_s),
+                    _to_ms(leader.failing_s),
                 )
         now = self._clock.now()
         return Beacon(
@@ -286,11 +287,14 @@
         shared = []
         for group in self.group_by_name.values():
             sample = group.evidence.newest_sample()
-            if sample is None or now - sample.taken_at > _SHARE_S:
+            leader = group.evidence.leader
+            # Between two primaries a sample belongs to neither.
+            if sample is None or leader is None:
+                continue
+            if now - sample.taken_at > _SHARE_S:
                 continue
             # Rounded up: a sample must not look younger than it is.
             age_ms = int((now - sample.taken_at) * 1000) + 1
-            leader = group.evidence.leader
             shared.append(
                 SharedSample(group.name, leader, sample.position, age_ms)
             )
@@ -322,7 +326,7 @@
             group.name
             for group in self.group_by_name.values()
             if (leader := group.leader()) is not None
-            and not (leader.is_failing and leader.silent_s > _REACHED_S)
+            and leader.failing_s <= _REACHED_S
         }
         return Outlook(
             has_rules=self._admission.has_rules,
--- a/redwingpost/node/takeover.py
+++ b/redwingpost/node/takeover.py
@@ -121,6 +121,7 @@
             is_draining=client is not None and client.entry.is_draining,
             silent_s=_silent_s(client),
             others_silent_s=tuple(w.silent_ms / 1000.0 for w in words),
+            others_failing_s=tuple(w.failing_ms / 1000.0 for w in words),
             hears_half=self._vms.hears_half(now),
             stalled_s=group.stalled_s,
             stuck_s=stuck_at_all_s(group.stuck_s, group.acked_s, words),
@@ -324,13 +325,7 @@
 
 
 def _silent_s(client: MemberClient | None) -> float:
-    """Return for how long a primary has failed to answer (seconds).
-
-    One that was simply not asked counts as answering.
-    """
-    if client is None:
-        return float("inf")
-    return client.silent_s if client.is_failing else 0.0
+    return float("inf") if client is None else client.failing_s
 
 
 def _since(moment: float | None, now: float) -> float:
--- a/redwingpost/takeover/tests/test_takeover.py
+++ b/redwingpost/takeover/tests/test_takeover.py
@@ -24,6 +24,7 @@
     is_draining=False,
     silent_s=0.0,
     others_silent_s=(0.1, 0.2),
+    others_failing_s=(0.0, 0.0),
     hears_half=True,
     stalled_s=0.0,
     stuck_s=0.0,
@@ -56,6 +57,13 @@
                 silent._replace(others_silent_s=(0.9, 0.1)),
                 None,
             ),
+            (
+                "lost to most",
+                silent._replace(
+                    others_silent_s=(0.9, 0.1), others_failing_s=(0.9, 0.0)
+                ),
+                Reason.SILENT,
+            ),
             (
                 "silent, and this VM hears too few",
                 silent._replace(hears_half=False, others_silent_s=()),
--- a/redwingpost/takeover/triggers.py
+++ b/redwingpost/takeover/triggers.py
@@ -4,7 +4,8 @@
 replicas or from some of the VMs, or announces that it will stop. Acting
 on one VM's silence replaces a primary that only that VM can't reach, and
 every caller pays for it with a second without writes. So a primary
-counts as lost only if no VM in hearing has reached it lately.
+counts as lost only if no VM in hearing has reached it lately, or if more
+than half of them can't.
 """
 
 from enum import Enum
@@ -45,7 +46,8 @@
 class LeaderView(NamedTuple):
     """What one VM sees of a group's primary; times are seconds.
 
-    ``others_silent_s`` holds what the VMs in hearing say. ``hears_half``:
+    ``silent_s`` is 0 while nothing has failed; ``others_silent_s`` and
+    ``others_failing_s`` hold what the VMs in hearing say. ``hears_half``:
     at least half of the VMs are in hearing, this one included.
     ``stuck_s`` is since when writes of some VM have waited in vain while
     no VM in hearing had one acknowledged.
@@ -56,6 +58,7 @@
     is_draining: bool
     silent_s: float
     others_silent_s: tuple[float, ...]
+    others_failing_s: tuple[float, ...]
     hears_half: bool
     stalled_s: float
     stuck_s: float
@@ -70,7 +73,7 @@
     Examples
     --------
     >>> calm = LeaderView(
-    ...     "a", True, False, 0.1, (), True, 0.0, 0.0, 0.0, 2, 0.0
+    ...     "a", True, False, 0.0, (), (), True, 0.0, 0.0, 0.0, 2, 0.0
     ... )
     >>> reason_to_act(calm) is None
     True
@@ -110,9 +113,9 @@
     --------
     >>> stuck_at_all_s(2.0, 9.0, [])
     2.0
-    >>> stuck_at_all_s(0.0, 9.0, [PrimaryWord(100, 1500, 8000)])
+    >>> stuck_at_all_s(0.0, 9.0, [PrimaryWord(100, 1500, 8000, 0)])
     1.5
-    >>> stuck_at_all_s(2.0, 9.0, [PrimaryWord(100, 0, 300)])
+    >>> stuck_at_all_s(2.0, 9.0, [PrimaryWord(100, 0, 300, 0)])
     0.0
     """
     stuck_s = [own_stuck_s, *(word.stuck_ms / 1000.0 for word in words)]
@@ -147,4 +150,16 @@
         return True
     if not view.hears_half:
         return False
-    return all(silent >= OTHERS_SILENT_S for silent in view.others_silent_s)
+    if all(silent >= OTHERS_SILENT_S for silent in view.others_silent_s):
+        return True
+    return _is_lost_to_most(view)
+
+
+def _is_lost_to_most(view: LeaderView) -> bool:
+    """Say whether more than half of the VMs can't reach the primary.
+
+    A primary that a cut leaves to a few VMs serves their callers and
+    nobody else's; a replica that all reach serves everybody.
+    """
+    failing = 1 + sum(s >= OTHERS_SILENT_S for s in view.others_failing_s)
+    return 2 * failing > 1 + len(view.others_failing_s)
--- a/redwingpost/wire/beacon.capnp
+++ b/redwingpost/wire/beacon.capnp
@@ -43,4 +43,5 @@
   silentMs @1 :UInt32;
   stuckMs @2 :UInt32;
   ackedMs @3 :UInt32;
+  failingMs @4 :UInt32;
 }
--- a/redwingpost/wire/beacon.py
+++ b/redwingpost/wire/beacon.py
@@ -23,7 +23,7 @@
 
     Examples
     --------
-    >>> words = {"m1": PrimaryWord(20, 0, 35)}
+    >>> words = {"m1": PrimaryWord(20, 0, 35, 0)}
     >>> beacon = Beacon("a", 7, "ip", 3, words, 5, None, ())
     >>> datagram = pack_beacon(beacon, (Usage("org", 5, 6),))
     >>> unpack_beacon(datagram, "ip") == (beacon, (Usage("org", 5, 6),))
@@ -40,6 +40,7 @@
                 "silentMs": word.silent_ms,
                 "stuckMs": word.stuck_ms,
                 "ackedMs": word.acked_ms,
+                "failingMs": word.failing_ms,
             }
             for member, word in beacon.word_by_primary.items()
         ],
@@ -76,7 +77,7 @@
             message.configVersion,
             {
                 item.member: PrimaryWord(
-                    item.silentMs, item.stuckMs, item.ackedMs
+                    item.silentMs, item.stuckMs, item.ackedMs, item.failingMs
                 )
                 for item in message.primaries
             },
