Take changes in their order; act on the registry's word alone

A VM alone on the replicas' side of a cut never acted, as it heard nobody. A connection to the store that had ended while it rested failed the next call. Change: changes keep their order; a primary that the registry has dropped may be replaced by a VM that hears nobody; dead connections are dropped before use.

--- a/redwingpost/adapters/http_client.py
+++ b/redwingpost/adapters/http_client.py
@@ -98,6 +98,7 @@
             If the connection fails or the time is over.
         """
         sent = False
+        self.drop_if_dead()
         try:
             if self._writer is None:
                 await wait_for(self._connect(), timeout_s)
@@ -114,6 +115,18 @@
             self.close()
             raise
 
+    def drop_if_dead(self) -> None:
+        """Close a connection that ended while it rested.
+
+        The next request would fail on it at once, although the server
+        can be reached.
+        """
+        reader = self._reader
+        if reader is None:
+            return
+        if reader.at_eof() or reader.exception() is not None:
+            self.close()
+
     def close(self) -> None:
         """Close the connection; the next request opens another."""
         if self._writer is not None:
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -174,6 +174,7 @@
             outside.orders,
             DutyKeeper(outside.store, settings.vm, self._clock),
             self._vms,
+            lambda: self._member_watcher.is_lost,
             settings.vm,
             self.metrics,
             self._clock,
--- a/redwingpost/node/takeover.py
+++ b/redwingpost/node/takeover.py
@@ -1,6 +1,7 @@
 """Conduct takeovers: watch every group, replace what must be replaced."""
 
 from asyncio import Task, create_task, gather, sleep
+from collections.abc import Callable
 from typing import Any
 
 from mode import Service
@@ -57,6 +58,7 @@
         orders: PromotionOrders,
         duty: DutyKeeper,
         vms: VmTable,
+        is_registry_lost: Callable[[], bool],
         vm: str,
         metrics: NodeMetrics,
         clock: Clock,
@@ -69,6 +71,7 @@
         self._orders = orders
         self._duty = duty
         self._vms = vms
+        self._is_registry_lost = is_registry_lost
         self._vm = vm
         self._metrics = metrics
         self._clock = clock
@@ -126,10 +129,20 @@
             stalled_s=group.stalled_s,
             stuck_s=stuck_at_all_s(group.stuck_s, group.acked_s, words),
             leaderless_s=_since(group.leaderless_since, now),
+            is_off_list=self._is_off_list(group),
             replicas_answering=answering,
             paused_s=_since(group.paused_since, now),
         )
 
+    def _is_off_list(self, group: GroupClient) -> bool:
+        """Say whether the registry answers and lists no primary."""
+        if self._is_registry_lost():
+            return False
+        return not any(
+            client.entry.claims_primary
+            for client in group.member_by_name.values()
+        )
+
     async def _conduct_logged(
         self, group: GroupClient, reason: Reason
     ) -> None:
--- /dev/null
+++ b/redwingpost/node/tests/test_watcher.py
@@ -0,0 +1,88 @@
+"""Following a table through what the store does wrong."""
+
+from unittest import IsolatedAsyncioTestCase
+
+from expression import Error, Ok
+
+from redwingpost.core.codes import Code
+from redwingpost.core.requests import Refusal
+from redwingpost.node.watcher import TableWatcher
+from redwingpost.ports.clock import VirtualClock
+from redwingpost.ports.fleet_store import Changes, RowChange, Snapshot
+from redwingpost.ports.platform import Row
+
+_AWAY = Error(Refusal(Code.STORE_UNAVAILABLE))
+
+
+def _row(key: str) -> Row:
+    return Row("t", key, 1, {})
+
+
+class ScriptedStore:
+    """Answers from a script, then not at all."""
+
+    def __init__(self, snapshots: list, changes: list) -> None:
+        self._snapshots = snapshots
+        self._changes = changes
+
+    async def snapshot(self, table: str):
+        return self._snapshots.pop(0) if self._snapshots else _AWAY
+
+    async def changes(self, table: str, after: int, wait_s: float):
+        return self._changes.pop(0) if self._changes else _AWAY
+
+
+class KeyReader:
+    """Keeps the keys of a table."""
+
+    def __init__(self) -> None:
+        self.keys: set[str] = set()
+
+    def on_snapshot(self, snapshot: Snapshot) -> None:
+        self.keys = {row.key for row in snapshot.rows}
+
+    def on_rows(self, rows: tuple[Row, ...]) -> None:
+        self.keys |= {row.key for row in rows}
+
+    def on_removed(self, keys: tuple[str, ...]) -> None:
+        self.keys -= set(keys)
+
+
+class WatcherTest(IsolatedAsyncioTestCase):
+    async def _play(self, snapshots: list, changes: list) -> set[str]:
+        reader = KeyReader()
+        store = ScriptedStore(snapshots, changes)
+        watcher = TableWatcher(store, "t", reader, VirtualClock())
+        await watcher._follow_while_answered()
+        return reader.keys
+
+    async def test_a_member_that_was_removed_and_came_back(self) -> None:
+        """A member's entry lapses and is back before the VM reads on.
+
+        Taken out of order, the removal wins: the VM sends nothing to a
+        member that runs, and replaces it if it was the primary.
+        """
+        put, removed = False, True
+        cases = (
+            ("came back", [removed, put], {"m"}),
+            ("went again", [removed, put, removed], set()),
+            ("stayed", [put], {"m"}),
+        )
+        for name, order, expected in cases:
+            with self.subTest(name):
+                changes = tuple(RowChange(_row("m"), item) for item in order)
+                keys = await self._play(
+                    [Ok(Snapshot((_row("m"),), 1, 0))],
+                    [Ok(Changes(changes, 2))],
+                )
+                self.assertEqual(expected, keys)
+
+    async def test_a_lost_history_is_read_anew(self) -> None:
+        keys = await self._play(
+            [
+                Ok(Snapshot((_row("old"),), 1, 0)),
+                Ok(Snapshot((_row("new"),), 9, 0)),
+            ],
+            [Ok(Changes((), 0, history_lost=True))],
+        )
+        self.assertEqual({"new"}, keys)
--- a/redwingpost/node/watcher.py
+++ b/redwingpost/node/watcher.py
@@ -1,5 +1,7 @@
 """Follow one table of the fleet's store, through its outages."""
 
+from itertools import groupby
+from operator import attrgetter
 from typing import Any, Protocol
 
 from mode import Service
@@ -113,10 +115,14 @@
             self._version = None
             return True
         self._version = max(self._version, changes.version)
-        if changes.rows:
-            self._reader.on_rows(changes.rows)
-        if changes.removed_keys:
-            self._reader.on_removed(changes.removed_keys)
+        for is_removed, run in groupby(
+            changes.changes, key=attrgetter("is_removed")
+        ):
+            rows = tuple(change.row for change in run)
+            if is_removed:
+                self._reader.on_removed(tuple(row.key for row in rows))
+            else:
+                self._reader.on_rows(rows)
         return True
 
     def _note_answer(self) -> None:
--- a/redwingpost/platform/store.py
+++ b/redwingpost/platform/store.py
@@ -17,7 +17,7 @@
 )
 from redwingpost.core.codes import Code
 from redwingpost.core.requests import Refusal
-from redwingpost.ports.fleet_store import Changes, Snapshot
+from redwingpost.ports.fleet_store import Changes, RowChange, Snapshot
 from redwingpost.ports.platform import (
     Condition,
     Row,
@@ -87,7 +87,7 @@
         except HttpLost as lost:
             return Error(Refusal(Code.STORE_UNAVAILABLE, str(lost)))
         if answer.status == 410:
-            return Ok(Changes((), (), 0, history_lost=True))
+            return Ok(Changes((), 0, history_lost=True))
         read = _read_answer(answer)
         return read.map(_decode_changes)
 
@@ -154,12 +154,11 @@
 
 
 def _decode_changes(got: dict[str, Any]) -> Changes:
-    items = got.get("rows", [])
-    return Changes(
-        tuple(_decode_row(item) for item in items if not item.get("removed")),
-        tuple(item["key"] for item in items if item.get("removed")),
-        got["ver"],
+    changes = (
+        RowChange(_decode_row(item), bool(item.get("removed")))
+        for item in got.get("rows", [])
     )
+    return Changes(tuple(changes), got["ver"])
 
 
 def _encode_condition(condition: Condition) -> dict[str, Any]:
--- a/redwingpost/platform/tests/test_decoding.py
+++ b/redwingpost/platform/tests/test_decoding.py
@@ -150,8 +150,8 @@
         self.outside.put("t", "b", 2)
         self.outside.remove("t", "a")
         changes = (await self.store.changes("t", snapshot.version, 5.0)).ok
-        self.assertEqual(["b"], [row.key for row in changes.rows])
-        self.assertEqual(("a",), changes.removed_keys)
+        told = [(item.row.key, item.is_removed) for item in changes.changes]
+        self.assertEqual([("b", False), ("a", True)], told)
         self.outside.rows.forget_history()
         lost = (await self.store.changes("t", snapshot.version, 5.0)).ok
         self.assertTrue(lost.history_lost)
--- a/redwingpost/ports/fleet_store.py
+++ b/redwingpost/ports/fleet_store.py
@@ -29,14 +29,21 @@
     now_ms: int
 
 
+class RowChange(NamedTuple):
+    """A row that was put, or removed."""
+
+    row: Row
+    is_removed: bool
+
+
 class Changes(NamedTuple):
     """What changed since a version, oldest first.
 
+    The order matters: a member that was removed and came back is there.
     ``history_lost``: the store no longer knows; read the whole table.
     """
 
-    rows: tuple[Row, ...]
-    removed_keys: tuple[str, ...]
+    changes: tuple[RowChange, ...]
     version: int
     history_lost: bool = False
 
--- a/redwingpost/takeover/tests/test_takeover.py
+++ b/redwingpost/takeover/tests/test_takeover.py
@@ -29,6 +29,7 @@
     stalled_s=0.0,
     stuck_s=0.0,
     leaderless_s=0.0,
+    is_off_list=False,
     replicas_answering=2,
     paused_s=0.0,
 )
@@ -99,6 +100,23 @@
                 _CALM._replace(leader=None, leaderless_s=1.0),
                 Reason.NONE_LEADS,
             ),
+            (
+                "nobody leads, and this VM hears nobody",
+                _CALM._replace(
+                    leader=None, leaderless_s=1.0, hears_half=False
+                ),
+                None,
+            ),
+            (
+                "the registry has dropped the primary",
+                _CALM._replace(
+                    leader=None,
+                    leaderless_s=1.0,
+                    hears_half=False,
+                    is_off_list=True,
+                ),
+                Reason.NONE_LEADS,
+            ),
             (
                 "nobody leads, for a moment",
                 _CALM._replace(leader=None, leaderless_s=0.2),
--- a/redwingpost/takeover/triggers.py
+++ b/redwingpost/takeover/triggers.py
@@ -49,6 +49,7 @@
     ``silent_s`` is 0 while nothing has failed; ``others_silent_s`` and
     ``others_failing_s`` hold what the VMs in hearing say. ``hears_half``:
     at least half of the VMs are in hearing, this one included.
+    ``is_off_list``: the registry, which answers, lists no primary.
     ``stuck_s`` is since when writes of some VM have waited in vain while
     no VM in hearing had one acknowledged.
     """
@@ -63,6 +64,7 @@
     stalled_s: float
     stuck_s: float
     leaderless_s: float
+    is_off_list: bool
     replicas_answering: int
     paused_s: float
 
@@ -73,7 +75,7 @@
     Examples
     --------
     >>> calm = LeaderView(
-    ...     "a", True, False, 0.0, (), (), True, 0.0, 0.0, 0.0, 2, 0.0
+    ...     "a", True, False, 0.0, (), (), True, 0.0, 0.0, 0.0, False, 2, 0.0
     ... )
     >>> reason_to_act(calm) is None
     True
@@ -125,9 +127,14 @@
 
 
 def _without_leader(view: LeaderView) -> Reason | None:
-    if view.leaderless_s < NONE_LEADS_S or not view.hears_half:
+    if view.leaderless_s < NONE_LEADS_S:
         return None
-    return Reason.NONE_LEADS
+    # The registry drops a primary that has not reported for three
+    # heartbeats: then even a VM that hears nobody may act. It may be the
+    # only one on the replicas' side of a cut.
+    if view.hears_half or view.is_off_list:
+        return Reason.NONE_LEADS
+    return None
 
 
 def _is_stalled(view: LeaderView) -> bool:
