Return tokens of what reached no member; be unready where no lead is proven

Cause: callers who retried while a primary was lost were refused for their rate afterwards; a VM behind a cut with a primary and no replica stayed ready and could serve nothing. Change: a counter of returned admissions; a group counts as reached only with a replica that answers.

--- a/redwingpost/node/admission.py
+++ b/redwingpost/node/admission.py
@@ -75,6 +75,10 @@
         sync_replicas = group.sync_replicas if group is not None else 0
         return Admitted(route, organisation, sync_replicas)
 
+    def give_back(self, organisation: OrganisationRule) -> None:
+        """Undo ``spend`` for an operation that reached no member."""
+        self._ledger.give_back(organisation.name)
+
     def spend(self, organisation: OrganisationRule) -> Refusal | None:
         """Take one operation from an organisation's rate, or refuse."""
         if organisation.rate == float("inf"):
--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -47,6 +47,10 @@
 #: one question and its time limit.
 OUT_OF_REACH_S = 0.5
 
+#: Seconds of failures only after which a member is of no use: three
+#: questions and their time limits.
+USELESS_AFTER_S = 1.2
+
 #: Seconds that a write may wait for its answer before the primary is
 #: looked at: a commit that reaches no replica hangs.
 SLOW_WRITE_S = 0.4
@@ -129,6 +133,24 @@
             return None
         return client
 
+    def is_useful(self) -> bool:
+        """Say whether this VM can serve from the group's primary.
+
+        Without a replica nothing proves its lead, and it can acknowledge
+        nothing: to reach it alone, behind a cut, is of no use.
+        """
+        leader = self.leader()
+        if leader is None or leader.failing_s > USELESS_AFTER_S:
+            return False
+        replicas = [
+            client
+            for name, client in self.member_by_name.items()
+            if name != leader.entry.member
+        ]
+        return not replicas or any(
+            client.failing_s <= USELESS_AFTER_S for client in replicas
+        )
+
     def is_out_of_reach(self) -> bool:
         """Say whether the known primary doesn't answer this VM.
 
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -326,8 +326,7 @@
         reached = {
             group.name
             for group in self.group_by_name.values()
-            if (leader := group.leader()) is not None
-            and leader.failing_s <= _REACHED_S
+            if group.is_useful()
         }
         return Outlook(
             has_rules=self._admission.has_rules,
@@ -341,7 +340,8 @@
     def _others_reach_more(self, reached: int, now: float) -> bool:
         return any(
             sum(
-                word.silent_ms < _REACHED_S * 1000
+                word.failing_ms < _REACHED_S * 1000
+                and word.stuck_ms < _REACHED_S * 1000
                 for word in beacon.word_by_primary.values()
             )
             > reached
--- a/redwingpost/node/session.py
+++ b/redwingpost/node/session.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
-from redwingpost.core.codes import Code
+from redwingpost.core.codes import Code, Outcome
 from redwingpost.core.positions import Position
 from redwingpost.core.registry import Registry
 from redwingpost.core.requests import Refusal
@@ -267,10 +267,14 @@
         services.clock.now(),
     )
     if session.state.writes(statement):
-        return await services.writes.run(
+        result = await services.writes.run(
             group, request, admitted.sync_replicas
         )
-    return await services.reads.run(group, request)
+    else:
+        result = await services.reads.run(group, request)
+    if isinstance(result, Refusal) and result.code.outcome is Outcome.NOT_RUN:
+        services.admission.give_back(admitted.organisation)
+    return result
 
 
 async def _refuse_withdrawn(
--- a/redwingpost/rates/tests/test_usage.py
+++ b/redwingpost/rates/tests/test_usage.py
@@ -4,7 +4,7 @@
 from unittest import TestCase
 
 from redwingpost.configuration.routes import OrganisationRule
-from redwingpost.rates.usage import REPORT_AFTER, UsageLedger
+from redwingpost.rates.usage import REPORT_AFTER, Usage, UsageLedger
 
 RULE = OrganisationRule("org", frozenset(), 20.0, 20.0, 1)
 WINDOW_S = 5.0
@@ -141,6 +141,23 @@
                     last.wait_s(RULE, 1.0), fresh.wait_s(RULE, 1.0)
                 )
 
+    def test_what_reached_no_member_costs_nothing(self) -> None:
+        """A primary is lost, and callers try again and again.
+
+        Were each try counted, they would be refused for their rate once
+        another primary is there, at every VM that hears of the tries.
+        """
+        tried, other = UsageLedger(), UsageLedger()
+        other.admit(RULE, 1.0, 0.0)
+        other.note_peer("t", 1, (Usage(RULE.name, 0),), 0.0)
+        before_s = other.wait_s(RULE, 1.0)
+        for _ in range(50):
+            if tried.admit(RULE, 1.0, 0.0):
+                tried.give_back(RULE.name)
+        other.note_peer("t", 1, tried.take_report(True), 0.0)
+        self.assertTrue(tried.admit(RULE, 1.0, 0.0))
+        self.assertEqual(before_s, other.wait_s(RULE, 1.0))
+
     def test_many_admissions_are_reported_at_once(self) -> None:
         ledger = UsageLedger()
         due = []
--- a/redwingpost/rates/usage.py
+++ b/redwingpost/rates/usage.py
@@ -48,11 +48,20 @@
 
 
 class Usage(NamedTuple):
-    """Operations of one organisation at a VM since its start."""
+    """Operations of one organisation at a VM since its start.
+
+    ``returned`` of the admitted ones reached no member.
+    """
 
     organisation: str
     admitted: int
     offered: int = 0
+    returned: int = 0
+
+    @property
+    def used(self) -> int:
+        """Return the operations that count against the rate."""
+        return self.admitted - self.returned
 
 
 class _Demand:
@@ -164,11 +173,27 @@
             bucket.tokens -= 1.0
             bucket.share_tokens -= 1.0
         own = self._own(rule.name)
-        self._own_by_organisation[rule.name] = Usage(
-            rule.name, own.admitted + int(admitted), own.offered + 1
+        self._own_by_organisation[rule.name] = own._replace(
+            admitted=own.admitted + int(admitted), offered=own.offered + 1
         )
         return admitted
 
+    def give_back(self, organisation: str) -> None:
+        """Give a token back for an operation that reached no member.
+
+        While a primary is lost callers try again and again. If each try
+        counted, they would be refused for their rate once it is back.
+        """
+        bucket = self._bucket_by_organisation.get(organisation)
+        if bucket is None:
+            return
+        bucket.tokens += 1.0
+        bucket.share_tokens += 1.0
+        own = self._own(organisation)
+        self._own_by_organisation[organisation] = own._replace(
+            returned=own.returned + 1
+        )
+
     def wait_s(self, rule: OrganisationRule, part: float) -> float:
         """Return after how long a token is there (seconds)."""
         bucket = self._bucket_by_organisation.get(rule.name)
@@ -188,14 +213,14 @@
         for usage in usages:
             key = (vm, boot, usage.organisation)
             known = self._seen.get(key, usage)
-            if usage.offered < known.offered:
+            if usage[1:] < known[1:]:
                 continue
             self._seen[key] = usage
             bucket = self._bucket_by_organisation.get(usage.organisation)
             if bucket is not None:
                 bucket.demand.settle(now)
                 bucket.demand.total += usage.offered - known.offered
-                bucket.tokens -= usage.admitted - known.admitted
+                bucket.tokens -= usage.used - known.used
 
     def forget_peer(self, vm: str) -> None:
         """Drop the counters of a VM that is gone."""
@@ -221,7 +246,7 @@
         return usages
 
     def _own(self, organisation: str) -> Usage:
-        nothing = Usage(organisation, 0, 0)
+        nothing = Usage(organisation, 0)
         return self._own_by_organisation.get(organisation, nothing)
 
     def _bucket(self, rule: OrganisationRule, now: float) -> _Bucket:
--- a/redwingpost/wire/beacon.capnp
+++ b/redwingpost/wire/beacon.capnp
@@ -35,6 +35,7 @@
   organisation @0 :Text;
   admitted @1 :UInt64;
   offered @2 :UInt64;
+  returned @3 :UInt64;
 }
 
 struct Primary {
--- a/redwingpost/wire/beacon.py
+++ b/redwingpost/wire/beacon.py
@@ -86,7 +86,9 @@
             tuple(_unpack_sample(item) for item in message.samples),
         )
         usages = tuple(
-            Usage(item.organisation, item.admitted, item.offered)
+            Usage(
+                item.organisation, item.admitted, item.offered, item.returned
+            )
             for item in message.usages
         )
     except (KjException, UnicodeDecodeError, ValueError):
