--- a/redwingpost/cli/node.py
+++ b/redwingpost/cli/node.py
@@ -55,6 +55,7 @@
     )
     node = Node(settings, outside)
     callers = CallerServer(settings.callers.ip, settings.callers.port, node)
+    node.callers = callers
     stop = Event()
     loop = get_running_loop()
     for number in (SIGTERM, SIGINT):
@@ -64,7 +65,7 @@
     await node.start()
     log_event("started", vm=settings.vm, data_centre=settings.data_centre)
     await stop.wait()
-    await node.drain(callers)
+    await node.drain()
     await callers.stop()
     await node.stop()
 
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -1,7 +1,7 @@
 """The node: puts its parts together, keeps them in step, stops in order."""
 
 from asyncio import create_task, gather
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 from mode import Service
 
@@ -76,8 +76,25 @@
     clock: Clock
 
 
+class Callers(Protocol):
+    """The callers' connections, as far as the node ends them."""
+
+    @property
+    def open_connections(self) -> int:
+        """Return how many callers are connected."""
+
+    def stop_listening(self) -> None:
+        """Take no further connections."""
+
+    def close_resting(self) -> int:
+        """Close connections with nothing outstanding; return how many."""
+
+
 class Node(Service):
-    """One node of the fleet; opens callers' sessions."""
+    """One node of the fleet; opens callers' sessions.
+
+    ``callers`` is set once somebody listens for them.
+    """
 
     def __init__(
         self, settings: NodeSettings, outside: Outside, **kwargs: Any
@@ -99,6 +116,8 @@
         self._readiness = Readiness()
         self._copies = Copies()
         self._behind_since: float | None = None
+        self._unready_since: float | None = None
+        self.callers: Callers | None = None
         self._services = Services(
             self._admission,
             self.group_by_name,
@@ -321,6 +340,22 @@
             self.is_ready = is_ready
             outlook = self._outlook(now)
             log_event("readiness", ready=is_ready, **outlook._asdict())
+            self._unready_since = None if is_ready else now
+        self._send_callers_elsewhere(now)
+
+    def _send_callers_elsewhere(self, now: float) -> None:
+        """End resting sessions while others could serve them better.
+
+        The balancer sends only new connections elsewhere. Long sessions
+        would stay behind a cut and be refused until it heals.
+        """
+        if self._unready_since is None or self.is_stopping:
+            return
+        if self.callers is None or now - self._unready_since < LEAVE_S:
+            return
+        closed = self.callers.close_resting()
+        if closed:
+            log_event("sent-elsewhere", sessions=closed)
 
     def _outlook(self, now: float) -> Outlook:
         reached = {
@@ -385,15 +420,13 @@
 
     # Stop --------------------------------------------------------------
 
-    async def drain(self, callers: Any) -> None:
+    async def drain(self) -> None:
         """Stop in order: leave the balancer, end sessions, then go.
 
-        Parameters
-        ----------
-        callers : CallerServer
-            Its resting connections are closed once the balancer has had
-            time to send new ones elsewhere.
+        Resting connections are closed once the balancer has had time to
+        send new ones elsewhere.
         """
+        callers = self.callers
         started_at = self._clock.now()
         self.is_stopping = True
         log_event("stopping", sessions=callers.open_connections)
--- a/redwingpost/node/takeover.py
+++ b/redwingpost/node/takeover.py
@@ -146,10 +146,15 @@
     async def _conduct_logged(
         self, group: GroupClient, reason: Reason
     ) -> None:
+        clients = self._clients(group)
         try:
-            outcome = await self._conduct(group, reason)
+            outcome = await self._conduct(group, reason, clients)
         except Exception as error:
             outcome = f"failed: {type(error).__name__} {error}"
+        finally:
+            for name, client in clients.items():
+                if client is not group.member_by_name.get(name):
+                    client.close()
         self._metrics.takeovers.labels(reason.value, outcome[:20]).inc()
         log_event(
             "takeover",
@@ -160,13 +165,17 @@
             term=group.evidence.term,
         )
 
-    async def _conduct(self, group: GroupClient, reason: Reason) -> str:
+    async def _conduct(
+        self,
+        group: GroupClient,
+        reason: Reason,
+        clients: dict[str, MemberClient],
+    ) -> str:
         duty = await self._duty.take()
         if duty is None:
             return "not the holder"
         if self._is_settled(group):
             return "not needed any more"
-        clients = self._clients(group)
         standings = await self._ask_all(clients, "status")
         leader = _leading(standings, group.evidence.term)
         if reason is Reason.LEFT_PAUSED and leader is not None:
