--- a/redwingpost/verify/takeover.py
+++ b/redwingpost/verify/takeover.py
@@ -34,7 +34,8 @@
 class Member(NamedTuple):
     """A member: ``log`` holds commits as (number, term).
 
-    ``lags``: the last of them was received and isn't applied.
+    Reads see the first ``applied`` of them: a replica applies nothing
+    here, which is the worst that it may do.
     """
 
     is_primary: bool
@@ -43,7 +44,7 @@
     paused_for: int = 0
     is_dark: bool = False
     has_restarted: bool = False
-    lags: bool = False
+    applied: int = 0
 
 
 class Conductor(NamedTuple):
@@ -150,19 +151,14 @@
             return
         if newest.term > member.term:
             # What it had beyond the new primary's log is rolled back.
-            is_longer = len(newest.log) > len(member.log)
-            follower = member._replace(
-                term=newest.term,
-                paused_for=0,
-                log=newest.log,
-                lags=member.lags or is_longer,
-            )
+            follower = _take_log(member, newest)._replace(paused_for=0)
             yield f"{number} follows", _put(state, number, follower)
 
     def _primary_steps(self, state, number, member):
         if state.commits < MAX_COMMITS:
             entry = (state.commits, member.term)
-            grown = member._replace(log=(*member.log, entry))
+            log = (*member.log, entry)
+            grown = member._replace(log=log, applied=len(log))
             following = _put(state, number, grown)
             yield (
                 f"{number} takes a commit",
@@ -187,9 +183,7 @@
     def _receive(self, state, number, other):
         primary = state.members[number]
         replica = state.members[other]
-        updated = replica._replace(
-            log=primary.log, term=primary.term, lags=True
-        )
+        updated = _take_log(replica, primary)
         following = _put(state, other, updated)
         fresh = frozenset(primary.log) - state.acknowledged
         newest = max(member.term for member in state.members)
@@ -290,7 +284,10 @@
         term = 1 + max(member.term for member in state.members)
         chosen = state.members[conductor.chosen]
         leader = chosen._replace(
-            is_primary=True, term=term, paused_for=0, lags=False
+            is_primary=True,
+            term=term,
+            paused_for=0,
+            applied=len(chosen.log),
         )
         following = _put(state, conductor.chosen, leader)
         lost = state.acknowledged - frozenset(leader.log)
@@ -354,11 +351,24 @@
 def _run(state: TakeoverState, read: Read) -> Read:
     member = state.members[read.member]
     # A replica may not have applied the last that it has received.
-    applied = member.log[:-1] if member.lags else member.log
-    seen = frozenset(applied)
+    seen = frozenset(member.log[: member.applied])
     return read._replace(has_run=True, lacks=read.must_see - seen)
 
 
+def _take_log(replica: Member, primary: Member) -> Member:
+    """Return a replica with a primary's log; what differs is dropped."""
+    common = 0
+    for mine, theirs in zip(replica.log, primary.log):
+        if mine != theirs:
+            break
+        common += 1
+    return replica._replace(
+        log=primary.log,
+        term=primary.term,
+        applied=min(replica.applied, common),
+    )
+
+
 def _receives(replica: Member, primary: Member) -> bool:
     return (
         not replica.is_primary
