--- a/redwingpost/membership/readiness.py
+++ b/redwingpost/membership/readiness.py
@@ -11,7 +11,7 @@
 
 #: Seconds that a VM must have been worse off than others before it says
 #: so: shorter ones are over before the balancer acts on two misses.
-WORSE_FOR_S = 1.0
+WORSE_FOR_S = 0.5
 
 
 class Outlook(NamedTuple):
@@ -54,7 +54,7 @@
     >>> readiness.judge(fine, now=0.0)
     True
     >>> cut_off = fine._replace(reached=0, hears_half=False)
-    >>> readiness.judge(cut_off, 1.0), readiness.judge(cut_off, 2.5)
+    >>> readiness.judge(cut_off, 1.0), readiness.judge(cut_off, 2.0)
     (True, False)
     """
 
--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -47,9 +47,9 @@
 #: one question and its time limit.
 OUT_OF_REACH_S = 0.5
 
-#: Seconds of failures only after which a member is of no use: three
+#: Seconds of failures only after which a member is of no use: two
 #: questions and their time limits.
-USELESS_AFTER_S = 1.2
+USELESS_AFTER_S = 0.8
 
 #: Seconds that a write may wait for its answer before the primary is
 #: looked at: a commit that reaches no replica hangs.
