--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -2,15 +2,12 @@
 
 from asyncio import (
     Event,
-    Future,
     Task,
     create_task,
     gather,
-    get_running_loop,
     shield,
     wait_for,
 )
-from itertools import count
 
 from redwingpost.core.positions import Position
 from redwingpost.groups.choice import FIRST_GUESS_S, Candidate, rank
@@ -18,10 +15,12 @@
 from redwingpost.groups.evidence import FRESH_START_S, GroupEvidence
 from redwingpost.membership.hearing import VmTable
 from redwingpost.node.member import MemberClient
+from redwingpost.node.prover import SharedProof
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.database import LinkFactory, MemberEntry
 from redwingpost.takeover.stall import StallWatch
+from redwingpost.takeover.write_watch import WriteWatch
 
 #: Seconds between rounds of status questions to all members. Statements
 #: show that a member lives, and heartbeats bring samples, so that a round
@@ -75,6 +74,7 @@
     ) -> None:
         self.name = name
         self.evidence = GroupEvidence()
+        self.writes = WriteWatch()
         self.member_by_name: dict[str, MemberClient] = {}
         self.stalled_s = 0.0
         self.leaderless_since: float | None = clock.now()
@@ -88,13 +88,8 @@
         self._vms = vms
         self._stall = StallWatch()
         self._round: Task | None = None
-        self._proof: Future | None = None
-        self._proving: Task | None = None
+        self._proof = SharedProof(self._ask_a_replica)
         self._changed = Event()
-        self._write_numbers = count()
-        self._write_started_at: dict[int, float] = {}
-        self._stuck_since: float | None = None
-        self._acked_at = float("-inf")
 
     # Members -----------------------------------------------------------
 
@@ -193,7 +188,7 @@
             or not leader.entry.claims_primary
             or self.stalled_s > 0.0
             or self.paused_since is not None
-            or self.stuck_s > SLOW_WRITE_S
+            or self.writes.stuck_s(self._clock.now()) > SLOW_WRITE_S
         )
 
     def ask_if_due(self) -> None:
@@ -227,37 +222,6 @@
             return
         self.evidence.note_shared(member, position, taken_at)
 
-    def start_write(self) -> int:
-        """Note that a write is under way; return its number."""
-        number = next(self._write_numbers)
-        self._write_started_at[number] = self._clock.now()
-        return number
-
-    def end_write(self, number: int, is_answered: bool) -> None:
-        """Note that a write has its answer, or never will."""
-        started_at = self._write_started_at.pop(number, None)
-        if is_answered:
-            self._stuck_since = None
-        elif started_at is not None and self._stuck_since is None:
-            self._stuck_since = started_at
-
-    @property
-    def stuck_s(self) -> float:
-        """Return since when writes have waited in vain (seconds).
-
-        One lost answer among others that come is no sign of a primary
-        that acknowledges nothing.
-        """
-        first = next(iter(self._write_started_at.values()), None)
-        moments = [moment for moment in (first, self._stuck_since) if moment]
-        stuck_s = self._clock.now() - min(moments, default=float("inf"))
-        return max(0.0, stuck_s)
-
-    @property
-    def acked_s(self) -> float:
-        """Return how long ago a write was acknowledged (seconds)."""
-        return self._clock.now() - self._acked_at
-
     async def run_round(self) -> None:
         """Ask all members for a report; join a round under way."""
         if self._round is None or self._round.done():
@@ -282,39 +246,20 @@
     def note_refused_as_replica(self, client: MemberClient) -> None:
         """Note that a member refused a write as no primary."""
         self.evidence.disavow(client.entry.member)
-        self._stuck_since = None
+        self.writes.forget_stuck()
         self._settle()
 
     def note_commit(
         self, client: MemberClient, position: Position, sent_at: float
     ) -> None:
         """Note an acknowledged commit."""
-        self._acked_at = self._clock.now()
+        self.writes.note_kept(self._clock.now())
         member = client.entry.member
         self.evidence.note_commit(member, position, sent_at)
 
     async def prove(self) -> bool:
-        """Say whether the primary led at some moment after this call.
-
-        Callers that arrive while a question is under way share the next.
-        """
-        if self._proof is None or self._proof.done():
-            self._proof = get_running_loop().create_future()
-        waiting = self._proof
-        if self._proving is None or self._proving.done():
-            self._proving = create_task(self._prove_waiting())
-        return await shield(waiting)
-
-    async def _prove_waiting(self) -> None:
-        while self._proof is not None and not self._proof.done():
-            waiting = self._proof
-            self._proof = None
-            is_proven = False
-            try:
-                is_proven = await self._ask_a_replica()
-            finally:
-                if not waiting.done():
-                    waiting.set_result(is_proven)
+        """Say whether the primary led at some moment after this call."""
+        return await self._proof.get()
 
     async def _ask_a_replica(self) -> bool:
         asked_at = self._clock.now()
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -8,13 +8,7 @@
 from redwingpost.adapters.http_pages import Page, PageServer
 from redwingpost.core.requests import Refusal
 from redwingpost.groups.directory import Directory
-from redwingpost.membership.hearing import (
-    Beacon,
-    PrimaryWord,
-    SharedSample,
-    VmAddress,
-    VmTable,
-)
+from redwingpost.membership.hearing import VmAddress, VmTable
 from redwingpost.membership.readiness import Outlook, Readiness
 from redwingpost.node.admission import Admission
 from redwingpost.node.copies import COPY_PATH, Copies, fetch_copy
@@ -22,13 +16,14 @@
 from redwingpost.node.fleet import FLEET_TABLE, FleetEntry, FleetReader
 from redwingpost.node.group import GroupClient
 from redwingpost.node.metrics import NodeMetrics
-from redwingpost.node.peers import PeerBeacons, new_boot
+from redwingpost.node.peers import PeerBeacons
 from redwingpost.node.reads import ReadRunner
 from redwingpost.node.registry import MemberReader, RulesReader
 from redwingpost.node.session import NodeSession, Services
 from redwingpost.node.steps import repeat
 from redwingpost.node.takeover import TakeoverKeeper
 from redwingpost.node.watcher import TableWatcher
+from redwingpost.node.word import BeaconWriter
 from redwingpost.node.writes import WriteRunner
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
@@ -58,9 +53,6 @@
 #: Seconds within which a primary answered lately enough to count.
 _REACHED_S = 1.5
 
-#: Seconds for which a sample is worth sending to others.
-_SHARE_S = 2.0
-
 #: Seconds that the store must be lost before a peer's copy is used for
 #: a configuration that a peer already has.
 _COPY_AFTER_S = 0.5
@@ -109,7 +101,6 @@
         self.is_ready = False
         self._outside = outside
         self._clock = clock
-        self._boot = new_boot()
         self._ledger = UsageLedger()
         self._vms = VmTable(settings.vm, clock.now())
         self._admission = Admission(self._vms, self._ledger, clock)
@@ -172,6 +163,13 @@
     def _make_fleet_parts(self) -> None:
         settings = self.settings
         outside = self._outside
+        self._word = BeaconWriter(
+            settings.vm,
+            settings.ip,
+            self.group_by_name,
+            self._admission,
+            self._clock,
+        )
         address = VmAddress(settings.vm, settings.ip, settings.beacon_port)
         self._entry = FleetEntry(
             outside.store, self._vms, address, self._clock
@@ -179,12 +177,12 @@
         self._beacons = PeerBeacons(
             self._vms,
             self._ledger,
-            self._describe,
+            self._word.describe,
             self._clock,
             settings.ip,
             settings.beacon_port,
             settings.peer_ips,
-            self._on_beacon,
+            self._word.take_samples,
         )
         self._takeovers = TakeoverKeeper(
             self.group_by_name,
@@ -279,58 +277,6 @@
             limit = rule.max_connections if rule else _DEFAULT_CONNECTIONS
             group.follow_directory(limit, vms)
 
-    def _describe(self) -> Beacon:
-        word_by_primary = {}
-        for group in self.group_by_name.values():
-            leader = group.member_by_name.get(group.evidence.leader or "")
-            if leader is not None:
-                word_by_primary[leader.entry.member] = PrimaryWord(
-                    _to_ms(leader.silent_s),
-                    _to_ms(group.stuck_s),
-                    _to_ms(group.acked_s),
-                    _to_ms(leader.failing_s),
-                )
-        now = self._clock.now()
-        return Beacon(
-            self.settings.vm,
-            self._boot,
-            self.settings.ip,
-            self._admission.rules.version,
-            word_by_primary,
-            int(now * 1000),
-            None,
-            self._shared_samples(now),
-        )
-
-    def _shared_samples(self, now: float) -> tuple[SharedSample, ...]:
-        """Return the newest sample of each group, for the other VMs."""
-        shared = []
-        for group in self.group_by_name.values():
-            sample = group.evidence.newest_sample()
-            leader = group.evidence.leader
-            # Between two primaries a sample belongs to neither.
-            if sample is None or leader is None:
-                continue
-            if now - sample.taken_at > _SHARE_S:
-                continue
-            # Rounded up: a sample must not look younger than it is.
-            age_ms = int((now - sample.taken_at) * 1000) + 1
-            shared.append(
-                SharedSample(group.name, leader, sample.position, age_ms)
-            )
-        return tuple(shared)
-
-    def _on_beacon(self, beacon: Beacon) -> None:
-        left_at = beacon.left_after()
-        if left_at is None:
-            return
-        for sample in beacon.samples:
-            group = self.group_by_name.get(sample.group)
-            if group is None:
-                continue
-            taken_at = left_at - sample.age_ms / 1000.0
-            group.note_shared(sample.member, sample.position, taken_at)
-
     # Readiness ---------------------------------------------------------
 
     def _judge_readiness(self) -> None:
@@ -439,8 +385,3 @@
             await self.sleep(0.03)
         await gather(leave, return_exceptions=True)
         log_event("stopped", sessions=callers.open_connections)
-
-
-def _to_ms(seconds: float) -> int:
-    """Return an age for a heartbeat; whatever is long ago is a day."""
-    return int(min(seconds, 86400.0) * 1000)
--- a/redwingpost/node/takeover.py
+++ b/redwingpost/node/takeover.py
@@ -127,7 +127,9 @@
             others_failing_s=tuple(w.failing_ms / 1000.0 for w in words),
             hears_half=self._vms.hears_half(now),
             stalled_s=group.stalled_s,
-            stuck_s=stuck_at_all_s(group.stuck_s, group.acked_s, words),
+            stuck_s=stuck_at_all_s(
+                group.writes.stuck_s(now), group.writes.kept_s(now), words
+            ),
             leaderless_s=_since(group.leaderless_since, now),
             is_off_list=self._is_off_list(group),
             replicas_answering=answering,
--- /dev/null
+++ b/redwingpost/node/word.py
@@ -0,0 +1,91 @@
+"""What this VM's heartbeats say, and what it takes from others'."""
+
+from redwingpost.membership.hearing import (
+    Beacon,
+    PrimaryWord,
+    SharedSample,
+)
+from redwingpost.node.admission import Admission
+from redwingpost.node.group import GroupClient
+from redwingpost.node.peers import new_boot
+from redwingpost.ports.clock import Clock
+
+#: Seconds for which a sample is worth sending to others.
+_SHARE_S = 2.0
+
+
+class BeaconWriter:
+    """Describes this VM, and spreads samples among its groups."""
+
+    def __init__(
+        self,
+        vm: str,
+        ip: str,
+        group_by_name: dict[str, GroupClient],
+        admission: Admission,
+        clock: Clock,
+    ) -> None:
+        self._vm = vm
+        self._ip = ip
+        self._boot = new_boot()
+        self._group_by_name = group_by_name
+        self._admission = admission
+        self._clock = clock
+
+    def describe(self) -> Beacon:
+        """Return this VM's heartbeat."""
+        now = self._clock.now()
+        word_by_primary = {}
+        for group in self._group_by_name.values():
+            leader = group.member_by_name.get(group.evidence.leader or "")
+            if leader is not None:
+                word_by_primary[leader.entry.member] = PrimaryWord(
+                    _to_ms(leader.silent_s),
+                    _to_ms(group.writes.stuck_s(now)),
+                    _to_ms(group.writes.kept_s(now)),
+                    _to_ms(leader.failing_s),
+                )
+        return Beacon(
+            self._vm,
+            self._boot,
+            self._ip,
+            self._admission.rules.version,
+            word_by_primary,
+            int(now * 1000),
+            None,
+            self._shared_samples(now),
+        )
+
+    def take_samples(self, beacon: Beacon) -> None:
+        """Give another VM's samples to the groups they belong to."""
+        left_at = beacon.left_after()
+        if left_at is None:
+            return
+        for sample in beacon.samples:
+            group = self._group_by_name.get(sample.group)
+            if group is not None:
+                taken_at = left_at - sample.age_ms / 1000.0
+                group.note_shared(sample.member, sample.position, taken_at)
+
+    def _shared_samples(self, now: float) -> tuple[SharedSample, ...]:
+        """Return the newest sample of each group, for the other VMs."""
+        shared = []
+        for group in self._group_by_name.values():
+            sample = group.evidence.newest_sample()
+            leader = group.evidence.leader
+            # Between two primaries a sample belongs to neither.
+            if sample is None or leader is None:
+                continue
+            if now - sample.taken_at > _SHARE_S:
+                continue
+            # Rounded up: a sample must not look younger than it is.
+            age_ms = int((now - sample.taken_at) * 1000) + 1
+            shared.append(
+                SharedSample(group.name, leader, sample.position, age_ms)
+            )
+        return tuple(shared)
+
+
+def _to_ms(seconds: float) -> int:
+    """Return an age for a heartbeat; whatever is long ago is a day."""
+    return int(min(seconds, 86400.0) * 1000)
--- a/redwingpost/node/writes.py
+++ b/redwingpost/node/writes.py
@@ -71,14 +71,14 @@
             self._clock,
         )
         left_s = write.deadline - self._clock.now()
-        number = group.start_write()
+        number = group.writes.start(self._clock.now())
         outcome: Outcome = NoAnswer("no answer in time")
         try:
             outcome = await wait_for(attempt, max(left_s, 0.01))
         except TimeoutError:
             leader.failed_at = self._clock.now()
         finally:
-            group.end_write(number, not isinstance(outcome, NoAnswer))
+            group.writes.end(number, not isinstance(outcome, NoAnswer))
         return outcome
 
     async def _judge(
