--- a/redwingpost/standin/lines/member_server.py
+++ b/redwingpost/standin/lines/member_server.py
@@ -1,6 +1,7 @@
 """A member over TCP: the members' side of the line protocol."""
 
 from asyncio import (
+    CancelledError,
     IncompleteReadError,
     Semaphore,
     Server,
@@ -59,8 +60,9 @@
         self.connections += 1
         try:
             await _Connection(self, reader, writer).run()
-        except (IncompleteReadError, OSError):
-            # The caller left: what was open rolls back.
+        except (IncompleteReadError, OSError, CancelledError):
+            # The caller left, or the stand-in ends: what was open rolls
+            # back. A cancelled task would be reported as a failure.
             pass
         finally:
             self.connections -= 1
