Set the gauge of open sessions; drop what nothing uses

Cause: redwing_sessions was documented and always 0; a test now counts it and fails without the line. A parameter that was always empty, an alias, a wrapper of one call, a setting and a method had no use. Behaviour is otherwise as before.

--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -116,11 +116,6 @@
         leaving_s = self._clock.now() - listed.draining_since
         return leaving_s < self._drain_s * DRAIN_PART
 
-    def is_leaving(self, member: str) -> bool:
-        """Say whether a member has announced that it will stop."""
-        client = self.member_by_name.get(member)
-        return client is not None and client.entry.is_draining
-
     def leader(self) -> MemberClient | None:
         """Return the primary if it may get new work."""
         client = self.member_by_name.get(self.evidence.leader or "")
@@ -155,13 +150,13 @@
         client = self.member_by_name.get(self.evidence.leader or "")
         return client is not None and client.failing_s > OUT_OF_REACH_S
 
-    def ranked(self, organisation: str, held_out: set) -> list[MemberClient]:
+    def ranked(self, organisation: str) -> list[MemberClient]:
         """Return members for a read, the best first."""
         now = self._clock.now()
         clients = [
             client
-            for name, client in self.member_by_name.items()
-            if name not in held_out and self._may_read(client, now)
+            for client in self.member_by_name.values()
+            if self._may_read(client, now)
         ]
         # A member whose time isn't known counts as the best that is.
         known_s = [
--- a/redwingpost/node/reads.py
+++ b/redwingpost/node/reads.py
@@ -109,7 +109,7 @@
         self, group: GroupClient, read: ReadRequest, plan: ReadPlan
     ) -> Result | None:
         """Run at the best member; None where none of them could."""
-        ranked = group.ranked(read.caller.organisation, set())
+        ranked = group.ranked(read.caller.organisation)
         if not ranked:
             await group.wait_change(min(0.2, self._left_s(read)))
             return None
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -29,7 +29,6 @@
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.database import LinkFactory, PromotionOrders
 from redwingpost.ports.fleet_store import FleetStore
-from redwingpost.ports.platform import Row
 from redwingpost.ports.registry import RegistryFormat
 from redwingpost.rates.usage import UsageLedger
 from redwingpost.settings.node import NodeSettings
@@ -251,6 +250,8 @@
             self.directory.note_outage(now)
         self.directory.expire(now)
         self._follow()
+        if self.callers is not None:
+            self.metrics.sessions.set(self.callers.open_connections)
         self.metrics.version.set(self._admission.rules.version)
         self.metrics.part.set(self._vms.part(now))
 
@@ -359,10 +360,7 @@
             log_event("copy-taken", vm=beacon.vm)
             self._rules_reader.take(got.ok.configuration)
         if not self._member_watcher.has_read:
-            self._take_members(got.ok.members)
-
-    def _take_members(self, rows: tuple[Row, ...]) -> None:
-        self._member_reader.on_rows(rows)
+            self._member_reader.on_rows(got.ok.members)
 
     # Stop --------------------------------------------------------------
 
--- a/redwingpost/node/tests/line_site.py
+++ b/redwingpost/node/tests/line_site.py
@@ -13,6 +13,7 @@
 from tempfile import mkdtemp
 from typing import Any
 
+from redwingpost.adapters.http_client import HttpClient
 from redwingpost.node.tests.line_caller import LineCaller
 from redwingpost.platform.settings import PATH_VARIABLE
 from redwingpost.standin.lines.site import LineSite
@@ -89,6 +90,13 @@
         caller.close()
         return " 200 " in f"{status} "
 
+    async def metrics(self) -> str:
+        """Return the metrics page."""
+        client = HttpClient(self.ip, self.ports["metrics"])
+        answer = await client.request("GET", "/metrics", PATIENCE_S)
+        client.close()
+        return answer.body.decode()
+
     async def end(self, signal: int = SIGTERM) -> int:
         """Signal the process and return its exit code."""
         if self.process.returncode is None:
@@ -130,7 +138,11 @@
         """Start one more node."""
         number = len(self.nodes) + 1
         ip = f"{self._prefix}.{number}"
-        ports = {"callers": _free_port(ip), "ready": _free_port(ip)}
+        ports = {
+            "callers": _free_port(ip),
+            "ready": _free_port(ip),
+            "metrics": self._inner + 1,
+        }
         path = self._folder / f"node-{number}.json"
         path.write_text(dumps(self._settings(f"vm-{number}", ip, ports)))
         process = await create_subprocess_exec(
--- a/redwingpost/node/tests/test_calm_day.py
+++ b/redwingpost/node/tests/test_calm_day.py
@@ -115,6 +115,15 @@
         await until(is_refused)
         self.assertEqual("", (await other.run("READ f")).code)
 
+    async def test_the_metrics_count_open_sessions(self) -> None:
+        callers = [await self.node.caller("own") for _ in range(3)]
+
+        async def counts_all() -> bool:
+            told = f"redwing_sessions {float(len(callers))}"
+            return told in await self.node.metrics()
+
+        await until(counts_all, "all sessions in the metrics")
+
     async def test_a_stop_ends_transactions_and_loses_nothing(self) -> None:
         caller = await self.node.caller("own")
         await caller.run("BEGIN")
--- a/redwingpost/node/transaction.py
+++ b/redwingpost/node/transaction.py
@@ -191,7 +191,7 @@
         if plan.needs_proof:
             return await self._begin_at_primary(deadline)
         result: Result | None = Refusal(Code.TARGET_LOST, "", 100)
-        for client in self._group.ranked(self._caller.organisation, set()):
+        for client in self._group.ranked(self._caller.organisation):
             result = await self._begin_at(client, plan.after, deadline)
             if result is None or not _is_passing(result):
                 return result
--- a/redwingpost/node/writes.py
+++ b/redwingpost/node/writes.py
@@ -23,9 +23,6 @@
     Reply,
 )
 
-#: Failures after which the write may do better a moment later.
-_WORTH_ANOTHER_TRY = DID_NOT_RUN
-
 
 class WriteRunner:
     """Runs writes of one node.
@@ -127,5 +124,5 @@
 
     def _may_try_again(self, result: Result) -> bool:
         if isinstance(result, MemberFailure):
-            return result.kind in _WORTH_ANOTHER_TRY
+            return result.kind in DID_NOT_RUN
         return result.code.name == Code.TARGET_LOST.name
--- a/redwingpost/settings/node.py
+++ b/redwingpost/settings/node.py
@@ -15,8 +15,7 @@
 
     ``peer_ips`` are VMs to ask while the store can't be read.
     ``drain_s`` is how long a member that leaves may still get work,
-    ``grace_s`` how long a stopping node may take,
-    ``member_beat_s`` how often members report.
+    ``grace_s`` how long a stopping node may take.
     """
 
     vm: str
@@ -31,4 +30,3 @@
     peer_ips: tuple[str, ...] = ()
     drain_s: float = 7.0
     grace_s: float = 6.0
-    member_beat_s: float = 1.2
