Bound the opening of connections; don't trust ones that rested

Change: a connection opens within a second or is tried again; a pooled one that rested for more than a second is replaced.

--- a/redwingpost/adapters/http_client.py
+++ b/redwingpost/adapters/http_client.py
@@ -30,6 +30,8 @@
     Response,
 )
 
+from redwingpost.ports.clock import Clock
+
 #: Bytes read at once.
 _CHUNK = 65536
 
@@ -44,6 +46,15 @@
 _PROBE_EVERY_S = 1
 _PROBES = 2
 
+#: Seconds for a connection to open. Packets lost to a cut are sent again
+#: after 1, 3 and 7 s: a new try comes sooner once the cut has ended.
+CONNECT_S = 1.0
+
+#: Seconds that a pooled connection may rest and be trusted all the same.
+#: One that went silent meanwhile holds a call for its whole time limit;
+#: a new one costs a round trip.
+REST_S = 1.0
+
 
 class HttpAnswer(NamedTuple):
     """A whole response."""
@@ -101,7 +112,8 @@
         self.drop_if_dead()
         try:
             if self._writer is None:
-                await wait_for(self._connect(), timeout_s)
+                patience = min(timeout_s, CONNECT_S)
+                await wait_for(self._connect(), patience)
             sent = True
             exchange = self._exchange(method, target, body, headers)
             return await wait_for(exchange, timeout_s)
@@ -187,10 +199,11 @@
     it until their time is over.
     """
 
-    def __init__(self, ip: str, port: int) -> None:
+    def __init__(self, ip: str, port: int, clock: Clock) -> None:
         self._ip = ip
         self._port = port
-        self._idle: list[HttpClient] = []
+        self._clock = clock
+        self._idle: list[tuple[HttpClient, float]] = []
 
     async def request(
         self,
@@ -201,16 +214,29 @@
         headers: tuple[tuple[str, str], ...] = (),
     ) -> HttpAnswer:
         """Send a request as ``HttpClient.request`` does."""
-        if self._idle:
-            client = self._idle.pop()
-        else:
-            client = HttpClient(self._ip, self._port)
+        client = self._take()
         try:
             return await client.request(
                 method, target, timeout_s, body, headers
             )
         finally:
-            self._idle.append(client)
+            self._idle.append((client, self._clock.now()))
+
+    def close(self) -> None:
+        """Close the connections that rest."""
+        for client, _ in self._idle:
+            client.close()
+        self._idle.clear()
+
+    def _take(self) -> HttpClient:
+        """Return a client whose connection can be trusted, or a new one."""
+        trusted_since = self._clock.now() - REST_S
+        while self._idle:
+            client, used_at = self._idle.pop()
+            if used_at >= trusted_since:
+                return client
+            client.close()
+        return HttpClient(self._ip, self._port)
 
 
 def tune_socket(writer: StreamWriter) -> None:
--- a/redwingpost/cli/node.py
+++ b/redwingpost/cli/node.py
@@ -46,12 +46,13 @@
 
 
 async def _serve(settings: NodeSettings, path: Path) -> None:
+    clock = MonotonicClock()
     outside = Outside(
-        RowStore(settings.store.ip, settings.store.port),
+        RowStore(settings.store.ip, settings.store.port, clock),
         LineLinkFactory(),
-        PromotionCalls(settings.orders.ip, settings.orders.port),
+        PromotionCalls(settings.orders.ip, settings.orders.port, clock),
         FORMAT,
-        MonotonicClock(),
+        clock,
     )
     node = Node(settings, outside)
     callers = CallerServer(settings.callers.ip, settings.callers.port, node)
--- a/redwingpost/platform/orders.py
+++ b/redwingpost/platform/orders.py
@@ -4,6 +4,7 @@
 
 from redwingpost.adapters.http_client import HttpLost, HttpPool
 from redwingpost.observability.journal import log_event
+from redwingpost.ports.clock import Clock
 
 #: Seconds to wait for the platform's word; whether the order took effect
 #: shows at the member.
@@ -13,8 +14,8 @@
 class PromotionCalls:
     """Implements ``PromotionOrders``."""
 
-    def __init__(self, ip: str, port: int) -> None:
-        self._client = HttpPool(ip, port)
+    def __init__(self, ip: str, port: int, clock: Clock) -> None:
+        self._client = HttpPool(ip, port, clock)
 
     async def promote(
         self, group: str, member: str, holder: str, fence: int
--- a/redwingpost/platform/store.py
+++ b/redwingpost/platform/store.py
@@ -17,6 +17,7 @@
 )
 from redwingpost.core.codes import Code
 from redwingpost.core.requests import Refusal
+from redwingpost.ports.clock import Clock
 from redwingpost.ports.fleet_store import Changes, RowChange, Snapshot
 from redwingpost.ports.platform import (
     Condition,
@@ -45,12 +46,14 @@
     ----------
     ip, port : str, int
         Where the store answers.
+    clock : Clock
+        For the age of connections.
     """
 
-    def __init__(self, ip: str, port: int) -> None:
+    def __init__(self, ip: str, port: int, clock: Clock) -> None:
         self._ip = ip
         self._port = port
-        self._calls = HttpPool(ip, port)
+        self._calls = HttpPool(ip, port, clock)
         self._feed_by_table: dict[str, HttpClient] = {}
 
     async def snapshot(self, table: str) -> Result[Snapshot, Refusal]:
--- a/redwingpost/platform/tests/test_decoding.py
+++ b/redwingpost/platform/tests/test_decoding.py
@@ -11,6 +11,7 @@
 from redwingpost.platform.entries import decode_configuration, decode_member
 from redwingpost.platform.settings import load_node_settings
 from redwingpost.platform.store import RowStore
+from redwingpost.ports.clock import MonotonicClock
 from redwingpost.ports.platform import Condition, Row, Write
 from redwingpost.ports.registry import EntryError
 from redwingpost.standin.lines.store import StandInStore
@@ -127,7 +128,7 @@
         self.outside = StandInStore()
         port = await self.outside.start("127.0.0.1")
         self.addAsyncCleanup(self.outside.stop)
-        self.store = RowStore("127.0.0.1", port)
+        self.store = RowStore("127.0.0.1", port, MonotonicClock())
 
     async def test_conditions(self) -> None:
         cases = (
