Show who overloads a group; walk from a failed request to its cause

Cause: on-call had log lines without their inputs and no counts by organisation, so that the owner of a full group could prove nothing.

Change: redwingctl usage reads the nodes' counters twice and prints what each organisation offered, what was granted and refused, and why.

--- a/redwingpost/cli/ctl.py
+++ b/redwingpost/cli/ctl.py
@@ -10,6 +10,7 @@
 from typer import Argument, Context, Exit, Option, Typer, echo
 
 from redwingpost.adapters.peer import PeerAddress
+from redwingpost.cli.ctl_usage import usage
 from redwingpost.cli.ctl_work import (
     REFUSED,
     Options,
@@ -334,6 +335,9 @@
     show_result(context.obj, shown, "\n".join(lines))
 
 
+app.command()(usage)
+
+
 def main() -> None:
     """Run the command line."""
     app()
--- /dev/null
+++ b/redwingpost/cli/ctl_usage.py
@@ -0,0 +1,82 @@
+"""``redwingctl usage``: who overloads a shared group."""
+
+from asyncio import gather, run, sleep
+from typing import Annotated
+
+from rich.table import Table
+from typer import Context, Exit, Option, echo
+
+from redwingpost.adapters.http_client import HttpClient, HttpLost
+from redwingpost.cli.ctl_work import REFUSED, read_address, show_result
+from redwingpost.operator.usage import (
+    Series,
+    UsageLine,
+    grown,
+    read_counts,
+    summarise,
+)
+
+#: Seconds for a node's metrics page.
+_TIMEOUT_S = 5.0
+
+
+def usage(
+    context: Context,
+    node: Annotated[
+        list[str], Option(help="IP:PORT of a node's metrics; one a VM.")
+    ],
+    seconds: Annotated[
+        float, Option(help="Span to look at; 0: since the nodes started.")
+    ] = 10.0,
+) -> None:
+    """Show what each organisation offered to each group, and got.
+
+    Example: redwingctl usage --node 10.1.0.26:7575 --seconds 30
+    """
+    try:
+        lines = run(_watch(tuple(node), seconds))
+    except (HttpLost, ValueError) as error:
+        echo(f"a node's metrics can't be read: {error}", err=True)
+        raise Exit(REFUSED) from error
+    shown = {"seconds": seconds, "lines": [line._asdict() for line in lines]}
+    show_result(context.obj, shown, _table(lines))
+
+
+async def _watch(nodes: tuple[str, ...], seconds: float) -> tuple:
+    before: list[dict[Series, int]] = [{} for _ in nodes]
+    if seconds > 0.0:
+        before = await _read_all(nodes)
+        await sleep(seconds)
+    after = await _read_all(nodes)
+    return summarise(map(grown, before, after))
+
+
+async def _read_all(nodes: tuple[str, ...]) -> list[dict[Series, int]]:
+    return await gather(*(_read(node) for node in nodes))
+
+
+async def _read(node: str) -> dict[Series, int]:
+    address = read_address(node)
+    client = HttpClient(address.ip, address.port)
+    try:
+        answer = await client.request("GET", "/metrics", _TIMEOUT_S)
+        return read_counts(answer.body.decode())
+    finally:
+        client.close()
+
+
+def _table(lines: tuple[UsageLine, ...]) -> Table:
+    table = Table(
+        "group", "organisation", "offered", "granted", "refused", "why"
+    )
+    for line in lines:
+        reasons = line.refused_by_reason
+        table.add_row(
+            line.group,
+            line.organisation,
+            str(line.offered),
+            str(line.granted),
+            str(sum(reasons.values())),
+            ", ".join(f"{why} {count}" for why, count in reasons.items()),
+        )
+    return table
--- a/redwingpost/cli/ctl_work.py
+++ b/redwingpost/cli/ctl_work.py
@@ -83,7 +83,7 @@
     """Read ``IP:PORT``; anything else ends the program with status 2."""
     ip, _, port = text.rpartition(":")
     if not ip or not port.isdigit():
-        echo(f"--agent: allowed: IP:PORT; got {text!r}", err=True)
+        echo(f"allowed: IP:PORT; got {text!r}", err=True)
         raise Exit(2)
     return PeerAddress(ip, int(port))
 
--- a/redwingpost/node/tests/line_site.py
+++ b/redwingpost/node/tests/line_site.py
@@ -1,10 +1,10 @@
 """Real node processes against the stand-ins, for tests."""
 
 from asyncio import create_subprocess_exec, sleep, wait_for
-from asyncio.subprocess import DEVNULL, PIPE, Process
+from asyncio.subprocess import PIPE, Process
 from collections.abc import Callable
 from itertools import count
-from json import dumps
+from json import dumps, loads
 from os import environ, getpid
 from pathlib import Path
 from signal import SIGKILL, SIGTERM
@@ -66,10 +66,17 @@
 class NodeProcess:
     """One node and where it listens."""
 
-    def __init__(self, ip: str, ports: dict[str, int], process: Process):
+    def __init__(
+        self, ip: str, ports: dict[str, int], process: Process, log: Path
+    ) -> None:
         self.ip = ip
         self.ports = ports
         self.process = process
+        self._log = log
+
+    def log_lines(self) -> list[dict[str, Any]]:
+        """Return what the node has logged so far."""
+        return [loads(line) for line in self._log.read_text().splitlines()]
 
     async def caller(self, database: str, key: str = "key-1") -> LineCaller:
         """Return a caller with an open session."""
@@ -145,15 +152,17 @@
         }
         path = self._folder / f"node-{number}.json"
         path.write_text(dumps(self._settings(f"vm-{number}", ip, ports)))
-        process = await create_subprocess_exec(
-            executable,
-            "-m",
-            "redwingpost.cli.node",
-            env={**environ, PATH_VARIABLE: str(path)},
-            stdout=DEVNULL,
-            stderr=PIPE,
-        )
-        node = NodeProcess(ip, ports, process)
+        log = path.with_suffix(".log")
+        with log.open("wb") as stdout:
+            process = await create_subprocess_exec(
+                executable,
+                "-m",
+                "redwingpost.cli.node",
+                env={**environ, PATH_VARIABLE: str(path)},
+                stdout=stdout,
+                stderr=PIPE,
+            )
+        node = NodeProcess(ip, ports, process, log)
         self.nodes.append(node)
         return node
 
