Give a member no new work that was leaving before anybody looked

Change: since when a member leaves counts only where this VM saw it begin; first seen leaving, or told right after an outage of the registry, it gets no new work.

Figures: the unit test and the test with a real node that starts while a member leaves fail before.

--- a/redwingpost/groups/directory.py
+++ b/redwingpost/groups/directory.py
@@ -16,6 +16,10 @@
 #: registered again: about two by the platform's word, and some margin.
 REAPPEAR_S = 2.5
 
+#: Seconds after an outage of the registry in which what it tells may be
+#: old news: the first answers after its return.
+OLD_NEWS_S = 1.0
+
 #: Seconds for which a member that is gone can still be asked whether it
 #: lives, before a takeover concludes without it. Its log may hold an
 #: acknowledged commit while only its registration has lapsed.
@@ -23,9 +27,13 @@
 
 
 class Listed(NamedTuple):
-    """A member and since when we know of its state (seconds).
+    """A member and since when it has been in its state (seconds).
 
-    ``restarted_at`` is when it was first seen in another life than
+    ``draining_since`` is minus infinity where nobody here saw the member
+    announce that it leaves: at the start of this VM, or after an outage.
+    It may have done so long ago, and would get new work until it exits if
+    its time were counted from when this VM heard of it. ``restarted_at``
+    is when it was first seen in another life than
     before; minus infinity where it has always been the same.
     """
 
@@ -60,11 +68,9 @@
     def put(self, entry: MemberEntry, now: float) -> None:
         """Take in a member's present entry."""
         known = self._listed_by_member.get(entry.member)
-        since = now if entry.is_draining else None
+        since = self._draining_since(known, now) if entry.is_draining else None
         restarted_at = float("-inf")
         if known is not None:
-            if entry.is_draining and known.draining_since is not None:
-                since = known.draining_since
             restarted_at = known.restarted_at
             if known.entry.started_ms != entry.started_ms:
                 restarted_at = now
@@ -131,6 +137,14 @@
             listed.entry.group for listed in self._listed_by_member.values()
         )
 
+    def _draining_since(self, known: Listed | None, now: float) -> float:
+        """Return since when a member that is leaving has been (seconds)."""
+        if known is not None and known.draining_since is not None:
+            return known.draining_since
+        if known is None or now < self._outage_at + OLD_NEWS_S:
+            return float("-inf")
+        return now
+
     def _drop(self, member: str, now: float) -> None:
         listed = self._listed_by_member.pop(member)
         self._leaving_at_by_member.pop(member, None)
--- a/redwingpost/groups/tests/test_choice.py
+++ b/redwingpost/groups/tests/test_choice.py
@@ -114,6 +114,29 @@
             directory.put(_entry("m", is_draining=True), now)
         self.assertEqual(2.0, directory.get("m").draining_since)
 
+    def test_leaving_that_nobody_here_saw_begin(self) -> None:
+        """A VM starts again while a member leaves, or was cut off.
+
+        Counted from when the VM heard of it, the member would get new
+        work until it exits, and what runs there then would be cut.
+        """
+        cases = (
+            ("first seen leaving", None, None, True),
+            ("old news after an outage", 1.0, 2.9, True),
+            ("told as it happens", 1.0, None, False),
+            ("long after an outage", 1.0, 1.5, False),
+        )
+        for name, seen_at, outage_at, is_unknown in cases:
+            with self.subTest(name):
+                directory = Directory()
+                if seen_at is not None:
+                    directory.put(_entry("m"), seen_at)
+                if outage_at is not None:
+                    directory.note_outage(outage_at)
+                directory.put(_entry("m", is_draining=True), 3.0)
+                since = directory.get("m").draining_since
+                self.assertEqual(is_unknown, since < 0.0)
+
     def test_another_life_under_the_same_name(self) -> None:
         directory = Directory()
         directory.put(_entry("m", started_ms=5), 1.0)
--- a/redwingpost/node/tests/test_failures.py
+++ b/redwingpost/node/tests/test_failures.py
@@ -46,6 +46,23 @@
         self._check(told_by_item)
         self.assertNotEqual("g1-m1", self.site.outside.primary_of("g1"))
 
+    async def test_a_node_starts_while_a_member_leaves(self) -> None:
+        """A member leaves, and a node is started again meanwhile.
+
+        The node can't know for how long the member has been leaving. New
+        work there would be cut when the member exits.
+        """
+        self.site.outside.register("g1-m2", state="draining")
+        node = await self.site.add_node()
+        await until(node.is_ready)
+        caller = await node.caller("stated")
+        sent = [f"new-{number}" for number in range(20)]
+        for request in sent:
+            told = await caller.run_as(request, "READ x")
+            self.assertEqual("", told.code)
+        leaving = self.site.outside.find("g1-m2")
+        self.assertEqual([], [run for run in leaving.runs if run[0] in sent])
+
     async def test_a_primary_without_replicas_is_replaced(self) -> None:
         """The primary is cut off from its replicas, not from the nodes.
 
