--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -10,7 +10,6 @@
 )
 
 from redwingpost.core.positions import Position
-from redwingpost.groups.choice import FIRST_GUESS_S, Candidate, rank
 from redwingpost.groups.directory import Directory
 from redwingpost.groups.evidence import FRESH_START_S, GroupEvidence
 from redwingpost.groups.questions import (
@@ -20,6 +19,7 @@
 )
 from redwingpost.membership.hearing import VmTable
 from redwingpost.node.member import MemberClient
+from redwingpost.node.placing import Placing, rank_for_read
 from redwingpost.node.prover import SharedProof
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
@@ -154,20 +154,10 @@
         clients = [
             client
             for client in self.member_by_name.values()
-            if self._may_read(client, now)
+            if self.takes_work(client) and client.may_read(now)
         ]
-        # A member whose time isn't known counts as the best that is.
-        known_s = [
-            client.latency.usual_s
-            for client in clients
-            if client.latency.is_known(now)
-        ]
-        best_s = min(known_s, default=FIRST_GUESS_S)
-        candidates = [
-            self._candidate(client, organisation, best_s, now)
-            for client in clients
-        ]
-        return [self.member_by_name[name] for name in rank(candidates)]
+        place = Placing(organisation, self._data_centre, now)
+        return rank_for_read(clients, self.evidence, place)
 
     # Rounds ------------------------------------------------------------
 
@@ -378,32 +368,6 @@
         self.evidence.forget(member)
         self._settle()
 
-    def _may_read(self, client: MemberClient, now: float) -> bool:
-        if now < client.behind_until or not self.takes_work(client):
-            return False
-        # A member that failed since it last answered is left until a
-        # round hears from it again.
-        return not client.is_failing
-
-    def _candidate(
-        self,
-        client: MemberClient,
-        organisation: str,
-        best_s: float,
-        now: float,
-    ) -> Candidate:
-        is_known = client.latency.is_known(now)
-        heard = self.evidence.heard(client.entry.member)
-        return Candidate(
-            client.entry.member,
-            client.latency.usual_s if is_known else best_s,
-            client.under_way,
-            heard.report.busy if heard is not None else 0,
-            client.pool.has_idle(organisation),
-            client.entry.member == self.evidence.leader,
-            not self._far(client),
-        )
-
     def _far(self, client: MemberClient) -> bool:
         return client.entry.data_centre != self._data_centre
 
--- a/redwingpost/node/member.py
+++ b/redwingpost/node/member.py
@@ -124,6 +124,14 @@
             return 0.0
         return self._clock.now() - max(self._sent_at, self.answered_at)
 
+    def may_read(self, now: float) -> bool:
+        """Say whether a read may be sent here.
+
+        One that failed since it last answered is left until a question
+        is answered again.
+        """
+        return now >= self.behind_until and not self.is_failing
+
     def note_answer(self) -> None:
         """Note that the member has just answered something."""
         self.answered_at = self._clock.now()
