Give each statement a trace of its own

An attempt that lost a race ended while its session ran the next statement, and its time was added to that one's; an attempt that was never sent counted as a try.

--- a/redwingpost/node/attempt.py
+++ b/redwingpost/node/attempt.py
@@ -5,7 +5,6 @@
 from redwingpost.core.positions import Position
 from redwingpost.core.statements import Shape, Statement
 from redwingpost.node.member import MemberClient, MemberRefused, NoPlace
-from redwingpost.observability.trace import StatementTrace
 from redwingpost.pools.pool import PooledLink
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.database import (
@@ -24,7 +23,6 @@
     organisation: str
     state: SessionState
     priority: int
-    trace: StatementTrace
 
 
 class NotSent(NamedTuple):
@@ -68,18 +66,21 @@
         For the measured time.
     """
     shape = caller.state.shape_of(statement.name)
+    # Kept here: an attempt that lost a race ends while the session runs
+    # its next statement, whose times it must not change.
+    trace = caller.state.trace
     client.under_way += 1
-    started_at = clock.now()
     try:
         item = await claim(client, caller, shape, until, clock)
-        started_at = clock.now()
         if isinstance(item, NotSent):
             return item
-        outcome = await run_on(client, item, statement, after, shape)
+        started_at = clock.now()
+        try:
+            outcome = await run_on(client, item, statement, after, shape)
+        finally:
+            trace.note_run(client.entry.member, clock.now() - started_at)
     finally:
         client.under_way -= 1
-        ran_s = clock.now() - started_at
-        caller.trace.note_run(client.entry.member, ran_s)
     if isinstance(outcome, NoAnswer):
         client.discard(item)
         return outcome
@@ -101,6 +102,7 @@
     clock: Clock,
 ) -> PooledLink | NotSent:
     """Claim a connection that is ready for a session's statement."""
+    trace = caller.state.trace
     asked_at = clock.now()
     try:
         item = await client.acquire(
@@ -117,8 +119,7 @@
     except LinkLost as lost:
         return NotSent(lost.detail)
     finally:
-        waited_s = clock.now() - asked_at
-        caller.trace.note_wait(client.entry.member, waited_s)
+        trace.note_wait(client.entry.member, clock.now() - asked_at)
     is_ready = await make_ready(client, item, caller.state)
     return item if is_ready else NotSent("set-up failed")
 
--- a/redwingpost/node/duty.py
+++ b/redwingpost/node/duty.py
@@ -49,12 +49,12 @@
         return HeldDuty(wanted.fence, until)
 
     async def _write(self, wanted: DutyRow, version: int) -> bool:
-        claim_row = self._store.transact(
+        claiming = self._store.transact(
             (Condition(FLEET_TABLE, DUTY_KEY, version),),
             (Write(FLEET_TABLE, DUTY_KEY, wanted.to_value()),),
         )
         try:
-            done = await wait_for(claim_row, CLAIM_S)
+            done = await wait_for(claiming, CLAIM_S)
         except TimeoutError:
             log_event("duty-unanswered", fence=wanted.fence)
             return await self._has_taken(wanted)
--- a/redwingpost/node/session.py
+++ b/redwingpost/node/session.py
@@ -58,7 +58,6 @@
         self.transaction: Transaction | None = None
         self._database = database
         self._key = key
-        self._trace = StatementTrace()
         self._idle_timer: TimerHandle | None = None
 
     @property
@@ -69,7 +68,7 @@
     async def run(self, statement: Statement) -> Result:
         """Run one statement and return what to answer."""
         self._stop_idle_timer()
-        self._trace.start()
+        self.state.trace = StatementTrace()
         started_at = self.services.clock.now()
         handler = HANDLERS.get(statement.kind.value)
         result = await handler(self, statement)
@@ -110,8 +109,7 @@
     def caller(self, admitted: Admitted) -> Caller:
         """Return whose statement it is and how urgent."""
         name = admitted.organisation.name
-        priority = admitted.route.priority
-        return Caller(name, self.state, priority, self._trace)
+        return Caller(name, self.state, admitted.route.priority)
 
     def end_transaction(self, phase: Phase) -> None:
         """Leave the transaction, into ``phase``."""
@@ -155,7 +153,7 @@
             code=code,
             detail=detail,
             seconds=round(seconds, 4),
-            **self._trace.describe(),
+            **self.state.trace.describe(),
             version=rules.version,
         )
 
--- a/redwingpost/node/transaction.py
+++ b/redwingpost/node/transaction.py
@@ -265,7 +265,7 @@
             return NoAnswer("no answer in time")
         finally:
             ran_s = self._clock.now() - started_at
-            self._caller.trace.note_run(client.entry.member, ran_s)
+            self._caller.state.trace.note_run(client.entry.member, ran_s)
         if isinstance(outcome, Reply) and outcome.failure is None:
             now = self._clock.now()
             client.latency.observe(now - started_at, now)
@@ -313,7 +313,7 @@
             request=statement.request,
             group=self._group.name,
             term=self._group.evidence.term,
-            **self._caller.trace.describe(),
+            **self._caller.state.trace.describe(),
             reason=outcome.reason,
         )
         return Refusal(Code.COMMIT_UNKNOWN, outcome.reason)
--- a/redwingpost/node/writes.py
+++ b/redwingpost/node/writes.py
@@ -118,7 +118,7 @@
             request=write.statement.request,
             group=group.name,
             term=group.evidence.term,
-            **write.caller.trace.describe(),
+            **write.caller.state.trace.describe(),
             reason=reason,
         )
         return Refusal(Code.OUTCOME_UNKNOWN, reason)
--- a/redwingpost/observability/trace.py
+++ b/redwingpost/observability/trace.py
@@ -7,7 +7,7 @@
 
 
 class StatementTrace:
-    """Parts of the time of a session's current statement (seconds).
+    """Parts of the time of one statement (seconds).
 
     Examples
     --------
@@ -24,12 +24,6 @@
         self._waited_s = 0.0
         self._ran_s = 0.0
 
-    def start(self) -> None:
-        """Forget the statement before."""
-        self._member = ""
-        self._tries = 0
-        self._waited_s = self._ran_s = 0.0
-
     def note_wait(self, member: str, seconds: float) -> None:
         """Note a wait for a connection to a member."""
         self._member = member
--- a/redwingpost/statements/session.py
+++ b/redwingpost/statements/session.py
@@ -9,6 +9,7 @@
 
 from redwingpost.core.positions import ZERO_POSITION, Position
 from redwingpost.core.statements import Shape, Statement, StatementKind
+from redwingpost.observability.trace import StatementTrace
 
 #: Session values and prepared names that one session may keep. Drivers
 #: use a few dozen; the bound keeps one caller from filling the memory.
@@ -29,6 +30,8 @@
 class SessionState:
     """Values, prepared statements and the phase of one session.
 
+    ``trace`` holds the parts of the current statement's time.
+
     Examples
     --------
     >>> state = SessionState()
@@ -45,6 +48,7 @@
         self.values_by_name: dict[str, str] = {}
         self.shapes_by_name: dict[str, Shape] = {}
         self.written = ZERO_POSITION
+        self.trace = StatementTrace()
 
     def set_value(self, name: str, value: str) -> bool:
         """Keep a value; False where the session holds too many."""
