Find ports that stay free until their program listens

Ports were found in the range that the system gives to outgoing connections, and programs listen a second later; connections of the run are bound to its addresses and took one.

Change: ports below that range, none handed out twice; the two copies of the search are one.

--- a/redwingpost/bench/children.py
+++ b/redwingpost/bench/children.py
@@ -5,7 +5,6 @@
 from os import sysconf
 from pathlib import Path
 from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
-from socket import AF_INET, SOCK_STREAM, socket
 from sys import executable
 from typing import NamedTuple
 
@@ -29,13 +28,6 @@
     cpu_s: float
 
 
-def find_free_port(ip: str) -> int:
-    """Return a TCP port that is free on ``ip`` just now."""
-    with socket(AF_INET, SOCK_STREAM) as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
-
-
 class Child:
     """One running program.
 
--- a/redwingpost/bench/fleet.py
+++ b/redwingpost/bench/fleet.py
@@ -11,7 +11,7 @@
 from loguru import logger
 from prometheus_client.parser import text_string_to_metric_families
 
-from redwingpost.bench.children import Children, Ended, find_free_port
+from redwingpost.bench.children import Children, Ended
 from redwingpost.bench.history import Contents, EditRow, OrderRow
 from redwingpost.bench.layout import (
     GroupMember,
@@ -25,6 +25,7 @@
 )
 from redwingpost.bench.operators import Operator
 from redwingpost.bench.orders import HttpPort, LinkRule, OrderFailed, Orders
+from redwingpost.bench.ports import find_free_port
 from redwingpost.bench.sites import Site
 from redwingpost.bench.statements import SCHEMA
 
--- a/redwingpost/bench/hotpath.py
+++ b/redwingpost/bench/hotpath.py
@@ -21,7 +21,8 @@
 from hdrh.histogram import HdrHistogram
 from typer import Option, echo, run as run_command
 
-from redwingpost.bench.children import Children, find_free_port
+from redwingpost.bench.children import Children
+from redwingpost.bench.ports import find_free_port
 
 KEY = "hot-path-key"
 GROUP = "catalogue-1"
--- /dev/null
+++ b/redwingpost/bench/tests/test_ports.py
@@ -0,0 +1,39 @@
+"""Ports that stay free until their program listens."""
+
+from socket import socket
+from unittest import TestCase
+
+from redwingpost.bench.ports import (
+    FIRST_PORT,
+    LAST_PORT,
+    find_free_port,
+    first_free,
+)
+
+_IP = "127.0.0.1"
+
+
+class PortsTest(TestCase):
+    def test_no_outgoing_connection_can_take_them(self) -> None:
+        """Between the search and the listening others open connections.
+
+        The system gives those any port of its range; a program whose port
+        is among them ends at its start.
+        """
+        range_file = "/proc/sys/net/ipv4/ip_local_port_range"
+        with open(range_file, encoding="ascii") as file:
+            first_given = int(file.read().split()[0])
+        found = [find_free_port(_IP) for _ in range(20)]
+        self.assertEqual(20, len(set(found)))
+        for port in found:
+            self.assertGreaterEqual(port, FIRST_PORT)
+            self.assertLess(port, min(LAST_PORT, first_given))
+
+    def test_a_port_that_is_taken_is_passed_over(self) -> None:
+        with socket() as taken:
+            taken.bind((_IP, 0))
+            port = taken.getsockname()[1]
+            free = find_free_port(_IP)
+            self.assertEqual(free, first_free(_IP, [port, free]))
+            with self.assertRaises(OSError):
+                first_free(_IP, [port])
--- a/redwingpost/node/tests/line_site.py
+++ b/redwingpost/node/tests/line_site.py
@@ -8,12 +8,12 @@
 from os import environ, getpid
 from pathlib import Path
 from signal import SIGKILL, SIGTERM
-from socket import SOCK_STREAM, socket
 from sys import executable
 from tempfile import mkdtemp
 from typing import Any
 
 from redwingpost.adapters.http_client import HttpClient
+from redwingpost.bench.ports import find_free_port
 from redwingpost.node.tests.line_caller import LineCaller
 from redwingpost.platform.settings import PATH_VARIABLE
 from redwingpost.standin.lines.site import LineSite
@@ -121,14 +121,15 @@
         self._prefix = f"127.{40 + getpid() % 200}.{number % 250}"
         self.outside = LineSite()
         self.nodes: list[NodeProcess] = []
-        self._inner = 0
+        self._inner: list[int] = []
         self._folder = Path(mkdtemp(prefix="redwing-node-"))
 
     async def start(self, nodes: int = 2) -> None:
         """Start the stand-ins and the nodes; wait until all are ready."""
         await self.outside.start(("g1",))
         self.outside.configure(configuration(1))
-        self._inner = _free_port(f"{self._prefix}.1")
+        first_ip = f"{self._prefix}.1"
+        self._inner = [find_free_port(first_ip) for _ in range(2)]
         for _ in range(nodes):
             await self.add_node()
         for node in self.nodes:
@@ -146,9 +147,9 @@
         number = len(self.nodes) + 1
         ip = f"{self._prefix}.{number}"
         ports = {
-            "callers": _free_port(ip),
-            "ready": _free_port(ip),
-            "metrics": self._inner + 1,
+            "callers": find_free_port(ip),
+            "ready": find_free_port(ip),
+            "metrics": self._inner[-1],
         }
         path = self._folder / f"node-{number}.json"
         path.write_text(dumps(self._settings(f"vm-{number}", ip, ports)))
@@ -176,7 +177,7 @@
                 "front": f"{ip}:{ports['callers']}",
                 "ready": f"{ip}:{ports['ready']}",
             },
-            "innerPorts": [self._inner, self._inner + 1],
+            "innerPorts": self._inner,
             "seeds": [],
             "bounds": {"drainMs": 7000, "graceS": 6},
             "platform": {"address": f"{outside.ip}:{outside.store_port}"},
@@ -200,9 +201,3 @@
         await wait_for(poll(), PATIENCE_S)
     except TimeoutError as error:
         raise AssertionError(f"{what} did not come about") from error
-
-
-def _free_port(ip: str) -> int:
-    with socket(type=SOCK_STREAM) as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
--- /dev/null
+++ b/redwingpost/node/tests/test_attempt.py
@@ -0,0 +1,67 @@
+"""One statement on one member."""
+
+from asyncio import Event, create_task, sleep
+from types import SimpleNamespace
+from unittest import IsolatedAsyncioTestCase
+
+from redwingpost.core.statements import Statement, StatementKind
+from redwingpost.node.attempt import Caller, run_alone
+from redwingpost.observability.trace import StatementTrace
+from redwingpost.ports.clock import VirtualClock
+from redwingpost.ports.database import Reply
+from redwingpost.statements.session import SessionState
+from redwingpost.statements.setup import LinkContents
+
+_READ = Statement("1", StatementKind.READ, "READ a")
+
+
+class HeldMember:
+    """A member that answers once it is told to."""
+
+    def __init__(self) -> None:
+        self.answers = Event()
+        self.entry = SimpleNamespace(member="m1")
+        self.latency = SimpleNamespace(observe=lambda seconds, now: None)
+        self.under_way = 0
+        self.link = self
+
+    async def acquire(self, *wanted) -> SimpleNamespace:
+        """Hand out the one connection."""
+        return SimpleNamespace(link=self, contents=LinkContents())
+
+    async def make_ready(self, item, state) -> None:
+        """Need nothing."""
+
+    async def run(self, *arguments) -> Reply:
+        """Answer when told to."""
+        await self.answers.wait()
+        return Reply(proof="1.p")
+
+    def note_sent(self) -> None:
+        """Ignore it."""
+
+    note_ended = note_answer = note_sent
+
+    def release(self, item) -> None:
+        """Take the connection back."""
+
+
+class AttemptTest(IsolatedAsyncioTestCase):
+    async def test_a_late_loser_leaves_the_next_statement_alone(self) -> None:
+        """A read is answered by one member while another still runs it.
+
+        The session goes on. When the second answer comes, its time must
+        not stand in the log line of a statement that it isn't about.
+        """
+        clock = VirtualClock()
+        member = HeldMember()
+        caller = Caller("parish", SessionState(), 1)
+        first = caller.state.trace
+        loser = create_task(run_alone(member, caller, _READ, None, 9.0, clock))
+        await sleep(0)
+        caller.state.trace = StatementTrace()
+        clock.advance(2.0)
+        member.answers.set()
+        await loser
+        self.assertEqual(2.0, first.describe()["ran_s"])
+        self.assertEqual(0, caller.state.trace.describe()["tries"])
