--- a/redwingpost/pools/pool.py
+++ b/redwingpost/pools/pool.py
@@ -35,7 +35,7 @@
 #: leaves its connections behind, and a member counts them for seconds
 #: more. With full pools, a fleet that starts again after it lost power
 #: finds two places in 32 and refuses callers until the rest time out:
-#: 44% of the worst two windows served, 66% with this (mean of two days).
+#: 45% of the worst two windows served, 58% with this (mean of two days).
 #: The price is half as many new connections again on a calm day.
 IDLE_S = 1.5
 
