Let the VMs' views of a bucket meet; fill it from a VM's start

Cause: each VM sums up its own view of an organisation's bucket.

Change: reports tell the sender's view, a reader moves its own a tenth of the way, less what the sender can't know yet. A VM that has just started takes the view it is told, and with nobody to tell one counts what came in since its start.

Ruled out: the shares of demand (they were right); caps of the share's own bucket. Told without the correction for what is unreported, the fleet admits 11.5 a second at a rate of 11.

--- a/redwingpost/node/peers.py
+++ b/redwingpost/node/peers.py
@@ -98,7 +98,7 @@
         if self._transport is None or self._transport.is_closing():
             return
         self._sent += 1
-        usages = self._ledger.take_report(everything)
+        usages = self._ledger.take_report(everything, self._clock.now())
         beacon = self._describe()
         for address in self._targets():
             echo = self._vms.echo_for(address.vm, self._clock.now())
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -105,7 +105,7 @@
         self.is_ready = False
         self._outside = outside
         self._clock = clock
-        self._ledger = UsageLedger()
+        self._ledger = UsageLedger(clock.now())
         self._vms = VmTable(settings.vm, clock.now())
         self._admission = Admission(self._vms, self._ledger, clock)
         self._readiness = Readiness()
--- a/redwingpost/node/tests/test_admission.py
+++ b/redwingpost/node/tests/test_admission.py
@@ -14,7 +14,7 @@
 class AdmissionTest(TestCase):
     def setUp(self) -> None:
         clock = VirtualClock()
-        self.ledger = UsageLedger()
+        self.ledger = UsageLedger(0.0)
         vms = VmTable("vm-1", clock.now())
         vms.set_listed(())
         self.admission = Admission(vms, self.ledger, clock)
@@ -29,7 +29,7 @@
 
         def report_if_due(organisation: str) -> None:
             if self.ledger.is_report_due(organisation):
-                told.extend(self.ledger.take_report(everything=False))
+                told.extend(self.ledger.take_report(False, 0.0))
 
         self.admission.on_admitted = report_if_due
         for _ in range(3 * REPORT_AFTER):
--- a/redwingpost/rates/tests/test_usage.py
+++ b/redwingpost/rates/tests/test_usage.py
@@ -16,7 +16,7 @@
     """Ledgers that tell each other what they admitted."""
 
     def __init__(self, vms: int) -> None:
-        self.ledgers = [UsageLedger() for _ in range(vms)]
+        self.ledgers = [UsageLedger(0.0) for _ in range(vms)]
         self.parts = [1.0] * vms
         self.hears = [[True] * vms for _ in range(vms)]
         self.admitted: list[tuple[float, int]] = []
@@ -32,7 +32,7 @@
 
     def report(self, vm: int, now: float) -> None:
         """Tell whoever hears this VM."""
-        usages = self.ledgers[vm].take_report(everything=True)
+        usages = self.ledgers[vm].take_report(True, now)
         for other, ledger in enumerate(self.ledgers):
             if other != vm and self.hears[other][vm]:
                 ledger.note_peer(f"vm-{vm}", 1, usages, now)
@@ -94,7 +94,7 @@
     """Counters of a VM that starts again, and of one that is gone."""
 
     def _ledger(self) -> UsageLedger:
-        ledger = UsageLedger()
+        ledger = UsageLedger(0.0)
         # The bucket starts with a part of its burst; let it fill.
         ledger.admit(RULE, 1.0, 0.0)
         ledger.admit(RULE, 1.0, 100.0)
@@ -204,21 +204,21 @@
 
         Counters that only grow make up for all of it.
         """
-        sender = UsageLedger()
-        reader = UsageLedger()
+        sender = UsageLedger(0.0)
+        reader = UsageLedger(0.0)
         reader.admit(RULE, 1.0, 0.0)
-        reports = [sender.take_report(True)]
+        reports = [sender.take_report(True, 0.0)]
         for _ in range(3):
             sender.admit(RULE, 1.0, 0.0)
-            reports.append(sender.take_report(True))
+            reports.append(sender.take_report(True, 0.0))
         for order in ((1, 3, 2, 3), (1, 1, 3), (3, 1)):
             with self.subTest(order):
-                fresh = UsageLedger()
+                fresh = UsageLedger(0.0)
                 fresh.admit(RULE, 1.0, 0.0)
                 for number in order:
                     fresh.note_peer("s", 1, reports[number], 0.0)
                 first = min(order)
-                last = UsageLedger()
+                last = UsageLedger(0.0)
                 last.admit(RULE, 1.0, 0.0)
                 if order[0] == first:
                     last.note_peer("s", 1, reports[first], 0.0)
@@ -233,19 +233,19 @@
         Were each try counted, they would be refused for their rate once
         another primary is there, at every VM that hears of the tries.
         """
-        tried, other = UsageLedger(), UsageLedger()
+        tried, other = UsageLedger(0.0), UsageLedger(0.0)
         other.admit(RULE, 1.0, 0.0)
         other.note_peer("t", 1, (Usage(RULE.name, 0),), 0.0)
         before_s = other.wait_s(RULE, 1.0)
         for _ in range(50):
             if tried.admit(RULE, 1.0, 0.0):
                 tried.give_back(RULE.name)
-        other.note_peer("t", 1, tried.take_report(True), 0.0)
+        other.note_peer("t", 1, tried.take_report(True, 0.0), 0.0)
         self.assertTrue(tried.admit(RULE, 1.0, 0.0))
         self.assertEqual(before_s, other.wait_s(RULE, 1.0))
 
     def test_many_admissions_are_reported_at_once(self) -> None:
-        ledger = UsageLedger()
+        ledger = UsageLedger(0.0)
         due = []
         for _ in range(REPORT_AFTER):
             ledger.admit(RULE, 1.0, 0.0)
--- a/redwingpost/rates/usage.py
+++ b/redwingpost/rates/usage.py
@@ -21,6 +21,15 @@
 What goes beyond the rate is at most what arrives at the other VMs while
 a report is under way: reports are sent at once after ``REPORT_AFTER``
 admissions. The debt is taken from what comes next.
+
+Each VM's view of the bucket is a sum over time of its own: a report lost,
+or a refill cut off at the burst at another moment, and two views differ
+for as long as the organisation is over its rate. A VM whose view is low
+then refuses nearly everybody (4 of 113 admitted at one VM, 93 of 289 at
+another, one day with a lowered rate). So reports tell the sender's view,
+and a reader moves its own towards it (``BLEND``): the views meet at
+their mean, which is as good as any of them. A VM that has just started
+takes the view of those that haven't.
 """
 
 from math import exp
@@ -39,6 +48,16 @@
 #: fleet nobody knows what was used just before.
 FIRST_PART = 0.25
 
+#: Part of the difference by which a report moves the reader's view of a
+#: bucket towards the sender's. Six VMs with four reports a second each
+#: meet within half a second, and a single odd view moves the others'
+#: little.
+BLEND = 0.1
+
+#: Seconds after its start from which a VM tells its view: by then it has
+#: heard each counter of the others, and its own guess has worn off.
+SETTLED_AFTER_S = 3.0
+
 #: Seconds over which demand is averaged: several heartbeats, so that a
 #: late report doesn't look like a VM without callers.
 DEMAND_S = 3.0
@@ -52,13 +71,20 @@
 class Usage(NamedTuple):
     """Operations of one organisation at a VM since its start.
 
-    ``returned`` of the admitted ones reached no member.
+    ``returned`` of the admitted ones reached no member. ``tokens`` is the
+    whole bucket as the VM sees it; None where it has just started.
     """
 
     organisation: str
     admitted: int
     offered: int = 0
     returned: int = 0
+    tokens: float | None = None
+
+    @property
+    def counts(self) -> tuple[int, int, int]:
+        """Return the counters, which only grow."""
+        return self.admitted, self.offered, self.returned
 
     @property
     def used(self) -> int:
@@ -66,11 +92,16 @@
         return self.admitted - self.returned
 
 
-class _Told(NamedTuple):
-    """What a VM has told of itself since one of its starts."""
+class _Told:
+    """What a VM has told of itself since one of its starts.
 
-    boot: int
-    usage_by_organisation: dict[str, Usage]
+    ``told_at`` is when it last told anything (seconds).
+    """
+
+    def __init__(self, boot: int) -> None:
+        self.boot = boot
+        self.usage_by_organisation: dict[str, Usage] = {}
+        self.told_at = float("-inf")
 
 
 class BucketView(NamedTuple):
@@ -118,15 +149,22 @@
     ``tokens`` is below zero after an excess.
     """
 
-    def __init__(self, rule: OrganisationRule, now: float) -> None:
-        self.tokens = rule.burst * FIRST_PART
+    def __init__(self, tokens: float, now: float) -> None:
+        self.tokens = tokens
         self.share_tokens = 0.0
         self.demand = _Demand(now)
         self.is_over = False
         self._settled_at = now
+        self._terms: tuple[OrganisationRule, float] | None = None
+
+    def settle_again(self, now: float) -> None:
+        """Settle by the rule and part that were last in force."""
+        if self._terms is not None:
+            self.settle(*self._terms, now)
 
     def settle(self, rule: OrganisationRule, part: float, now: float) -> None:
         """Add what came in; ``part`` of the rate may be used in hearing."""
+        self._terms = (rule, part)
         passed_s = max(0.0, now - self._settled_at)
         self._settled_at = now
         self.demand.settle(now)
@@ -161,14 +199,15 @@
     Examples
     --------
     >>> rule = OrganisationRule("a", frozenset(), 10.0, 8.0, 1)
-    >>> ledger = UsageLedger()
+    >>> ledger = UsageLedger(started_at=0.0)
     >>> [ledger.admit(rule, 1.0, 0.0) for _ in range(3)]
     [True, True, False]
     >>> ledger.wait_s(rule, 1.0)
     0.1
     """
 
-    def __init__(self) -> None:
+    def __init__(self, started_at: float) -> None:
+        self._started_at = started_at
         self._bucket_by_organisation: dict[str, _Bucket] = {}
         self._own_by_organisation: dict[str, Usage] = {}
         self._reported_by_organisation: dict[str, Usage] = {}
@@ -186,7 +225,7 @@
         now : float
             Seconds, counted through suspensions.
         """
-        bucket = self._bucket(rule, now)
+        bucket = self._bucket(rule, part, now)
         bucket.settle(rule, part, now)
         bucket.demand.own += 1.0
         bucket.demand.total += 1.0
@@ -243,19 +282,21 @@
         """
         told = self._told_by_vm.get(vm)
         if told is None or told.boot < boot:
-            told = self._told_by_vm[vm] = _Told(boot, {})
+            told = self._told_by_vm[vm] = _Told(boot)
         if told.boot > boot:
             return
+        told.told_at = now
         for usage in usages:
             known = told.usage_by_organisation.get(usage.organisation, usage)
-            if usage[1:] < known[1:]:
+            if usage.counts < known.counts:
                 continue
             told.usage_by_organisation[usage.organisation] = usage
             bucket = self._bucket_by_organisation.get(usage.organisation)
             if bucket is not None:
-                bucket.demand.settle(now)
+                bucket.settle_again(now)
                 bucket.demand.total += usage.offered - known.offered
                 bucket.tokens -= usage.used - known.used
+                self._blend(bucket, usage, now)
 
     def peers(self) -> tuple[str, ...]:
         """Return the VMs whose counters are kept."""
@@ -272,7 +313,7 @@
         before = 0 if told is None else told.admitted
         return own.admitted - before >= REPORT_AFTER
 
-    def take_report(self, everything: bool) -> tuple[Usage, ...]:
+    def take_report(self, everything: bool, now: float) -> tuple[Usage, ...]:
         """Return the counters to send: those that changed, or all."""
         usages = tuple(
             own
@@ -281,15 +322,68 @@
         )
         for usage in usages:
             self._reported_by_organisation[usage.organisation] = usage
-        return usages
+        if not self._is_settled(now):
+            return usages
+        return tuple(self._with_view(usage, now) for usage in usages)
 
     def _own(self, organisation: str) -> Usage:
         nothing = Usage(organisation, 0)
         return self._own_by_organisation.get(organisation, nothing)
 
-    def _bucket(self, rule: OrganisationRule, now: float) -> _Bucket:
+    def _is_settled(self, now: float) -> bool:
+        return now - self._started_at >= SETTLED_AFTER_S
+
+    def _with_view(self, usage: Usage, now: float) -> Usage:
+        bucket = self._bucket_by_organisation[usage.organisation]
+        bucket.settle_again(now)
+        return usage._replace(tokens=bucket.tokens)
+
+    def _blend(self, bucket: _Bucket, usage: Usage, now: float) -> None:
+        """Move a view towards one that was told; take it after a start."""
+        if usage.tokens is None:
+            return
+        # The teller can't know yet what this VM has used since its last
+        # report. Taken as told, each report would give some of that back:
+        # 11.5 operations a second at a rate of 11 (played load, 7 VMs).
+        tokens = usage.tokens - self._unreported(usage.organisation)
+        weight = BLEND if self._is_settled(now) else 1.0
+        bucket.tokens += weight * (tokens - bucket.tokens)
+
+    def _unreported(self, organisation: str) -> int:
+        """Return what this VM has used since its last report."""
+        own = self._own(organisation)
+        told = self._reported_by_organisation.get(organisation)
+        return own.used - (0 if told is None else told.used)
+
+    def _bucket(
+        self, rule: OrganisationRule, part: float, now: float
+    ) -> _Bucket:
         bucket = self._bucket_by_organisation.get(rule.name)
         if bucket is None:
-            bucket = _Bucket(rule, now)
+            bucket = _Bucket(self._first_tokens(rule, part, now), now)
             self._bucket_by_organisation[rule.name] = bucket
         return bucket
+
+    def _first_tokens(
+        self, rule: OrganisationRule, part: float, now: float
+    ) -> float:
+        """Return what a VM takes a bucket to hold that it meets first.
+
+        The view of others where they told one. Else nobody has run for
+        long, and what came in since this VM's start is there but for what
+        the others have used since theirs: without it a whole fleet that
+        starts again refused 26 to 61 operations within their rates in its
+        first two seconds.
+        """
+        told = [
+            told.usage_by_organisation[rule.name]
+            for told in self._told_by_vm.values()
+            if rule.name in told.usage_by_organisation
+            and now - told.told_at < SETTLED_AFTER_S
+        ]
+        views = [item.tokens for item in told if item.tokens is not None]
+        if views:
+            return sum(views) / len(views)
+        came_in = rule.rate * part * (now - self._started_at)
+        used = sum(item.used for item in told)
+        return rule.burst * FIRST_PART + max(0.0, came_in - used)
--- a/redwingpost/wire/beacon.capnp
+++ b/redwingpost/wire/beacon.capnp
@@ -36,6 +36,9 @@
   admitted @1 :UInt64;
   offered @2 :UInt64;
   returned @3 :UInt64;
+  tokens @4 :Float32;
+  # The whole bucket as the VM sees it, if isTold.
+  isTold @5 :Bool;
 }
 
 struct Primary {
--- a/redwingpost/wire/beacon.py
+++ b/redwingpost/wire/beacon.py
@@ -25,15 +25,16 @@
     --------
     >>> words = {"m1": PrimaryWord(20, 0, 35, 0)}
     >>> beacon = Beacon("a", 7, "ip", 3, words, 5, None, ())
-    >>> datagram = pack_beacon(beacon, (Usage("org", 5, 6),))
-    >>> unpack_beacon(datagram, "ip") == (beacon, (Usage("org", 5, 6),))
+    >>> usages = (Usage("org", 5, 6, tokens=-2.5), Usage("other", 1))
+    >>> datagram = pack_beacon(beacon, usages)
+    >>> unpack_beacon(datagram, "ip") == (beacon, usages)
     True
     """
     message = _SCHEMA.Beacon.new_message(
         vm=beacon.vm,
         boot=beacon.boot,
         configVersion=beacon.config_version,
-        usages=[usage._asdict() for usage in usages],
+        usages=[_pack_usage(usage) for usage in usages],
         primaries=[
             {
                 "member": member,
@@ -85,17 +86,31 @@
             _unpack_echo(message.echo),
             tuple(_unpack_sample(item) for item in message.samples),
         )
-        usages = tuple(
-            Usage(
-                item.organisation, item.admitted, item.offered, item.returned
-            )
-            for item in message.usages
-        )
+        usages = tuple(_unpack_usage(item) for item in message.usages)
     except (KjException, UnicodeDecodeError, ValueError):
         return None
     return beacon, usages
 
 
+def _pack_usage(usage: Usage) -> dict:
+    is_told = usage.tokens is not None
+    return {
+        "organisation": usage.organisation,
+        "admitted": usage.admitted,
+        "offered": usage.offered,
+        "returned": usage.returned,
+        "tokens": usage.tokens if is_told else 0.0,
+        "isTold": is_told,
+    }
+
+
+def _unpack_usage(item) -> Usage:
+    tokens = item.tokens if item.isTold else None
+    return Usage(
+        item.organisation, item.admitted, item.offered, item.returned, tokens
+    )
+
+
 def _pack_sample(sample: SharedSample) -> dict:
     return {
         "group": sample.group,
