A successor must hold what the present primary began with

A primary crashed while one replica was deaf; the other was promoted with the single copy of 16 acknowledged commits. With no replica that received, its writes hung, and it was to be replaced for "stalled". The crashed member had just fallen off the registry's list, so that the deaf replica was the only one to compare, and was promoted.

Cause: the plan compares the chosen log with those of the other replicas, but not with what the present primary held when it began.

Change: evidence keeps the log with which a primary was first seen before it had committed, and the newest commit acknowledged by this VM; a chosen log must hold both. Unit tests of evidence and plan fail without the change.

Left: a VM that has seen neither, because it started after the commits, knows no floor.

--- a/redwingpost/groups/evidence.py
+++ b/redwingpost/groups/evidence.py
@@ -21,7 +21,7 @@
 from collections import deque
 from typing import NamedTuple
 
-from redwingpost.core.positions import Position
+from redwingpost.core.positions import ZERO_POSITION, Position
 from redwingpost.ports.database import StatusReport
 
 #: Samples kept, and the least time between two (seconds): together more
@@ -70,6 +70,20 @@
         self.leader: str | None = None
         self.term = 0
         self.proven_at = float("-inf")
+        self._prefix_term = 0
+        self._prefix = ZERO_POSITION
+        self._acknowledged = ZERO_POSITION
+
+    @property
+    def floor(self) -> Position:
+        """Return what a log must hold to succeed the present primary's.
+
+        The log with which it began to lead, where that was seen, and the
+        newest commit that this VM has acknowledged.
+        """
+        if self._prefix_term != self.term:
+            return self._acknowledged
+        return max(self._prefix, self._acknowledged)
 
     def note_report(
         self, member: str, report: StatusReport, asked_at: float
@@ -79,6 +93,7 @@
         if known is not None and known.asked_at > asked_at:
             return
         self._heard_by_member[member] = Heard(report, asked_at)
+        self._note_prefix(report)
         self._settle_leader()
 
     def forget(self, member: str) -> None:
@@ -124,6 +139,7 @@
             return
         if position.term != self.term:
             return
+        self._acknowledged = max(self._acknowledged, position)
         self.note_proof(sent_at)
         self._add_sample(Sample(sent_at, position))
 
@@ -182,6 +198,16 @@
         if newest is None or sample.taken_at - newest.taken_at > SPACING_S:
             self._samples.append(sample)
 
+    def _note_prefix(self, report: StatusReport) -> None:
+        """Note with which log a primary began, while it is without commit.
+
+        Its first commit has a higher term than all before it.
+        """
+        has_begun = report.received.term >= report.term
+        if report.is_primary and not has_begun:
+            self._prefix_term = report.term
+            self._prefix = report.received
+
     def _settle_leader(self) -> None:
         reports = [
             (heard.report.term, member, heard.report.is_primary)
--- a/redwingpost/groups/tests/test_evidence.py
+++ b/redwingpost/groups/tests/test_evidence.py
@@ -77,6 +77,34 @@
         self.evidence.note_report("q", _report(True, 4, 10), 3.0)
         self.assertIsNone(self.evidence.sample_since(1.0))
 
+    def test_what_a_successor_must_hold(self) -> None:
+        """A primary crashes for good while one replica is deaf.
+
+        The other leads now and has committed nothing yet. If it is
+        replaced by the deaf one, every write of the deaf time is lost,
+        although its caller was told that it is kept.
+        """
+        began_with = _report(True, 4, 30)
+        began_with = began_with._replace(received=Position(3, 30))
+        committed = _report(True, 4, 31)
+        cases = (
+            ("nothing known", [], ZERO_POSITION),
+            ("seen as it began", [began_with], Position(3, 30)),
+            ("seen later as well", [began_with, committed], Position(3, 30)),
+            ("seen later only", [committed], ZERO_POSITION),
+        )
+        for name, reports, expected in cases:
+            with self.subTest(name):
+                evidence = GroupEvidence()
+                for asked_at, report in enumerate(reports, 1):
+                    evidence.note_report("q", report, float(asked_at))
+                self.assertEqual(expected, evidence.floor)
+
+    def test_a_successor_must_hold_what_was_acknowledged_here(self) -> None:
+        self.evidence.note_commit("p", Position(3, 12), 2.0)
+        self.evidence.note_report("q", _report(True, 4, 10), 3.0)
+        self.assertEqual(Position(3, 12), self.evidence.floor)
+
     def test_only_the_leaders_commits_count(self) -> None:
         cases = (
             ("other member", "q", Position(3, 12)),
--- a/redwingpost/node/takeover.py
+++ b/redwingpost/node/takeover.py
@@ -206,9 +206,9 @@
             return "no replica answers"
         term = pause_term(standings)
         if reason is Reason.LEAVING and leader is not None:
-            ready = await self._pause_others(clients, choice, term)
+            ready = await self._pause_others(group, clients, choice, term)
         else:
-            ready = await self._pause_all(clients, choice, term)
+            ready = await self._pause_all(group, clients, choice, term)
         if ready is None:
             await self._resume(clients, standings)
             return "not safe yet"
@@ -274,7 +274,11 @@
         )
 
     async def _pause_others(
-        self, clients: dict[str, MemberClient], choice: Choice, term: int
+        self,
+        group: GroupClient,
+        clients: dict[str, MemberClient],
+        choice: Choice,
+        term: int,
     ) -> Standing | None:
         """Pause all but the chosen one; it goes on receiving."""
         targets = {
@@ -286,13 +290,20 @@
         chosen = clients[choice.chosen.entry.member]
         while self._clock.now() < until:
             report = await chosen.ask("status")
-            if report is not None and is_complete(report.received, paused):
+            floor = group.evidence.floor
+            if report is not None and is_complete(
+                report.received, paused, floor
+            ):
                 return Standing(chosen.entry, report)
             await sleep(POLL_S)
         return None
 
     async def _pause_all(
-        self, clients: dict[str, MemberClient], choice: Choice, term: int
+        self,
+        group: GroupClient,
+        clients: dict[str, MemberClient],
+        choice: Choice,
+        term: int,
     ) -> Standing | None:
         """Pause all replicas, then choose by what they hold."""
         names = {item.entry.member for item in choice.others}
@@ -302,7 +313,8 @@
         again = choose(paused, None)
         if again is None:
             return None
-        if not is_complete(again.chosen.received, again.others):
+        floor = group.evidence.floor
+        if not is_complete(again.chosen.received, again.others, floor):
             return None
         return again.chosen
 
--- a/redwingpost/takeover/plan.py
+++ b/redwingpost/takeover/plan.py
@@ -18,6 +18,13 @@
 Each replica must be paused or known to be gone. One that only this VM
 can't reach may hold the single copy of an acknowledged commit, and may
 vouch for the old primary to others.
+
+One that is gone may have held it as well. A primary crashes for good
+while one replica receives nothing; the other, which leads now, holds the
+single copy of what was acknowledged before, and commits nothing, for want
+of a replica that receives. To the rules above the deaf replica is then
+complete: nobody else is left to compare it with. So the chosen log must
+also hold what the present primary began with (``floor``).
 """
 
 from typing import NamedTuple
@@ -97,7 +104,9 @@
     return Choice(chosen, others)
 
 
-def is_complete(chosen: Position, others: tuple[Standing, ...]) -> bool:
+def is_complete(
+    chosen: Position, others: tuple[Standing, ...], floor: Position
+) -> bool:
     """Say whether the chosen log holds all that was acknowledged.
 
     Parameters
@@ -109,8 +118,11 @@
         answered, since one that is unreachable may be ahead. One that
         still takes itself for the primary can't be paused: it would step
         down later and confirm commits that the chosen one lacks.
+    floor : Position
+        What the log must hold in any case
+        (``redwingpost.groups.evidence.GroupEvidence.floor``).
     """
-    return all(
+    return chosen >= floor and all(
         item.report is not None
         and not item.report.is_primary
         and item.received <= chosen
--- a/redwingpost/takeover/tests/test_takeover.py
+++ b/redwingpost/takeover/tests/test_takeover.py
@@ -202,20 +202,23 @@
 
         Promoting another loses a write that a caller was told is kept.
         """
+        begun_with_less = Position(2, 6)
+        begun_with_more = Position(3, 8)
         cases = (
-            ("ahead", 7, ["5"], True),
-            ("level", 7, ["7"], True),
-            ("behind", 7, ["8"], False),
-            ("one didn't answer", 7, ["5", ""], False),
-            ("no other", 7, [], True),
+            ("ahead", 7, ["5"], begun_with_less, True),
+            ("level", 7, ["7"], begun_with_less, True),
+            ("behind", 7, ["8"], begun_with_less, False),
+            ("one didn't answer", 7, ["5", ""], begun_with_less, False),
+            ("no other", 7, [], begun_with_less, True),
+            ("the primary began with more", 7, [], begun_with_more, False),
         )
-        for name, chosen, others, expected in cases:
+        for name, chosen, others, floor, expected in cases:
             with self.subTest(name):
                 standings = tuple(
                     _standing(f"m{n}", int(index) if index else None)
                     for n, index in enumerate(others)
                 )
-                complete = is_complete(Position(3, chosen), standings)
+                complete = is_complete(Position(3, chosen), standings, floor)
                 self.assertEqual(expected, complete)
 
     def test_a_pause_is_above_all_that_is_known(self) -> None:
--- a/redwingpost/verify/takeover.py
+++ b/redwingpost/verify/takeover.py
@@ -29,13 +29,16 @@
     heeds_pause: bool = True
     asks_after_read: bool = True
     distrusts_restarted: bool = True
+    checks_floor: bool = True
 
 
 class Member(NamedTuple):
     """A member: ``log`` holds commits as (number, term).
 
     Reads see the first ``applied`` of them: a replica applies nothing
-    here, which is the worst that it may do.
+    here, which is the worst that it may do. ``is_gone``: dark, and no
+    longer on the registry's list. ``began_with`` is the head of the log
+    with which a primary began to lead.
     """
 
     is_primary: bool
@@ -45,6 +48,8 @@
     is_dark: bool = False
     has_restarted: bool = False
     applied: int = 0
+    is_gone: bool = False
+    began_with: tuple[int, int] = (0, 0)
 
 
 class Conductor(NamedTuple):
@@ -103,6 +108,8 @@
         The guards in force.
     restarts : int, optional
         How often a replica may start again and forget its pause.
+    may_go : bool, optional
+        Whether a dark member may fall off the registry's list.
 
     Examples
     --------
@@ -112,9 +119,12 @@
     True
     """
 
-    def __init__(self, rules: TakeoverRules, restarts: int = 0) -> None:
+    def __init__(
+        self, rules: TakeoverRules, restarts: int = 0, may_go: bool = False
+    ) -> None:
         self._rules = rules
         self._restarts = restarts
+        self._may_go = may_go
 
     def steps(
         self, state: TakeoverState
@@ -129,6 +139,11 @@
     def _member_steps(self, state):
         for number, member in enumerate(state.members):
             if member.is_dark:
+                if self._may_go and not member.is_gone:
+                    gone = member._replace(is_gone=True)
+                    yield f"{number} is off the list", _put(
+                        state, number, gone
+                    )
                 continue
             if member.is_primary:
                 yield from self._primary_steps(state, number, member)
@@ -273,10 +288,14 @@
         ):
             return False
         chosen = state.members[conductor.chosen]
+        floor = state.members[conductor.old].began_with
+        if self._rules.checks_floor and _head(chosen) < floor:
+            return False
         return all(
-            _head(state.members[number]) <= _head(chosen)
-            for number in range(len(state.members))
+            _head(member) <= _head(chosen)
+            for number, member in enumerate(state.members)
             if number not in (conductor.old, conductor.chosen)
+            and not member.is_gone
         )
 
     def _promote(self, state):
@@ -288,6 +307,7 @@
             term=term,
             paused_for=0,
             applied=len(chosen.log),
+            began_with=_head(chosen),
         )
         following = _put(state, conductor.chosen, leader)
         lost = state.acknowledged - frozenset(leader.log)
--- a/redwingpost/verify/tests/test_takeover.py
+++ b/redwingpost/verify/tests/test_takeover.py
@@ -22,6 +22,10 @@
     return state.wrong if "read" in state.wrong else ""
 
 
+def _wrong_log(state) -> str:
+    return state.wrong if "lost" in state.wrong else ""
+
+
 class TakeoverSearchTest(TestCase):
     """Primaries are lost, replaced twice, and told late.
 
@@ -37,6 +41,19 @@
         self.assertEqual("", found.violation, found.trace)
         self.assertTrue(found.complete)
 
+    def test_nothing_is_lost_when_a_member_is_off_the_list(self) -> None:
+        """A primary crashes for good while one replica receives nothing.
+
+        The other leads, and then seems to need a successor as well. Of
+        those that are left only the deaf one can be asked.
+        """
+        model = TakeoverModel(TakeoverRules(), may_go=True)
+        found = search(first_state(), model.steps, _wrong_log, _LIMIT)
+        print(
+            f"searched {found.states} states, not all: a member off the list"
+        )
+        self.assertEqual("", found.violation, found.trace)
+
     def test_reads_stay_true_when_replicas_forget_a_pause(self) -> None:
         """A paused replica starts again and takes commits once more.
 
@@ -63,3 +80,9 @@
                 invariant = _wrong_read if restarts else what_is_wrong
                 found = search(first_state(), model.steps, invariant)
                 self.assertTrue(found.violation)
+
+    def test_the_floor_is_needed_when_a_member_is_off_the_list(self) -> None:
+        rules = TakeoverRules(checks_floor=False)
+        model = TakeoverModel(rules, may_go=True)
+        found = search(first_state(), model.steps, _wrong_log)
+        self.assertTrue(found.violation)
