Never close a caller's connection over a request that has arrived

A stopping VM closes connections that rest. Requests had arrived 0.1 s before, on a VM whose loop was busy; their connections were closed, then the handlers read the lines and passed them to members.

Cause: "rests" meant that the handler waits for a line. Between the arrival of bytes and the handler's turn that is still so. And a handler whose connection had been closed ran what it read all the same.

Change: a connection rests only while neither its socket nor its reader holds bytes, and nothing runs once its connection was closed here.

--- a/redwingpost/platform/caller_server.py
+++ b/redwingpost/platform/caller_server.py
@@ -6,12 +6,14 @@
     LimitOverrunError,
     Server,
     StreamReader,
+    StreamReaderProtocol,
     StreamWriter,
     Task,
     current_task,
-    start_server,
+    get_running_loop,
     wait,
 )
+from select import POLLIN, poll
 from typing import Any, Protocol
 
 from mode import Service
@@ -61,26 +63,52 @@
         """Return a session, or why there can't be one."""
 
 
+class WatchedReader(StreamReader):
+    """Knows whether bytes came in that nobody has read yet."""
+
+    has_unread = False
+
+    def feed_data(self, data: bytes) -> None:
+        """Take in what the transport has received."""
+        self.has_unread = True
+        super().feed_data(data)
+
+
 class CallerConnection:
     """One caller's connection."""
 
-    def __init__(self, reader: StreamReader, writer: StreamWriter) -> None:
+    def __init__(self, reader: WatchedReader, writer: StreamWriter) -> None:
         self._reader = reader
         self._writer = writer
         self._session: Session | None = None
         self._is_waiting = False
+        self._is_closed = False
 
     @property
     def is_resting(self) -> bool:
-        """Whether nothing is outstanding and no transaction is open."""
-        if self._session is None:
+        """Whether nothing is outstanding and no transaction is open.
+
+        A request may have arrived although its handler still waits: on a
+        busy VM a turn of the loop takes a tenth of a second. Closed then,
+        its caller would get no answer. So neither the socket nor the
+        reader may hold bytes.
+        """
+        if self._session is None or not self._is_waiting:
             return False
-        return self._is_waiting and self._session.phase is Phase.IDLE
+        if self._session.phase is not Phase.IDLE:
+            return False
+        return not (self._reader.has_unread or self._is_readable())
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection; a request that comes now never runs."""
+        self._is_closed = True
         self._writer.close()
 
+    def _is_readable(self) -> bool:
+        waiting = poll()
+        waiting.register(self._writer.get_extra_info("socket"), POLLIN)
+        return bool(waiting.poll(0))
+
     async def serve(self, sessions: SessionMaker) -> None:
         """Serve the connection until either side ends it."""
         try:
@@ -99,6 +127,7 @@
 
     async def _start(self, sessions: SessionMaker) -> bool:
         message = parse_caller_line(await read_line(self._reader))
+        self._reader.has_unread = False
         if not isinstance(message, Startup):
             self._send(render_error(Refusal(Code.UNSUPPORTED, "no start")))
             return False
@@ -114,6 +143,10 @@
         self._is_waiting = True
         line = await read_line(self._reader)
         self._is_waiting = False
+        self._reader.has_unread = False
+        if self._is_closed:
+            # Nobody would get the answer, and the caller tries elsewhere.
+            return False
         message = parse_caller_line(line)
         if isinstance(message, (Terminate, Startup)):
             return False
@@ -168,12 +201,8 @@
 
     async def on_start(self) -> None:
         """Listen."""
-        self._server = await start_server(
-            self._accept,
-            self._ip,
-            self._port,
-            limit=MAX_MESSAGE_BYTES + 2,
-            backlog=1024,
+        self._server = await get_running_loop().create_server(
+            self._make_protocol, self._ip, self._port, backlog=1024
         )
 
     async def on_stop(self) -> None:
@@ -196,8 +225,12 @@
             connection.close()
         return len(resting)
 
+    def _make_protocol(self) -> StreamReaderProtocol:
+        reader = WatchedReader(limit=MAX_MESSAGE_BYTES + 2)
+        return StreamReaderProtocol(reader, self._accept)
+
     async def _accept(
-        self, reader: StreamReader, writer: StreamWriter
+        self, reader: WatchedReader, writer: StreamWriter
     ) -> None:
         tune_socket(writer)
         connection = CallerConnection(reader, writer)
