--- a/redwingpost/admission/desk.py
+++ b/redwingpost/admission/desk.py
@@ -24,7 +24,7 @@
     refuse_full,
 )
 from redwingpost.core import Refusal
-from redwingpost.scheduling import FairQueue, Flow
+from redwingpost.scheduling.fair import FairQueue, Flow
 
 #: Long jobs that one VM runs on one member at a time
 #: (``redwingpost.scheduling.long_jobs``).
--- a/redwingpost/admission/tests/one_target.py
+++ b/redwingpost/admission/tests/one_target.py
@@ -9,8 +9,8 @@
 from itertools import count
 from typing import NamedTuple
 
-from redwingpost.admission import Arrival, Desk
-from redwingpost.scheduling import Flow
+from redwingpost.admission.desk import Arrival, Desk
+from redwingpost.scheduling.fair import Flow
 
 
 class Job(NamedTuple):
--- a/redwingpost/admission/tests/test_breaker.py
+++ b/redwingpost/admission/tests/test_breaker.py
@@ -3,7 +3,8 @@
 from random import Random
 from unittest import TestCase
 
-from redwingpost.admission import ConcurrencyLimit, State, TargetBreaker
+from redwingpost.admission.breaker import State, TargetBreaker
+from redwingpost.admission.limits import ConcurrencyLimit
 
 
 def _serve(breaker, start, rate, seconds, ratio):
--- a/redwingpost/agent/exchange.py
+++ b/redwingpost/agent/exchange.py
@@ -31,12 +31,11 @@
     from_age_ms,
 )
 from redwingpost.agent.context import AgentContext
-from redwingpost.configuration import Offer
+from redwingpost.configuration.spread import Offer
 from redwingpost.core import GroupView
-from redwingpost.membership import (
-    Beat,
+from redwingpost.membership.beats import Beat, Evidence
+from redwingpost.membership.dissemination import (
     BeatCursors,
-    Evidence,
     Tell,
     whom_to_tell,
 )
--- a/redwingpost/agent/fleet.py
+++ b/redwingpost/agent/fleet.py
@@ -11,12 +11,9 @@
 from redwingpost.agent.exchange import Exchanger
 from redwingpost.agent.interfaces import FleetServer, LocalServer
 from redwingpost.agent.store_watch import StoreWatch
-from redwingpost.membership import (
-    BeatSchedule,
-    Tell,
-    judge_silence,
-    relay_of,
-)
+from redwingpost.membership.dissemination import Tell
+from redwingpost.membership.relays import relay_of
+from redwingpost.membership.suspicion import BeatSchedule, judge_silence
 
 #: Seconds between two looks at what is due at the store.
 STORE_STEP_S = 0.5
--- a/redwingpost/agent/interfaces.py
+++ b/redwingpost/agent/interfaces.py
@@ -16,8 +16,8 @@
 )
 from redwingpost.agent.context import AgentContext
 from redwingpost.agent.exchange import Exchanger
-from redwingpost.configuration import Offer
-from redwingpost.membership import Tell
+from redwingpost.configuration.spread import Offer
+from redwingpost.membership.dissemination import Tell
 from redwingpost.wire.schema import SCHEMA
 
 #: Longest wait of the feed (seconds), whatever the proxy asks for: the
--- a/redwingpost/agent/observer.py
+++ b/redwingpost/agent/observer.py
@@ -9,7 +9,7 @@
 from redwingpost.agent.context import AGENT_PARTS, AgentContext
 from redwingpost.agent.probe import MemberProbe
 from redwingpost.agent.promoter import Promoter
-from redwingpost.configuration import Group
+from redwingpost.configuration.model import Group
 from redwingpost.core import MemberAddress, VmAddress
 from redwingpost.ports import MemberStatus
 from redwingpost.promotion import (
--- a/redwingpost/agent/state.py
+++ b/redwingpost/agent/state.py
@@ -9,21 +9,13 @@
 from typing import NamedTuple
 
 from redwingpost.wire.codec import Digest, to_age_ms
-from redwingpost.configuration import (
-    ConfigurationState,
-    Offer,
-    Versioned,
-    Withdrawal,
-)
+from redwingpost.configuration.model import Versioned, Withdrawal
+from redwingpost.configuration.spread import ConfigurationState, Offer
 from redwingpost.core import GroupView
-from redwingpost.membership import (
-    Beat,
-    ConfirmationClock,
-    Evidence,
-    Member,
-    MemberTable,
-    ViewBoard,
-)
+from redwingpost.membership.beats import Beat, Evidence, Member
+from redwingpost.membership.confirmation import ConfirmationClock
+from redwingpost.membership.table import MemberTable
+from redwingpost.membership.views import ViewBoard
 from redwingpost.ports import Clock, VmEntry
 from redwingpost.settings import Settings
 
--- a/redwingpost/agent/store_watch.py
+++ b/redwingpost/agent/store_watch.py
@@ -12,10 +12,13 @@
 
 from redwingpost.agent.context import AgentContext
 from redwingpost.agent.exchange import Exchanger
-from redwingpost.configuration import Change, ConfigurationLog, Offer
+from redwingpost.configuration.acceptance import Change
+from redwingpost.configuration.log import ConfigurationLog
+from redwingpost.configuration.spread import Offer
 from redwingpost.core import Code
-from redwingpost.leases import LeaseKeeper, LeaseStep
-from redwingpost.membership import RelayRole, Tell, relay_of
+from redwingpost.leases.keeper import LeaseKeeper, LeaseStep
+from redwingpost.membership.dissemination import Tell
+from redwingpost.membership.relays import RelayRole, relay_of
 from redwingpost.membership.relays import RELAY_LEASE_S
 
 #: Seconds between two looks at the head. Operators tell agents at once;
--- a/redwingpost/agent/tests/fleet.py
+++ b/redwingpost/agent/tests/fleet.py
@@ -9,11 +9,9 @@
 from redwingpost.adapters.peer import PeerAddress, PeerClients
 from redwingpost.adapters.tls import TlsContexts
 from redwingpost.agent import Agent
-from redwingpost.configuration import (
-    Change,
-    ConfigurationLog,
-    Withdrawal,
-)
+from redwingpost.configuration.acceptance import Change
+from redwingpost.configuration.log import ConfigurationLog
+from redwingpost.configuration.model import Withdrawal
 from redwingpost.bench.memory_store import MemoryStore
 from redwingpost.core import Code, Refusal
 from redwingpost.ports import VmEntry
--- a/redwingpost/agent/tests/test_fleet.py
+++ b/redwingpost/agent/tests/test_fleet.py
@@ -5,7 +5,7 @@
 
 from redwingpost.adapters.tests.test_peer import in_kj_loop
 from redwingpost.agent.tests.fleet import TestFleet, state_of
-from redwingpost.configuration import Withdrawal
+from redwingpost.configuration.model import Withdrawal
 from redwingpost.configuration.tests.test_parse import GOOD, PUNO, with_change
 
 BODY = dumps(GOOD).encode()
--- a/redwingpost/agent/tests/test_promoter.py
+++ b/redwingpost/agent/tests/test_promoter.py
@@ -9,7 +9,7 @@
 from redwingpost.adapters.links import install_link_faults
 from redwingpost.adapters.tests.test_peer import in_kj_loop
 from redwingpost.agent.tests.fleet import TestFleet, state_of
-from redwingpost.configuration import hash_key
+from redwingpost.configuration.keys import hash_key
 from redwingpost.standin import Endpoint, GroupSettings, GroupStandin
 from redwingpost.standin.replication_log import LogEntry
 
--- a/redwingpost/bench/fleet_cost.py
+++ b/redwingpost/bench/fleet_cost.py
@@ -23,7 +23,8 @@
 from redwingpost.adapters.traffic import read_connections
 from redwingpost.agent import Agent
 from redwingpost.bench.memory_store import MemoryStore
-from redwingpost.configuration import Change, ConfigurationLog
+from redwingpost.configuration.acceptance import Change
+from redwingpost.configuration.log import ConfigurationLog
 from redwingpost.core import Refusal
 from redwingpost.ports import VmEntry
 from redwingpost.settings import (
--- a/redwingpost/bench/layout.py
+++ b/redwingpost/bench/layout.py
@@ -22,7 +22,7 @@
     WRITE_SERVICE_S,
     Site,
 )
-from redwingpost.configuration import hash_key
+from redwingpost.configuration.keys import hash_key
 
 #: Where the platform's stand-in listens: in no data centre.
 PLATFORM_IP = "127.200.0.1"
--- a/redwingpost/bench/naive.py
+++ b/redwingpost/bench/naive.py
@@ -24,11 +24,8 @@
 from redwingpost.adapters.mysql_server import Answer, CallerServer
 from redwingpost.adapters.mysql_target import MySQLTargetDialler
 from redwingpost.cli.running import configure_logs, run_service
-from redwingpost.configuration import (
-    Configuration,
-    Group,
-    parse_configuration,
-)
+from redwingpost.configuration.model import Configuration, Group
+from redwingpost.configuration.parse import parse_configuration
 from redwingpost.core import Code, MemberError, Refusal
 from redwingpost.core.marks import read_marks
 from redwingpost.ports import StatementResult, TargetError, TargetLost
--- a/redwingpost/bench/operators.py
+++ b/redwingpost/bench/operators.py
@@ -7,13 +7,10 @@
 from expression import Result
 
 from redwingpost.adapters.platform_http import HttpPlatform
-from redwingpost.configuration import (
-    Accepted,
-    Change,
-    ConfigurationLog,
-    Withdrawal,
-    hash_key,
-)
+from redwingpost.configuration.acceptance import Accepted, Change
+from redwingpost.configuration.keys import hash_key
+from redwingpost.configuration.log import ConfigurationLog
+from redwingpost.configuration.model import Withdrawal
 from redwingpost.bench.callers import Credential
 from redwingpost.core import Refusal
 from redwingpost.settings import PlatformSettings
--- a/redwingpost/bench/scenarios/changes.py
+++ b/redwingpost/bench/scenarios/changes.py
@@ -10,7 +10,7 @@
 from redwingpost.bench.scenario import CALM_SHARE, SCENARIOS, Scenario, Stage
 from redwingpost.bench.schedule import FORMER, Stream, site_streams
 from redwingpost.bench.sites import Site
-from redwingpost.configuration import hash_key
+from redwingpost.configuration.keys import hash_key
 from redwingpost.core import Code
 
 #: Requests per second under the key that is withdrawn.
--- a/redwingpost/bench/tests/test_hotpath.py
+++ b/redwingpost/bench/tests/test_hotpath.py
@@ -6,7 +6,7 @@
 from unittest import TestCase
 
 from redwingpost.bench.hotpath import Site
-from redwingpost.configuration import parse_configuration
+from redwingpost.configuration.parse import parse_configuration
 from redwingpost.settings import load_settings
 from redwingpost.standin.settings import parse_group
 
--- a/redwingpost/cli/ctl.py
+++ b/redwingpost/cli/ctl.py
@@ -20,11 +20,9 @@
     run_work,
     show_result,
 )
-from redwingpost.configuration import (
-    Withdrawal,
-    describe_changes,
-    parse_configuration,
-)
+from redwingpost.configuration.diff import describe_changes
+from redwingpost.configuration.model import Withdrawal
+from redwingpost.configuration.parse import parse_configuration
 from redwingpost.core import Code, Refusal
 from redwingpost.operator import Desk, make_key
 from redwingpost.settings import load_settings
--- a/redwingpost/cli/ctl_work.py
+++ b/redwingpost/cli/ctl_work.py
@@ -15,7 +15,8 @@
 from redwingpost.adapters.peer import PeerAddress, PeerClients
 from redwingpost.adapters.platform_http import HttpPlatform
 from redwingpost.adapters.tls import TlsContexts
-from redwingpost.configuration import Change, canonical
+from redwingpost.configuration.acceptance import Change
+from redwingpost.configuration.diff import canonical
 from redwingpost.core import Refusal
 from redwingpost.operator import Agents, Desk
 from redwingpost.settings import PlatformSettings, Settings
--- a/redwingpost/cli/tests/test_ctl.py
+++ b/redwingpost/cli/tests/test_ctl.py
@@ -15,7 +15,7 @@
 from redwingpost.agent import Agent
 from redwingpost.agent.tests.fleet import heard
 from redwingpost.cli.ctl import app
-from redwingpost.configuration import hash_key
+from redwingpost.configuration.keys import hash_key
 from redwingpost.configuration.tests.test_parse import GOOD, PUNO, with_change
 from redwingpost.settings import (
     AgentSettings,
--- a/redwingpost/configuration/tests/test_keys.py
+++ b/redwingpost/configuration/tests/test_keys.py
@@ -3,11 +3,9 @@
 from json import dumps
 from unittest import TestCase
 
-from redwingpost.configuration import (
-    KeyRing,
-    Withdrawal,
-    parse_configuration,
-)
+from redwingpost.configuration.keys import KeyRing
+from redwingpost.configuration.model import Withdrawal
+from redwingpost.configuration.parse import parse_configuration
 from redwingpost.configuration.tests.test_parse import GOOD
 from redwingpost.core import Code
 
--- a/redwingpost/configuration/tests/test_log.py
+++ b/redwingpost/configuration/tests/test_log.py
@@ -6,7 +6,9 @@
 
 from expression import Error
 
-from redwingpost.configuration import Change, ConfigurationLog, Withdrawal
+from redwingpost.configuration.acceptance import Change
+from redwingpost.configuration.log import ConfigurationLog
+from redwingpost.configuration.model import Withdrawal
 from redwingpost.bench.memory_store import (
     LOSE_ANSWER,
     LOSE_REQUEST,
--- a/redwingpost/configuration/tests/test_parse.py
+++ b/redwingpost/configuration/tests/test_parse.py
@@ -4,7 +4,7 @@
 from json import dumps
 from unittest import TestCase
 
-from redwingpost.configuration import parse_configuration
+from redwingpost.configuration.parse import parse_configuration
 from redwingpost.core import Code
 
 GOOD = {
--- a/redwingpost/configuration/tests/test_spread.py
+++ b/redwingpost/configuration/tests/test_spread.py
@@ -4,12 +4,10 @@
 from json import dumps
 from unittest import TestCase
 
-from redwingpost.configuration import (
+from redwingpost.configuration.model import Versioned, Withdrawal, hash_body
+from redwingpost.configuration.spread import (
     ConfigurationState,
     Offer,
-    Versioned,
-    Withdrawal,
-    hash_body,
     mark_withdrawals,
 )
 from redwingpost.configuration.tests.test_parse import GOOD, PUNO, with_change
--- a/redwingpost/leases/tests/test_leases.py
+++ b/redwingpost/leases/tests/test_leases.py
@@ -2,7 +2,7 @@
 
 from unittest import TestCase
 
-from redwingpost.leases import LeaseKeeper, LeaseStep
+from redwingpost.leases.keeper import LeaseKeeper, LeaseStep
 from redwingpost.ports import Row
 
 VALID_S = 4.0
--- a/redwingpost/membership/tests/test_dissemination.py
+++ b/redwingpost/membership/tests/test_dissemination.py
@@ -3,15 +3,14 @@
 from collections import Counter, deque
 from unittest import TestCase
 
-from redwingpost.membership import (
-    Beat,
+from redwingpost.membership.beats import Beat, Evidence
+from redwingpost.membership.dissemination import (
     BeatCursors,
-    Evidence,
-    MemberTable,
     Tell,
-    rank_relays,
     whom_to_tell,
 )
+from redwingpost.membership.relays import rank_relays
+from redwingpost.membership.table import MemberTable
 from redwingpost.membership.dissemination import IN_TURN, MAX_CHANGES
 
 
--- a/redwingpost/membership/tests/test_membership.py
+++ b/redwingpost/membership/tests/test_membership.py
@@ -3,21 +3,12 @@
 from itertools import permutations
 from unittest import TestCase
 
-from redwingpost.membership import (
-    Beat,
-    BeatSchedule,
-    ConfirmationClock,
-    Evidence,
-    Member,
-    MemberTable,
-    RelayRole,
-    Sighting,
-    best_sightings,
-    judge_silence,
-    rank_relays,
-    relay_of,
-    report_vm,
-)
+from redwingpost.membership.beats import Beat, Evidence, Member
+from redwingpost.membership.confirmation import ConfirmationClock
+from redwingpost.membership.relays import RelayRole, rank_relays, relay_of
+from redwingpost.membership.report import Sighting, best_sightings, report_vm
+from redwingpost.membership.suspicion import BeatSchedule, judge_silence
+from redwingpost.membership.table import MemberTable
 from redwingpost.ports import VmEntry
 
 
--- a/redwingpost/operator/desk.py
+++ b/redwingpost/operator/desk.py
@@ -14,17 +14,13 @@
 from expression import Error, Ok, Result
 
 from redwingpost.adapters.peer import PeerAddress, PeerClients
-from redwingpost.configuration import (
-    Accepted,
-    Change,
-    ConfigurationLog,
-    Versioned,
-    Withdrawal,
-    canonical,
-)
+from redwingpost.configuration.acceptance import Accepted, Change
+from redwingpost.configuration.diff import canonical
+from redwingpost.configuration.log import ConfigurationLog
+from redwingpost.configuration.model import Versioned, Withdrawal
 from redwingpost.core import Code, Refusal
-from redwingpost.membership import (
-    Beat,
+from redwingpost.membership.beats import Beat
+from redwingpost.membership.report import (
     Sighting,
     VmReport,
     best_sightings,
--- a/redwingpost/operator/keys.py
+++ b/redwingpost/operator/keys.py
@@ -3,7 +3,7 @@
 from secrets import token_urlsafe
 from typing import NamedTuple
 
-from redwingpost.configuration import hash_key
+from redwingpost.configuration.keys import hash_key
 
 #: Random bytes of a key. The configuration keeps a fast hash, which an
 #: attacker who reads it may try guesses against; 160 random bits can't
--- a/redwingpost/operator/site.py
+++ b/redwingpost/operator/site.py
@@ -5,7 +5,8 @@
 
 from expression import Result
 
-from redwingpost.configuration import Configuration, parse_configuration
+from redwingpost.configuration.model import Configuration
+from redwingpost.configuration.parse import parse_configuration
 from redwingpost.core import Refusal
 
 
--- a/redwingpost/operator/tests/test_site.py
+++ b/redwingpost/operator/tests/test_site.py
@@ -3,7 +3,7 @@
 from json import loads
 from unittest import TestCase
 
-from redwingpost.configuration import hash_key
+from redwingpost.configuration.keys import hash_key
 from redwingpost.operator import Site, make_key
 
 
--- a/redwingpost/proxy/attempts.py
+++ b/redwingpost/proxy/attempts.py
@@ -4,17 +4,16 @@
 
 from redwingpost.core import MemberError, Position, Refusal
 from redwingpost.ports import StatementResult, TargetError, TargetLost
-from redwingpost.retries import (
-    Failure,
+from redwingpost.retries.idempotency import (
     create_table_sql,
     decode_record,
-    failure_of_error,
     fingerprint,
     insert_sql,
     judge_duplicate,
     select_sql,
     update_sql,
 )
+from redwingpost.retries.table import Failure, failure_of_error
 
 _DUPLICATE_ENTRY = 1062
 _NO_SUCH_TABLE = 1146
--- a/redwingpost/proxy/control_lines.py
+++ b/redwingpost/proxy/control_lines.py
@@ -11,7 +11,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
 
-from redwingpost.admission import CONTROL_LINES
+from redwingpost.admission.connections import CONTROL_LINES
 from redwingpost.core import MemberAddress
 from redwingpost.ports import TargetDialler
 
--- a/redwingpost/proxy/directory.py
+++ b/redwingpost/proxy/directory.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable
 
-from redwingpost.configuration import Configuration, Group
+from redwingpost.configuration.model import Configuration, Group
 from redwingpost.core import GroupView, MemberAddress
 from redwingpost.ports import MemberStatus
 
--- a/redwingpost/proxy/feed.py
+++ b/redwingpost/proxy/feed.py
@@ -12,12 +12,9 @@
 from mode import Service
 
 from redwingpost.adapters.peer import PeerAddress, PeerClients
-from redwingpost.configuration import (
-    ConfigurationState,
-    KeyRing,
-    Offer,
-    Withdrawal,
-)
+from redwingpost.configuration.keys import KeyRing
+from redwingpost.configuration.model import Withdrawal
+from redwingpost.configuration.spread import ConfigurationState, Offer
 from redwingpost.core import VmAddress
 from redwingpost.ports import Clock
 from redwingpost.proxy.directory import Directory
--- a/redwingpost/proxy/forwarder.py
+++ b/redwingpost/proxy/forwarder.py
@@ -16,7 +16,7 @@
 )
 from redwingpost.ports import Clock, StatementResult
 from redwingpost.proxy.directory import Directory
-from redwingpost.retries import (
+from redwingpost.retries.table import (
     Action,
     Failure,
     NextStep,
@@ -28,7 +28,7 @@
     choose_forward_targets,
     choose_homes,
 )
-from redwingpost.scheduling import LONG_HOMES
+from redwingpost.scheduling.long_jobs import LONG_HOMES
 from redwingpost.wire.forwarding import (
     decode_answer,
     decode_positions,
--- a/redwingpost/proxy/lending.py
+++ b/redwingpost/proxy/lending.py
@@ -17,30 +17,28 @@
 from redwingpost.ports import Clock
 from redwingpost.proxy.directory import Directory
 from redwingpost.proxy.feed import FedPeer, FedShare
-from redwingpost.rates import (
-    QUARANTINE_S,
-    STATEMENT,
-    WHOLE,
-    Base,
-    Borrowed,
-    Borrower,
+from redwingpost.rates.bucket import STATEMENT, WHOLE
+from redwingpost.rates.demand import (
     DemandMeter,
-    Grant,
-    Ledger,
-    Lender,
     PeerHint,
-    RateLine,
     Shortfall,
-    Waiter,
     dry_pause,
     keep_tokens,
     lendable,
-    numbers_of,
     order_lenders,
     parts_for,
     shortfall,
     surplus,
 )
+from redwingpost.rates.ledger import Base, Borrowed, Ledger
+from redwingpost.rates.loans import (
+    Borrower,
+    Grant,
+    Lender,
+    QUARANTINE_S,
+    numbers_of,
+)
+from redwingpost.rates.waiting import RateLine, Waiter
 from redwingpost.wire.schema import SCHEMA
 
 #: Seconds that a peer gets for an answer: a slow round trip between
--- a/redwingpost/proxy/parts.py
+++ b/redwingpost/proxy/parts.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from redwingpost.configuration import KeyRing
+from redwingpost.configuration.keys import KeyRing
 from redwingpost.ports import Clock
 from redwingpost.proxy.directory import Directory
 from redwingpost.proxy.forwarder import Forwarder, Homes
--- a/redwingpost/proxy/reads.py
+++ b/redwingpost/proxy/reads.py
@@ -30,14 +30,9 @@
 from redwingpost.proxy.targets import AdmissionRefused, Targets
 from redwingpost.proxy.status_board import StatusBoard
 from redwingpost.proxy.view_watch import ViewWatch
-from redwingpost.retries import (
-    Action,
-    Failure,
-    RequestClass,
-    RetryBudget,
-    next_step,
-)
-from redwingpost.scheduling import shape_of
+from redwingpost.retries.budget import RetryBudget
+from redwingpost.retries.table import Action, Failure, RequestClass, next_step
+from redwingpost.scheduling.long_jobs import shape_of
 
 #: Seconds to wait for a replica's proof that a primary still leads.
 _CONFIRM_S = 1.0
--- a/redwingpost/proxy/replica_choice.py
+++ b/redwingpost/proxy/replica_choice.py
@@ -6,7 +6,7 @@
 from asyncio import sleep
 from random import Random
 
-from redwingpost.admission import MemberLoad
+from redwingpost.admission.desk import MemberLoad
 from redwingpost.core import GroupView, MemberAddress, Request
 from redwingpost.ports import Clock
 from redwingpost.proxy.directory import Directory
--- a/redwingpost/proxy/service.py
+++ b/redwingpost/proxy/service.py
@@ -24,11 +24,9 @@
 )
 from redwingpost.adapters.traffic import ControlTraffic
 from redwingpost.adapters.tls import TlsContexts
-from redwingpost.configuration import (
-    KeyRing,
-    Withdrawal,
-    parse_configuration,
-)
+from redwingpost.configuration.keys import KeyRing
+from redwingpost.configuration.model import Withdrawal
+from redwingpost.configuration.parse import parse_configuration
 from redwingpost.core import Code, GroupView, Refusal, VmAddress
 from redwingpost.ports import Clock, MonotonicClock
 from redwingpost.proxy.caller import Caller
--- a/redwingpost/proxy/session.py
+++ b/redwingpost/proxy/session.py
@@ -29,7 +29,7 @@
 )
 from redwingpost.proxy.parts import Parts
 from redwingpost.proxy.transactions import Transaction, is_over
-from redwingpost.scheduling import shape_of
+from redwingpost.scheduling.long_jobs import shape_of
 
 Answer = Result[StatementResult, Refusal | MemberError]
 
--- a/redwingpost/proxy/targets.py
+++ b/redwingpost/proxy/targets.py
@@ -11,12 +11,8 @@
 from itertools import count
 from typing import Any, NamedTuple
 
-from redwingpost.admission import (
-    Arrival,
-    Desk,
-    MemberLoad,
-    data_connections,
-)
+from redwingpost.admission.connections import data_connections
+from redwingpost.admission.desk import Arrival, Desk, MemberLoad
 from redwingpost.core import (
     Code,
     MemberAddress,
@@ -32,7 +28,8 @@
     TargetLost,
 )
 from redwingpost.proxy.directory import Directory
-from redwingpost.scheduling import Flow, JobLengths
+from redwingpost.scheduling.fair import Flow
+from redwingpost.scheduling.long_jobs import JobLengths
 
 #: Seconds to open a connection; one takes about 12 ms on a calm day.
 DIAL_TIMEOUT_S = 1.0
--- a/redwingpost/proxy/tests/small_site.py
+++ b/redwingpost/proxy/tests/small_site.py
@@ -15,7 +15,7 @@
 
 from capnp import kj_loop
 
-from redwingpost.configuration import hash_key
+from redwingpost.configuration.keys import hash_key
 from redwingpost.proxy import Proxy
 from redwingpost.settings import (
     FleetSettings,
--- a/redwingpost/proxy/tests/test_end_to_end.py
+++ b/redwingpost/proxy/tests/test_end_to_end.py
@@ -14,7 +14,7 @@
 from pymysql import connect as pymysql_connect
 from pymysql.err import MySQLError as PyMySQLError
 
-from redwingpost.configuration import hash_key
+from redwingpost.configuration.keys import hash_key
 from redwingpost.core import Code
 from redwingpost.proxy.tests.small_site import (
     GROUP,
--- a/redwingpost/proxy/tests/test_feed.py
+++ b/redwingpost/proxy/tests/test_feed.py
@@ -8,7 +8,8 @@
 from redwingpost.adapters.tls import TlsContexts
 from redwingpost.agent.state import BaseShare
 from redwingpost.agent.tests.fleet import TestFleet, state_of
-from redwingpost.configuration import KeyRing, Withdrawal
+from redwingpost.configuration.keys import KeyRing
+from redwingpost.configuration.model import Withdrawal
 from redwingpost.configuration.tests.test_parse import GOOD
 from redwingpost.core import Code, GroupView, Position
 from redwingpost.ports import MonotonicClock
--- a/redwingpost/proxy/tests/test_withdrawal.py
+++ b/redwingpost/proxy/tests/test_withdrawal.py
@@ -6,7 +6,8 @@
 from pymysql import Error as PyMySQLError
 from pymysql import connect
 
-from redwingpost.configuration import Withdrawal, hash_key
+from redwingpost.configuration.keys import hash_key
+from redwingpost.configuration.model import Withdrawal
 from redwingpost.core import Code
 from redwingpost.proxy.tests.small_site import (
     GROUP,
--- a/redwingpost/proxy/transactions.py
+++ b/redwingpost/proxy/transactions.py
@@ -21,12 +21,7 @@
 from redwingpost.proxy.targets import Targets
 from redwingpost.proxy.view_watch import ViewWatch
 from redwingpost.proxy.writes import Writer, WriteAnswer
-from redwingpost.retries import (
-    Action,
-    Failure,
-    RequestClass,
-    next_step,
-)
+from redwingpost.retries.table import Action, Failure, RequestClass, next_step
 
 #: Seconds that a ROLLBACK may take; then closing the connection does it.
 ROLLBACK_TIMEOUT_S = 1.0
--- a/redwingpost/proxy/writes.py
+++ b/redwingpost/proxy/writes.py
@@ -44,16 +44,18 @@
 from redwingpost.proxy.directory import Directory
 from redwingpost.proxy.targets import AdmissionRefused, Targets
 from redwingpost.proxy.view_watch import ViewWatch
-from redwingpost.retries import (
+from redwingpost.retries.budget import RetryBudget
+from redwingpost.retries.idempotency import (
     MAX_KEY_CHARS,
+    PurgeCounter,
+    purge_sql,
+)
+from redwingpost.retries.table import (
     Action,
     Failure,
-    PurgeCounter,
     RequestClass,
-    RetryBudget,
-    next_step,
     may_have_run,
-    purge_sql,
+    next_step,
 )
 
 #: Pause before a member that failed is tried again without another
--- a/redwingpost/rates/tests/test_demand.py
+++ b/redwingpost/rates/tests/test_demand.py
@@ -3,23 +3,18 @@
 from random import Random
 from unittest import TestCase
 
-from redwingpost.rates import (
-    STATEMENT,
-    WHOLE,
-    Base,
-    Borrower,
+from redwingpost.rates.bucket import STATEMENT, WHOLE
+from redwingpost.rates.demand import (
     DemandMeter,
-    Ledger,
-    Lender,
-    RateLine,
     Shortfall,
-    Waiter,
     keep_tokens,
     lendable,
-    numbers_of,
     shortfall,
     surplus,
 )
+from redwingpost.rates.ledger import Base, Ledger
+from redwingpost.rates.loans import Borrower, Lender, numbers_of
+from redwingpost.rates.waiting import RateLine, Waiter
 
 RATE, BURST = 120.0, 60.0
 VMS = 6
--- a/redwingpost/rates/tests/test_waiting.py
+++ b/redwingpost/rates/tests/test_waiting.py
@@ -2,7 +2,7 @@
 
 from unittest import TestCase
 
-from redwingpost.rates import WAIT_S, RateLine, Waiter
+from redwingpost.rates.waiting import RateLine, WAIT_S, Waiter
 from redwingpost.rates.bucket import WHOLE
 from redwingpost.rates.ledger import Base, Ledger
 
--- a/redwingpost/retries/tests/test_retries.py
+++ b/redwingpost/retries/tests/test_retries.py
@@ -4,26 +4,28 @@
 from unittest import TestCase
 
 from redwingpost.core import Code, Outcome
-from redwingpost.retries import (
-    RULES_BY_CLASS,
-    Action,
+from redwingpost.retries.budget import RetryBudget
+from redwingpost.retries.idempotency import (
     Duplicate,
-    Failure,
     Record,
-    RequestClass,
-    RetryBudget,
     create_table_sql,
     decode_record,
-    failure_of_error,
     fingerprint,
     insert_sql,
     judge_duplicate,
-    may_have_run,
-    next_step,
     purge_sql,
     select_sql,
     update_sql,
 )
+from redwingpost.retries.table import (
+    Action,
+    Failure,
+    RULES_BY_CLASS,
+    RequestClass,
+    failure_of_error,
+    may_have_run,
+    next_step,
+)
 
 
 class TableTest(TestCase):
--- a/redwingpost/scheduling/tests/test_fair.py
+++ b/redwingpost/scheduling/tests/test_fair.py
@@ -4,7 +4,8 @@
 from random import Random
 from unittest import TestCase
 
-from redwingpost.scheduling import FairQueue, Flow, JobLengths, shape_of
+from redwingpost.scheduling.fair import FairQueue, Flow
+from redwingpost.scheduling.long_jobs import JobLengths, shape_of
 
 
 def _drain(queue, limit=None):
--- a/redwingpost/wire/codec.py
+++ b/redwingpost/wire/codec.py
@@ -10,10 +10,10 @@
 from zlib import compress, decompressobj
 from zlib import error as zlib_error
 
-from redwingpost.configuration import Versioned, Withdrawal
+from redwingpost.configuration.model import Versioned, Withdrawal
 from redwingpost.configuration.parse import MAX_BODY_BYTES
 from redwingpost.core import GroupView, Position
-from redwingpost.membership import Beat
+from redwingpost.membership.beats import Beat
 
 #: Largest age that the wire carries (milliseconds); stands for "never".
 MAX_AGE_MS = 2**32 - 1
--- a/redwingpost/wire/tests/test_codec.py
+++ b/redwingpost/wire/tests/test_codec.py
@@ -2,7 +2,7 @@
 
 from unittest import TestCase
 
-from redwingpost.configuration import Versioned, hash_body
+from redwingpost.configuration.model import Versioned, hash_body
 from redwingpost.configuration.parse import MAX_BODY_BYTES
 from redwingpost.wire.schema import SCHEMA
 from redwingpost.wire.codec import decode_version, encode_version
