Fetch changes of the store that come in a series together

Cause: each answer of a feed is a paid call. A series of changes (a start of all members and VMs, 25 configurations in a second and a half) was fetched one by one by each VM and table.

Change: after a second change within half a second a feed pauses for 0.2 s before it asks again. A single change is told at once as before.

--- a/redwingpost/node/tests/test_watcher.py
+++ b/redwingpost/node/tests/test_watcher.py
@@ -1,5 +1,6 @@
 """Following a table through what the store does wrong."""
 
+from asyncio import get_running_loop, sleep
 from unittest import IsolatedAsyncioTestCase
 
 from expression import Error, Ok
@@ -7,7 +8,7 @@
 from redwingpost.core.codes import Code
 from redwingpost.core.requests import Refusal
 from redwingpost.node.watcher import TableWatcher
-from redwingpost.ports.clock import VirtualClock
+from redwingpost.ports.clock import MonotonicClock, VirtualClock
 from redwingpost.ports.fleet_store import Changes, RowChange, Snapshot
 from redwingpost.ports.platform import Row
 
@@ -86,3 +87,43 @@
             [Ok(Changes((), 0, history_lost=True))],
         )
         self.assertEqual({"new"}, keys)
+
+
+class CountedStore:
+    """A table that changes by itself; counts the calls."""
+
+    def __init__(self, gap_s: float, changes: int) -> None:
+        self._gap_s = gap_s
+        self._last = changes
+        self._began_at = get_running_loop().time()
+        self.calls = 0
+
+    async def snapshot(self, table: str):
+        return Ok(Snapshot((), 0, 0))
+
+    async def changes(self, table: str, after: int, wait_s: float):
+        self.calls += 1
+        if after >= self._last:
+            return _AWAY
+        due_at = self._began_at + (after + 1) * self._gap_s
+        await sleep(max(0.0, due_at - get_running_loop().time()))
+        passed_s = get_running_loop().time() - self._began_at
+        newest = min(self._last, max(after + 1, int(passed_s / self._gap_s)))
+        numbers = range(after + 1, newest + 1)
+        rows = tuple(RowChange(_row(str(item)), False) for item in numbers)
+        return Ok(Changes(rows, newest))
+
+
+class SeriesTest(IsolatedAsyncioTestCase):
+    async def test_a_series_of_changes_is_fetched_together(self) -> None:
+        """An operator sends 25 configurations, 20 ms apart.
+
+        Fetched one by one, they are 25 calls of each VM to a store that
+        takes 2,000 a second from all: 26 calls, 6 or fewer so.
+        """
+        reader = KeyReader()
+        store = CountedStore(gap_s=0.02, changes=25)
+        watcher = TableWatcher(store, "t", reader, MonotonicClock())
+        await watcher._follow_while_answered()
+        self.assertEqual({str(item) for item in range(1, 26)}, reader.keys)
+        self.assertLess(store.calls, 9)
--- a/redwingpost/node/watcher.py
+++ b/redwingpost/node/watcher.py
@@ -21,6 +21,15 @@
 RETRY_S = 0.4
 
 
+#: Seconds within which a second change makes a series, and for which a
+#: series is left to gather before it is fetched: far below the three
+#: seconds within which a configuration must be in force. Each call is paid
+#: for; fetched one by one, 25 configurations in a second and a half were
+#: 25 calls of each VM.
+SERIES_S = 0.5
+GATHER_S = 0.2
+
+
 class TableReader(Protocol):
     """What is done with the rows of a table."""
 
@@ -64,6 +73,7 @@
         self._clock = clock
         self._version: int | None = None
         self._answered_at = float("-inf")
+        self._changed_at = float("-inf")
         self._was_lost = False
 
     @property
@@ -123,8 +133,17 @@
                 self._reader.on_removed(tuple(row.key for row in rows))
             else:
                 self._reader.on_rows(rows)
+        await self._let_gather()
         return True
 
+    async def _let_gather(self) -> None:
+        """Pause while changes come in a series; news of one never waits."""
+        now = self._clock.now()
+        is_series = now - self._changed_at < SERIES_S
+        self._changed_at = now
+        if is_series:
+            await self.sleep(GATHER_S)
+
     def _note_answer(self) -> None:
         self._answered_at = self._clock.now()
         if self._was_lost:
