Shorter heartbeats: no name twice, every second one brief

Cause: two thirds of the bytes between data centres were heartbeats, 300 bytes each: three primaries by name, three samples with the names of their group and primary again, and counters.

Change: a sample travels with the word of its primary, without names of its own. Every second heartbeat of a VM that sees nothing wrong leaves words and samples out; whoever hears it keeps the last. Reports of many admissions are brief as well.

A VM of the version before doesn't read the samples, and takes its own.

--- a/redwingpost/membership/hearing.py
+++ b/redwingpost/membership/hearing.py
@@ -63,11 +63,11 @@
 class SharedSample(NamedTuple):
     """A sample of a group's log as another VM took it.
 
-    ``member`` is the primary it was taken at, ``age_ms`` its age as the
-    heartbeat left.
+    ``member`` is the primary it was taken at, one of those that the
+    heartbeat has a word of, ``age_ms`` its age as the heartbeat left, at
+    least 1.
     """
 
-    group: str
     member: str
     position: Position
     age_ms: int
@@ -77,7 +77,8 @@
     """What a heartbeat says besides usage.
 
     ``clock_ms`` is the sender's steady clock, ``echo`` the reader's as
-    the sender last heard it.
+    the sender last heard it. A brief one leaves the words of primaries
+    out, because nothing is wrong with any.
     """
 
     vm: str
@@ -88,6 +89,7 @@
     clock_ms: int
     echo: Echo | None
     samples: tuple[SharedSample, ...]
+    is_brief: bool = False
 
     def left_after(self) -> float | None:
         """Return a moment of the reader's clock that this left after (s).
@@ -137,8 +139,13 @@
 
     def note(self, beacon: Beacon, now: float) -> None:
         """Take in a heartbeat."""
-        if beacon.vm != self._vm:
-            self._hearing_by_vm[beacon.vm] = Hearing(beacon, now)
+        if beacon.vm == self._vm:
+            return
+        known = self._hearing_by_vm.get(beacon.vm)
+        if beacon.is_brief and known is not None:
+            words = known.beacon.word_by_primary
+            beacon = beacon._replace(word_by_primary=words)
+        self._hearing_by_vm[beacon.vm] = Hearing(beacon, now)
 
     def echo_for(self, vm: str, now: float) -> Echo | None:
         """Return a VM's clock as last heard from it."""
--- a/redwingpost/membership/tests/test_hearing.py
+++ b/redwingpost/membership/tests/test_hearing.py
@@ -102,6 +102,22 @@
         self.assertEqual(5.2, held.left_after())
         self.assertIsNone(_beacon("vm-1").left_after())
 
+    def test_a_brief_heartbeat_takes_no_word_back(self) -> None:
+        """Every second heartbeat of a calm VM leaves its primaries out.
+
+        If they were forgotten with it, a primary would look as if nobody
+        but this VM knew it, half of the time.
+        """
+        words = {"p": PrimaryWord(300, 0, 0, 0)}
+        table = _table()
+        table.note(_beacon("vm-1", word_by_primary=words), now=1.0)
+        table.note(_beacon("vm-1", is_brief=True), now=1.25)
+        (heard,) = table.heard(1.3)
+        self.assertEqual(words, heard.word_by_primary)
+        table.note(_beacon("vm-1"), now=1.5)
+        (heard,) = table.heard(1.6)
+        self.assertEqual({}, heard.word_by_primary)
+
     def test_reached_elsewhere(self) -> None:
         table = _table()
         table.note(
--- a/redwingpost/node/peers.py
+++ b/redwingpost/node/peers.py
@@ -24,6 +24,11 @@
 #: within this many.
 FULL_EVERY = 10
 
+#: Heartbeats after which the words of primaries are sent although nothing
+#: is wrong with any: they are three quarters of a heartbeat, and samples,
+#: which travel with them, serve for a second and more.
+WORDS_EVERY = 2
+
 
 class PeerBeacons(Service):
     """Sends and takes in heartbeats.
@@ -35,7 +40,7 @@
     ledger : UsageLedger
         Counters to send and to take in.
     describe : callable
-        Returns this VM's heartbeat.
+        Returns this VM's heartbeat; gets whether it may be brief.
     clock : Clock
         For the time of hearing.
     ip, port : str, int
@@ -50,7 +55,7 @@
         self,
         vms: VmTable,
         ledger: UsageLedger,
-        describe: Callable[[], Beacon],
+        describe: Callable[[bool], Beacon],
         clock: Clock,
         ip: str,
         port: int,
@@ -68,7 +73,7 @@
         self._seeds = seeds
         self._on_beacon = on_beacon
         self._transport: DatagramTransport | None = None
-        self._sent = 0
+        self._beats = 0
 
     async def on_start(self) -> None:
         """Open the socket."""
@@ -85,21 +90,25 @@
     def report_if_due(self, organisation: str) -> None:
         """Tell the others at once where much was admitted."""
         if self._ledger.is_report_due(organisation):
-            self._send(everything=False)
+            self._send(everything=False, may_be_brief=True)
 
     @Service.task
     async def _beat(self) -> None:
         await repeat(self, self._send_beat, BEAT_S)
 
     async def _send_beat(self) -> None:
-        self._send(everything=self._sent % FULL_EVERY == 0)
+        beats = self._beats
+        self._beats += 1
+        self._send(
+            everything=beats % FULL_EVERY == 0,
+            may_be_brief=beats % WORDS_EVERY != 0,
+        )
 
-    def _send(self, everything: bool) -> None:
+    def _send(self, everything: bool, may_be_brief: bool) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        self._sent += 1
         usages = self._ledger.take_report(everything, self._clock.now())
-        beacon = self._describe()
+        beacon = self._describe(may_be_brief)
         for address in self._targets():
             echo = self._vms.echo_for(address.vm, self._clock.now())
             datagram = pack_beacon(beacon._replace(echo=echo), usages)
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -173,6 +173,7 @@
             settings.vm,
             settings.ip,
             self.group_by_name,
+            self.directory,
             self._admission,
             self._clock,
         )
--- a/redwingpost/node/word.py
+++ b/redwingpost/node/word.py
@@ -1,5 +1,6 @@
 """What this VM's heartbeats say, and what it takes from others'."""
 
+from redwingpost.groups.directory import Directory
 from redwingpost.membership.hearing import (
     Beacon,
     PrimaryWord,
@@ -22,6 +23,7 @@
         vm: str,
         ip: str,
         group_by_name: dict[str, GroupClient],
+        directory: Directory,
         admission: Admission,
         clock: Clock,
     ) -> None:
@@ -29,12 +31,36 @@
         self._ip = ip
         self._boot = new_boot()
         self._group_by_name = group_by_name
+        self._directory = directory
         self._admission = admission
         self._clock = clock
 
-    def describe(self) -> Beacon:
-        """Return this VM's heartbeat."""
+    def describe(self, may_be_brief: bool) -> Beacon:
+        """Return this VM's heartbeat.
+
+        Parameters
+        ----------
+        may_be_brief : bool
+            Leave the words of primaries out if nothing is wrong.
+        """
         now = self._clock.now()
+        is_brief = may_be_brief and not self._is_anything_wrong()
+        return Beacon(
+            self._vm,
+            self._boot,
+            self._ip,
+            self._admission.rules.version,
+            {} if is_brief else self._words(now),
+            int(now * 1000),
+            None,
+            () if is_brief else self._shared_samples(now),
+            is_brief,
+        )
+
+    def _is_anything_wrong(self) -> bool:
+        return any(group.is_alert() for group in self._group_by_name.values())
+
+    def _words(self, now: float) -> dict[str, PrimaryWord]:
         word_by_primary = {}
         for group in self._group_by_name.values():
             leader = group.member_by_name.get(group.evidence.leader or "")
@@ -45,16 +71,7 @@
                     _to_ms(group.writes.kept_s(now)),
                     _to_ms(leader.failing_s),
                 )
-        return Beacon(
-            self._vm,
-            self._boot,
-            self._ip,
-            self._admission.rules.version,
-            word_by_primary,
-            int(now * 1000),
-            None,
-            self._shared_samples(now),
-        )
+        return word_by_primary
 
     def take_samples(self, beacon: Beacon) -> None:
         """Give another VM's samples to the groups they belong to."""
@@ -62,7 +79,10 @@
         if left_at is None:
             return
         for sample in beacon.samples:
-            group = self._group_by_name.get(sample.group)
+            listed = self._directory.get(sample.member)
+            if listed is None:
+                continue
+            group = self._group_by_name.get(listed.entry.group)
             if group is not None:
                 taken_at = left_at - sample.age_ms / 1000.0
                 group.note_shared(sample.member, sample.position, taken_at)
@@ -80,9 +100,7 @@
                 continue
             # Rounded up: a sample must not look younger than it is.
             age_ms = int((now - sample.taken_at) * 1000) + 1
-            shared.append(
-                SharedSample(group.name, leader, sample.position, age_ms)
-            )
+            shared.append(SharedSample(leader, sample.position, age_ms))
         return tuple(shared)
 
 
--- a/redwingpost/wire/beacon.capnp
+++ b/redwingpost/wire/beacon.capnp
@@ -12,7 +12,8 @@
   # The sender's steady clock as it sent this.
   echo @6 :Echo;
   # The receiver's clock, as it was last heard.
-  samples @7 :List(Sample);
+  isBrief @7 :Bool;
+  # Without primaries: what was last said of them still holds.
 }
 
 struct Echo {
@@ -21,15 +22,6 @@
   heldMs @1 :UInt32;
 }
 
-struct Sample {
-  # All that was acknowledged before ageMs ago is in the position.
-  group @0 :Text;
-  member @1 :Text;
-  term @2 :UInt64;
-  index @3 :UInt64;
-  ageMs @4 :UInt32;
-}
-
 struct Usage {
   # Operations at the VM since its start.
   organisation @0 :Text;
@@ -48,4 +40,9 @@
   stuckMs @2 :UInt32;
   ackedMs @3 :UInt32;
   failingMs @4 :UInt32;
+  sampleTerm @5 :UInt64;
+  sampleIndex @6 :UInt64;
+  sampleAgeMs @7 :UInt32;
+  # All that was acknowledged before the age is in the position; an age of
+  # 0 means that there is none.
 }
--- a/redwingpost/wire/beacon.py
+++ b/redwingpost/wire/beacon.py
@@ -24,30 +24,26 @@
     Examples
     --------
     >>> words = {"m1": PrimaryWord(20, 0, 35, 0)}
-    >>> beacon = Beacon("a", 7, "ip", 3, words, 5, None, ())
+    >>> samples = (SharedSample("m1", Position(3, 9), 120),)
+    >>> beacon = Beacon("a", 7, "ip", 3, words, 5, None, samples)
     >>> usages = (Usage("org", 5, 6, tokens=-2.5), Usage("other", 1))
     >>> datagram = pack_beacon(beacon, usages)
     >>> unpack_beacon(datagram, "ip") == (beacon, usages)
     True
     """
+    sample_by_member = {sample.member: sample for sample in beacon.samples}
     message = _SCHEMA.Beacon.new_message(
         vm=beacon.vm,
         boot=beacon.boot,
         configVersion=beacon.config_version,
         usages=[_pack_usage(usage) for usage in usages],
         primaries=[
-            {
-                "member": member,
-                "silentMs": word.silent_ms,
-                "stuckMs": word.stuck_ms,
-                "ackedMs": word.acked_ms,
-                "failingMs": word.failing_ms,
-            }
+            _pack_primary(member, word, sample_by_member.get(member))
             for member, word in beacon.word_by_primary.items()
         ],
         clockMs=beacon.clock_ms,
         echo=_pack_echo(beacon.echo),
-        samples=[_pack_sample(sample) for sample in beacon.samples],
+        isBrief=beacon.is_brief,
     )
     return message.to_bytes_packed()
 
@@ -84,7 +80,12 @@
             },
             message.clockMs,
             _unpack_echo(message.echo),
-            tuple(_unpack_sample(item) for item in message.samples),
+            tuple(
+                _unpack_sample(item)
+                for item in message.primaries
+                if item.sampleAgeMs
+            ),
+            message.isBrief,
         )
         usages = tuple(_unpack_usage(item) for item in message.usages)
     except (KjException, UnicodeDecodeError, ValueError):
@@ -111,19 +112,26 @@
     )
 
 
-def _pack_sample(sample: SharedSample) -> dict:
-    return {
-        "group": sample.group,
-        "member": sample.member,
-        "term": sample.position.term,
-        "index": sample.position.index,
-        "ageMs": sample.age_ms,
+def _pack_primary(
+    member: str, word: PrimaryWord, sample: SharedSample | None
+) -> dict:
+    packed = {
+        "member": member,
+        "silentMs": word.silent_ms,
+        "stuckMs": word.stuck_ms,
+        "ackedMs": word.acked_ms,
+        "failingMs": word.failing_ms,
     }
+    if sample is not None:
+        packed["sampleTerm"] = sample.position.term
+        packed["sampleIndex"] = sample.position.index
+        packed["sampleAgeMs"] = sample.age_ms
+    return packed
 
 
 def _unpack_sample(item) -> SharedSample:
-    position = Position(item.term, item.index)
-    return SharedSample(item.group, item.member, position, item.ageMs)
+    position = Position(item.sampleTerm, item.sampleIndex)
+    return SharedSample(item.member, position, item.sampleAgeMs)
 
 
 def _pack_echo(echo: Echo | None) -> dict:
