Greet unheard VMs at once; let callers wait for a VM's first rules

Cause: after a loss of power all VMs start within half a second. Each may use the part of a rate that it hears, and heard the others with their next heartbeat only; and a VM listens 20 to 60 ms before it has its rules, in which it refused 10 to 30 sessions whose callers tried again at once and used up their tries.

Change: a VM greets listed VMs that it doesn't hear as soon as it has the list, and whoever it hears anew. A session that opens before the first rules waits for them, half a second at most, unless the store is lost.

--- a/redwingpost/membership/hearing.py
+++ b/redwingpost/membership/hearing.py
@@ -175,6 +175,11 @@
             if now - hearing.heard_at <= within_s
         )
 
+    def is_heard(self, vm: str, now: float) -> bool:
+        """Say whether a VM is in hearing."""
+        hearing = self._hearing_by_vm.get(vm)
+        return hearing is not None and now - hearing.heard_at <= HEARD_S
+
     def known(self) -> frozenset[str]:
         """Return all VMs that may be at work, this one included."""
         return frozenset(self._listed_by_vm) | {self._vm}
--- a/redwingpost/node/fleet.py
+++ b/redwingpost/node/fleet.py
@@ -23,10 +23,14 @@
 
 
 class FleetReader:
-    """Keeps the table of VMs in step with the list."""
+    """Keeps the table of VMs in step with the list.
 
-    def __init__(self, vms: VmTable) -> None:
+    ``on_listed`` is called once new entries are taken in.
+    """
+
+    def __init__(self, vms: VmTable, on_listed: Callable[[], None]) -> None:
         self._vms = vms
+        self._on_listed = on_listed
         self._address_by_vm: dict[str, VmAddress] = {}
 
     def on_snapshot(self, snapshot: Snapshot) -> None:
@@ -41,6 +45,7 @@
             if address is not None:
                 self._address_by_vm[address.vm] = address
         self._vms.set_listed(tuple(self._address_by_vm.values()))
+        self._on_listed()
 
     def on_removed(self, keys: tuple[str, ...]) -> None:
         """Take in entries that were removed."""
--- a/redwingpost/node/peers.py
+++ b/redwingpost/node/peers.py
@@ -16,7 +16,7 @@
 from redwingpost.node.steps import repeat
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
-from redwingpost.rates.usage import UsageLedger
+from redwingpost.rates.usage import Usage, UsageLedger
 from redwingpost.wire.beacon import pack_beacon, unpack_beacon
 
 #: Heartbeats after which all counters are sent rather than those that
@@ -92,6 +92,23 @@
         if self._ledger.is_report_due(organisation):
             self._send(everything=False, may_be_brief=True)
 
+    def greet(self) -> None:
+        """Send a heartbeat at once to listed VMs that aren't heard.
+
+        A VM that starts uses the part of each rate that the VMs in
+        hearing make up. When a whole fleet starts again, waiting for the
+        next heartbeats refuses callers for a quarter of a second more.
+        """
+        now = self._clock.now()
+        for address in self._targets():
+            if not self._vms.is_heard(address.vm, now):
+                self._greet_one(address)
+
+    def _greet_one(self, address: VmAddress) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._send_to(address, self._describe(False), ())
+
     @Service.task
     async def _beat(self) -> None:
         await repeat(self, self._send_beat, BEAT_S)
@@ -110,9 +127,14 @@
         usages = self._ledger.take_report(everything, self._clock.now())
         beacon = self._describe(may_be_brief)
         for address in self._targets():
-            echo = self._vms.echo_for(address.vm, self._clock.now())
-            datagram = pack_beacon(beacon._replace(echo=echo), usages)
-            self._transport.sendto(datagram, (address.ip, self._port))
+            self._send_to(address, beacon, usages)
+
+    def _send_to(
+        self, address: VmAddress, beacon: Beacon, usages: tuple[Usage, ...]
+    ) -> None:
+        echo = self._vms.echo_for(address.vm, self._clock.now())
+        datagram = pack_beacon(beacon._replace(echo=echo), usages)
+        self._transport.sendto(datagram, (address.ip, self._port))
 
     def _targets(self) -> tuple[VmAddress, ...]:
         known = self._vms.addresses(self._port)
@@ -130,9 +152,12 @@
             log_event("beacon-unreadable", size=len(datagram))
             return
         beacon, usages = unpacked
-        self._vms.note(beacon, self._clock.now())
-        self._on_beacon(beacon)
         now = self._clock.now()
+        is_new = not self._vms.is_heard(beacon.vm, now)
+        self._vms.note(beacon, now)
+        if is_new:
+            self._greet_one(VmAddress(beacon.vm, ip, self._port))
+        self._on_beacon(beacon)
         self._ledger.note_peer(beacon.vm, beacon.boot, usages, now)
 
 
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -21,6 +21,7 @@
 from redwingpost.node.reads import ReadRunner
 from redwingpost.node.registry import MemberReader, RulesReader
 from redwingpost.node.session import NodeSession, Services
+from redwingpost.node.start_gate import StartGate
 from redwingpost.node.steps import repeat
 from redwingpost.node.takeover import TakeoverKeeper
 from redwingpost.node.watcher import TableWatcher
@@ -52,6 +53,12 @@
 #: still comes back to it is sent on with the next look.
 ELSEWHERE_AFTER_S = 1.5
 
+#: Seconds that a caller waits for the first configuration of a VM that
+#: has just started: it is there some 20 to 60 ms after the VM listens.
+#: Refused at once, callers who come back together after a loss of power
+#: use up their tries within that time, 10 to 30 of them each time.
+START_WAIT_S = 0.5
+
 #: Seconds of the grace that are kept for the end itself.
 _END_MARGIN_S = 0.7
 
@@ -112,6 +119,7 @@
         self._centres = CentreWatch(settings.data_centre)
         self._readiness = Readiness()
         self._copies = Copies()
+        self._start_gate = StartGate()
         self._behind_since: float | None = None
         self._unready_since: float | None = None
         self.callers: Callers | None = None
@@ -129,8 +137,13 @@
 
     # Callers -----------------------------------------------------------
 
-    def open_session(self, database: str, key: str) -> NodeSession | Refusal:
+    async def open_session(
+        self, database: str, key: str
+    ) -> NodeSession | Refusal:
         """Return a session for a caller, or why there is none."""
+        # Behind a cut no configuration will come: no reason to wait.
+        if not self._rules_watcher.is_lost:
+            await self._start_gate.wait(START_WAIT_S)
         session = NodeSession(self._services, database, key)
         checked = session.check()
         if isinstance(checked, Refusal):
@@ -163,7 +176,10 @@
             self._clock,
         )
         self._fleet_watcher = TableWatcher(
-            outside.store, FLEET_TABLE, FleetReader(self._vms), self._clock
+            outside.store,
+            FLEET_TABLE,
+            FleetReader(self._vms, lambda: self._beacons.greet()),
+            self._clock,
         )
 
     def _make_fleet_parts(self) -> None:
@@ -279,6 +295,7 @@
 
     def _on_rules(self) -> None:
         self._copies.configuration = self._rules_reader.row
+        self._start_gate.open()
         self._follow()
 
     def _follow(self) -> None:
--- /dev/null
+++ b/redwingpost/node/tests/test_peers.py
@@ -0,0 +1,69 @@
+"""Heartbeats between two VMs over real datagrams."""
+
+from asyncio import sleep, wait_for
+from socket import AF_INET, SOCK_DGRAM, socket
+from unittest import IsolatedAsyncioTestCase
+
+from redwingpost.membership.hearing import Beacon, VmAddress, VmTable
+from redwingpost.node.peers import PeerBeacons
+from redwingpost.ports.clock import MonotonicClock
+from redwingpost.rates.usage import UsageLedger
+
+_IPS = ("127.0.71.1", "127.0.71.2")
+
+#: Seconds for a datagram on loopback, far above what it takes.
+PATIENCE_S = 10.0
+
+
+def _free_port() -> int:
+    with socket(AF_INET, SOCK_DGRAM) as probe:
+        probe.bind((_IPS[0], 0))
+        return probe.getsockname()[1]
+
+
+class QuietBeacons(PeerBeacons):
+    """Sends what is asked for, and no heartbeat by itself."""
+
+    async def _send_beat(self) -> None:
+        await sleep(0.0)
+
+
+class GreetingTest(IsolatedAsyncioTestCase):
+    def _make(self, number: int, port: int) -> tuple[VmTable, PeerBeacons]:
+        clock = MonotonicClock()
+        vm, ip = f"vm-{number}", _IPS[number]
+        vms = VmTable(vm, clock.now())
+        beacons = QuietBeacons(
+            vms,
+            UsageLedger(clock.now()),
+            lambda may_be_brief: Beacon(vm, 1, ip, 1, {}, 1, None, ()),
+            clock,
+            ip,
+            port,
+            (),
+            lambda beacon: None,
+        )
+        return vms, beacons
+
+    async def test_vms_that_start_hear_each_other_at_once(self) -> None:
+        """A fleet starts again, and a VM reads the list of the others.
+
+        Until it hears them it may use a small part of each rate only.
+        Between two heartbeats callers within their rates are refused.
+        """
+        port = _free_port()
+        tables = []
+        for number in range(2):
+            vms, beacons = self._make(number, port)
+            await beacons.start()
+            self.addAsyncCleanup(beacons.stop)
+            tables.append((vms, beacons))
+        first, greeter = tables[0]
+        first.set_listed((VmAddress("vm-1", _IPS[1], port),))
+        greeter.greet()
+        await wait_for(self._until_heard(tables), PATIENCE_S)
+
+    async def _until_heard(self, tables) -> None:
+        now = MonotonicClock().now
+        while not all(len(vms.heard(now())) == 1 for vms, _ in tables):
+            await sleep(0.001)
--- a/redwingpost/platform/caller_server.py
+++ b/redwingpost/platform/caller_server.py
@@ -59,7 +59,7 @@
 class SessionMaker(Protocol):
     """Opens sessions."""
 
-    def open_session(self, database: str, key: str) -> Session | Refusal:
+    async def open_session(self, database: str, key: str) -> Session | Refusal:
         """Return a session, or why there can't be one."""
 
 
@@ -131,7 +131,7 @@
         if not isinstance(message, Startup):
             self._send(render_error(Refusal(Code.UNSUPPORTED, "no start")))
             return False
-        opened = sessions.open_session(message.database, message.key)
+        opened = await sessions.open_session(message.database, message.key)
         if isinstance(opened, Refusal):
             self._send(render_error(opened))
             return False
--- a/redwingpost/platform/tests/test_caller_server.py
+++ b/redwingpost/platform/tests/test_caller_server.py
@@ -43,7 +43,7 @@
             await sleep(0.0)
         await sleep(0.01)
 
-    def open_session(self, database: str, key: str) -> CountingSession:
+    async def open_session(self, database: str, key: str) -> CountingSession:
         """Open the one session."""
         return self.session
 
