Take a member's slots from the registry

Cause: the placing of reads took every member for one of five slots; the larger site of this customer has six, and a site may have any number. A constant that sites disagree on.

Change: the registry's own figure counts, five only where it says nothing. An entry whose figure is of another type names no member to use.

--- a/redwingpost/groups/choice.py
+++ b/redwingpost/groups/choice.py
@@ -25,8 +25,8 @@
 #: the same data.
 FAR_WEIGHT = 1.25
 
-#: Slots that a member is taken to have; sets how fast a member that
-#: others fill becomes unattractive. Members of today have five.
+#: Slots of a member whose registry entry doesn't say; they set how fast a
+#: member that others fill becomes unattractive. Most of today have five.
 ASSUMED_SLOTS = 5
 
 #: Seconds that a member without any measurement is expected to take: of
@@ -41,7 +41,7 @@
     """A member as a read sees it; ``usual_s`` is its smoothed time.
 
     ``under_way`` are this VM's statements there, ``busy`` the slots that
-    it last reported as occupied.
+    it last reported as occupied, of ``slots`` in all.
     """
 
     member: str
@@ -51,6 +51,7 @@
     has_link: bool
     is_primary: bool
     is_near: bool
+    slots: int = ASSUMED_SLOTS
 
 
 def expected_s(candidate: Candidate) -> float:
@@ -62,7 +63,7 @@
     >>> expected_s(idle) < expected_s(idle._replace(under_way=3))
     True
     """
-    load = max(candidate.under_way, candidate.busy) / ASSUMED_SLOTS
+    load = max(candidate.under_way, candidate.busy) / candidate.slots
     seconds = candidate.usual_s * (1.0 + load)
     if candidate.is_primary:
         seconds *= PRIMARY_WEIGHT
--- a/redwingpost/groups/tests/test_choice.py
+++ b/redwingpost/groups/tests/test_choice.py
@@ -26,6 +26,11 @@
             ("replica before primary", _REPLICA, _PRIMARY),
             ("fast before slow", _REPLICA, _REPLICA._replace(usual_s=0.2)),
             ("idle before full", _REPLICA, _REPLICA._replace(busy=5)),
+            (
+                "many slots before few",
+                _REPLICA._replace(busy=5, slots=20),
+                _REPLICA._replace(busy=5),
+            ),
             ("near before far", _REPLICA, _REPLICA._replace(is_near=False)),
             ("open before new", _REPLICA, _REPLICA._replace(has_link=False)),
             (
--- a/redwingpost/node/placing.py
+++ b/redwingpost/node/placing.py
@@ -2,7 +2,12 @@
 
 from typing import NamedTuple
 
-from redwingpost.groups.choice import FIRST_GUESS_S, Candidate, rank
+from redwingpost.groups.choice import (
+    ASSUMED_SLOTS,
+    FIRST_GUESS_S,
+    Candidate,
+    rank,
+)
 from redwingpost.groups.evidence import GroupEvidence
 from redwingpost.node.member import MemberClient
 
@@ -59,4 +64,5 @@
         client.pool.has_idle(placing.organisation),
         client.entry.member == evidence.leader,
         client.entry.data_centre == placing.data_centre,
+        client.entry.slots or ASSUMED_SLOTS,
     )
--- a/redwingpost/platform/entries.py
+++ b/redwingpost/platform/entries.py
@@ -55,6 +55,7 @@
         state == "draining",
         role == "primary",
         _need(value, "born", int) if "born" in value else 0,
+        _need(value, "slots", int) if "slots" in value else 0,
     )
 
 
--- a/redwingpost/platform/tests/test_decoding.py
+++ b/redwingpost/platform/tests/test_decoding.py
@@ -81,7 +81,9 @@
     def test_a_member(self) -> None:
         entry = decode_member(Row("t", "m1", 1, MEMBER))
         self.assertEqual(("m1", "g1", "10.2.0.3", 8080), entry[:4])
-        self.assertEqual((False, False, 17), entry[5:])
+        self.assertEqual((False, False, 17, 0), entry[5:])
+        entry = decode_member(Row("t", "m1", 1, {**MEMBER, "slots": 6}))
+        self.assertEqual((False, False, 17, 6), entry[5:])
 
     def test_entries_of_another_writer(self) -> None:
         """Somebody else's rows lie among the members' entries.
@@ -94,6 +96,7 @@
             ("state", {**MEMBER, "state": "resting"}),
             ("address", {**MEMBER, "address": "nowhere"}),
             ("dbRole", {**MEMBER, "dbRole": 3}),
+            ("slots", {**MEMBER, "slots": "many"}),
             ("bytes", None),
             ("list", [1, 2]),
         ]
--- a/redwingpost/ports/database.py
+++ b/redwingpost/ports/database.py
@@ -147,7 +147,8 @@
     """A member as the registry lists it.
 
     ``started_ms`` tells one life of a member from the next under the
-    same name; it is compared for equality only.
+    same name; it is compared for equality only. ``slots`` are the
+    statements that it runs at once; 0 where the registry doesn't say.
     """
 
     member: str
@@ -158,6 +159,7 @@
     is_draining: bool
     claims_primary: bool
     started_ms: int = 0
+    slots: int = 0
 
 
 class LinkFactory(Protocol):
