Part outlook, leader's view and copies from the node and its takeovers

What a VM says of itself to its readiness, what is seen of a primary, and who fetches a peer's configuration now stand in modules of their own; the two first statements of run and commit are one step; the tour's test takes its ports from where all programs do. No behaviour changes.

--- a/redwingpost/cli/tests/test_tour.py
+++ b/redwingpost/cli/tests/test_tour.py
@@ -8,12 +8,13 @@
 from re import DOTALL, findall
 from shlex import split
 from signal import SIGTERM
-from socket import socket
 from subprocess import DEVNULL, PIPE, Popen, run
 from sys import executable
 from tempfile import TemporaryDirectory
 from unittest import TestCase
 
+from redwingpost.bench.ports import find_free_port
+
 ROOT = Path(__file__).resolve().parents[3]
 LIMIT_S = 60
 
@@ -33,17 +34,11 @@
     return block.strip().splitlines()
 
 
-def free_port():
-    """Return a port that was free just now."""
-    with socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def write_examples(directory):
     """Copy the examples with free ports; return the callers' port."""
     ports_by_old = {
-        old: str(free_port()) for old in ("13306", "17001", "19101", "18090")
+        old: str(find_free_port("127.0.0.1"))
+        for old in ("13306", "17001", "19101", "18090")
     }
     for source in (ROOT / "examples").iterdir():
         if not source.is_file():
--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -56,6 +56,10 @@
 #: looked at: a commit that reaches no replica hangs.
 SLOW_WRITE_S = 0.4
 
+#: Seconds of silence after which a replica is asked for a proof last: one
+#: that doesn't answer holds up whoever waits for it.
+DOUBTFUL_S = 1.0
+
 #: Part of the time in which a leaving member may get new work that is
 #: used: other VMs and the caller's way to here take their part.
 DRAIN_PART = 0.6
@@ -287,7 +291,7 @@
             for name, client in self.member_by_name.items()
             if name != self.evidence.leader and self._may_prove(name, now)
         ]
-        return sorted(able, key=lambda c: (c.silent_s > 1.0, self._far(c)))
+        return sorted(able, key=self._cost_to_ask)
 
     def _may_prove(self, member: str, now: float) -> bool:
         listed = self._directory.get(member)
@@ -395,8 +399,10 @@
         self.evidence.forget(member)
         self._settle()
 
-    def _far(self, client: MemberClient) -> bool:
-        return client.entry.data_centre != self._data_centre
+    def _cost_to_ask(self, client: MemberClient) -> tuple[bool, bool]:
+        """Return what speaks against asking a member, the worst first."""
+        is_far = client.entry.data_centre != self._data_centre
+        return client.silent_s > DOUBTFUL_S, is_far
 
 
 def _is_same_life(known: MemberEntry, entry: MemberEntry) -> bool:
--- /dev/null
+++ b/redwingpost/node/leader_view.py
@@ -0,0 +1,97 @@
+"""What this VM and those in hearing see of a group's primary."""
+
+from collections.abc import Callable
+
+from redwingpost.membership.centres import CentreWatch
+from redwingpost.membership.hearing import LATELY_S, PrimaryWord, VmTable
+from redwingpost.node.group import GroupClient
+from redwingpost.node.member import MemberClient
+from redwingpost.takeover.triggers import LeaderView, stuck_at_all_s
+
+
+class LeaderViews:
+    """Describes primaries to the judgement of whether one must go.
+
+    Parameters
+    ----------
+    vms : VmTable
+        Who is heard, and what they say.
+    centres : CentreWatch
+        Which data centres answer.
+    is_registry_lost : callable
+        Says whether the registry doesn't answer just now.
+    """
+
+    def __init__(
+        self,
+        vms: VmTable,
+        centres: CentreWatch,
+        is_registry_lost: Callable[[], bool],
+    ) -> None:
+        self._vms = vms
+        self._centres = centres
+        self._is_registry_lost = is_registry_lost
+
+    def describe(self, group: GroupClient, now: float) -> LeaderView:
+        """Return what is seen of a group's primary at ``now`` (seconds)."""
+        leader = group.evidence.leader
+        client = group.member_by_name.get(leader or "")
+        words = self._words(leader, now)
+        latest = self._words(leader, now, LATELY_S)
+        return LeaderView(
+            leader=leader,
+            is_listed=client is not None,
+            is_draining=client is not None and client.entry.is_draining,
+            silent_s=float("inf") if client is None else client.failing_s,
+            others_silent_s=tuple(w.silent_ms / 1000.0 for w in words),
+            others_failing_s=tuple(w.failing_ms / 1000.0 for w in words),
+            hears_half=self._vms.hears_half(now),
+            stalled_s=group.stalled_s,
+            stuck_s=stuck_at_all_s(
+                group.writes.stuck_s(now), group.writes.kept_s(now), words
+            ),
+            leaderless_s=_since(group.leaderless_since, now),
+            is_off_list=self._is_off_list(group),
+            replicas_answering=_answering(group, leader),
+            paused_s=_since(group.paused_since, now),
+            centre_lost_s=self._centre_lost_s(client),
+            latest_silent_s=tuple(w.silent_ms / 1000.0 for w in latest),
+            hears_half_lately=self._vms.hears_half(now, LATELY_S),
+        )
+
+    def _words(
+        self, leader: str | None, now: float, *within_s: float
+    ) -> list[PrimaryWord]:
+        """Return what the VMs in hearing say of a primary."""
+        return [
+            beacon.word_by_primary[leader]
+            for beacon in self._vms.heard(now, *within_s)
+            if leader in beacon.word_by_primary
+        ]
+
+    def _centre_lost_s(self, client: MemberClient | None) -> float:
+        if client is None:
+            return 0.0
+        return self._centres.lost_s(client.entry.data_centre)
+
+    def _is_off_list(self, group: GroupClient) -> bool:
+        """Say whether the registry answers and lists no primary."""
+        if self._is_registry_lost():
+            return False
+        return not any(
+            client.entry.claims_primary
+            for client in group.member_by_name.values()
+        )
+
+
+def _answering(group: GroupClient, leader: str | None) -> int:
+    """Return how many members but the primary have answered last."""
+    return sum(
+        not client.is_failing
+        for name, client in group.member_by_name.items()
+        if name != leader
+    )
+
+
+def _since(moment: float | None, now: float) -> float:
+    return 0.0 if moment is None else now - moment
--- /dev/null
+++ b/redwingpost/node/outlook.py
@@ -0,0 +1,53 @@
+"""What this VM can do for callers, and whether others can do more."""
+
+from redwingpost.membership.centres import CentreWatch
+from redwingpost.membership.hearing import LATELY_S, Beacon, VmTable
+from redwingpost.membership.readiness import Outlook
+from redwingpost.node.admission import Admission
+from redwingpost.node.group import GroupClient
+
+#: Milliseconds within which a primary answered another VM lately enough
+#: to count as reached: longer than a question and its time limit take.
+_REACHED_MS = 1500
+
+
+class OutlookView:
+    """Describes the VM to the judgement of its readiness."""
+
+    def __init__(
+        self,
+        admission: Admission,
+        group_by_name: dict[str, GroupClient],
+        vms: VmTable,
+        centres: CentreWatch,
+    ) -> None:
+        self._admission = admission
+        self._group_by_name = group_by_name
+        self._vms = vms
+        self._centres = centres
+
+    def describe(self, is_stopping: bool, now: float) -> Outlook:
+        """Return the outlook at ``now`` (seconds)."""
+        groups = self._group_by_name.values()
+        reached = sum(group.is_useful() for group in groups)
+        return Outlook(
+            has_rules=self._admission.has_rules,
+            is_stopping=is_stopping,
+            groups=len(groups),
+            reached=reached,
+            hears_half=self._vms.hears_half(now),
+            others_reach_more=any(
+                _reached_by(beacon) > reached
+                for beacon in self._vms.heard(now)
+            ),
+            cut_off_s=self._centres.cut_off_s(),
+            hears_half_lately=self._vms.hears_half(now, LATELY_S),
+        )
+
+
+def _reached_by(beacon: Beacon) -> int:
+    """Return how many primaries another VM reaches, by its own word."""
+    return sum(
+        word.failing_ms < _REACHED_MS and word.stuck_ms < _REACHED_MS
+        for word in beacon.word_by_primary.values()
+    )
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -9,14 +9,17 @@
 from redwingpost.core.requests import Refusal
 from redwingpost.groups.directory import Directory
 from redwingpost.membership.centres import CentreWatch
-from redwingpost.membership.hearing import LATELY_S, VmAddress, VmTable
-from redwingpost.membership.readiness import Outlook, Readiness
+from redwingpost.membership.hearing import VmAddress, VmTable
+from redwingpost.membership.readiness import Readiness
 from redwingpost.node.admission import Admission
-from redwingpost.node.copies import COPY_PATH, Copies, fetch_copy
+from redwingpost.node.copies import COPY_PATH, Copies
+from redwingpost.node.copy_fetcher import CopyFetcher
 from redwingpost.node.duty import DutyKeeper
 from redwingpost.node.fleet import FLEET_TABLE, FleetEntry, FleetReader
 from redwingpost.node.group import GroupClient
+from redwingpost.node.leader_view import LeaderViews
 from redwingpost.node.metrics import NodeMetrics
+from redwingpost.node.outlook import OutlookView
 from redwingpost.node.peers import PeerBeacons
 from redwingpost.node.reads import ReadRunner
 from redwingpost.node.registry import MemberReader, RulesReader
@@ -62,13 +65,6 @@
 #: Seconds of the grace that are kept for the end itself.
 _END_MARGIN_S = 0.7
 
-#: Seconds within which a primary answered lately enough to count.
-_REACHED_S = 1.5
-
-#: Seconds that the store must be lost before a peer's copy is used for
-#: a configuration that a peer already has.
-_COPY_AFTER_S = 0.5
-
 
 class Outside(NamedTuple):
     """What the node needs from outside."""
@@ -120,7 +116,6 @@
         self._readiness = Readiness()
         self._copies = Copies()
         self._start_gate = StartGate()
-        self._behind_since: float | None = None
         self._unready_since: float | None = None
         self.callers: Callers | None = None
         self._services = Services(
@@ -131,7 +126,22 @@
             self.metrics,
             clock,
         )
+        self._outlook = OutlookView(
+            self._admission,
+            self.group_by_name,
+            self._vms,
+            self._centres,
+        )
         self._make_watchers()
+        self._copy_fetcher = CopyFetcher(
+            self._vms,
+            self._admission,
+            self._rules_reader,
+            self._member_reader,
+            lambda: self._member_watcher.has_read,
+            settings.metrics_port,
+            clock,
+        )
         self._make_fleet_parts()
         self._make_pages()
 
@@ -225,8 +235,11 @@
             outside.orders,
             DutyKeeper(outside.store, settings.vm, self._clock),
             self._vms,
-            self._centres,
-            lambda: self._member_watcher.is_lost,
+            LeaderViews(
+                self._vms,
+                self._centres,
+                lambda: self._member_watcher.is_lost,
+            ),
             settings.vm,
             self.metrics,
             self._clock,
@@ -286,7 +299,7 @@
     async def _look_around(self) -> None:
         self._tidy()
         self._judge_readiness()
-        await self._copy_if_behind()
+        await self._copy_fetcher.fetch_if_behind()
 
     def _tidy(self) -> None:
         now = self._clock.now()
@@ -328,10 +341,10 @@
 
     def _judge_readiness(self) -> None:
         now = self._clock.now()
-        is_ready = self._readiness.judge(self._outlook(now), now)
+        outlook = self._outlook.describe(self.is_stopping, now)
+        is_ready = self._readiness.judge(outlook, now)
         if is_ready != self.is_ready:
             self.is_ready = is_ready
-            outlook = self._outlook(now)
             log_event("readiness", ready=is_ready, **outlook._asdict())
             self._unready_since = None if is_ready else now
         self._send_callers_elsewhere(now)
@@ -353,66 +366,9 @@
         if closed:
             log_event("sent-elsewhere", sessions=closed)
 
-    def _outlook(self, now: float) -> Outlook:
-        reached = {
-            group.name
-            for group in self.group_by_name.values()
-            if group.is_useful()
-        }
-        return Outlook(
-            has_rules=self._admission.has_rules,
-            is_stopping=self.is_stopping,
-            groups=len(self.group_by_name),
-            reached=len(reached),
-            hears_half=self._vms.hears_half(now),
-            others_reach_more=self._others_reach_more(len(reached), now),
-            cut_off_s=self._centres.cut_off_s(),
-            hears_half_lately=self._vms.hears_half(now, LATELY_S),
-        )
-
-    def _others_reach_more(self, reached: int, now: float) -> bool:
-        return any(
-            sum(
-                word.failing_ms < _REACHED_S * 1000
-                and word.stuck_ms < _REACHED_S * 1000
-                for word in beacon.word_by_primary.values()
-            )
-            > reached
-            for beacon in self._vms.heard(now)
-        )
-
     def _ready_page(self) -> Page:
         return Page(200 if self.is_ready else 503)
 
-    # Copies ------------------------------------------------------------
-
-    async def _copy_if_behind(self) -> None:
-        """Fetch a peer's copy where it has a newer configuration."""
-        now = self._clock.now()
-        ahead = [
-            beacon
-            for beacon in self._vms.heard(now)
-            if beacon.config_version > self._admission.rules.version
-        ]
-        if not ahead:
-            self._behind_since = None
-            return
-        if self._behind_since is None:
-            self._behind_since = now
-        if now - self._behind_since < _COPY_AFTER_S:
-            return
-        self._behind_since = now
-        beacon = max(ahead, key=lambda item: item.config_version)
-        got = await fetch_copy(beacon.ip, self.settings.metrics_port)
-        if got.is_error():
-            log_event("copy-failed", vm=beacon.vm, detail=got.error.detail)
-            return
-        if got.ok.configuration is not None:
-            log_event("copy-taken", vm=beacon.vm)
-            self._rules_reader.take(got.ok.configuration)
-        if not self._member_watcher.has_read:
-            self._member_reader.on_rows(got.ok.members)
-
     # Stop --------------------------------------------------------------
 
     async def drain(self) -> None:
--- a/redwingpost/node/takeover.py
+++ b/redwingpost/node/takeover.py
@@ -1,17 +1,16 @@
 """Conduct takeovers: watch every group, replace what must be replaced."""
 
 from asyncio import Task, create_task, gather, sleep
-from collections.abc import Callable
 from typing import Any
 
 from mode import Service
 
 from redwingpost.groups.directory import Directory
 from redwingpost.leases.duty import HeldDuty
-from redwingpost.membership.centres import CentreWatch
-from redwingpost.membership.hearing import LATELY_S, VmTable
+from redwingpost.membership.hearing import VmTable
 from redwingpost.node.duty import DutyKeeper
 from redwingpost.node.group import GroupClient
+from redwingpost.node.leader_view import LeaderViews
 from redwingpost.node.member import MemberClient
 from redwingpost.node.metrics import NodeMetrics
 from redwingpost.node.steps import repeat
@@ -28,10 +27,8 @@
 )
 from redwingpost.takeover.triggers import (
     TURN_S,
-    LeaderView,
     Reason,
     reason_to_act,
-    stuck_at_all_s,
 )
 
 #: Seconds between looks at the groups.
@@ -60,8 +57,7 @@
         orders: PromotionOrders,
         duty: DutyKeeper,
         vms: VmTable,
-        centres: CentreWatch,
-        is_registry_lost: Callable[[], bool],
+        views: LeaderViews,
         vm: str,
         metrics: NodeMetrics,
         clock: Clock,
@@ -74,8 +70,7 @@
         self._orders = orders
         self._duty = duty
         self._vms = vms
-        self._centres = centres
-        self._is_registry_lost = is_registry_lost
+        self._views = views
         self._vm = vm
         self._metrics = metrics
         self._clock = clock
@@ -95,7 +90,7 @@
         if running is not None and not running.done():
             return
         now = self._clock.now()
-        reason = reason_to_act(self._view(group, now))
+        reason = reason_to_act(self._views.describe(group, now))
         known = self._due_by_group.get(group.name)
         if reason is None:
             self._due_by_group.pop(group.name, None)
@@ -120,58 +115,6 @@
         for name, (reason, due_at) in tuple(self._due_by_group.items()):
             self._due_by_group[name] = (reason, min(due_at, now))
 
-    def _view(self, group: GroupClient, now: float) -> LeaderView:
-        leader = group.evidence.leader
-        client = group.member_by_name.get(leader or "")
-        words = [
-            beacon.word_by_primary[leader]
-            for beacon in self._vms.heard(now)
-            if leader in beacon.word_by_primary
-        ]
-        answering = sum(
-            not item.is_failing
-            for name, item in group.member_by_name.items()
-            if name != leader
-        )
-        return LeaderView(
-            leader=leader,
-            is_listed=client is not None,
-            is_draining=client is not None and client.entry.is_draining,
-            silent_s=_silent_s(client),
-            others_silent_s=tuple(w.silent_ms / 1000.0 for w in words),
-            others_failing_s=tuple(w.failing_ms / 1000.0 for w in words),
-            hears_half=self._vms.hears_half(now),
-            stalled_s=group.stalled_s,
-            stuck_s=stuck_at_all_s(
-                group.writes.stuck_s(now), group.writes.kept_s(now), words
-            ),
-            leaderless_s=_since(group.leaderless_since, now),
-            is_off_list=self._is_off_list(group),
-            replicas_answering=answering,
-            paused_s=_since(group.paused_since, now),
-            centre_lost_s=self._centre_lost_s(client),
-            latest_silent_s=tuple(
-                beacon.word_by_primary[leader].silent_ms / 1000.0
-                for beacon in self._vms.heard(now, LATELY_S)
-                if leader in beacon.word_by_primary
-            ),
-            hears_half_lately=self._vms.hears_half(now, LATELY_S),
-        )
-
-    def _centre_lost_s(self, client: MemberClient | None) -> float:
-        if client is None:
-            return 0.0
-        return self._centres.lost_s(client.entry.data_centre)
-
-    def _is_off_list(self, group: GroupClient) -> bool:
-        """Say whether the registry answers and lists no primary."""
-        if self._is_registry_lost():
-            return False
-        return not any(
-            client.entry.claims_primary
-            for client in group.member_by_name.values()
-        )
-
     async def _conduct_logged(
         self, group: GroupClient, reason: Reason
     ) -> None:
@@ -257,7 +200,7 @@
 
     def _is_settled(self, group: GroupClient) -> bool:
         """Say whether another VM has seen to it meanwhile."""
-        view = self._view(group, self._clock.now())
+        view = self._views.describe(group, self._clock.now())
         return reason_to_act(view) is None
 
     def _clients(self, group: GroupClient) -> dict[str, MemberClient]:
@@ -421,11 +364,3 @@
     if not claims or max(claims)[0] < term:
         return None
     return max(claims)[1]
-
-
-def _silent_s(client: MemberClient | None) -> float:
-    return float("inf") if client is None else client.failing_s
-
-
-def _since(moment: float | None, now: float) -> float:
-    return 0.0 if moment is None else now - moment
--- a/redwingpost/node/transaction.py
+++ b/redwingpost/node/transaction.py
@@ -90,13 +90,9 @@
     async def run(self, statement: Statement) -> Result:
         """Run a read or a write inside the transaction."""
         deadline = self._clock.now() + self._route.timeout_s
-        if self._pinned is None:
-            refused = await self._start(statement, deadline)
-            if refused is not None:
-                return refused
-        client, item = self._pinned
-        if not await make_ready(client, item, self._caller.state):
-            return self._lost("set-up failed")
+        refused = await self._reach_member(statement, deadline)
+        if refused is not None:
+            return refused
         outcome = await self._send(statement, deadline)
         if not isinstance(outcome, Reply):
             return self._lost(outcome.reason)
@@ -112,13 +108,10 @@
     async def commit(self, statement: Statement) -> Result:
         """Commit; the transaction is over whatever comes of it."""
         deadline = self._clock.now() + self._route.timeout_s
-        if self._pinned is None:
-            refused = await self._start(statement, deadline)
-            if refused is not None:
-                return refused
-        client, item = self._pinned
-        if not await make_ready(client, item, self._caller.state):
-            return self._lost("set-up failed")
+        refused = await self._reach_member(statement, deadline)
+        if refused is not None:
+            return refused
+        client = self._pinned.client
         sent_at = self._clock.now()
         watch = self._group.writes
         number = watch.start(sent_at)
@@ -158,6 +151,19 @@
             return
         self._give_back(reply)
 
+    async def _reach_member(
+        self, statement: Statement, deadline: float
+    ) -> Result | None:
+        """Begin if need be, and set up; None once a statement can run."""
+        if self._pinned is None:
+            refused = await self._start(statement, deadline)
+            if refused is not None:
+                return refused
+        client, item = self._pinned
+        if not await make_ready(client, item, self._caller.state):
+            return self._lost("set-up failed")
+        return None
+
     # Start -------------------------------------------------------------
 
     async def _start(
