Tell a caller over its rate a wait that holds

Callers came back at once and were refused three times.

Change: the wait is that of the share, or of the overdraft where it is longer. A played load shows it, and failed before (0.0). What is admitted doesn't change.

--- a/redwingpost/rates/tests/test_usage.py
+++ b/redwingpost/rates/tests/test_usage.py
@@ -166,6 +166,23 @@
                 served = len(fleet.admitted)
                 self.assertGreater(served, RULE.rate * 20.0 * 0.9)
 
+    def test_who_is_refused_is_told_a_wait_that_holds(self) -> None:
+        """An organisation sends ten times its rate through six VMs.
+
+        A caller that is told to come back at once is refused again, and
+        its tries add to the flood.
+        """
+        fleet = Fleet(6)
+        fleet.play(20.0, [34.0] * 6, seed=7)
+        ledger = fleet.ledgers[0]
+        while ledger.admit(RULE, 1.0, 20.0):
+            pass
+        wait_s = ledger.wait_s(RULE, 1.0)
+        # A sixth of 20 a second: a token each 0.3 s.
+        self.assertGreater(wait_s, 0.05)
+        self.assertFalse(ledger.admit(RULE, 1.0, 20.0 + wait_s * 0.5))
+        self.assertLess(wait_s, 1.0)
+
     def test_within_the_rate_nobody_is_refused(self) -> None:
         fleet = Fleet(6)
         fleet.play(20.0, [6.0, 4.0, 2.0, 1.0, 0.5, 0.0], seed=3)
--- a/redwingpost/rates/usage.py
+++ b/redwingpost/rates/usage.py
@@ -68,6 +68,11 @@
 OVERDRAFT_PART = 0.04
 
 
+#: Least share of the demand by which a caller's wait is reckoned: a VM
+#: that has just got its first caller would name minutes.
+LEAST_SHARE = 0.01
+
+
 class Usage(NamedTuple):
     """Operations of one organisation at a VM since its start.
 
@@ -187,10 +192,25 @@
         """Say whether there is a token for one operation."""
         if not self.is_over:
             return self.tokens >= 1.0
-        allowed = rule.rate * 5.0 + rule.burst
-        if self.tokens < -OVERDRAFT_PART * allowed:
-            return False
-        return self.share_tokens >= 1.0
+        return self.tokens >= _floor(rule) and self.share_tokens >= 1.0
+
+    def wait_s(self, rule: OrganisationRule, refill: float) -> float:
+        """Return after how long there is one (seconds).
+
+        Over the rate it is the share that lacks a token. By the whole
+        bucket, which may hold some, callers would be told to come back at
+        once, be refused, and press all the more.
+        """
+        if not self.is_over:
+            return max(0.0, 1.0 - self.tokens) / refill
+        share_refill = refill * max(self.demand.share, LEAST_SHARE)
+        share_s = max(0.0, 1.0 - self.share_tokens) / share_refill
+        return max(share_s, (_floor(rule) - self.tokens) / refill)
+
+
+def _floor(rule: OrganisationRule) -> float:
+    """Return how far the whole bucket may be overdrawn (tokens)."""
+    return -OVERDRAFT_PART * (rule.rate * 5.0 + rule.burst)
 
 
 class UsageLedger:
@@ -261,7 +281,7 @@
         refill = rule.rate * part
         if bucket is None or refill <= 0.0:
             return 1.0
-        return round(max(0.0, 1.0 - bucket.tokens) / refill, 3)
+        return round(bucket.wait_s(rule, refill), 3)
 
     def view(self, organisation: str) -> BucketView:
         """Return the inputs of the last decision on an organisation."""
