Take out the registry's word on who led: it lost acknowledged commits

After all VMs had started again, a VM got no connection to the primary, which was full of the connections that the dead had left. One replica had fallen off the list behind a cut. The primary, alive, was the only listed member that didn't answer, claimed to lead, and was replaced; the replica behind the cut came back and confirmed two of its commits.

Cause: "everybody else answers" was asked of the listed members, and a VM that has just started can't know who fell off before; and a member that is full isn't silent.

Change: taken out with its test. Open: the registry's word that a member is gone, on which the plan relies elsewhere, is no proof behind a cut either: a group with two members in one data centre that is cut off.

--- a/redwingpost/groups/directory.py
+++ b/redwingpost/groups/directory.py
@@ -102,13 +102,6 @@
         """Note that the registry is, or was until now, away."""
         self._outage_at = now
 
-    def is_certain(self, now: float) -> bool:
-        """Say whether the registry lists what is listed here.
-
-        Right after an outage, entries are kept that it may have dropped.
-        """
-        return now >= self._outage_at + REAPPEAR_S
-
     def expire(self, now: float) -> None:
         """Drop what did not come back in time, forget what is long gone."""
         for member, leave_at in tuple(self._leaving_at_by_member.items()):
--- a/redwingpost/node/takeover.py
+++ b/redwingpost/node/takeover.py
@@ -21,7 +21,6 @@
     Choice,
     Standing,
     choose,
-    claimed_leader,
     is_complete,
     pause_term,
 )
@@ -156,8 +155,6 @@
             await self._resume(clients, standings)
             return "resumed"
         old = leader or group.evidence.leader
-        if old is None and self._directory.is_certain(self._clock.now()):
-            old = claimed_leader(standings)
         choice = choose(standings, old)
         if choice is None:
             return "no replica answers"
--- a/redwingpost/takeover/plan.py
+++ b/redwingpost/takeover/plan.py
@@ -104,34 +104,6 @@
     return Choice(chosen, others)
 
 
-def claimed_leader(standings: tuple[Standing, ...]) -> str | None:
-    """Return the silent member that leads by its own word in the registry.
-
-    Load pattern: all VMs start again while the primary is cut off with
-    its data centre. Nobody remembers who led, and a silent member that is
-    taken for a replica holds a takeover up until the registry drops it,
-    2 to 3 s later.
-
-    Its word counts only while everybody else answers and none leads. Then
-    no later primary can be at work: it would be among those that answer,
-    or silent as well. Nor can the silent one hold the single copy of a
-    commit of another: it would follow that one and not claim to lead. A
-    claim that it couldn't take back, cut off from the registry, lapses
-    before the entry of whoever came after it.
-
-    Returns
-    -------
-    str or None
-        None where the word of that member doesn't settle it.
-    """
-    silent = [item for item in standings if item.report is None]
-    if len(silent) != 1 or not silent[0].entry.claims_primary:
-        return None
-    if any(item.report and item.report.is_primary for item in standings):
-        return None
-    return silent[0].entry.member
-
-
 def is_complete(
     chosen: Position, others: tuple[Standing, ...], floor: Position
 ) -> bool:
--- a/redwingpost/takeover/tests/test_takeover.py
+++ b/redwingpost/takeover/tests/test_takeover.py
@@ -7,7 +7,6 @@
 from redwingpost.takeover.plan import (
     Standing,
     choose,
-    claimed_leader,
     is_complete,
     pause_term,
 )
@@ -198,30 +197,6 @@
         others = [item.entry.member for item in choice.others]
         self.assertNotIn("old", [choice.chosen.entry.member, *others])
 
-    def test_whose_word_says_that_it_led(self) -> None:
-        """All VMs start again while the primary is cut off.
-
-        Nobody remembers who led. If the silent member counted as a
-        replica that must be paused, callers would wait for a primary
-        until the registry has dropped it.
-        """
-        claims = {"claims_primary": True}
-        led = _standing("p", None, **claims)
-        silent = _standing("q", None)
-        well = _standing("a", 5)
-        leading = well._replace(report=well.report._replace(is_primary=True))
-        cases = (
-            ("it claims to lead", (led, well), "p"),
-            ("it claims nothing", (silent, well), None),
-            ("another is silent too", (led, silent, well), None),
-            ("another leads", (led, leading), None),
-            ("it answers", (_standing("p", 5, **claims), well), None),
-            ("two claim to lead", (led, led, well), None),
-        )
-        for name, standings, expected in cases:
-            with self.subTest(name):
-                self.assertEqual(expected, claimed_leader(standings))
-
     def test_when_the_chosen_log_is_complete(self) -> None:
         """An acknowledged commit may be on one replica alone.
 
