Never send a read's rival once the caller has its answer

A read's rival waited for a connection; the first answer came, the caller went on and set a value, and half a second later the rival got its connection and ran with that.

Change: a rival that has its connection after the race is over gives it back unsent.

--- a/redwingpost/node/attempt.py
+++ b/redwingpost/node/attempt.py
@@ -1,5 +1,6 @@
 """One statement on one member: claim, set up, run, give back."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from redwingpost.core.positions import Position
@@ -47,6 +48,7 @@
     after: Position | None,
     until: float,
     clock: Clock,
+    is_wanted: Callable[[], bool] = lambda: True,
 ) -> Outcome:
     """Run a statement that stands alone on a pooled connection.
 
@@ -64,6 +66,9 @@
         When to give up waiting for a connection (seconds).
     clock : Clock
         For the measured time.
+    is_wanted : callable, optional
+        Says, once there is a connection, whether to send the statement
+        at all.
     """
     shape = caller.state.shape_of(statement.name)
     # Kept here: an attempt that lost a race ends while the session runs
@@ -74,6 +79,11 @@
         item = await claim(client, caller, shape, until, clock)
         if isinstance(item, NotSent):
             return item
+        if not is_wanted():
+            # The session may be at its next statement by now, and have
+            # set other values: this one would run with those.
+            client.release(item)
+            return NotSent("another answer came first")
         started_at = clock.now()
         try:
             outcome = await run_on(client, item, statement, after, shape)
--- a/redwingpost/node/reads.py
+++ b/redwingpost/node/reads.py
@@ -60,6 +60,12 @@
 Result = Answer | MemberFailure | Refusal
 
 
+class Race:
+    """Attempts at one read; over once the caller has its answer."""
+
+    is_over = False
+
+
 class ReadRunner:
     """Runs reads of one node."""
 
@@ -131,15 +137,29 @@
         """Try members in turn; a late one gets a rival.
 
         Returns the first success, else the last failure. An attempt that
-        lost is left to finish: cutting it off would cost the member a
-        slot all the same and this VM the connection.
+        lost after it was sent is left to finish: cutting it off would cost
+        the member a slot all the same and this VM the connection. One that
+        still waits for a connection is never sent.
         """
+        race = Race()
+        try:
+            return await self._run_race(race, read, clients, after)
+        finally:
+            race.is_over = True
+
+    async def _run_race(
+        self,
+        race: Race,
+        read: ReadRequest,
+        clients: list[MemberClient],
+        after: Position | None,
+    ) -> Outcome:
         waiting = list(clients)
         running: set[Task] = set()
         last: Outcome = NotSent("no member to ask")
         while waiting or running:
             if not running:
-                running.add(self._start(read, waiting.pop(0), after))
+                running.add(self._start(race, read, waiting.pop(0), after))
             patience = self._patience(read, clients, bool(waiting))
             if patience <= 0.0:
                 last = NoAnswer("no answer in time")
@@ -153,19 +173,27 @@
                     self._leave(running)
                     return last
             if not done and waiting and self._budget.spend():
-                running.add(self._start(read, waiting.pop(0), after))
+                running.add(self._start(race, read, waiting.pop(0), after))
             elif not done:
                 waiting.clear()
         self._leave(running)
         return last
 
     def _start(
-        self, read: ReadRequest, client: MemberClient, after: Position | None
+        self,
+        race: Race,
+        read: ReadRequest,
+        client: MemberClient,
+        after: Position | None,
     ) -> Task:
-        return create_task(self._attempt(read, client, after))
+        return create_task(self._attempt(race, read, client, after))
 
     async def _attempt(
-        self, read: ReadRequest, client: MemberClient, after: Position | None
+        self,
+        race: Race,
+        read: ReadRequest,
+        client: MemberClient,
+        after: Position | None,
     ) -> Outcome:
         attempt = run_alone(
             client,
@@ -174,6 +202,7 @@
             after,
             read.deadline,
             self._clock,
+            lambda: not race.is_over,
         )
         try:
             outcome = await wait_for(attempt, max(self._left_s(read), 0.01))
