A primary first seen with commits of its own: its successor needs one

A primary crashed, one replica was deaf, the other was promoted and took a commit before anybody had asked it. With the crashed one off the list, the deaf one was promoted for "stalled": the floor for successors was unknown, since it was noted only from a primary without any commit of its own.

Change: where a primary is first seen with commits of its own, its successor must hold one of these. Tests of evidence say so; one of them expected no floor there, and now expects the stricter one.

Price: a primary that commits and is gone for good before any replica has received from it has no successor until somebody decides by hand.

--- a/redwingpost/groups/evidence.py
+++ b/redwingpost/groups/evidence.py
@@ -201,12 +201,17 @@
     def _note_prefix(self, report: StatusReport) -> None:
         """Note with which log a primary began, while it is without commit.
 
-        Its first commit has a higher term than all before it.
+        Its first commit has a higher term than all before it. One that was
+        first seen with commits of its own began with a log that nobody
+        here knows: then only a log with one of these commits holds it.
         """
-        has_begun = report.received.term >= report.term
-        if report.is_primary and not has_begun:
-            self._prefix_term = report.term
+        if not report.is_primary or report.term < self._prefix_term:
+            return
+        if report.received.term < report.term:
             self._prefix = report.received
+        elif report.term > self._prefix_term:
+            self._prefix = Position(report.term, 0)
+        self._prefix_term = report.term
 
     def _settle_leader(self) -> None:
         reports = [
--- a/redwingpost/groups/tests/test_evidence.py
+++ b/redwingpost/groups/tests/test_evidence.py
@@ -91,7 +91,7 @@
             ("nothing known", [], ZERO_POSITION),
             ("seen as it began", [began_with], Position(3, 30)),
             ("seen later as well", [began_with, committed], Position(3, 30)),
-            ("seen later only", [committed], ZERO_POSITION),
+            ("seen later only", [committed], Position(4, 0)),
         )
         for name, reports, expected in cases:
             with self.subTest(name):
@@ -102,8 +102,11 @@
 
     def test_a_successor_must_hold_what_was_acknowledged_here(self) -> None:
         self.evidence.note_commit("p", Position(3, 12), 2.0)
-        self.evidence.note_report("q", _report(True, 4, 10), 3.0)
+        began_with = _report(True, 4, 10)._replace(received=Position(3, 10))
+        self.evidence.note_report("q", began_with, 3.0)
         self.assertEqual(Position(3, 12), self.evidence.floor)
+        self.evidence.note_report("r", _report(True, 5, 3), 4.0)
+        self.assertEqual(Position(5, 0), self.evidence.floor)
 
     def test_only_the_leaders_commits_count(self) -> None:
         cases = (
