Simplify what the last read of the change found; behaviour stays

- A VM's turn: the order is turned once, and the place is where the VM stands in it.
- Whether a member may be asked again stood in two questions; one now.
The test of its own silence could never fail there: its data centre has been silent as long.
- One property says whether heartbeats can be sent; the words of primaries take a span with a default in place of a list of spans.
- A line says why a VM that was cut off stays unready without a pause.

--- a/redwingpost/groups/questions.py
+++ b/redwingpost/groups/questions.py
@@ -26,11 +26,6 @@
 ASK_AGAIN_S = 0.4
 
 
-#: Seconds without an answer after which a member of a data centre that
-#: may be lost is asked.
-ASKABLE_S = 0.2
-
-
 class MemberQuiet(NamedTuple):
     """For how long a member has been quiet; all in seconds.
 
@@ -56,11 +51,11 @@
     >>> is_overdue(MemberQuiet(0.5, 9.0, 9.0, waiting_s=0.4))
     True
     """
-    return quiet.waiting_s >= OVERDUE_S and quiet.asked_s >= ASK_AGAIN_S
+    return quiet.waiting_s >= OVERDUE_S and is_askable(quiet)
 
 
 def is_askable(quiet: MemberQuiet) -> bool:
-    """Say whether a member whose data centre may be lost is asked.
+    """Say whether the last question to a member is long enough ago.
 
     Examples
     --------
@@ -69,7 +64,7 @@
     >>> is_askable(MemberQuiet(0.5, 0.1, 9.0, waiting_s=0.0))
     False
     """
-    return quiet.answered_s >= ASKABLE_S and quiet.asked_s >= ASK_AGAIN_S
+    return quiet.asked_s >= ASK_AGAIN_S
 
 
 def is_primary_due(quiet: MemberQuiet, place: int) -> bool:
--- a/redwingpost/membership/hearing.py
+++ b/redwingpost/membership/hearing.py
@@ -226,12 +226,10 @@
         is cut off would delay all others, 0.4 s each.
         """
         ordered = sorted(self.known())
-        offset = (sum(subject.encode()) + ordered.index(self._vm)) % len(
-            ordered
-        )
+        first = -sum(subject.encode()) % len(ordered)
+        in_turn = ordered[first:] + ordered[:first]
+        before = in_turn[: in_turn.index(self._vm)]
         heard = {beacon.vm for beacon in self.heard(now, LATELY_S)}
-        first = (ordered.index(self._vm) - offset) % len(ordered)
-        before = (ordered[first:] + ordered[:first])[:offset]
         return sum(vm in heard for vm in before)
 
     def addresses(self, port: int) -> tuple[VmAddress, ...]:
--- a/redwingpost/membership/readiness.py
+++ b/redwingpost/membership/readiness.py
@@ -94,6 +94,8 @@
         if outlook.groups == 0:
             return False
         if is_cut_off(outlook):
+            # The evidence has its own time. Once it ends, a VM that is
+            # still worse off goes on saying so without a pause.
             self._worse_since = now - WORSE_FOR_S
             return False
         if not is_worse_off(outlook):
--- a/redwingpost/node/leader_view.py
+++ b/redwingpost/node/leader_view.py
@@ -3,7 +3,12 @@
 from collections.abc import Callable
 
 from redwingpost.membership.centres import CentreWatch
-from redwingpost.membership.hearing import LATELY_S, PrimaryWord, VmTable
+from redwingpost.membership.hearing import (
+    HEARD_S,
+    LATELY_S,
+    PrimaryWord,
+    VmTable,
+)
 from redwingpost.node.group import GroupClient
 from redwingpost.node.member import MemberClient
 from redwingpost.takeover.triggers import LeaderView, stuck_at_all_s
@@ -60,12 +65,12 @@
         )
 
     def _words(
-        self, leader: str | None, now: float, *within_s: float
+        self, leader: str | None, now: float, within_s: float = HEARD_S
     ) -> list[PrimaryWord]:
         """Return what the VMs in hearing say of a primary."""
         return [
             beacon.word_by_primary[leader]
-            for beacon in self._vms.heard(now, *within_s)
+            for beacon in self._vms.heard(now, within_s)
             if leader in beacon.word_by_primary
         ]
 
--- a/redwingpost/node/peers.py
+++ b/redwingpost/node/peers.py
@@ -104,8 +104,14 @@
             if not self._vms.is_heard(address.vm, now):
                 self._greet_one(address)
 
+    @property
+    def _can_send(self) -> bool:
+        """Whether the socket is open."""
+        transport = self._transport
+        return transport is not None and not transport.is_closing()
+
     def _greet_one(self, address: VmAddress) -> None:
-        if self._transport is None or self._transport.is_closing():
+        if not self._can_send:
             return
         self._send_to(address, self._describe(False), ())
 
@@ -122,7 +128,7 @@
         )
 
     def _send(self, everything: bool, may_be_brief: bool) -> None:
-        if self._transport is None or self._transport.is_closing():
+        if not self._can_send:
             return
         usages = self._ledger.take_report(everything, self._clock.now())
         beacon = self._describe(may_be_brief)
