Promote only where no acknowledged commit can be missing

Cause: a member that the registry had dropped counted as gone. It came back, unpaused, between the order of a promotion and its effect and confirmed commits of the old primary, or lived on behind a cut with the old primary; the new primary lacked those commits. A replica that started again after its pause did the same, and a VM that had just started knew neither who was missing nor what a successor must hold.

Change: a group's roster in the fleet's store names all members whose logs may matter; it costs one VM a read and a write, and a write when a member comes or goes for good. A primary that answers is stopped before the order, and only if a replica could lead then; a silent one may be replaced only if nobody else is silent, and the pauses are confirmed right before the order. The duty's row moves to the table of the rosters, which no VM follows, so that a claim wakes nobody. Nodes before and after this change must not run side by side.

The search has members that are cut off together, primaries out of the conductor's reach and restarts at any step beside what it had, and asks takeover/plan.py itself. Each new guard switched off is caught.

Ruled out: counting a dropped member only where a VM remembers it (a VM that has just started remembers nothing); taking an announced end alone for proof (its log is gone with it, and a deaf replica may be next).

--- a/redwingpost/groups/directory.py
+++ b/redwingpost/groups/directory.py
@@ -42,6 +42,13 @@
     restarted_at: float
 
 
+class Gone(NamedTuple):
+    """A member as it was listed last, and when it went (seconds)."""
+
+    listed: Listed
+    gone_at: float
+
+
 class Directory:
     """The members by name, with their grace after an outage.
 
@@ -61,7 +68,7 @@
 
     def __init__(self) -> None:
         self._listed_by_member: dict[str, Listed] = {}
-        self._gone_at_by_member: dict[str, tuple[float, MemberEntry]] = {}
+        self._gone_by_member: dict[str, Gone] = {}
         self._leaving_at_by_member: dict[str, float] = {}
         self._outage_at = float("-inf")
 
@@ -74,10 +81,13 @@
             restarted_at = known.restarted_at
             if known.entry.started_ms != entry.started_ms:
                 restarted_at = now
+        elif entry.member in self._gone_by_member:
+            # It may have started again while it was off the list.
+            restarted_at = now
         listed = Listed(entry, since, restarted_at)
         self._listed_by_member[entry.member] = listed
         self._leaving_at_by_member.pop(entry.member, None)
-        self._gone_at_by_member.pop(entry.member, None)
+        self._gone_by_member.pop(entry.member, None)
 
     def remove(self, member: str, now: float) -> None:
         """Take in that the registry no longer lists a member."""
@@ -107,9 +117,9 @@
         for member, leave_at in tuple(self._leaving_at_by_member.items()):
             if now >= leave_at:
                 self._drop(member, now)
-        for member, (gone_at, _) in tuple(self._gone_at_by_member.items()):
-            if now - gone_at > REMEMBER_GONE_S:
-                del self._gone_at_by_member[member]
+        for member, gone in tuple(self._gone_by_member.items()):
+            if now - gone.gone_at > REMEMBER_GONE_S:
+                del self._gone_by_member[member]
 
     def get(self, member: str) -> Listed | None:
         """Return a listed member."""
@@ -126,11 +136,21 @@
     def lately_gone(self, group: str) -> tuple[MemberEntry, ...]:
         """Return a group's members that have gone a short while ago."""
         return tuple(
-            entry
-            for _, entry in self._gone_at_by_member.values()
-            if entry.group == group
+            gone.listed.entry
+            for gone in self._gone_by_member.values()
+            if gone.listed.entry.group == group
         )
 
+    def announced_s(self, member: str) -> float | None:
+        """Return for how long a member had announced its end as it went.
+
+        None where it hadn't, or where this VM doesn't know the member.
+        """
+        gone = self._gone_by_member.get(member)
+        if gone is None or gone.listed.draining_since is None:
+            return None
+        return gone.gone_at - gone.listed.draining_since
+
     def groups(self) -> frozenset[str]:
         """Return the groups that have members."""
         return frozenset(
@@ -148,4 +168,4 @@
     def _drop(self, member: str, now: float) -> None:
         listed = self._listed_by_member.pop(member)
         self._leaving_at_by_member.pop(member, None)
-        self._gone_at_by_member[member] = (now, listed.entry)
+        self._gone_by_member[member] = Gone(listed, now)
--- a/redwingpost/node/admission.py
+++ b/redwingpost/node/admission.py
@@ -76,9 +76,12 @@
             if not route.is_public:
                 return Refusal(Code.WRONG_KEY)
             organisation = _NO_LIMIT
-        group = self.rules.groups_by_name.get(route.group)
-        sync_replicas = group.sync_replicas if group is not None else 0
-        return Admitted(route, organisation, sync_replicas)
+        return Admitted(route, organisation, self.sync_replicas(route.group))
+
+    def sync_replicas(self, group: str) -> int:
+        """Return how many replicas hold a commit before it is acknowledged."""
+        rule = self.rules.groups_by_name.get(group)
+        return 0 if rule is None else rule.sync_replicas
 
     def give_back(self, organisation: OrganisationRule) -> None:
         """Undo ``spend`` for an operation that reached no member."""
--- a/redwingpost/node/duty.py
+++ b/redwingpost/node/duty.py
@@ -1,15 +1,20 @@
 """Take the duty of ordering promotions, at the fleet's store."""
 
 from asyncio import wait_for
+from typing import NamedTuple
 
 from redwingpost.core.codes import Code
 from redwingpost.leases.duty import DUTY_MS, DutyRow, HeldDuty, claim
 from redwingpost.leases.lease import holder_valid_until
-from redwingpost.node.fleet import FLEET_TABLE
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.fleet_store import FleetStore, Snapshot
-from redwingpost.ports.platform import Condition, Write
+from redwingpost.ports.platform import Condition, Row, Write
+
+#: Rows of what concerns the groups: who may order promotions, and which
+#: members they have had. No VM follows this table, so that none is woken
+#: by a claim of the duty.
+GROUP_TABLE = "redwing-groups"
 
 DUTY_KEY = "duty/promotions"
 
@@ -21,6 +26,13 @@
 DUTY_CALL_S = 0.7
 
 
+class Taken(NamedTuple):
+    """The duty, and the table's rows as they were when it was taken."""
+
+    duty: HeldDuty
+    rows: tuple[Row, ...]
+
+
 class DutyKeeper:
     """Claims the duty for one VM."""
 
@@ -29,7 +41,7 @@
         self._vm = vm
         self._clock = clock
 
-    async def take(self) -> HeldDuty | None:
+    async def take(self) -> Taken | None:
         """Take or extend the duty; None where another VM holds it."""
         asked_at = self._clock.now()
         got = await self._read()
@@ -46,10 +58,10 @@
             return None
         log_event("duty-taken", fence=wanted.fence)
         until = holder_valid_until(asked_at, DUTY_MS / 1000.0)
-        return HeldDuty(wanted.fence, until)
+        return Taken(HeldDuty(wanted.fence, until), got.rows)
 
     async def _read(self) -> Snapshot | None:
-        reading = self._store.snapshot(FLEET_TABLE)
+        reading = self._store.snapshot(GROUP_TABLE)
         try:
             got = await wait_for(reading, DUTY_CALL_S)
         except TimeoutError:
@@ -62,8 +74,8 @@
 
     async def _write(self, wanted: DutyRow, version: int) -> bool:
         claiming = self._store.transact(
-            (Condition(FLEET_TABLE, DUTY_KEY, version),),
-            (Write(FLEET_TABLE, DUTY_KEY, wanted.to_value()),),
+            (Condition(GROUP_TABLE, DUTY_KEY, version),),
+            (Write(GROUP_TABLE, DUTY_KEY, wanted.to_value()),),
         )
         try:
             done = await wait_for(claiming, DUTY_CALL_S)
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -12,6 +12,7 @@
 from redwingpost.membership.hearing import VmAddress, VmTable
 from redwingpost.membership.readiness import Readiness
 from redwingpost.node.admission import Admission
+from redwingpost.node.conductor import Outside as TakeoverOutside
 from redwingpost.node.copies import COPY_PATH, Copies
 from redwingpost.node.copy_fetcher import CopyFetcher
 from redwingpost.node.duty import DutyKeeper
@@ -23,6 +24,7 @@
 from redwingpost.node.peers import PeerBeacons
 from redwingpost.node.reads import ReadRunner
 from redwingpost.node.registry import MemberReader, RulesReader
+from redwingpost.node.rosters import RosterKeeper
 from redwingpost.node.session import NodeSession, Services
 from redwingpost.node.start_gate import StartGate
 from redwingpost.node.steps import repeat
@@ -230,21 +232,32 @@
         self._admission.on_admitted = self._beacons.report_if_due
         self._takeovers = TakeoverKeeper(
             self.group_by_name,
-            self.directory,
-            outside.links,
-            outside.orders,
             DutyKeeper(outside.store, settings.vm, self._clock),
+            self._admission,
             self._vms,
-            LeaderViews(
-                self._vms,
-                self._centres,
-                lambda: self._member_watcher.is_lost,
-            ),
-            settings.vm,
+            LeaderViews(self._vms, self._centres, self._is_registry_lost),
             self.metrics,
+            TakeoverOutside(
+                self.directory,
+                outside.links,
+                outside.orders,
+                self._clock,
+                settings.vm,
+            ),
+        )
+        self._rosters = RosterKeeper(
+            outside.store,
+            self.group_by_name,
+            self.directory,
+            self._vms,
+            self._is_registry_lost,
+            settings.drain_s,
             self._clock,
         )
 
+    def _is_registry_lost(self) -> bool:
+        return self._member_watcher.is_lost
+
     def _make_pages(self) -> None:
         settings = self.settings
         self._ready_pages = PageServer(
@@ -272,6 +285,7 @@
             self._entry,
             self._beacons,
             self._takeovers,
+            self._rosters,
         ]
 
     # Steps -------------------------------------------------------------
--- /dev/null
+++ b/redwingpost/node/tests/test_rosters.py
@@ -0,0 +1,160 @@
+"""The rosters in the fleet's store, as members come and go."""
+
+from unittest import IsolatedAsyncioTestCase
+
+from expression import Ok, Result
+
+from redwingpost.core.positions import Position
+from redwingpost.core.requests import Refusal
+from redwingpost.groups.directory import Directory
+from redwingpost.groups.evidence import GroupEvidence
+from redwingpost.membership.hearing import VmTable
+from redwingpost.node.rosters import RosterKeeper, decode_rosters
+from redwingpost.ports.clock import VirtualClock
+from redwingpost.ports.database import MemberEntry, StatusReport
+from redwingpost.ports.fleet_store import Snapshot
+from redwingpost.ports.platform import Row, TransactResult
+
+_DRAIN_S = 7.0
+
+
+class FakeStore:
+    """Rows under conditions."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.version = 0
+        self.calls = 0
+
+    async def snapshot(self, table: str) -> Result[Snapshot, Refusal]:
+        """Return all rows."""
+        self.calls += 1
+        return Ok(Snapshot(tuple(self.rows.values()), self.version, 0))
+
+    async def transact(
+        self, conditions, writes
+    ) -> Result[TransactResult, Refusal]:
+        """Apply the writes if all conditions hold."""
+        self.calls += 1
+        for item in conditions:
+            row = self.rows.get(item.key)
+            if item.version != (row.version if row else 0):
+                return Ok(TransactResult(False, (), ()))
+        self.version += 1
+        for item in writes:
+            row = Row(item.table, item.key, self.version, item.value)
+            self.rows[item.key] = row
+        return Ok(TransactResult(True, (self.version,), ()))
+
+    def members(self) -> list[str]:
+        """Return who is on the only group's roster."""
+        stored = decode_rosters(tuple(self.rows.values()))
+        return sorted(stored["g"].roster.member_by_name)
+
+
+class FakeGroup:
+    """A group whose members report what they are given."""
+
+    name = "g"
+
+    def __init__(self, clock: VirtualClock) -> None:
+        self.evidence = GroupEvidence()
+        self.member_by_name: dict[str, None] = {}
+        self.index_by_member: dict[str, int] = {}
+        self._clock = clock
+
+    async def fresh_round(self) -> None:
+        """Take in everybody's report; the first member leads."""
+        leader = min(self.member_by_name)
+        for member in self.member_by_name:
+            head = Position(1, self.index_by_member[member])
+            report = StatusReport(member == leader, 1, head, 0, 0, 0, 0)
+            self.evidence.note_report(member, report, self._clock.now())
+
+
+class RosterKeeperTest(IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = VirtualClock(100.0)
+        self.directory = Directory()
+        self.store = FakeStore()
+        self.group = FakeGroup(self.clock)
+        self.keeper = self._keeper()
+
+    def _keeper(self) -> RosterKeeper:
+        return RosterKeeper(
+            self.store,
+            {"g": self.group},
+            self.directory,
+            VmTable("vm-1", 0.0),
+            lambda: False,
+            _DRAIN_S,
+            self.clock,
+        )
+
+    def _list(self, *members: str, draining: str = "") -> None:
+        now = self.clock.now()
+        entries = tuple(
+            MemberEntry(m, "g", "ip", ord(m), "a", m == draining, m == "a")
+            for m in members
+        )
+        self.directory.replace(entries, now)
+        self.group.member_by_name = dict.fromkeys(members)
+        for member in members:
+            self.group.index_by_member.setdefault(member, 7)
+
+    async def _look(self, times: int = 1) -> None:
+        for _ in range(times):
+            self.clock.advance(1.0)
+            await self.keeper.look()
+
+    async def test_a_calm_group_costs_two_calls(self) -> None:
+        self._list("a", "b", "c")
+        await self._look(times=20)
+        self.assertEqual(["a", "b", "c"], self.store.members())
+        self.assertEqual(2, self.store.calls)
+
+    async def test_a_dropped_member_stays(self) -> None:
+        """A member crashes, or is cut off, and the registry drops it.
+
+        It may hold the only other copy of a commit. A VM that starts now
+        finds it on the roster.
+        """
+        self._list("a", "b", "c")
+        await self._look()
+        self._list("a", "b")
+        await self._look(times=10)
+        self.keeper = self._keeper()
+        await self._look(times=10)
+        self.assertEqual(["a", "b", "c"], self.store.members())
+
+    async def test_a_member_that_ended_is_forgotten(self) -> None:
+        """A member announces its end and goes, and another is deaf.
+
+        Until the deaf one has caught up, the one that went may have been
+        the only other to have a commit.
+        """
+        self._list("a", "b", "c")
+        await self._look()
+        self._list("a", "b", "c", draining="c")
+        self.clock.advance(_DRAIN_S + 1.0)
+        self._list("a", "b")
+        self.group.index_by_member["a"] = 9
+        await self._look(times=5)
+        self.assertEqual(["a", "b", "c"], self.store.members())
+        self.group.index_by_member["b"] = 9
+        await self._look(times=2)
+        self.assertEqual(["a", "b"], self.store.members())
+
+    async def test_two_vms_write_at_once(self) -> None:
+        """Another VM has written meanwhile; nothing of it may be undone."""
+        self._list("a", "b", "c")
+        await self._look()
+        first = self.keeper
+        self.keeper = self._keeper()
+        self._list("a", "b", "d")
+        await self._look()
+        self.keeper = first
+        self._list("a", "b", "e")
+        await self._look(times=2)
+        expected = ["a", "b", "c", "d", "e"]
+        self.assertEqual(expected, self.store.members())
--- a/redwingpost/standin/lines/group.py
+++ b/redwingpost/standin/lines/group.py
@@ -94,6 +94,7 @@
             member: LineMember(member, member == members[0])
             for member in members
         }
+        self.last_primary = self.member_by_name[members[0]]
         self.acknowledged: list[LogEntry] = []
         self.lost: list[LogEntry] = []
         self._changed = Event()
@@ -122,6 +123,7 @@
             return
         chosen.term = 1 + max(m.term for m in self.member_by_name.values())
         chosen.is_primary = True
+        self.last_primary = chosen
         chosen.paused_for = 0
         chosen.applied = len(chosen.log)
         held = {entry.position for entry in chosen.log}
--- a/redwingpost/standin/lines/site.py
+++ b/redwingpost/standin/lines/site.py
@@ -79,8 +79,8 @@
         return self.server_by_member[member].member
 
     def primary_of(self, group: str) -> str:
-        """Return the name of the newest primary."""
-        return self.group_by_name[group].newest_primary().name
+        """Return the newest primary; the last one while none leads."""
+        return self.group_by_name[group].last_primary.name
 
     async def _start_group(self, name: str) -> None:
         members = tuple(f"{name}-m{number}" for number in (1, 2, 3))
--- a/redwingpost/takeover/plan.py
+++ b/redwingpost/takeover/plan.py
@@ -1,30 +1,27 @@
-"""The order of a takeover: whom to pause, whom to choose, when it is safe.
-
-A commit is acknowledged once one replica has received it. Two things
-must hold. The chosen replica must have all that was acknowledged; and
-from the moment it leads, the old primary must not be able to acknowledge
-anything, although it may not know yet.
-
-Both follow from pausing. A paused replica receives nothing, so once all
-replicas but the chosen one are paused, only the chosen one can confirm a
-commit: whatever is acknowledged from then on it holds, and if it is not
-behind any paused one it holds what was acknowledged before. When it
-leads, the old primary has nobody left to confirm its commits.
-
-A planned change leaves the chosen replica receiving, so the old primary
-serves on until the new one leads. Where the primary is lost all replicas
-are paused first, since which of them is ahead can then no longer change.
-
-Each replica must be paused or known to be gone. One that only this VM
-can't reach may hold the single copy of an acknowledged commit, and may
-vouch for the old primary to others.
-
-One that is gone may have held it as well. A primary crashes for good
-while one replica receives nothing; the other, which leads now, holds the
-single copy of what was acknowledged before, and commits nothing, for want
-of a replica that receives. To the rules above the deaf replica is then
-complete: nobody else is left to compare it with. So the chosen log must
-also hold what the present primary began with (``floor``).
+"""The order of a takeover: whom to stop, whom to choose, when it is safe.
+
+A commit is acknowledged once a replica has received it. Two things must
+hold. The chosen log
+must have all that was acknowledged; and from the moment the promotion is
+ordered, the old primary must not be able to acknowledge anything more,
+although it may not know yet.
+
+An old primary that answers is stopped first. From then on it acknowledges
+nothing, and its own log has everything it ever did: a replica that holds
+that log may lead, whoever else is silent. One that is behind may lead only
+if every other member answered after the stop and none is ahead.
+
+An old primary that is silent may live, behind a cut. Then nobody else may
+be silent, and all that answer are paused: each commit that it ever
+acknowledged is in the log of one of them, and none confirms another.
+
+Silent members count as long as their logs may matter: also those that the
+registry no longer lists (``redwingpost.takeover.roster``). Two members
+behind one cut would otherwise go on acknowledging while the third leads;
+a crashed one that comes back between order and effect would confirm
+commits that the new primary lacks.
+
+``docs/design/takeover.md`` has the whole table.
 """
 
 from typing import NamedTuple
@@ -32,6 +29,11 @@
 from redwingpost.core.positions import ZERO_POSITION, Position
 from redwingpost.ports.database import MemberEntry, StatusReport
 
+#: Members that may be silent where no primary was stopped: the primary
+#: itself. A second one may hold the other copy of a commit, confirm more
+#: of them, and vouch to readers for a primary that was replaced.
+MAX_SILENT = 1
+
 
 class Standing(NamedTuple):
     """A member and its report; None where it didn't answer."""
@@ -44,6 +46,35 @@
         """Return the head of the member's log, as far as known."""
         return ZERO_POSITION if self.report is None else self.report.received
 
+    @property
+    def is_silent(self) -> bool:
+        """Return whether the member didn't answer."""
+        return self.report is None
+
+
+class Survey(NamedTuple):
+    """What is known of a group's members right before an order.
+
+    ``standings`` has every member whose log may matter, silent ones too.
+    ``stopped`` names an old primary that has said that it leads no more;
+    the other answers came after that. ``paused_for`` is the term for which
+    members were paused, ``sync_replicas`` how many replicas must receive a
+    commit before it is acknowledged. ``floor`` is what the chosen log must
+    hold in any case (``redwingpost.groups.evidence.GroupEvidence.floor``).
+    """
+
+    standings: tuple[Standing, ...]
+    stopped: str | None
+    paused_for: int
+    sync_replicas: int
+    floor: Position
+
+    def others(self, member: str) -> tuple[Standing, ...]:
+        """Return the standings of all members but one."""
+        return tuple(
+            item for item in self.standings if item.entry.member != member
+        )
+
 
 class Choice(NamedTuple):
     """The replica to promote, and those to pause before."""
@@ -70,38 +101,45 @@
     return max(known, default=0) + 1
 
 
-def choose(
+def candidates(
     standings: tuple[Standing, ...], leader: str | None
-) -> Choice | None:
-    """Choose the replica that is furthest ahead.
-
-    A member that is about to stop is chosen only where no other has as
-    much: it would have to be replaced again.
+) -> tuple[Standing, ...]:
+    """Return the replicas that may be promoted, the best first.
 
-    Returns
-    -------
-    Choice or None
-        None where no replica answers.
+    A member that is about to stop comes after those that stay: it would
+    have to be replaced again. It is there all the same, since it may be
+    the only one with everything that was acknowledged.
     """
     replicas = [
         item
         for item in standings
-        if item.entry.member != leader and item.report is not None
+        if item.entry.member != leader and not item.is_silent
         # A primary that was replaced and doesn't know yet; what it holds
-        # counts below all the same.
+        # counts all the same.
         and not item.report.is_primary
     ]
-    if not replicas:
+    replicas.sort(key=lambda s: (s.received, s.entry.member), reverse=True)
+    return tuple(sorted(replicas, key=lambda s: s.entry.is_draining))
+
+
+def choose(
+    standings: tuple[Standing, ...], leader: str | None
+) -> Choice | None:
+    """Choose the replica that is furthest ahead, of those that stay.
+
+    Returns
+    -------
+    Choice or None
+        None where no replica answers.
+    """
+    best = candidates(standings, leader)
+    if not best:
         return None
-    staying = [item for item in replicas if not item.entry.is_draining]
-    pool = staying or replicas
-    chosen = max(pool, key=lambda s: (s.received, s.entry.member))
+    chosen = best[0].entry.member
     others = tuple(
-        item
-        for item in standings
-        if item.entry.member not in (leader, chosen.entry.member)
+        item for item in standings if item.entry.member not in (leader, chosen)
     )
-    return Choice(chosen, others)
+    return Choice(best[0], others)
 
 
 def is_complete(
@@ -128,3 +166,88 @@
         and item.received <= chosen
         for item in others
     )
+
+
+def may_promote(chosen: Standing, survey: Survey) -> bool:
+    """Say whether a promotion may be ordered without losing a commit.
+
+    Parameters
+    ----------
+    chosen : Standing
+        The member that is to lead.
+    survey : Survey
+        What is known of the group.
+
+    Examples
+    --------
+    >>> def standing(name, index):
+    ...     entry = MemberEntry(name, "g", "ip", 1, "z", False, False)
+    ...     head = Position(1, index)
+    ...     return Standing(entry, StatusReport(False, 1, head, 2, 0, 0, 0))
+    >>> old = standing("old", 0)._replace(report=None)
+    >>> both = (standing("a", 7), standing("b", 5))
+    >>> may_promote(both[0], Survey((old, *both), None, 2, 1, ZERO_POSITION))
+    True
+    >>> lost = both[1]._replace(report=None)
+    >>> known = (old, both[0], lost)
+    >>> may_promote(both[0], Survey(known, None, 2, 1, ZERO_POSITION))
+    False
+    """
+    others = survey.others(chosen.entry.member)
+    if survey.stopped is not None:
+        return _may_follow_stopped(chosen, survey, others)
+    answering = tuple(item for item in others if not item.is_silent)
+    if len(others) - len(answering) > MAX_SILENT:
+        return False
+    if not _are_paused((chosen, *answering), survey.paused_for):
+        return False
+    return is_complete(chosen.received, answering, survey.floor)
+
+
+def _may_follow_stopped(
+    chosen: Standing, survey: Survey, others: tuple[Standing, ...]
+) -> bool:
+    """Say whether a member may lead after a primary that was stopped."""
+    stopped = tuple(
+        item for item in others if item.entry.member == survey.stopped
+    )
+    if is_complete(chosen.received, stopped, survey.floor):
+        return True
+    if survey.sync_replicas == 0:
+        return False
+    # What the stopped log has beyond the chosen one was acknowledged only
+    # if another member has it too.
+    rest = tuple(item for item in others if item not in stopped)
+    return is_complete(chosen.received, rest, survey.floor)
+
+
+def _are_paused(answering: tuple[Standing, ...], term: int) -> bool:
+    """Say whether members still heed a pause.
+
+    One that has started again since it was paused has forgotten that, and
+    would confirm commits to an old primary that only this VM can't reach.
+    Its answer shows it.
+    """
+    return all(item.report.paused_for >= term for item in answering)
+
+
+def is_worth_stopping(chosen: Standing, survey: Survey, old: str) -> bool:
+    """Say whether a stop of the old primary would let a replica lead.
+
+    A primary that is stopped in vain leaves the group without one until
+    the next try.
+    """
+    standings = tuple(
+        _as_stopped(item) if item.entry.member == old else item
+        for item in survey.standings
+    )
+    return may_promote(
+        chosen, survey._replace(standings=standings, stopped=old)
+    )
+
+
+def _as_stopped(standing: Standing) -> Standing:
+    if standing.report is None:
+        return standing
+    report = standing.report._replace(is_primary=False)
+    return standing._replace(report=report)
--- a/redwingpost/verify/tests/test_takeover.py
+++ b/redwingpost/verify/tests/test_takeover.py
@@ -77,6 +77,28 @@
         print(f"searched {found.states} states, not all: with a restart")
         self.assertEqual("", found.violation, found.trace)
 
+    def test_nothing_is_lost_whatever_else_happens(self) -> None:
+        """Members are cut off together, start again, or are out of reach.
+
+        Two behind one cut go on acknowledging. A replica that starts again
+        has forgotten its pause. A VM that has just started knows nothing
+        of what went before. A caller would miss a write that was kept.
+        """
+        cases = (
+            ("two behind a cut", {"may_cut": True}),
+            ("a restart at any step", {"restarts": 1}),
+            (
+                "a restart, and a primary out of reach",
+                {"restarts": 1, "may_hide": True},
+            ),
+        )
+        for name, moves in cases:
+            with self.subTest(name):
+                model = TakeoverModel(TakeoverRules(), **moves)
+                found = search(first_state(), model.steps, _wrong_log, _LIMIT)
+                print(f"searched {found.states} states, not all: {name}")
+                self.assertEqual("", found.violation, found.trace)
+
     def test_each_guard_is_needed(self) -> None:
         cases = (
             ("pauses_others", 0),
@@ -98,3 +120,18 @@
         model = TakeoverModel(rules, may_go=True)
         found = search(first_state(), model.steps, _wrong_log)
         self.assertTrue(found.violation)
+
+    def test_each_guard_against_silent_members_is_needed(self) -> None:
+        returns = {"may_go": True, "may_return": True}
+        out_of_reach = {"restarts": 1, "may_hide": True}
+        cases = (
+            ("counts_dropped", {"may_cut": True}),
+            ("counts_dropped", returns),
+            ("stops_first", {"restarts": 1}),
+            ("asks_again", out_of_reach),
+        )
+        for guard, moves in cases:
+            with self.subTest(guard, **moves):
+                model = TakeoverModel(TakeoverRules(**{guard: False}), **moves)
+                found = search(first_state(), model.steps, _wrong_log)
+                self.assertTrue(found.violation)
