--- a/redwingpost/membership/centres.py
+++ b/redwingpost/membership/centres.py
@@ -27,7 +27,7 @@
 ALIVE_S = 0.4
 
 
-class MemberSign(NamedTuple):
+class MemberHealth(NamedTuple):
     """What one member's answers say; times are seconds.
 
     ``answered_s`` since its last answer, ``awaited_s`` for how long
@@ -55,8 +55,8 @@
     Examples
     --------
     >>> watch = CentreWatch("a")
-    >>> near = MemberSign("a", 0.1, 0.0)
-    >>> far = MemberSign("b", 0.7, 0.5)
+    >>> near = MemberHealth("a", 0.1, 0.0)
+    >>> far = MemberHealth("b", 0.7, 0.5)
     >>> watch.take((near, far, far))
     >>> watch.lost_s("b"), watch.lost_s("a")
     (0.7, 0.0)
@@ -66,17 +66,17 @@
         self._own = own
         self._centre_by_name: dict[str, _Centre] = {}
 
-    def take(self, signs: tuple[MemberSign, ...]) -> None:
-        """Take in the signs of all members."""
-        signs_by_centre: dict[str, list[MemberSign]] = {}
-        for sign in signs:
-            signs_by_centre.setdefault(sign.data_centre, []).append(sign)
+    def take(self, members: tuple[MemberHealth, ...]) -> None:
+        """Take in what all members answer."""
+        members_by_centre: dict[str, list[MemberHealth]] = {}
+        for member in members:
+            members_by_centre.setdefault(member.data_centre, []).append(member)
         self._centre_by_name = {
             name: _Centre(
-                min(sign.answered_s for sign in found),
-                sum(sign.awaited_s >= AWAITED_S for sign in found),
+                min(member.answered_s for member in found),
+                sum(member.awaited_s >= AWAITED_S for member in found),
             )
-            for name, found in signs_by_centre.items()
+            for name, found in members_by_centre.items()
         }
 
     def is_suspect(self, centre: str) -> bool:
--- a/redwingpost/membership/hearing.py
+++ b/redwingpost/membership/hearing.py
@@ -17,7 +17,7 @@
 #: datagrams in a row.
 HEARD_S = 0.85
 
-#: Seconds without a heartbeat after which a VM's last word may be from
+#: Seconds without a heartbeat after which a VM's last report may be from
 #: before whatever happens just now: two lost datagrams in a row.
 LATELY_S = 0.6
 
@@ -37,7 +37,7 @@
     port: int
 
 
-class PrimaryWord(NamedTuple):
+class PrimaryHealth(NamedTuple):
     """How a primary does by one VM's experience (milliseconds).
 
     ``silent_ms`` since its last answer, ``stuck_ms`` since the first
@@ -64,7 +64,7 @@
     """A sample of a group's log as another VM took it.
 
     ``member`` is the primary it was taken at, one of those that the
-    heartbeat has a word of, ``age_ms`` its age as the heartbeat left, at
+    heartbeat has the health of, ``age_ms`` its age as the heartbeat left, at
     least 1.
     """
 
@@ -73,11 +73,11 @@
     age_ms: int
 
 
-class Beacon(NamedTuple):
+class Heartbeat(NamedTuple):
     """What a heartbeat says besides usage.
 
     ``clock_ms`` is the sender's steady clock, ``echo`` the reader's as
-    the sender last heard it. A brief one leaves the words of primaries
+    the sender last heard it. A brief one leaves the health of primaries
     out, because nothing is wrong with any.
     """
 
@@ -85,7 +85,7 @@
     boot: int
     ip: str
     config_version: int
-    word_by_primary: dict[str, PrimaryWord]
+    health_by_primary: dict[str, PrimaryHealth]
     clock_ms: int
     echo: Echo | None
     samples: tuple[SharedSample, ...]
@@ -107,7 +107,7 @@
 class Hearing(NamedTuple):
     """The last heartbeat of a VM and when it came (seconds)."""
 
-    beacon: Beacon
+    heartbeat: Heartbeat
     heard_at: float
 
 
@@ -120,7 +120,7 @@
     >>> table.set_listed((VmAddress("a", "ip1", 1), VmAddress("b", "ip2", 1)))
     >>> table.part(now=1.0)
     0.5
-    >>> table.note(Beacon("b", 1, "ip2", 7, {}, 5, None, ()), now=1.0)
+    >>> table.note(Heartbeat("b", 1, "ip2", 7, {}, 5, None, ()), now=1.0)
     >>> table.part(now=1.1)
     1.0
     """
@@ -137,15 +137,15 @@
         self._listed_by_vm = {address.vm: address for address in addresses}
         self._has_list = True
 
-    def note(self, beacon: Beacon, now: float) -> None:
+    def note(self, heartbeat: Heartbeat, now: float) -> None:
         """Take in a heartbeat."""
-        if beacon.vm == self._vm:
+        if heartbeat.vm == self._vm:
             return
-        known = self._hearing_by_vm.get(beacon.vm)
-        if beacon.is_brief and known is not None:
-            words = known.beacon.word_by_primary
-            beacon = beacon._replace(word_by_primary=words)
-        self._hearing_by_vm[beacon.vm] = Hearing(beacon, now)
+        known = self._hearing_by_vm.get(heartbeat.vm)
+        if heartbeat.is_brief and known is not None:
+            health = known.heartbeat.health_by_primary
+            heartbeat = heartbeat._replace(health_by_primary=health)
+        self._hearing_by_vm[heartbeat.vm] = Hearing(heartbeat, now)
 
     def echo_for(self, vm: str, now: float) -> Echo | None:
         """Return a VM's clock as last heard from it."""
@@ -153,24 +153,24 @@
         if hearing is None:
             return None
         held_ms = int((now - hearing.heard_at) * 1000)
-        return Echo(hearing.beacon.clock_ms, held_ms)
+        return Echo(hearing.heartbeat.clock_ms, held_ms)
 
     def reached_elsewhere_s(self, member: str, now: float) -> float:
         """Return how long ago another VM had an answer of a primary."""
         ages = [
-            now - hearing.heard_at + word.silent_ms / 1000.0
+            now - hearing.heard_at + health.silent_ms / 1000.0
             for hearing in self._hearing_by_vm.values()
-            for named, word in hearing.beacon.word_by_primary.items()
+            for named, health in hearing.heartbeat.health_by_primary.items()
             if named == member
         ]
         return min(ages, default=float("inf"))
 
     def heard(
         self, now: float, within_s: float = HEARD_S
-    ) -> tuple[Beacon, ...]:
+    ) -> tuple[Heartbeat, ...]:
         """Return the heartbeats that are fresh."""
         return tuple(
-            hearing.beacon
+            hearing.heartbeat
             for hearing in self._hearing_by_vm.values()
             if now - hearing.heard_at <= within_s
         )
@@ -229,13 +229,13 @@
         first = -sum(subject.encode()) % len(ordered)
         in_turn = ordered[first:] + ordered[:first]
         before = in_turn[: in_turn.index(self._vm)]
-        heard = {beacon.vm for beacon in self.heard(now, LATELY_S)}
+        heard = {heartbeat.vm for heartbeat in self.heard(now, LATELY_S)}
         return sum(vm in heard for vm in before)
 
     def addresses(self, port: int) -> tuple[VmAddress, ...]:
         """Return where heartbeats go; heard VMs count besides listed."""
         by_vm = {
-            vm: VmAddress(vm, hearing.beacon.ip, port)
+            vm: VmAddress(vm, hearing.heartbeat.ip, port)
             for vm, hearing in self._hearing_by_vm.items()
         }
         by_vm.update(self._listed_by_vm)
--- a/redwingpost/membership/readiness.py
+++ b/redwingpost/membership/readiness.py
@@ -23,7 +23,7 @@
 CUT_OFF_S = 0.5
 
 
-class Outlook(NamedTuple):
+class ReadinessInputs(NamedTuple):
     """What a VM can do, and whether others can do more.
 
     ``reached`` of ``groups`` primaries have answered lately.
@@ -41,33 +41,33 @@
     hears_half_lately: bool = True
 
 
-def is_cut_off(outlook: Outlook) -> bool:
+def is_cut_off(inputs: ReadinessInputs) -> bool:
     """Say whether nothing outside of the own data centre is reached.
 
     Examples
     --------
-    >>> fine = Outlook(True, False, 3, 3, True, False)
+    >>> fine = ReadinessInputs(True, False, 3, 3, True, False)
     >>> alone = fine._replace(cut_off_s=CUT_OFF_S, hears_half_lately=False)
     >>> is_cut_off(fine), is_cut_off(alone)
     (False, True)
     """
-    return outlook.cut_off_s >= CUT_OFF_S and not outlook.hears_half_lately
+    return inputs.cut_off_s >= CUT_OFF_S and not inputs.hears_half_lately
 
 
-def is_worse_off(outlook: Outlook) -> bool:
+def is_worse_off(inputs: ReadinessInputs) -> bool:
     """Say whether callers would fare better at another VM.
 
     Examples
     --------
-    >>> fine = Outlook(True, False, 3, 3, True, False)
+    >>> fine = ReadinessInputs(True, False, 3, 3, True, False)
     >>> is_worse_off(fine), is_worse_off(fine._replace(reached=0))
     (False, False)
     >>> is_worse_off(fine._replace(reached=0, others_reach_more=True))
     True
     """
-    if 2 * outlook.reached >= outlook.groups:
+    if 2 * inputs.reached >= inputs.groups:
         return False
-    return outlook.others_reach_more or not outlook.hears_half
+    return inputs.others_reach_more or not inputs.hears_half
 
 
 class Readiness:
@@ -76,7 +76,7 @@
     Examples
     --------
     >>> readiness = Readiness()
-    >>> fine = Outlook(True, False, 3, 3, True, False)
+    >>> fine = ReadinessInputs(True, False, 3, 3, True, False)
     >>> readiness.judge(fine, now=0.0)
     True
     >>> cut_off = fine._replace(reached=0, hears_half=False)
@@ -87,18 +87,18 @@
     def __init__(self) -> None:
         self._worse_since: float | None = None
 
-    def judge(self, outlook: Outlook, now: float) -> bool:
+    def judge(self, inputs: ReadinessInputs, now: float) -> bool:
         """Return whether to report ready at ``now`` (seconds)."""
-        if not outlook.has_rules or outlook.is_stopping:
+        if not inputs.has_rules or inputs.is_stopping:
             return False
-        if outlook.groups == 0:
+        if inputs.groups == 0:
             return False
-        if is_cut_off(outlook):
+        if is_cut_off(inputs):
             # The evidence has its own time. Once it ends, a VM that is
             # still worse off goes on saying so without a pause.
             self._worse_since = now - WORSE_FOR_S
             return False
-        if not is_worse_off(outlook):
+        if not is_worse_off(inputs):
             self._worse_since = None
             return True
         if self._worse_since is None:
--- a/redwingpost/membership/tests/test_centres.py
+++ b/redwingpost/membership/tests/test_centres.py
@@ -6,16 +6,16 @@
     ALIVE_S,
     AWAITED_S,
     CentreWatch,
-    MemberSign,
+    MemberHealth,
 )
 
 
-def _watch(**signs_by_centre: list[tuple[float, float]]) -> CentreWatch:
+def _watch(**healths_by_centre: list[tuple[float, float]]) -> CentreWatch:
     watch = CentreWatch("own")
     watch.take(
         tuple(
-            MemberSign(centre, answered_s, awaited_s)
-            for centre, signs in signs_by_centre.items()
+            MemberHealth(centre, answered_s, awaited_s)
+            for centre, signs in healths_by_centre.items()
             for answered_s, awaited_s in signs
         )
     )
--- a/redwingpost/membership/tests/test_hearing.py
+++ b/redwingpost/membership/tests/test_hearing.py
@@ -5,21 +5,21 @@
 from redwingpost.membership.hearing import (
     HEARD_S,
     REMOVE_AFTER_S,
-    Beacon,
+    Heartbeat,
     Echo,
-    PrimaryWord,
+    PrimaryHealth,
     VmAddress,
     VmTable,
 )
 from redwingpost.membership.readiness import (
     WORSE_FOR_S,
-    Outlook,
+    ReadinessInputs,
     Readiness,
 )
 
 
-def _beacon(vm: str, **changes) -> Beacon:
-    return Beacon(vm, 1, "ip", 1, {}, 1000, None, ())._replace(**changes)
+def _heartbeat(vm: str, **changes) -> Heartbeat:
+    return Heartbeat(vm, 1, "ip", 1, {}, 1000, None, ())._replace(**changes)
 
 
 def _table(vms: int = 4) -> VmTable:
@@ -37,7 +37,7 @@
         """
         table = _table()
         for vm in ("vm-1", "vm-2", "vm-3"):
-            table.note(_beacon(vm), now=1.0)
+            table.note(_heartbeat(vm), now=1.0)
         self.assertEqual(1.0, table.part(1.0))
         self.assertEqual(0.25, table.part(1.0 + HEARD_S * 2))
         self.assertFalse(table.hears_half(1.0 + HEARD_S * 2))
@@ -48,13 +48,13 @@
 
     def test_unlisted_vms_count_once_heard(self) -> None:
         table = _table(1)
-        table.note(_beacon("late"), now=1.0)
+        table.note(_heartbeat("late"), now=1.0)
         self.assertEqual(2, table.count())
         self.assertEqual(1.0, table.part(1.0))
 
     def test_silent_vms_are_taken_off_late(self) -> None:
         table = _table(3)
-        table.note(_beacon("vm-1"), now=10.0)
+        table.note(_heartbeat("vm-1"), now=10.0)
         self.assertEqual((), table.silent_vms(REMOVE_AFTER_S - 1.0))
         late = REMOVE_AFTER_S + 5.0
         self.assertEqual(("vm-2",), table.silent_vms(late))
@@ -70,7 +70,7 @@
                         tuple(VmAddress(name, "ip", 1) for name in names)
                     )
                     for other in names:
-                        table.note(_beacon(other), now=0.0)
+                        table.note(_heartbeat(other), now=0.0)
                     places.append(table.place(subject, now=0.1))
                 self.assertEqual([0, 1, 2, 3], sorted(places))
 
@@ -85,8 +85,8 @@
         table.set_listed(tuple(VmAddress(name, "ip", 1) for name in names))
         subjects = [f"g{number}" for number in range(4)]
         for name in names[:3]:
-            table.note(_beacon(name), now=0.0)
-        table.note(_beacon("vm-2"), now=1.0)
+            table.note(_heartbeat(name), now=0.0)
+        table.note(_heartbeat("vm-2"), now=1.0)
         before = {table.place(subject, 0.1) for subject in subjects}
         after = {table.place(subject, 1.0) for subject in subjects}
         self.assertEqual({0, 1, 2, 3}, before)
@@ -98,9 +98,9 @@
         The sample that it brings must count from before it was sent, or
         reads would be taken for fresh that are seconds old.
         """
-        held = _beacon("vm-1", echo=Echo(clock_ms=5000, held_ms=200))
+        held = _heartbeat("vm-1", echo=Echo(clock_ms=5000, held_ms=200))
         self.assertEqual(5.2, held.left_after())
-        self.assertIsNone(_beacon("vm-1").left_after())
+        self.assertIsNone(_heartbeat("vm-1").left_after())
 
     def test_a_brief_heartbeat_takes_no_word_back(self) -> None:
         """Every second heartbeat of a calm VM leaves its primaries out.
@@ -108,20 +108,22 @@
         If they were forgotten with it, a primary would look as if nobody
         but this VM knew it, half of the time.
         """
-        words = {"p": PrimaryWord(300, 0, 0, 0)}
+        health = {"p": PrimaryHealth(300, 0, 0, 0)}
         table = _table()
-        table.note(_beacon("vm-1", word_by_primary=words), now=1.0)
-        table.note(_beacon("vm-1", is_brief=True), now=1.25)
+        table.note(_heartbeat("vm-1", health_by_primary=health), now=1.0)
+        table.note(_heartbeat("vm-1", is_brief=True), now=1.25)
         (heard,) = table.heard(1.3)
-        self.assertEqual(words, heard.word_by_primary)
-        table.note(_beacon("vm-1"), now=1.5)
+        self.assertEqual(health, heard.health_by_primary)
+        table.note(_heartbeat("vm-1"), now=1.5)
         (heard,) = table.heard(1.6)
-        self.assertEqual({}, heard.word_by_primary)
+        self.assertEqual({}, heard.health_by_primary)
 
     def test_reached_elsewhere(self) -> None:
         table = _table()
         table.note(
-            _beacon("vm-1", word_by_primary={"p": PrimaryWord(300, 0, 0, 0)}),
+            _heartbeat(
+                "vm-1", health_by_primary={"p": PrimaryHealth(300, 0, 0, 0)}
+            ),
             now=1.0,
         )
         self.assertEqual(0.8, table.reached_elsewhere_s("p", 1.5))
@@ -135,7 +137,7 @@
         A VM that goes on saying that it is ready keeps them, and serves
         none of them.
         """
-        fine = Outlook(True, False, 3, 3, True, False)
+        fine = ReadinessInputs(True, False, 3, 3, True, False)
         alone = fine._replace(reached=0, hears_half=False)
         cases = (
             ("fine", fine, True),
@@ -161,9 +163,9 @@
                 True,
             ),
         )
-        for name, outlook, expected in cases:
+        for name, inputs, expected in cases:
             with self.subTest(name):
                 readiness = Readiness()
-                readiness.judge(outlook, 0.0)
+                readiness.judge(inputs, 0.0)
                 later = WORSE_FOR_S + 0.1
-                self.assertEqual(expected, readiness.judge(outlook, later))
+                self.assertEqual(expected, readiness.judge(inputs, later))
--- a/redwingpost/node/conductor.py
+++ b/redwingpost/node/conductor.py
@@ -19,7 +19,7 @@
     PromotionOrders,
 )
 from redwingpost.takeover.plan import (
-    Standing,
+    MemberStatus,
     Survey,
     candidates,
     choose,
@@ -102,26 +102,26 @@
 
     async def run(self, reason: Reason) -> str:
         """Replace the primary; return the outcome for the log."""
-        standings = await self._ask_all(self.clients, "status")
-        leader = _leading(standings, self._group.evidence.term)
-        if await self._depose_stale(standings, leader):
-            standings = await self._ask_all(self.clients, "status")
+        statuses = await self._ask_all(self.clients, "status")
+        leader = _leading(statuses, self._group.evidence.term)
+        if await self._depose_stale(statuses, leader):
+            statuses = await self._ask_all(self.clients, "status")
         if reason is Reason.LEFT_PAUSED and leader is not None:
-            await self._resume(standings)
+            await self._resume(statuses)
             return "resumed"
         old = leader or self._group.evidence.leader
-        if choose(standings, old) is None:
+        if choose(statuses, old) is None:
             return "no replica answers"
-        term = pause_term(standings)
+        term = pause_term(statuses)
         if leader is None:
             chosen = await self._pause_all(old, term)
         else:
-            chosen = await self._stop(standings, leader, term, reason)
+            chosen = await self._stop(statuses, leader, term, reason)
         if chosen is None:
-            await self._resume(standings)
+            await self._resume(statuses)
             return "not safe yet"
         if not await self._promote(chosen, term, old):
-            await self._resume(standings)
+            await self._resume(statuses)
             return "not promoted"
         await self._finish(chosen, old)
         return "done"
@@ -141,17 +141,17 @@
 
     async def _ask_all(
         self, clients: dict[str, MemberClient], command: str, *arguments: int
-    ) -> tuple[Standing, ...]:
+    ) -> tuple[MemberStatus, ...]:
         """Ask members; one off the roster counts only if it answers."""
 
-        async def ask(client: MemberClient) -> Standing:
+        async def ask(client: MemberClient) -> MemberStatus:
             report = await client.ask(command, *arguments)
-            return Standing(client.entry, report)
+            return MemberStatus(client.entry, report)
 
-        standings = await gather(*(ask(item) for item in clients.values()))
+        statuses = await gather(*(ask(item) for item in clients.values()))
         return tuple(
             item
-            for item in standings
+            for item in statuses
             if not item.is_silent
             or item.entry.member in self._known.member_by_name
         )
@@ -165,12 +165,12 @@
 
     def _survey(
         self,
-        standings: tuple[Standing, ...],
+        statuses: tuple[MemberStatus, ...],
         term: int,
         stopped: str | None = None,
     ) -> Survey:
         return Survey(
-            standings,
+            statuses,
             stopped,
             term,
             self._sync_replicas,
@@ -178,13 +178,13 @@
         )
 
     async def _depose_stale(
-        self, standings: tuple[Standing, ...], leader: str | None
+        self, statuses: tuple[MemberStatus, ...], leader: str | None
     ) -> bool:
         """Make primaries of earlier terms replicas; True if any was."""
-        newest = _newest_term(standings)
+        newest = _newest_term(statuses)
         stale = {
             item.entry.member: self.clients[item.entry.member]
-            for item in standings
+            for item in statuses
             if not item.is_silent
             and item.report.is_primary
             and item.entry.member != leader
@@ -195,12 +195,14 @@
 
     # A primary that is silent --------------------------------------------
 
-    async def _pause_all(self, old: str | None, term: int) -> Standing | None:
+    async def _pause_all(
+        self, old: str | None, term: int
+    ) -> MemberStatus | None:
         """Pause all that answer, then choose by what they hold."""
         asked = self._but([old])
-        standings = await self._ask_all(asked, "pause", term)
+        statuses = await self._ask_all(asked, "pause", term)
         answering = {
-            item.entry.member for item in standings if not item.is_silent
+            item.entry.member for item in statuses if not item.is_silent
         }
         # Again, without waiting for those that are silent: the order may
         # only come right after the answers that allow it.
@@ -210,48 +212,48 @@
         return self._choose_safely(self._with_silent(paused), term)
 
     def _with_silent(
-        self, answers: tuple[Standing, ...]
-    ) -> tuple[Standing, ...]:
+        self, answers: tuple[MemberStatus, ...]
+    ) -> tuple[MemberStatus, ...]:
         """Add the members on the roster that weren't asked again."""
         asked = {item.entry.member for item in answers}
         silent = tuple(
-            Standing(entry, None)
+            MemberStatus(entry, None)
             for name, entry in self._known.member_by_name.items()
             if name not in asked
         )
         return (*answers, *silent)
 
     def _choose_safely(
-        self, standings: tuple[Standing, ...], term: int
-    ) -> Standing | None:
-        survey = self._survey(standings, term)
-        for item in candidates(standings, None):
+        self, statuses: tuple[MemberStatus, ...], term: int
+    ) -> MemberStatus | None:
+        survey = self._survey(statuses, term)
+        for item in candidates(statuses, None):
             if may_promote(item, survey):
                 return item
-        self._log_unsafe(standings)
+        self._log_unsafe(statuses)
         return None
 
     # A primary that answers ----------------------------------------------
 
     async def _stop(
         self,
-        standings: tuple[Standing, ...],
+        statuses: tuple[MemberStatus, ...],
         leader: str,
         term: int,
         reason: Reason,
-    ) -> Standing | None:
+    ) -> MemberStatus | None:
         """Stop a primary that answers, once a replica can lead.
 
         The chosen one goes on receiving until then, so that the primary
         serves for as long as possible.
         """
-        chosen = choose(standings, leader).chosen.entry
+        chosen = choose(statuses, leader).chosen.entry
         paused = self._but([leader, chosen.member])
         await self._ask_all(paused, "pause", term)
         if not await self._catches_up(chosen, leader, term):
             return None
         old = {leader: self.clients[leader]}
-        newest = _newest_term(standings) + 1
+        newest = _newest_term(statuses) + 1
         stopped = await self._ask_all(old, "step_down", newest)
         log_event(
             "primary-stopped",
@@ -274,21 +276,21 @@
             # The chosen one last: what it hasn't received by then was
             # committed since the primary answered.
             others = await self._ask_all(first, "status")
-            standing = await self._ask_one(chosen.member)
-            survey = self._survey((*others, standing), term)
+            status = await self._ask_one(chosen.member)
+            survey = self._survey((*others, status), term)
             self._silent = frozenset(
                 item.entry.member for item in others if item.is_silent
             )
-            if is_worth_stopping(standing, survey, leader):
+            if is_worth_stopping(status, survey, leader):
                 return True
             if self._clock.now() >= until:
-                self._log_unsafe(survey.standings)
+                self._log_unsafe(survey.statuses)
                 return False
             await sleep(POLL_S)
 
     async def _take_last_commits(
-        self, chosen: MemberEntry, stopped: Standing, term: int
-    ) -> Standing | None:
+        self, chosen: MemberEntry, stopped: MemberStatus, term: int
+    ) -> MemberStatus | None:
         """Return the chosen replica once it holds what was on its way.
 
         If it never does, whoever may lead without a loss is returned, the
@@ -305,7 +307,7 @@
             survey = self._survey(self._with_silent(answers), term, name)
             able = [
                 item
-                for item in candidates(survey.standings, None)
+                for item in candidates(survey.statuses, None)
                 if may_promote(item, survey)
             ]
             is_late = self._clock.now() >= until
@@ -314,18 +316,18 @@
                     self._is_stopped = True
                     return item
             if is_late:
-                self._log_unsafe(survey.standings)
+                self._log_unsafe(survey.statuses)
                 return None
             await sleep(POLL_S)
 
-    async def _ask_one(self, member: str) -> Standing:
+    async def _ask_one(self, member: str) -> MemberStatus:
         client = self.clients[member]
-        return Standing(client.entry, await client.ask("status"))
+        return MemberStatus(client.entry, await client.ask("status"))
 
     # The order -----------------------------------------------------------
 
     async def _promote(
-        self, chosen: Standing, term: int, old: str | None
+        self, chosen: MemberStatus, term: int, old: str | None
     ) -> bool:
         """Order the promotion and wait until it shows."""
         member = chosen.entry.member
@@ -377,51 +379,51 @@
 
     # Afterwards ----------------------------------------------------------
 
-    async def _finish(self, chosen: Standing, old: str | None) -> None:
+    async def _finish(self, chosen: MemberStatus, old: str | None) -> None:
         """Depose the old primary, let replicas receive again."""
         term = self._group.evidence.term
         others = self._but([chosen.entry.member])
         replaced = {name: others[name] for name in others if name == old}
         await self._ask_all(replaced, "step_down", term)
-        standings = await self._ask_all(others, "status")
+        statuses = await self._ask_all(others, "status")
         await self._resume(
             tuple(
                 item
-                for item in standings
+                for item in statuses
                 if not item.is_silent and item.report.paused_for > term
             )
         )
         await self._group.fresh_round()
 
-    async def _resume(self, standings: tuple[Standing, ...]) -> None:
+    async def _resume(self, statuses: tuple[MemberStatus, ...]) -> None:
         targets = {
             item.entry.member: self.clients[item.entry.member]
-            for item in standings
+            for item in statuses
             if item.is_silent or not item.report.is_primary
         }
         await self._ask_all(targets, "resume")
 
-    def _log_unsafe(self, standings: tuple[Standing, ...]) -> None:
+    def _log_unsafe(self, statuses: tuple[MemberStatus, ...]) -> None:
         log_event(
             "takeover-unsafe",
             group=self._group.name,
-            members=[_brief(item) for item in standings],
+            members=[_brief(item) for item in statuses],
             floor=str(self._group.evidence.floor),
         )
 
 
-def _newest_term(standings: tuple[Standing, ...]) -> int:
+def _newest_term(statuses: tuple[MemberStatus, ...]) -> int:
     return max(
-        (item.report.term for item in standings if not item.is_silent),
+        (item.report.term for item in statuses if not item.is_silent),
         default=0,
     )
 
 
-def _leading(standings: tuple[Standing, ...], term: int) -> str | None:
+def _leading(statuses: tuple[MemberStatus, ...], term: int) -> str | None:
     """Return the member that answers as primary of the newest term."""
     claims = [
         (item.report.term, item.entry.member)
-        for item in standings
+        for item in statuses
         if not item.is_silent and item.report.is_primary
     ]
     if not claims or max(claims)[0] < term:
@@ -429,12 +431,12 @@
     return max(claims)[1]
 
 
-def _brief(standing: Standing) -> str:
+def _brief(status: MemberStatus) -> str:
     """Return a member's answer in a few words, for the log."""
-    report = standing.report
+    report = status.report
     if report is None:
-        return f"{standing.entry.member} silent"
+        return f"{status.entry.member} silent"
     role = "leads" if report.is_primary else "follows"
     head = f"{report.received.term}.{report.received.index}"
     paused = f" paused for {report.paused_for}" if report.paused_for else ""
-    return f"{standing.entry.member} {role} {report.term} at {head}{paused}"
+    return f"{status.entry.member} {role} {report.term} at {head}{paused}"
--- a/redwingpost/node/copy_fetcher.py
+++ b/redwingpost/node/copy_fetcher.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from redwingpost.membership.hearing import Beacon, VmTable
+from redwingpost.membership.hearing import Heartbeat, VmTable
 from redwingpost.node.admission import Admission
 from redwingpost.node.copies import fetch_copy
 from redwingpost.node.registry import MemberReader, RulesReader
@@ -66,13 +66,13 @@
             self._behind_since = now
             await self._fetch(newest)
 
-    async def _fetch(self, beacon: Beacon) -> None:
-        got = await fetch_copy(beacon.ip, self._port)
+    async def _fetch(self, heartbeat: Heartbeat) -> None:
+        got = await fetch_copy(heartbeat.ip, self._port)
         if got.is_error():
-            log_event("copy-failed", vm=beacon.vm, detail=got.error.detail)
+            log_event("copy-failed", vm=heartbeat.vm, detail=got.error.detail)
             return
         if got.ok.configuration is not None:
-            log_event("copy-taken", vm=beacon.vm)
+            log_event("copy-taken", vm=heartbeat.vm)
             self._rules.take(got.ok.configuration)
         if not self._has_members():
             self._members.on_rows(got.ok.members)
--- a/redwingpost/node/word.py
+++ b/redwingpost/node/heartbeat_writer.py
@@ -2,20 +2,20 @@
 
 from redwingpost.groups.directory import Directory
 from redwingpost.membership.hearing import (
-    Beacon,
-    PrimaryWord,
+    Heartbeat,
+    PrimaryHealth,
     SharedSample,
 )
 from redwingpost.node.admission import Admission
 from redwingpost.node.group import GroupClient
-from redwingpost.node.peers import new_boot
+from redwingpost.node.heartbeats import new_boot
 from redwingpost.ports.clock import Clock
 
 #: Seconds for which a sample is worth sending to others.
 _SHARE_S = 2.0
 
 
-class BeaconWriter:
+class HeartbeatWriter:
     """Describes this VM, and spreads samples among its groups."""
 
     def __init__(
@@ -35,22 +35,22 @@
         self._admission = admission
         self._clock = clock
 
-    def describe(self, may_be_brief: bool) -> Beacon:
+    def describe(self, may_be_brief: bool) -> Heartbeat:
         """Return this VM's heartbeat.
 
         Parameters
         ----------
         may_be_brief : bool
-            Leave the words of primaries out if nothing is wrong.
+            Leave the health of primaries out if nothing is wrong.
         """
         now = self._clock.now()
         is_brief = may_be_brief and not self._is_anything_wrong()
-        return Beacon(
+        return Heartbeat(
             self._vm,
             self._boot,
             self._ip,
             self._admission.rules.version,
-            {} if is_brief else self._words(now),
+            {} if is_brief else self._health(now),
             int(now * 1000),
             None,
             () if is_brief else self._shared_samples(now),
@@ -60,25 +60,25 @@
     def _is_anything_wrong(self) -> bool:
         return any(group.is_alert() for group in self._group_by_name.values())
 
-    def _words(self, now: float) -> dict[str, PrimaryWord]:
-        word_by_primary = {}
+    def _health(self, now: float) -> dict[str, PrimaryHealth]:
+        health_by_primary = {}
         for group in self._group_by_name.values():
             leader = group.member_by_name.get(group.evidence.leader or "")
             if leader is not None:
-                word_by_primary[leader.entry.member] = PrimaryWord(
+                health_by_primary[leader.entry.member] = PrimaryHealth(
                     _to_ms(leader.silent_s),
                     _to_ms(group.writes.stuck_s(now)),
                     _to_ms(group.writes.kept_s(now)),
                     _to_ms(leader.failing_s),
                 )
-        return word_by_primary
+        return health_by_primary
 
-    def take_samples(self, beacon: Beacon) -> None:
+    def take_samples(self, heartbeat: Heartbeat) -> None:
         """Give another VM's samples to the groups they belong to."""
-        left_at = beacon.left_after()
+        left_at = heartbeat.left_after()
         if left_at is None:
             return
-        for sample in beacon.samples:
+        for sample in heartbeat.samples:
             listed = self._directory.get(sample.member)
             if listed is None:
                 continue
--- a/redwingpost/node/peers.py
+++ b/redwingpost/node/heartbeats.py
@@ -9,7 +9,7 @@
 
 from redwingpost.membership.hearing import (
     BEAT_S,
-    Beacon,
+    Heartbeat,
     VmAddress,
     VmTable,
 )
@@ -17,20 +17,20 @@
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
 from redwingpost.rates.usage import Usage, UsageLedger
-from redwingpost.wire.beacon import pack_beacon, unpack_beacon
+from redwingpost.wire.heartbeat import pack_heartbeat, unpack_heartbeat
 
 #: Heartbeats after which all counters are sent rather than those that
 #: changed: a VM that came late, or lost datagrams, is complete again
 #: within this many.
 FULL_EVERY = 10
 
-#: Heartbeats after which the words of primaries are sent although nothing
+#: Heartbeats after which the health of primaries is sent although nothing
 #: is wrong with any: they are three quarters of a heartbeat, and samples,
 #: which travel with them, serve for a second and more.
-WORDS_EVERY = 2
+HEALTH_EVERY = 2
 
 
-class PeerBeacons(Service):
+class Heartbeats(Service):
     """Sends and takes in heartbeats.
 
     Parameters
@@ -47,7 +47,7 @@
         Where heartbeats arrive; the port is the same at all VMs.
     seeds : tuple of str
         Addresses to try while no list could be read.
-    on_beacon : callable
+    on_heartbeat : callable
         Gets each heartbeat.
     """
 
@@ -55,12 +55,12 @@
         self,
         vms: VmTable,
         ledger: UsageLedger,
-        describe: Callable[[bool], Beacon],
+        describe: Callable[[bool], Heartbeat],
         clock: Clock,
         ip: str,
         port: int,
         seeds: tuple[str, ...],
-        on_beacon: Callable[[Beacon], None],
+        on_heartbeat: Callable[[Heartbeat], None],
         **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
@@ -71,7 +71,7 @@
         self._ip = ip
         self._port = port
         self._seeds = seeds
-        self._on_beacon = on_beacon
+        self._on_heartbeat = on_heartbeat
         self._transport: DatagramTransport | None = None
         self._beats = 0
 
@@ -124,22 +124,25 @@
         self._beats += 1
         self._send(
             everything=beats % FULL_EVERY == 0,
-            may_be_brief=beats % WORDS_EVERY != 0,
+            may_be_brief=beats % HEALTH_EVERY != 0,
         )
 
     def _send(self, everything: bool, may_be_brief: bool) -> None:
         if not self._can_send:
             return
         usages = self._ledger.take_report(everything, self._clock.now())
-        beacon = self._describe(may_be_brief)
+        heartbeat = self._describe(may_be_brief)
         for address in self._targets():
-            self._send_to(address, beacon, usages)
+            self._send_to(address, heartbeat, usages)
 
     def _send_to(
-        self, address: VmAddress, beacon: Beacon, usages: tuple[Usage, ...]
+        self,
+        address: VmAddress,
+        heartbeat: Heartbeat,
+        usages: tuple[Usage, ...],
     ) -> None:
         echo = self._vms.echo_for(address.vm, self._clock.now())
-        datagram = pack_beacon(beacon._replace(echo=echo), usages)
+        datagram = pack_heartbeat(heartbeat._replace(echo=echo), usages)
         self._transport.sendto(datagram, (address.ip, self._port))
 
     def _targets(self) -> tuple[VmAddress, ...]:
@@ -153,18 +156,18 @@
         )
 
     def _take_in(self, datagram: bytes, ip: str) -> None:
-        unpacked = unpack_beacon(datagram, ip)
+        unpacked = unpack_heartbeat(datagram, ip)
         if unpacked is None:
-            log_event("beacon-unreadable", size=len(datagram))
+            log_event("heartbeat-unreadable", size=len(datagram))
             return
-        beacon, usages = unpacked
+        heartbeat, usages = unpacked
         now = self._clock.now()
-        is_new = not self._vms.is_heard(beacon.vm, now)
-        self._vms.note(beacon, now)
+        is_new = not self._vms.is_heard(heartbeat.vm, now)
+        self._vms.note(heartbeat, now)
         if is_new:
-            self._greet_one(VmAddress(beacon.vm, ip, self._port))
-        self._on_beacon(beacon)
-        self._ledger.note_peer(beacon.vm, beacon.boot, usages, now)
+            self._greet_one(VmAddress(heartbeat.vm, ip, self._port))
+        self._on_heartbeat(heartbeat)
+        self._ledger.note_peer(heartbeat.vm, heartbeat.boot, usages, now)
 
 
 class _Receiver(DatagramProtocol):
@@ -175,7 +178,7 @@
         self._take_in(data, addr[0])
 
     def error_received(self, exc: Exception) -> None:
-        log_event("beacon-unsent", reason=type(exc).__name__)
+        log_event("heartbeat-unsent", reason=type(exc).__name__)
 
 
 def new_boot() -> int:
--- a/redwingpost/node/leader_view.py
+++ b/redwingpost/node/leader_view.py
@@ -6,7 +6,7 @@
 from redwingpost.membership.hearing import (
     HEARD_S,
     LATELY_S,
-    PrimaryWord,
+    PrimaryHealth,
     VmTable,
 )
 from redwingpost.node.group import GroupClient
@@ -41,37 +41,37 @@
         """Return what is seen of a group's primary at ``now`` (seconds)."""
         leader = group.evidence.leader
         client = group.member_by_name.get(leader or "")
-        words = self._words(leader, now)
-        latest = self._words(leader, now, LATELY_S)
+        reports = self._reports(leader, now)
+        latest = self._reports(leader, now, LATELY_S)
         return LeaderView(
             leader=leader,
             is_listed=client is not None,
             is_draining=client is not None and client.entry.is_draining,
             silent_s=float("inf") if client is None else client.failing_s,
-            others_silent_s=tuple(w.silent_ms / 1000.0 for w in words),
-            others_failing_s=tuple(w.failing_ms / 1000.0 for w in words),
+            others_silent_s=tuple(r.silent_ms / 1000.0 for r in reports),
+            others_failing_s=tuple(r.failing_ms / 1000.0 for r in reports),
             hears_half=self._vms.hears_half(now),
             stalled_s=group.stalled_s,
             stuck_s=stuck_at_all_s(
-                group.writes.stuck_s(now), group.writes.kept_s(now), words
+                group.writes.stuck_s(now), group.writes.kept_s(now), reports
             ),
             leaderless_s=_since(group.leaderless_since, now),
             is_off_list=self._is_off_list(group),
             replicas_answering=_answering(group, leader),
             paused_s=_since(group.paused_since, now),
             centre_lost_s=self._centre_lost_s(client),
-            latest_silent_s=tuple(w.silent_ms / 1000.0 for w in latest),
+            latest_silent_s=tuple(r.silent_ms / 1000.0 for r in latest),
             hears_half_lately=self._vms.hears_half(now, LATELY_S),
         )
 
-    def _words(
+    def _reports(
         self, leader: str | None, now: float, within_s: float = HEARD_S
-    ) -> list[PrimaryWord]:
+    ) -> list[PrimaryHealth]:
         """Return what the VMs in hearing say of a primary."""
         return [
-            beacon.word_by_primary[leader]
-            for beacon in self._vms.heard(now, within_s)
-            if leader in beacon.word_by_primary
+            heartbeat.health_by_primary[leader]
+            for heartbeat in self._vms.heard(now, within_s)
+            if leader in heartbeat.health_by_primary
         ]
 
     def _centre_lost_s(self, client: MemberClient | None) -> float:
--- a/redwingpost/node/member.py
+++ b/redwingpost/node/member.py
@@ -12,7 +12,7 @@
 
 from redwingpost.core.statements import Shape
 from redwingpost.groups.latency import LatencyTracker
-from redwingpost.membership.centres import MemberSign
+from redwingpost.membership.centres import MemberHealth
 from redwingpost.observability.journal import log_event
 from redwingpost.pools.pool import (
     Busy,
@@ -139,9 +139,9 @@
             asked_s = self._clock.now() - self.asked_at
         return max(self.waiting_s, asked_s, self.failing_s)
 
-    def sign(self) -> MemberSign:
+    def health(self) -> MemberHealth:
         """Return what the member's answers say of its data centre."""
-        return MemberSign(
+        return MemberHealth(
             self.entry.data_centre, self.silent_s, self.awaited_s
         )
 
--- a/redwingpost/node/outlook.py
+++ b/redwingpost/node/readiness_inputs.py
@@ -1,8 +1,8 @@
 """What this VM can do for callers, and whether others can do more."""
 
 from redwingpost.membership.centres import CentreWatch
-from redwingpost.membership.hearing import LATELY_S, Beacon, VmTable
-from redwingpost.membership.readiness import Outlook
+from redwingpost.membership.hearing import LATELY_S, Heartbeat, VmTable
+from redwingpost.membership.readiness import ReadinessInputs
 from redwingpost.node.admission import Admission
 from redwingpost.node.group import GroupClient
 
@@ -11,7 +11,7 @@
 _REACHED_MS = 1500
 
 
-class OutlookView:
+class ReadinessView:
     """Describes the VM to the judgement of its readiness."""
 
     def __init__(
@@ -26,28 +26,28 @@
         self._vms = vms
         self._centres = centres
 
-    def describe(self, is_stopping: bool, now: float) -> Outlook:
-        """Return the outlook at ``now`` (seconds)."""
+    def describe(self, is_stopping: bool, now: float) -> ReadinessInputs:
+        """Return the inputs at ``now`` (seconds)."""
         groups = self._group_by_name.values()
         reached = sum(group.is_useful() for group in groups)
-        return Outlook(
+        return ReadinessInputs(
             has_rules=self._admission.has_rules,
             is_stopping=is_stopping,
             groups=len(groups),
             reached=reached,
             hears_half=self._vms.hears_half(now),
             others_reach_more=any(
-                _reached_by(beacon) > reached
-                for beacon in self._vms.heard(now)
+                _reached_by(heartbeat) > reached
+                for heartbeat in self._vms.heard(now)
             ),
             cut_off_s=self._centres.cut_off_s(),
             hears_half_lately=self._vms.hears_half(now, LATELY_S),
         )
 
 
-def _reached_by(beacon: Beacon) -> int:
-    """Return how many primaries another VM reaches, by its own word."""
+def _reached_by(heartbeat: Heartbeat) -> int:
+    """Return how many primaries another VM reaches, as it says itself."""
     return sum(
-        word.failing_ms < _REACHED_MS and word.stuck_ms < _REACHED_MS
-        for word in beacon.word_by_primary.values()
+        health.failing_ms < _REACHED_MS and health.stuck_ms < _REACHED_MS
+        for health in heartbeat.health_by_primary.values()
     )
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -20,8 +20,8 @@
 from redwingpost.node.group import GroupClient
 from redwingpost.node.leader_view import LeaderViews
 from redwingpost.node.metrics import NodeMetrics
-from redwingpost.node.outlook import OutlookView
-from redwingpost.node.peers import PeerBeacons
+from redwingpost.node.readiness_inputs import ReadinessView
+from redwingpost.node.heartbeats import Heartbeats
 from redwingpost.node.reads import ReadRunner
 from redwingpost.node.registry import MemberReader, RulesReader
 from redwingpost.node.rosters import RosterKeeper
@@ -30,7 +30,7 @@
 from redwingpost.node.steps import repeat
 from redwingpost.node.takeover import TakeoverKeeper
 from redwingpost.node.watcher import TableWatcher
-from redwingpost.node.word import BeaconWriter
+from redwingpost.node.heartbeat_writer import HeartbeatWriter
 from redwingpost.node.writes import WriteRunner
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
@@ -128,7 +128,7 @@
             self.metrics,
             clock,
         )
-        self._outlook = OutlookView(
+        self._readiness_view = ReadinessView(
             self._admission,
             self.group_by_name,
             self._vms,
@@ -192,7 +192,7 @@
         self._fleet_watcher = TableWatcher(
             outside.store,
             FLEET_TABLE,
-            FleetReader(self._vms, lambda: self._beacons.greet()),
+            FleetReader(self._vms, lambda: self._heartbeats.greet()),
             self._clock,
             self._try_takeovers,
         )
@@ -203,7 +203,7 @@
     def _make_fleet_parts(self) -> None:
         settings = self.settings
         outside = self._outside
-        self._word = BeaconWriter(
+        self._word = HeartbeatWriter(
             settings.vm,
             settings.ip,
             self.group_by_name,
@@ -211,7 +211,7 @@
             self._admission,
             self._clock,
         )
-        address = VmAddress(settings.vm, settings.ip, settings.beacon_port)
+        address = VmAddress(settings.vm, settings.ip, settings.heartbeat_port)
         self._entry = FleetEntry(
             outside.store,
             self._vms,
@@ -219,17 +219,17 @@
             self._clock,
             self._ledger.forget_peer,
         )
-        self._beacons = PeerBeacons(
+        self._heartbeats = Heartbeats(
             self._vms,
             self._ledger,
             self._word.describe,
             self._clock,
             settings.ip,
-            settings.beacon_port,
+            settings.heartbeat_port,
             settings.peer_ips,
             self._word.take_samples,
         )
-        self._admission.on_admitted = self._beacons.report_if_due
+        self._admission.on_admitted = self._heartbeats.report_if_due
         self._takeovers = TakeoverKeeper(
             self.group_by_name,
             DutyKeeper(outside.store, settings.vm, self._clock),
@@ -283,7 +283,7 @@
             self._member_watcher,
             self._fleet_watcher,
             self._entry,
-            self._beacons,
+            self._heartbeats,
             self._takeovers,
             self._rosters,
         ]
@@ -302,7 +302,7 @@
         groups = tuple(self.group_by_name.values())
         self._centres.take(
             tuple(
-                client.sign()
+                client.health()
                 for group in groups
                 for client in group.member_by_name.values()
             )
@@ -355,11 +355,11 @@
 
     def _judge_readiness(self) -> None:
         now = self._clock.now()
-        outlook = self._outlook.describe(self.is_stopping, now)
-        is_ready = self._readiness.judge(outlook, now)
+        inputs = self._readiness_view.describe(self.is_stopping, now)
+        is_ready = self._readiness.judge(inputs, now)
         if is_ready != self.is_ready:
             self.is_ready = is_ready
-            log_event("readiness", ready=is_ready, **outlook._asdict())
+            log_event("readiness", ready=is_ready, **inputs._asdict())
             self._unready_since = None if is_ready else now
         self._send_callers_elsewhere(now)
 
--- a/redwingpost/node/settings.py
+++ b/redwingpost/node/settings.py
@@ -23,7 +23,7 @@
     ip: str
     callers: Endpoint
     readiness: Endpoint
-    beacon_port: int
+    heartbeat_port: int
     metrics_port: int
     store: Endpoint
     orders: Endpoint
--- a/redwingpost/node/tests/test_peers.py
+++ b/redwingpost/node/tests/test_heartbeats.py
@@ -4,8 +4,8 @@
 from socket import AF_INET, SOCK_DGRAM, socket
 from unittest import IsolatedAsyncioTestCase
 
-from redwingpost.membership.hearing import Beacon, VmAddress, VmTable
-from redwingpost.node.peers import PeerBeacons
+from redwingpost.membership.hearing import Heartbeat, VmAddress, VmTable
+from redwingpost.node.heartbeats import Heartbeats
 from redwingpost.ports.clock import MonotonicClock
 from redwingpost.rates.usage import UsageLedger
 
@@ -21,7 +21,7 @@
         return probe.getsockname()[1]
 
 
-class QuietBeacons(PeerBeacons):
+class QuietHeartbeats(Heartbeats):
     """Sends what is asked for, and no heartbeat by itself."""
 
     async def _send_beat(self) -> None:
@@ -29,21 +29,21 @@
 
 
 class GreetingTest(IsolatedAsyncioTestCase):
-    def _make(self, number: int, port: int) -> tuple[VmTable, PeerBeacons]:
+    def _make(self, number: int, port: int) -> tuple[VmTable, Heartbeats]:
         clock = MonotonicClock()
         vm, ip = f"vm-{number}", _IPS[number]
         vms = VmTable(vm, clock.now())
-        beacons = QuietBeacons(
+        heartbeats = QuietHeartbeats(
             vms,
             UsageLedger(clock.now()),
-            lambda may_be_brief: Beacon(vm, 1, ip, 1, {}, 1, None, ()),
+            lambda may_be_brief: Heartbeat(vm, 1, ip, 1, {}, 1, None, ()),
             clock,
             ip,
             port,
             (),
-            lambda beacon: None,
+            lambda heartbeat: None,
         )
-        return vms, beacons
+        return vms, heartbeats
 
     async def test_vms_that_start_hear_each_other_at_once(self) -> None:
         """A fleet starts again, and a VM reads the list of the others.
@@ -54,10 +54,10 @@
         port = _free_port()
         tables = []
         for number in range(2):
-            vms, beacons = self._make(number, port)
-            await beacons.start()
-            self.addAsyncCleanup(beacons.stop)
-            tables.append((vms, beacons))
+            vms, heartbeats = self._make(number, port)
+            await heartbeats.start()
+            self.addAsyncCleanup(heartbeats.stop)
+            tables.append((vms, heartbeats))
         first, greeter = tables[0]
         first.set_listed((VmAddress("vm-1", _IPS[1], port),))
         greeter.greet()
--- a/redwingpost/platform/settings.py
+++ b/redwingpost/platform/settings.py
@@ -48,7 +48,7 @@
         ip=_need(value, "ip", str),
         callers=_endpoint(value, "listen", "front"),
         readiness=_endpoint(value, "listen", "ready"),
-        beacon_port=ports[0],
+        heartbeat_port=ports[0],
         metrics_port=ports[1],
         store=_endpoint(value, "platform", "address"),
         orders=_endpoint(value, "cloudApi", "address"),
--- a/redwingpost/takeover/plan.py
+++ b/redwingpost/takeover/plan.py
@@ -1,10 +1,9 @@
 """The order of a takeover: whom to stop, whom to choose, when it is safe.
 
 A commit is acknowledged once a replica has received it. Two things must
-hold. The chosen log
-must have all that was acknowledged; and from the moment the promotion is
-ordered, the old primary must not be able to acknowledge anything more,
-although it may not know yet.
+hold. The chosen log must have all that was acknowledged; and from the
+moment the promotion is ordered, the old primary must not be able to
+acknowledge anything more, although it may not know yet.
 
 An old primary that answers is stopped first. From then on it acknowledges
 nothing, and its own log has everything it ever did: a replica that holds
@@ -35,7 +34,7 @@
 MAX_SILENT = 1
 
 
-class Standing(NamedTuple):
+class MemberStatus(NamedTuple):
     """A member and its report; None where it didn't answer."""
 
     entry: MemberEntry
@@ -55,7 +54,7 @@
 class Survey(NamedTuple):
     """What is known of a group's members right before an order.
 
-    ``standings`` has every member whose log may matter, silent ones too.
+    ``statuses`` has every member whose log may matter, silent ones too.
     ``stopped`` names an old primary that has said that it leads no more;
     the other answers came after that. ``paused_for`` is the term for which
     members were paused, ``sync_replicas`` how many replicas must receive a
@@ -63,47 +62,47 @@
     hold in any case (``redwingpost.groups.evidence.GroupEvidence.floor``).
     """
 
-    standings: tuple[Standing, ...]
+    statuses: tuple[MemberStatus, ...]
     stopped: str | None
     paused_for: int
     sync_replicas: int
     floor: Position
 
-    def others(self, member: str) -> tuple[Standing, ...]:
-        """Return the standings of all members but one."""
+    def others(self, member: str) -> tuple[MemberStatus, ...]:
+        """Return the statuses of all members but one."""
         return tuple(
-            item for item in self.standings if item.entry.member != member
+            item for item in self.statuses if item.entry.member != member
         )
 
 
 class Choice(NamedTuple):
     """The replica to promote, and those to pause before."""
 
-    chosen: Standing
-    others: tuple[Standing, ...]
+    chosen: MemberStatus
+    others: tuple[MemberStatus, ...]
 
 
-def pause_term(standings: tuple[Standing, ...]) -> int:
+def pause_term(statuses: tuple[MemberStatus, ...]) -> int:
     """Return the term to pause for: above all that is known.
 
     Examples
     --------
     >>> entry = MemberEntry("a", "g", "ip", 1, "z", False, False)
     >>> report = StatusReport(False, 3, Position(3, 1), 5, 0, 0, 0)
-    >>> pause_term((Standing(entry, report),))
+    >>> pause_term((MemberStatus(entry, report),))
     6
     """
     known = [
         max(item.report.term, item.report.paused_for)
-        for item in standings
+        for item in statuses
         if item.report is not None
     ]
     return max(known, default=0) + 1
 
 
 def candidates(
-    standings: tuple[Standing, ...], leader: str | None
-) -> tuple[Standing, ...]:
+    statuses: tuple[MemberStatus, ...], leader: str | None
+) -> tuple[MemberStatus, ...]:
     """Return the replicas that may be promoted, the best first.
 
     A member that is about to stop comes after those that stay: it would
@@ -112,7 +111,7 @@
     """
     replicas = [
         item
-        for item in standings
+        for item in statuses
         if item.entry.member != leader and not item.is_silent
         # A primary that was replaced and doesn't know yet; what it holds
         # counts all the same.
@@ -123,7 +122,7 @@
 
 
 def choose(
-    standings: tuple[Standing, ...], leader: str | None
+    statuses: tuple[MemberStatus, ...], leader: str | None
 ) -> Choice | None:
     """Choose the replica that is furthest ahead, of those that stay.
 
@@ -132,18 +131,18 @@
     Choice or None
         None where no replica answers.
     """
-    best = candidates(standings, leader)
+    best = candidates(statuses, leader)
     if not best:
         return None
     chosen = best[0].entry.member
     others = tuple(
-        item for item in standings if item.entry.member not in (leader, chosen)
+        item for item in statuses if item.entry.member not in (leader, chosen)
     )
     return Choice(best[0], others)
 
 
 def is_complete(
-    chosen: Position, others: tuple[Standing, ...], floor: Position
+    chosen: Position, others: tuple[MemberStatus, ...], floor: Position
 ) -> bool:
     """Say whether the chosen log holds all that was acknowledged.
 
@@ -151,7 +150,7 @@
     ----------
     chosen : Position
         What the chosen replica has received by now.
-    others : tuple of Standing
+    others : tuple of MemberStatus
         The other replicas as they reported when paused; each must have
         answered, since one that is unreachable may be ahead. One that
         still takes itself for the primary can't be paused: it would step
@@ -168,24 +167,25 @@
     )
 
 
-def may_promote(chosen: Standing, survey: Survey) -> bool:
+def may_promote(chosen: MemberStatus, survey: Survey) -> bool:
     """Say whether a promotion may be ordered without losing a commit.
 
     Parameters
     ----------
-    chosen : Standing
+    chosen : MemberStatus
         The member that is to lead.
     survey : Survey
         What is known of the group.
 
     Examples
     --------
-    >>> def standing(name, index):
+    >>> def status(name, index):
     ...     entry = MemberEntry(name, "g", "ip", 1, "z", False, False)
     ...     head = Position(1, index)
-    ...     return Standing(entry, StatusReport(False, 1, head, 2, 0, 0, 0))
-    >>> old = standing("old", 0)._replace(report=None)
-    >>> both = (standing("a", 7), standing("b", 5))
+    ...     report = StatusReport(False, 1, head, 2, 0, 0, 0)
+    ...     return MemberStatus(entry, report)
+    >>> old = status("old", 0)._replace(report=None)
+    >>> both = (status("a", 7), status("b", 5))
     >>> may_promote(both[0], Survey((old, *both), None, 2, 1, ZERO_POSITION))
     True
     >>> lost = both[1]._replace(report=None)
@@ -205,7 +205,7 @@
 
 
 def _may_follow_stopped(
-    chosen: Standing, survey: Survey, others: tuple[Standing, ...]
+    chosen: MemberStatus, survey: Survey, others: tuple[MemberStatus, ...]
 ) -> bool:
     """Say whether a member may lead after a primary that was stopped."""
     stopped = tuple(
@@ -221,7 +221,7 @@
     return is_complete(chosen.received, rest, survey.floor)
 
 
-def _are_paused(answering: tuple[Standing, ...], term: int) -> bool:
+def _are_paused(answering: tuple[MemberStatus, ...], term: int) -> bool:
     """Say whether members still heed a pause.
 
     One that has started again since it was paused has forgotten that, and
@@ -231,23 +231,21 @@
     return all(item.report.paused_for >= term for item in answering)
 
 
-def is_worth_stopping(chosen: Standing, survey: Survey, old: str) -> bool:
+def is_worth_stopping(chosen: MemberStatus, survey: Survey, old: str) -> bool:
     """Say whether a stop of the old primary would let a replica lead.
 
     A primary that is stopped in vain leaves the group without one until
     the next try.
     """
-    standings = tuple(
+    statuses = tuple(
         _as_stopped(item) if item.entry.member == old else item
-        for item in survey.standings
-    )
-    return may_promote(
-        chosen, survey._replace(standings=standings, stopped=old)
+        for item in survey.statuses
     )
+    return may_promote(chosen, survey._replace(statuses=statuses, stopped=old))
 
 
-def _as_stopped(standing: Standing) -> Standing:
-    if standing.report is None:
-        return standing
-    report = standing.report._replace(is_primary=False)
-    return standing._replace(report=report)
+def _as_stopped(status: MemberStatus) -> MemberStatus:
+    if status.report is None:
+        return status
+    report = status.report._replace(is_primary=False)
+    return status._replace(report=report)
--- a/redwingpost/takeover/roster.py
+++ b/redwingpost/takeover/roster.py
@@ -135,7 +135,7 @@
 def do_all_hold(
     position: Position, reports: tuple[StatusReport | None, ...]
 ) -> bool:
-    """Say whether all members that stay hold a position by their word.
+    """Say whether all members that stay say that they hold a position.
 
     One alone is not enough: it may be lost next, and nobody would miss
     what was only there.
--- a/redwingpost/takeover/tests/test_plan.py
+++ b/redwingpost/takeover/tests/test_plan.py
@@ -6,7 +6,7 @@
 from redwingpost.core.positions import ZERO_POSITION, Position
 from redwingpost.ports.database import MemberEntry, StatusReport
 from redwingpost.takeover.plan import (
-    Standing,
+    MemberStatus,
     Survey,
     candidates,
     is_worth_stopping,
@@ -24,15 +24,15 @@
     is_primary: bool = False
 
 
-def _standing(member: str, answer: Answer | None) -> Standing:
+def _status(member: str, answer: Answer | None) -> MemberStatus:
     entry = MemberEntry(member, "g", "ip", 1, "a", False, False)
     if answer is None:
-        return Standing(entry, None)
+        return MemberStatus(entry, None)
     head = Position(1, answer.index)
     report = StatusReport(
         answer.is_primary, 1, head, answer.paused_for, 0, 0, 0
     )
-    return Standing(entry, report)
+    return MemberStatus(entry, report)
 
 
 def _survey(
@@ -40,13 +40,10 @@
     stopped: str | None,
     sync_replicas: int = 1,
 ) -> Survey:
-    standings = tuple(
-        _standing(member, answer)
-        for member, answer in answer_by_member.items()
-    )
-    return Survey(
-        standings, stopped, _PAUSED_FOR, sync_replicas, ZERO_POSITION
+    statuses = tuple(
+        _status(member, answer) for member, answer in answer_by_member.items()
     )
+    return Survey(statuses, stopped, _PAUSED_FOR, sync_replicas, ZERO_POSITION)
 
 
 class Case(NamedTuple):
@@ -102,7 +99,7 @@
                     for number, answer in enumerate(case.others)
                 )
                 survey = _survey(answers, "old" if case.is_stopped else None)
-                allowed = may_promote(survey.standings[1], survey)
+                allowed = may_promote(survey.statuses[1], survey)
                 self.assertEqual(case.may_order, allowed)
 
     def test_a_stopped_primary_may_lead_again(self) -> None:
@@ -115,7 +112,7 @@
         survey = _survey(answers, "old")
         able = [
             item.entry.member
-            for item in candidates(survey.standings, None)
+            for item in candidates(survey.statuses, None)
             if may_promote(item, survey)
         ]
         self.assertEqual(["old"], able)
@@ -130,7 +127,7 @@
         for sync_replicas, expected in ((1, True), (0, False)):
             with self.subTest(sync_replicas=sync_replicas):
                 survey = _survey(answers, "old", sync_replicas)
-                allowed = may_promote(survey.standings[1], survey)
+                allowed = may_promote(survey.statuses[1], survey)
                 self.assertEqual(expected, allowed)
 
     def test_when_a_stop_is_worth_it(self) -> None:
@@ -149,19 +146,19 @@
         for name, others, expected in cases:
             with self.subTest(name):
                 survey = _survey({"old": leading, **others}, None)
-                worth = is_worth_stopping(survey.standings[1], survey, "old")
+                worth = is_worth_stopping(survey.statuses[1], survey, "old")
                 self.assertEqual(expected, worth)
 
     def test_in_which_order_members_are_tried(self) -> None:
         """One that is about to stop comes last, however far it is."""
-        leaving = _standing("leaving", Answer(9))
+        leaving = _status("leaving", Answer(9))
         entry = leaving.entry._replace(is_draining=True)
-        standings = (
+        statuses = (
             leaving._replace(entry=entry),
-            _standing("behind", Answer(6)),
-            _standing("ahead", Answer(8)),
-            _standing("silent", None),
-            _standing("leads", Answer(9, 0, True)),
+            _status("behind", Answer(6)),
+            _status("ahead", Answer(8)),
+            _status("silent", None),
+            _status("leads", Answer(9, 0, True)),
         )
-        names = [item.entry.member for item in candidates(standings, None)]
+        names = [item.entry.member for item in candidates(statuses, None)]
         self.assertEqual(["ahead", "behind", "leaving"], names)
--- a/redwingpost/takeover/tests/test_takeover.py
+++ b/redwingpost/takeover/tests/test_takeover.py
@@ -5,7 +5,7 @@
 from redwingpost.core.positions import Position
 from redwingpost.ports.database import MemberEntry, StatusReport
 from redwingpost.takeover.plan import (
-    Standing,
+    MemberStatus,
     choose,
     is_complete,
     pause_term,
@@ -36,15 +36,15 @@
 )
 
 
-def _standing(
+def _status(
     member: str, index: int | None, term: int = 3, **changes
-) -> Standing:
+) -> MemberStatus:
     entry = MemberEntry(member, "g", "ip", 1, "a", False, False)
     entry = entry._replace(**changes)
     if index is None:
-        return Standing(entry, None)
+        return MemberStatus(entry, None)
     head = Position(term, index)
-    return Standing(entry, StatusReport(False, term, head, 0, 0, 0, 1))
+    return MemberStatus(entry, StatusReport(False, term, head, 0, 0, 0, 1))
 
 
 class ReasonTest(TestCase):
@@ -174,11 +174,11 @@
         )
         for name, members, expected in cases:
             with self.subTest(name):
-                standings = tuple(
-                    _standing(member, index, **changes)
+                statuses = tuple(
+                    _status(member, index, **changes)
                     for member, index, changes in members
                 )
-                choice = choose((*standings, _standing("old", 9)), "old")
+                choice = choose((*statuses, _status("old", 9)), "old")
                 chosen = choice.chosen.entry.member if choice else None
                 self.assertEqual(expected, chosen)
 
@@ -188,12 +188,12 @@
         Were it among those that must be paused, a takeover would wait
         until the registry has dropped it, and writes with it.
         """
-        standings = (
-            _standing("old", None),
-            _standing("a", 5),
-            _standing("b", 5),
+        statuses = (
+            _status("old", None),
+            _status("a", 5),
+            _status("b", 5),
         )
-        choice = choose(standings, "old")
+        choice = choose(statuses, "old")
         others = [item.entry.member for item in choice.others]
         self.assertNotIn("old", [choice.chosen.entry.member, *others])
 
@@ -214,18 +214,18 @@
         )
         for name, chosen, others, floor, expected in cases:
             with self.subTest(name):
-                standings = tuple(
-                    _standing(f"m{n}", int(index) if index else None)
+                statuses = tuple(
+                    _status(f"m{n}", int(index) if index else None)
                     for n, index in enumerate(others)
                 )
-                complete = is_complete(Position(3, chosen), standings, floor)
+                complete = is_complete(Position(3, chosen), statuses, floor)
                 self.assertEqual(expected, complete)
 
     def test_a_pause_is_above_all_that_is_known(self) -> None:
         paused = StatusReport(False, 3, Position(3, 1), 6, 0, 0, 1)
         entry = MemberEntry("a", "g", "ip", 1, "a", False, False)
-        standings = (_standing("b", 4, term=5), Standing(entry, paused))
-        self.assertEqual(7, pause_term(standings))
+        statuses = (_status("b", 4, term=5), MemberStatus(entry, paused))
+        self.assertEqual(7, pause_term(statuses))
 
 
 class StallTest(TestCase):
--- a/redwingpost/takeover/triggers.py
+++ b/redwingpost/takeover/triggers.py
@@ -11,7 +11,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from redwingpost.membership.hearing import PrimaryWord
+from redwingpost.membership.hearing import PrimaryHealth
 
 #: Seconds without an answer after which a primary counts as silent:
 #: several times the longest ordinary answer and the probe's interval.
@@ -24,12 +24,12 @@
 #: Seconds for which the primary's whole data centre must have been lost:
 #: the evidence of several members and VMs needs no second. Together with
 #: turns that skip unheard VMs and a shorter wait for the lost primary's
-#: word, a group whose primary is cut off with its data centre is without
+#: report, a group whose primary is cut off with its data centre is without
 #: one for 1.1 to 1.5 s; 1.5 to 2.4 s before (logs of played days).
 CENTRE_LOST_S = 0.6
 
 #: What the VMs heard lately must report at least then (seconds): their
-#: word is a heartbeat old.
+#: report is a heartbeat old.
 CENTRE_OTHERS_SILENT_S = 0.3
 
 #: Seconds that commits may wait for a replica before the primary counts
@@ -119,7 +119,7 @@
 
 
 def stuck_at_all_s(
-    own_stuck_s: float, own_acked_s: float, words: list[PrimaryWord]
+    own_stuck_s: float, own_acked_s: float, reports: list[PrimaryHealth]
 ) -> float:
     """Return since when writes wait in vain and none is acknowledged.
 
@@ -127,20 +127,20 @@
     ----------
     own_stuck_s, own_acked_s : float
         This VM's experience (seconds).
-    words : list of PrimaryWord
+    reports : list of PrimaryHealth
         That of the VMs in hearing.
 
     Examples
     --------
     >>> stuck_at_all_s(2.0, 9.0, [])
     2.0
-    >>> stuck_at_all_s(0.0, 9.0, [PrimaryWord(100, 1500, 8000, 0)])
+    >>> stuck_at_all_s(0.0, 9.0, [PrimaryHealth(100, 1500, 8000, 0)])
     1.5
-    >>> stuck_at_all_s(2.0, 9.0, [PrimaryWord(100, 0, 300, 0)])
+    >>> stuck_at_all_s(2.0, 9.0, [PrimaryHealth(100, 0, 300, 0)])
     0.0
     """
-    stuck_s = [own_stuck_s, *(word.stuck_ms / 1000.0 for word in words)]
-    acked_s = [own_acked_s, *(word.acked_ms / 1000.0 for word in words)]
+    stuck_s = [own_stuck_s, *(report.stuck_ms / 1000.0 for report in reports)]
+    acked_s = [own_acked_s, *(report.acked_ms / 1000.0 for report in reports)]
     longest_s = max(stuck_s)
     return longest_s if min(acked_s) > longest_s else 0.0
 
--- a/redwingpost/verify/takeover.py
+++ b/redwingpost/verify/takeover.py
@@ -21,7 +21,7 @@
 
 from redwingpost.core.positions import ZERO_POSITION, Position
 from redwingpost.ports.database import MemberEntry, StatusReport
-from redwingpost.takeover.plan import Standing, Survey, may_promote
+from redwingpost.takeover.plan import MemberStatus, Survey, may_promote
 from redwingpost.verify.takeover_reads import ReadSteps
 from redwingpost.verify.takeover_state import (
     Conductor,
@@ -308,14 +308,14 @@
             return True
         if not state.members[conductor.chosen].is_reachable:
             return False
-        standings = tuple(
-            self._standing(conductor, number, member)
+        statuses = tuple(
+            self._status(conductor, number, member)
             for number, member in enumerate(state.members)
             if self._counts(conductor, number, member)
         )
         stopped = str(conductor.old) if conductor.is_stopped else None
-        survey = Survey(standings, stopped, conductor.term, 1, ZERO_POSITION)
-        for item in standings:
+        survey = Survey(statuses, stopped, conductor.term, 1, ZERO_POSITION)
+        for item in statuses:
             if item.entry.member == str(conductor.chosen):
                 return may_promote(item, survey)
         return False
@@ -332,12 +332,12 @@
         is_left = number == conductor.old and member.is_primary
         return self._rules.stops_first or not is_left
 
-    def _standing(
+    def _status(
         self, conductor: Conductor, number: int, member: Member
-    ) -> Standing:
+    ) -> MemberStatus:
         has_answered = conductor.is_stopped and number == conductor.old
         if not member.is_reachable and not has_answered:
-            return Standing(_ENTRIES[number], None)
+            return MemberStatus(_ENTRIES[number], None)
         paused_for = member.paused_for
         if not self._rules.asks_again and number in conductor.paused:
             paused_for = conductor.term
@@ -345,7 +345,7 @@
         report = StatusReport(
             member.is_primary, member.term, head, paused_for, 0, 0, 0
         )
-        return Standing(_ENTRIES[number], report)
+        return MemberStatus(_ENTRIES[number], report)
 
 
 def _receive(state: TakeoverState, number: int, other: int) -> TakeoverState:
--- a/redwingpost/wire/beacon.capnp
+++ b/redwingpost/wire/heartbeat.capnp
@@ -2,7 +2,7 @@
 
 # Heartbeats between VMs: one datagram each.
 
-struct Beacon {
+struct Heartbeat {
   vm @0 :Text;
   boot @1 :UInt64;
   configVersion @2 :UInt64;
--- a/redwingpost/wire/beacon.py
+++ b/redwingpost/wire/heartbeat.py
@@ -6,51 +6,51 @@
 
 from redwingpost.core.positions import Position
 from redwingpost.membership.hearing import (
-    Beacon,
+    Heartbeat,
     Echo,
-    PrimaryWord,
+    PrimaryHealth,
     SharedSample,
 )
 from redwingpost.rates.usage import Usage
 
 _SCHEMA = SchemaParser().load(
-    str(Path(__file__).with_name("beacon.capnp")), imports=[]
+    str(Path(__file__).with_name("heartbeat.capnp")), imports=[]
 )
 
 
-def pack_beacon(beacon: Beacon, usages: tuple[Usage, ...]) -> bytes:
+def pack_heartbeat(heartbeat: Heartbeat, usages: tuple[Usage, ...]) -> bytes:
     """Return the datagram of one heartbeat.
 
     Examples
     --------
-    >>> words = {"m1": PrimaryWord(20, 0, 35, 0)}
+    >>> health = {"m1": PrimaryHealth(20, 0, 35, 0)}
     >>> samples = (SharedSample("m1", Position(3, 9), 120),)
-    >>> beacon = Beacon("a", 7, "ip", 3, words, 5, None, samples)
+    >>> heartbeat = Heartbeat("a", 7, "ip", 3, health, 5, None, samples)
     >>> usages = (Usage("org", 5, 6, tokens=-2.5), Usage("other", 1))
-    >>> datagram = pack_beacon(beacon, usages)
-    >>> unpack_beacon(datagram, "ip") == (beacon, usages)
+    >>> datagram = pack_heartbeat(heartbeat, usages)
+    >>> unpack_heartbeat(datagram, "ip") == (heartbeat, usages)
     True
     """
-    sample_by_member = {sample.member: sample for sample in beacon.samples}
-    message = _SCHEMA.Beacon.new_message(
-        vm=beacon.vm,
-        boot=beacon.boot,
-        configVersion=beacon.config_version,
+    sample_by_member = {sample.member: sample for sample in heartbeat.samples}
+    message = _SCHEMA.Heartbeat.new_message(
+        vm=heartbeat.vm,
+        boot=heartbeat.boot,
+        configVersion=heartbeat.config_version,
         usages=[_pack_usage(usage) for usage in usages],
         primaries=[
-            _pack_primary(member, word, sample_by_member.get(member))
-            for member, word in beacon.word_by_primary.items()
+            _pack_primary(member, health, sample_by_member.get(member))
+            for member, health in heartbeat.health_by_primary.items()
         ],
-        clockMs=beacon.clock_ms,
-        echo=_pack_echo(beacon.echo),
-        isBrief=beacon.is_brief,
+        clockMs=heartbeat.clock_ms,
+        echo=_pack_echo(heartbeat.echo),
+        isBrief=heartbeat.is_brief,
     )
     return message.to_bytes_packed()
 
 
-def unpack_beacon(
+def unpack_heartbeat(
     datagram: bytes, ip: str
-) -> tuple[Beacon, tuple[Usage, ...]] | None:
+) -> tuple[Heartbeat, tuple[Usage, ...]] | None:
     """Return a heartbeat and its usages; None for anything else.
 
     Parameters
@@ -62,18 +62,18 @@
 
     Examples
     --------
-    >>> unpack_beacon(b"\\xff\\xffbroken", "10.0.0.1") is None
+    >>> unpack_heartbeat(b"\\xff\\xffbroken", "10.0.0.1") is None
     True
     """
     try:
-        message = _SCHEMA.Beacon.from_bytes_packed(datagram)
-        beacon = Beacon(
+        message = _SCHEMA.Heartbeat.from_bytes_packed(datagram)
+        heartbeat = Heartbeat(
             message.vm,
             message.boot,
             ip,
             message.configVersion,
             {
-                item.member: PrimaryWord(
+                item.member: PrimaryHealth(
                     item.silentMs, item.stuckMs, item.ackedMs, item.failingMs
                 )
                 for item in message.primaries
@@ -90,7 +90,7 @@
         usages = tuple(_unpack_usage(item) for item in message.usages)
     except (KjException, UnicodeDecodeError, ValueError):
         return None
-    return beacon, usages
+    return heartbeat, usages
 
 
 def _pack_usage(usage: Usage) -> dict:
@@ -113,14 +113,14 @@
 
 
 def _pack_primary(
-    member: str, word: PrimaryWord, sample: SharedSample | None
+    member: str, health: PrimaryHealth, sample: SharedSample | None
 ) -> dict:
     packed = {
         "member": member,
-        "silentMs": word.silent_ms,
-        "stuckMs": word.stuck_ms,
-        "ackedMs": word.acked_ms,
-        "failingMs": word.failing_ms,
+        "silentMs": health.silent_ms,
+        "stuckMs": health.stuck_ms,
+        "ackedMs": health.acked_ms,
+        "failingMs": health.failing_ms,
     }
     if sample is not None:
         packed["sampleTerm"] = sample.position.term
