--- a/redwingpost/adapters/http_pages.py
+++ b/redwingpost/adapters/http_pages.py
@@ -5,7 +5,7 @@
 """
 
 from asyncio import Server, StreamReader, StreamWriter, start_server
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
 from h11 import (
@@ -34,6 +34,10 @@
     content_type: str = "text/plain; charset=utf-8"
 
 
+#: Gets a query and returns a page once there is something to tell.
+Feed = Callable[[str], Awaitable[Page]]
+
+
 class PageServer(Service):
     """Answers GET with what a page's function returns.
 
@@ -43,6 +47,8 @@
         Where to listen; port 0 takes a free one.
     pages_by_path : dict of str to callable
         Each returns a Page.
+    feeds_by_path : dict of str to callable, optional
+        Each gets the query and returns a Page when it has one.
     """
 
     def __init__(
@@ -50,12 +56,14 @@
         ip: str,
         port: int,
         pages_by_path: dict[str, Callable[[], Page]],
+        feeds_by_path: dict[str, Feed] | None = None,
         **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
         self._ip = ip
         self._port = port
         self._pages_by_path = pages_by_path
+        self._feeds_by_path = feeds_by_path or {}
         self._server: Server | None = None
 
     @property
@@ -93,7 +101,7 @@
             if event is NEED_DATA:
                 framing.receive_data(await reader.read(_CHUNK))
             elif isinstance(event, Request):
-                page = self._page(event)
+                page = await self._page(event)
             elif isinstance(event, EndOfMessage):
                 break
             elif isinstance(event, ConnectionClosed) or event is PAUSED:
@@ -102,8 +110,11 @@
         await writer.drain()
         return framing.our_state is framing.their_state
 
-    def _page(self, request: Request) -> Page:
-        path = request.target.decode("latin-1").partition("?")[0]
+    async def _page(self, request: Request) -> Page:
+        path, _, query = request.target.decode("latin-1").partition("?")
+        feed = self._feeds_by_path.get(path)
+        if feed is not None and request.method == b"GET":
+            return await feed(query)
         make = self._pages_by_path.get(path)
         if make is None:
             return Page(404)
--- /dev/null
+++ b/redwingpost/membership/digests.py
@@ -0,0 +1,138 @@
+"""What gatherers told lately, and how much of it still counts."""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from redwingpost.membership.heartbeat import (
+    CellReport,
+    Digest,
+    MergedHealth,
+)
+
+#: Sets of VMs that are kept of each cell: gatherers of one cell may see a
+#: VM come and go at slightly different times.
+KEPT_SETS = 4
+
+
+class _Told(NamedTuple):
+    digest: Digest
+    told_at: float
+
+
+class DigestTable:
+    """The last digest of each gatherer; times are seconds.
+
+    Examples
+    --------
+    >>> from redwingpost.rates.counters import NO_USAGES
+    >>> report = CellReport("a/0", 100, frozenset({7}), 1, 3, "ip", 2)
+    >>> digest = Digest(
+    ...     "v", 1, False, (report,), {}, False, (), 5, {}, NO_USAGES
+    ... )
+    >>> table = DigestTable()
+    >>> noted = table.note(digest, now=1.0)
+    >>> [cell.cell for cell in table.cells(now=1.2, within_s=0.5)]
+    ['a/0']
+    >>> table.cells(now=1.5, within_s=0.5)
+    ()
+    """
+
+    def __init__(self) -> None:
+        self._told_by_vm: dict[str, _Told] = {}
+        self._vms_by_number: dict[str, dict[int, frozenset[int]]] = {}
+
+    def note(self, digest: Digest, now: float) -> Digest:
+        """Take in a digest; a brief one takes no health back.
+
+        Returns
+        -------
+        Digest
+            With the VMs of all cells filled in.
+        """
+        cells = tuple(self._fill_in(report) for report in digest.cells)
+        digest = digest._replace(cells=cells)
+        known = self._told_by_vm.get(digest.vm)
+        if digest.is_brief and known is not None:
+            health = known.digest.health_by_primary
+            digest = digest._replace(health_by_primary=health)
+        self._told_by_vm[digest.vm] = _Told(digest, now)
+        return digest
+
+    def _fill_in(self, report: CellReport) -> CellReport:
+        """Return a report with its VMs.
+
+        Where the message that told them was lost, those last known of the
+        cell stand for them.
+        """
+        known = self._vms_by_number.setdefault(report.cell, {})
+        if report.vms is None:
+            latest = next(reversed(known.values()), frozenset())
+            vms = known.get(report.vms_number, latest)
+            return report._replace(vms=vms)
+        known.pop(report.vms_number, None)
+        known[report.vms_number] = report.vms
+        if len(known) > KEPT_SETS:
+            del known[next(iter(known))]
+        return report
+
+    def clock_of(self, vm: str) -> tuple[int, float] | None:
+        """Return a gatherer's clock and when it told it."""
+        told = self._told_by_vm.get(vm)
+        return None if told is None else (told.digest.clock_ms, told.told_at)
+
+    def cells(self, now: float, within_s: float) -> tuple[CellReport, ...]:
+        """Return one report on each cell that was heard of lately.
+
+        Its age is that of now.
+
+        Of several the youngest counts, unless it covers less than half of
+        what another does: a gatherer that has just begun has heard few of
+        its VMs yet, and one that died goes on covering all of them.
+        """
+        found_by_cell: dict[str, list[CellReport]] = {}
+        for told in self._told_by_vm.values():
+            passed_ms = int((now - told.told_at) * 1000)
+            for report in told.digest.cells:
+                age_ms = report.age_ms + passed_ms
+                if age_ms <= within_s * 1000.0:
+                    aged = report._replace(age_ms=age_ms)
+                    found_by_cell.setdefault(report.cell, []).append(aged)
+        return tuple(_best(found) for found in found_by_cell.values())
+
+    def healths(
+        self, now: float, within_s: float, is_fleet: bool
+    ) -> Iterator[tuple[float, dict[str, MergedHealth]]]:
+        """Return reports on primaries whose VMs differ, with their ages.
+
+        Parameters
+        ----------
+        is_fleet : bool
+            From the youngest digest of the whole fleet; else one from each
+            cell's own gatherers, which a gatherer merges with what its own
+            VMs say.
+        """
+        young = [
+            told
+            for told in self._told_by_vm.values()
+            if now - told.told_at <= within_s
+            and told.digest.is_fleet == is_fleet
+        ]
+        young.sort(key=lambda told: told.told_at, reverse=True)
+        seen: set[str] = set()
+        for told in young:
+            cells = {report.cell for report in told.digest.cells}
+            if not cells & seen:
+                seen |= cells
+                yield now - told.told_at, told.digest.health_by_primary
+
+    def forget(self, now: float, after_s: float) -> None:
+        """Drop gatherers that have long told nothing."""
+        for vm, told in tuple(self._told_by_vm.items()):
+            if now - told.told_at > after_s:
+                del self._told_by_vm[vm]
+
+
+def _best(reports: list[CellReport]) -> CellReport:
+    most = max(len(report.vms) for report in reports)
+    wide = [report for report in reports if 2 * len(report.vms) >= most]
+    return min(wide, key=lambda report: report.age_ms)
--- a/redwingpost/membership/hearing.py
+++ b/redwingpost/membership/hearing.py
@@ -7,7 +7,16 @@
 
 from typing import NamedTuple
 
-from redwingpost.core.positions import Position
+from redwingpost.membership.digests import DigestTable
+from redwingpost.membership.heartbeat import (
+    CellReport,
+    Digest,
+    Echo,
+    Heartbeat,
+    MergedHealth,
+    VmAddress,
+    vm_number,
+)
 
 #: Seconds between heartbeats: a quarter of a second finds a dead VM within
 #: a second and costs about a kilobyte a second to each other VM.
@@ -28,80 +37,9 @@
 #: VMs assumed while no list has been read.
 ASSUMED_VMS = 6
 
-
-class VmAddress(NamedTuple):
-    """Where a VM's heartbeats arrive."""
-
-    vm: str
-    ip: str
-    port: int
-
-
-class PrimaryHealth(NamedTuple):
-    """How a primary does by one VM's experience (milliseconds).
-
-    ``silent_ms`` since its last answer, ``stuck_ms`` since the first
-    write that waits for it in vain (0 for none), ``acked_ms`` since it
-    last acknowledged a write. ``failing_ms`` is how long whatever was
-    sent to it has failed (0 if nothing has): one that was simply not
-    asked is silent, but doesn't fail.
-    """
-
-    silent_ms: int
-    stuck_ms: int
-    acked_ms: int
-    failing_ms: int
-
-
-class Echo(NamedTuple):
-    """A VM's clock as last heard from it, and how long ago that was."""
-
-    clock_ms: int
-    held_ms: int
-
-
-class SharedSample(NamedTuple):
-    """A sample of a group's log as another VM took it.
-
-    ``member`` is the primary it was taken at, one of those that the
-    heartbeat has the health of, ``age_ms`` its age as the heartbeat left, at
-    least 1.
-    """
-
-    member: str
-    position: Position
-    age_ms: int
-
-
-class Heartbeat(NamedTuple):
-    """What a heartbeat says besides usage.
-
-    ``clock_ms`` is the sender's steady clock, ``echo`` the reader's as
-    the sender last heard it. A brief one leaves the health of primaries
-    out, because nothing is wrong with any.
-    """
-
-    vm: str
-    boot: int
-    ip: str
-    config_version: int
-    health_by_primary: dict[str, PrimaryHealth]
-    clock_ms: int
-    echo: Echo | None
-    samples: tuple[SharedSample, ...]
-    is_brief: bool = False
-
-    def left_after(self) -> float | None:
-        """Return a moment of the reader's clock that this left after (s).
-
-        A datagram may wait at a suspended VM for any time, so its age
-        can't be told from when it is read. The echo of the reader's own
-        clock bounds it from below: samples are never taken for younger
-        than they are.
-        """
-        if self.echo is None:
-            return None
-        return (self.echo.clock_ms + self.echo.held_ms) / 1000.0
+#: Seconds for which the set of VMs in hearing is kept: it is asked for with
+#: every operation, and changes with datagrams.
+_CACHE_S = 0.05
 
 
 class Hearing(NamedTuple):
@@ -127,15 +65,36 @@
 
     def __init__(self, vm: str, now: float) -> None:
         self._vm = vm
+        self._number = vm_number(vm)
         self._started_at = now
         self._listed_by_vm: dict[str, VmAddress] = {}
+        self._number_by_vm: dict[str, int] = {vm: self._number}
+        self._ordered: list[str] = [vm]
         self._hearing_by_vm: dict[str, Hearing] = {}
+        self._digests = DigestTable()
+        self._seen_at_by_number: dict[int, float] = {}
+        self._heard_cache: dict[float, tuple[float, frozenset[int]]] = {}
         self._has_list = False
+        #: Whether this VM gathers: then what its own VMs say counts besides
+        #: the digests of the other cells; else the digest of the fleet.
+        self.gathers = False
 
     def set_listed(self, addresses: tuple[VmAddress, ...]) -> None:
         """Take in the list of VMs."""
         self._listed_by_vm = {address.vm: address for address in addresses}
+        self._ordered = sorted(self.known())
+        self._number_by_vm = {vm: vm_number(vm) for vm in self._ordered}
         self._has_list = True
+        self._heard_cache.clear()
+
+    @property
+    def has_list(self) -> bool:
+        """Return whether the list of VMs was read."""
+        return self._has_list
+
+    def is_listed(self, address: VmAddress) -> bool:
+        """Say whether a VM is on the list with just this address."""
+        return self._listed_by_vm.get(address.vm) == address
 
     def note(self, heartbeat: Heartbeat, now: float) -> None:
         """Take in a heartbeat."""
@@ -146,24 +105,57 @@
             health = known.heartbeat.health_by_primary
             heartbeat = heartbeat._replace(health_by_primary=health)
         self._hearing_by_vm[heartbeat.vm] = Hearing(heartbeat, now)
+        self._heard_cache.clear()
+
+    def note_digest(self, digest: Digest, now: float) -> None:
+        """Take in what a gatherer tells of the fleet or of its cell."""
+        if not digest.cells:
+            return
+        digest = self._digests.note(digest, now)
+        for report in digest.cells:
+            seen_at = now - report.age_ms / 1000.0
+            for number in report.vms:
+                self._seen_at_by_number[number] = seen_at
+        self._heard_cache.clear()
 
     def echo_for(self, vm: str, now: float) -> Echo | None:
         """Return a VM's clock as last heard from it."""
+        clock = self._digests.clock_of(vm)
         hearing = self._hearing_by_vm.get(vm)
-        if hearing is None:
+        if hearing is not None and (
+            clock is None or clock[1] < hearing.heard_at
+        ):
+            clock = (hearing.heartbeat.clock_ms, hearing.heard_at)
+        if clock is None:
             return None
-        held_ms = int((now - hearing.heard_at) * 1000)
-        return Echo(hearing.heartbeat.clock_ms, held_ms)
+        return Echo(clock[0], int((now - clock[1]) * 1000))
 
-    def reached_elsewhere_s(self, member: str, now: float) -> float:
+    def reached_elsewhere_s(self, primary: str, now: float) -> float:
         """Return how long ago another VM had an answer of a primary."""
-        ages = [
-            now - hearing.heard_at + health.silent_ms / 1000.0
-            for hearing in self._hearing_by_vm.values()
-            for named, health in hearing.heartbeat.health_by_primary.items()
-            if named == member
+        reports = self._health_of(primary, now, float("inf"))
+        return min(
+            (age_s + health.silent_ms / 1000.0 for age_s, health in reports),
+            default=float("inf"),
+        )
+
+    def health_of(
+        self, primary: str, now: float, within_s: float = HEARD_S
+    ) -> tuple[MergedHealth, ...]:
+        """Return what the other VMs say of a primary, each VM once."""
+        reports = self._health_of(primary, now, within_s)
+        return tuple(health for _, health in reports)
+
+    def is_any_write_stuck(self, now: float) -> bool:
+        """Say whether writes wait in vain at some VM in hearing."""
+        reports = [
+            health
+            for heartbeat in self.heard(now)
+            for health in heartbeat.health_by_primary.values()
         ]
-        return min(ages, default=float("inf"))
+        for is_fleet in (True, False):
+            for _, told in self._digests.healths(now, HEARD_S, is_fleet):
+                reports.extend(told.values())
+        return any(report.stuck_ms for report in reports)
 
     def heard(
         self, now: float, within_s: float = HEARD_S
@@ -175,10 +167,38 @@
             if now - hearing.heard_at <= within_s
         )
 
+    def cells(
+        self, now: float, within_s: float = HEARD_S
+    ) -> tuple[CellReport, ...]:
+        """Return what gatherers told of the fleet's cells."""
+        return self._digests.cells(now, within_s)
+
+    def told_by_cells(
+        self, now: float, within_s: float = HEARD_S
+    ) -> tuple[tuple[float, dict[str, MergedHealth]], ...]:
+        """Return what the other cells say of primaries, and their ages."""
+        return tuple(self._digests.healths(now, within_s, is_fleet=False))
+
+    def heard_numbers(
+        self, now: float, within_s: float = HEARD_S
+    ) -> frozenset[int]:
+        """Return the numbers of the other VMs in hearing, relayed or not."""
+        cached = self._heard_cache.get(within_s)
+        if cached is not None and 0.0 <= now - cached[0] <= _CACHE_S:
+            return cached[1]
+        numbers = {
+            vm_number(heartbeat.vm) for heartbeat in self.heard(now, within_s)
+        }
+        for report in self.cells(now, within_s):
+            numbers |= report.vms
+        numbers.discard(self._number)
+        found = frozenset(numbers)
+        self._heard_cache[within_s] = (now, found)
+        return found
+
     def is_heard(self, vm: str, now: float) -> bool:
         """Say whether a VM is in hearing."""
-        hearing = self._hearing_by_vm.get(vm)
-        return hearing is not None and now - hearing.heard_at <= HEARD_S
+        return vm_number(vm) in self.heard_numbers(now)
 
     def known(self) -> frozenset[str]:
         """Return all VMs that may be at work, this one included."""
@@ -186,17 +206,30 @@
 
     def count(self) -> int:
         """Return how many VMs there are, as far as known."""
+        numbers = set(self._seen_at_by_number)
+        numbers.update(map(vm_number, self._hearing_by_vm))
+        numbers.add(self._number)
         if not self._has_list:
-            return max(ASSUMED_VMS, len(self._hearing_by_vm) + 1)
-        return len(self.known() | frozenset(self._hearing_by_vm))
+            return max(ASSUMED_VMS, len(numbers))
+        return len(numbers.union(self._number_by_vm.values()))
 
     def part(self, now: float) -> float:
         """Return the part of all VMs that hear each other (0 to 1)."""
-        return (1 + len(self.heard(now))) / self.count()
+        return (1 + len(self.heard_numbers(now))) / self.count()
 
     def hears_half(self, now: float, within_s: float = HEARD_S) -> bool:
         """Say whether at least half of the VMs are in hearing."""
-        return 2 * (1 + len(self.heard(now, within_s))) >= self.count()
+        heard = 1 + len(self.heard_numbers(now, within_s))
+        return 2 * heard >= self.count()
+
+    def newest_configuration(self, now: float) -> tuple[int, str]:
+        """Return the newest version that others have, and where."""
+        versions = [(item.config_version, item.ip) for item in self.heard(now)]
+        versions.extend(
+            (report.config_version, report.config_ip)
+            for report in self.cells(now)
+        )
+        return max(versions, default=(0, ""))
 
     def silent_vms(self, now: float) -> tuple[str, ...]:
         """Return listed VMs that have long not been heard."""
@@ -208,6 +241,11 @@
 
     def forget_long_silent(self, now: float) -> tuple[str, ...]:
         """Forget VMs that are off the list and silent; return them."""
+        listed = set(self._number_by_vm.values())
+        for number, seen_at in tuple(self._seen_at_by_number.items()):
+            if number not in listed and now - seen_at > REMOVE_AFTER_S:
+                del self._seen_at_by_number[number]
+        self._digests.forget(now, REMOVE_AFTER_S)
         gone = tuple(
             vm
             for vm, hearing in self._hearing_by_vm.items()
@@ -225,12 +263,12 @@
         VMs that aren't heard have no turn: those of a data centre that
         is cut off would delay all others, 0.4 s each.
         """
-        ordered = sorted(self.known())
+        ordered = self._ordered
         first = -sum(subject.encode()) % len(ordered)
         in_turn = ordered[first:] + ordered[:first]
         before = in_turn[: in_turn.index(self._vm)]
-        heard = {heartbeat.vm for heartbeat in self.heard(now, LATELY_S)}
-        return sum(vm in heard for vm in before)
+        heard = self.heard_numbers(now, LATELY_S)
+        return sum(self._number_by_vm[vm] in heard for vm in before)
 
     def addresses(self, port: int) -> tuple[VmAddress, ...]:
         """Return where heartbeats go; heard VMs count besides listed."""
@@ -242,6 +280,35 @@
         by_vm.pop(self._vm, None)
         return tuple(by_vm.values())
 
+    def _health_of(
+        self, primary: str, now: float, within_s: float
+    ) -> list[tuple[float, MergedHealth]]:
+        """Return reports on a primary and their ages (seconds)."""
+        if not self.gathers:
+            told = self._told_health(primary, now, within_s, True)
+            if told:
+                return told
+        found = [
+            (now - hearing.heard_at, MergedHealth.of_one(health))
+            for hearing in self._hearing_by_vm.values()
+            if now - hearing.heard_at <= within_s
+            and (health := hearing.heartbeat.health_by_primary.get(primary))
+        ]
+        return found + self._told_health(primary, now, within_s, False)
+
+    def _told_health(
+        self, primary: str, now: float, within_s: float, is_fleet: bool
+    ) -> list[tuple[float, MergedHealth]]:
+        return [
+            (age_s, health_by_primary[primary])
+            for age_s, health_by_primary in self._digests.healths(
+                now, within_s, is_fleet
+            )
+            if primary in health_by_primary
+        ]
+
     def _last(self, vm: str) -> float:
+        """Return when a VM was heard last, relayed or not (seconds)."""
+        seen_at = self._seen_at_by_number.get(vm_number(vm), self._started_at)
         hearing = self._hearing_by_vm.get(vm)
-        return self._started_at if hearing is None else hearing.heard_at
+        return seen_at if hearing is None else max(seen_at, hearing.heard_at)
--- /dev/null
+++ b/redwingpost/membership/ranking.py
@@ -0,0 +1,26 @@
+"""One order of VMs that all compute alike, without a message."""
+
+from collections.abc import Iterable
+from hashlib import blake2b
+
+
+def rank_vms(place: str, vms: Iterable[str]) -> tuple[str, ...]:
+    """Order VMs by rendezvous hash, the same on every VM.
+
+    Parameters
+    ----------
+    place : str
+        What they are ranked for, as a data centre; each has another order.
+    vms : iterable of str
+        Their names.
+
+    Examples
+    --------
+    >>> rank_vms("lima-1", ["vm-1", "vm-2", "vm-3"])
+    ('vm-1', 'vm-3', 'vm-2')
+    """
+
+    def weight(vm: str) -> bytes:
+        return blake2b(f"{place}|{vm}".encode(), digest_size=8).digest()
+
+    return tuple(sorted(vms, key=weight))
--- a/redwingpost/membership/relays.py
+++ b/redwingpost/membership/relays.py
@@ -10,10 +10,10 @@
 """
 
 from collections.abc import Collection, Iterable
-from hashlib import blake2b
 from typing import NamedTuple
 
 from redwingpost.membership.beats import Member
+from redwingpost.membership.ranking import rank_vms
 
 #: Seconds that the relay's lease lasts. Renewed each third of it, that
 #: is one write in 1.3 s for each data centre: 11 of the store's several
@@ -26,21 +26,6 @@
 TAKE_OVER_AFTER_S = 1.5
 
 
-def rank_relays(data_centre: str, vms: Iterable[str]) -> tuple[str, ...]:
-    """Order VMs by rendezvous hash, the same on every VM.
-
-    Examples
-    --------
-    >>> rank_relays("lima-1", ["vm-1", "vm-2", "vm-3"])
-    ('vm-1', 'vm-3', 'vm-2')
-    """
-
-    def weight(vm: str) -> bytes:
-        return blake2b(f"{data_centre}|{vm}".encode(), digest_size=8).digest()
-
-    return tuple(sorted(vms, key=weight))
-
-
 def relay_of(
     data_centre: str,
     members: Iterable[Member],
@@ -73,7 +58,7 @@
     if relays:
         return max(relays, key=lambda member: member.heard_at).beat.vm
     staying = [m for m in usable if not m.beat.draining] or usable
-    ranked = rank_relays(data_centre, (m.beat.vm for m in staying))
+    ranked = rank_vms(data_centre, (m.beat.vm for m in staying))
     return ranked[0] if ranked else ""
 
 
--- a/redwingpost/membership/tests/test_dissemination.py
+++ b/redwingpost/membership/tests/test_dissemination.py
@@ -9,7 +9,7 @@
     Tell,
     whom_to_tell,
 )
-from redwingpost.membership.relays import rank_relays
+from redwingpost.membership.ranking import rank_vms
 from redwingpost.membership.table import MemberTable
 from redwingpost.membership.dissemination import IN_TURN, MAX_CHANGES
 
@@ -20,7 +20,7 @@
     for number in range(data_centres):
         centre = f"dc-{number}"
         vms = [f"vm-{number}-{index}" for index in range(per_data_centre)]
-        relay = rank_relays(centre, vms)[0]
+        relay = rank_vms(centre, vms)[0]
         for vm in vms:
             beats[vm] = Beat(
                 vm=vm,
--- a/redwingpost/membership/tests/test_hearing.py
+++ b/redwingpost/membership/tests/test_hearing.py
@@ -2,14 +2,12 @@
 
 from unittest import TestCase
 
-from redwingpost.membership.hearing import (
-    HEARD_S,
-    REMOVE_AFTER_S,
-    Heartbeat,
+from redwingpost.membership.hearing import HEARD_S, REMOVE_AFTER_S, VmTable
+from redwingpost.membership.heartbeat import (
     Echo,
+    Heartbeat,
     PrimaryHealth,
     VmAddress,
-    VmTable,
 )
 from redwingpost.membership.readiness import (
     WORSE_FOR_S,
--- a/redwingpost/membership/tests/test_membership.py
+++ b/redwingpost/membership/tests/test_membership.py
@@ -5,7 +5,8 @@
 
 from redwingpost.membership.beats import Beat, Evidence, Member
 from redwingpost.membership.confirmation import ConfirmationClock
-from redwingpost.membership.relays import RelayRole, rank_relays, relay_of
+from redwingpost.membership.ranking import rank_vms
+from redwingpost.membership.relays import RelayRole, relay_of
 from redwingpost.membership.report import Sighting, best_sightings, report_vm
 from redwingpost.membership.suspicion import BeatSchedule, judge_silence
 from redwingpost.membership.table import MemberTable
@@ -149,7 +150,7 @@
 
 class RelayTest(TestCase):
     def test_whom_to_turn_to(self):
-        first, second, third = rank_relays("lima-1", ["a", "b", "c"])
+        first, second, third = rank_vms("lima-1", ["a", "b", "c"])
         plain = [member(vm) for vm in "abc"]
         table = [
             (plain, (), first),
@@ -177,9 +178,9 @@
         # The relay dies or is paused. Exactly the next by rank asks the
         # store for the lease, and once the store is away too it does
         # the relay's work without one; the others wait for it.
-        relay = rank_relays("lima-1", ["a", "b", "c"])[0]
+        relay = rank_vms("lima-1", ["a", "b", "c"])[0]
         rest = [vm for vm in "abc" if vm != relay]
-        second, third = rank_relays("lima-1", rest)
+        second, third = rank_vms("lima-1", rest)
         members = [member(vm, relay=vm == relay) for vm in "abc"]
         table = [
             (second, 0.0, False, False, False),
--- a/redwingpost/node/copy_fetcher.py
+++ b/redwingpost/node/copy_fetcher.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from redwingpost.membership.hearing import Heartbeat, VmTable
+from redwingpost.membership.hearing import VmTable
 from redwingpost.node.admission import Admission
 from redwingpost.node.copies import fetch_copy
 from redwingpost.node.registry import MemberReader, RulesReader
@@ -53,26 +53,23 @@
     async def fetch_if_behind(self) -> None:
         """Fetch a peer's copy where it has a newer configuration."""
         now = self._clock.now()
-        newest = max(
-            self._vms.heard(now), key=lambda b: b.config_version, default=None
-        )
-        in_force = self._admission.rules.version
-        if newest is None or newest.config_version <= in_force:
+        version, ip = self._vms.newest_configuration(now)
+        if version <= self._admission.rules.version:
             self._behind_since = None
             return
         if self._behind_since is None:
             self._behind_since = now
         if now - self._behind_since >= COPY_AFTER_S:
             self._behind_since = now
-            await self._fetch(newest)
+            await self._fetch(ip)
 
-    async def _fetch(self, heartbeat: Heartbeat) -> None:
-        got = await fetch_copy(heartbeat.ip, self._port)
+    async def _fetch(self, ip: str) -> None:
+        got = await fetch_copy(ip, self._port)
         if got.is_error():
-            log_event("copy-failed", vm=heartbeat.vm, detail=got.error.detail)
+            log_event("copy-failed", ip=ip, detail=got.error.detail)
             return
         if got.ok.configuration is not None:
-            log_event("copy-taken", vm=heartbeat.vm)
+            log_event("copy-taken", ip=ip)
             self._rules.take(got.ok.configuration)
         if not self._has_members():
             self._members.on_rows(got.ok.members)
--- a/redwingpost/node/fleet.py
+++ b/redwingpost/node/fleet.py
@@ -5,7 +5,9 @@
 
 from mode import Service
 
-from redwingpost.membership.hearing import VmAddress, VmTable
+from redwingpost.membership.gathering import Gathering
+from redwingpost.membership.hearing import VmTable
+from redwingpost.membership.heartbeat import VmAddress
 from redwingpost.node.steps import repeat
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
@@ -18,6 +20,12 @@
 #: Seconds between tries to enter the list.
 _RETRY_S = 0.5
 
+#: Seconds between looks whether the list has been read.
+_LIST_S = 0.02
+
+#: Name under which the VM that tidies is looked up in the order of VMs.
+_TIDY = "tidy"
+
 #: Seconds between looks for VMs that are gone for good.
 _TIDY_S = 5.0
 
@@ -28,8 +36,14 @@
     ``on_listed`` is called once new entries are taken in.
     """
 
-    def __init__(self, vms: VmTable, on_listed: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        vms: VmTable,
+        gathering: Gathering,
+        on_listed: Callable[[], None],
+    ) -> None:
         self._vms = vms
+        self._gathering = gathering
         self._on_listed = on_listed
         self._address_by_vm: dict[str, VmAddress] = {}
 
@@ -44,14 +58,19 @@
             address = _decode(row)
             if address is not None:
                 self._address_by_vm[address.vm] = address
-        self._vms.set_listed(tuple(self._address_by_vm.values()))
+        self._set_listed()
         self._on_listed()
 
     def on_removed(self, keys: tuple[str, ...]) -> None:
         """Take in entries that were removed."""
         for key in keys:
             self._address_by_vm.pop(key.removeprefix(VM_PREFIX), None)
-        self._vms.set_listed(tuple(self._address_by_vm.values()))
+        self._set_listed()
+
+    def _set_listed(self) -> None:
+        addresses = tuple(self._address_by_vm.values())
+        self._vms.set_listed(addresses)
+        self._gathering.set_listed(addresses)
 
 
 class FleetEntry(Service):
@@ -64,6 +83,7 @@
         self,
         store: FleetStore,
         vms: VmTable,
+        gathering: Gathering,
         address: VmAddress,
         clock: Clock,
         on_gone: Callable[[str], None],
@@ -72,23 +92,41 @@
         super().__init__(**kwargs)
         self._store = store
         self._vms = vms
+        self._gathering = gathering
         self._on_gone = on_gone
         self._address = address
         self._clock = clock
         self._is_leaving = False
 
     async def leave(self) -> None:
-        """Take this VM off the list."""
+        """Take this VM off the list, unless the fleet is large.
+
+        In a small one the others would have to do without its part of
+        each rate until it is back. In a large one that part is nothing,
+        and the entry stands for the VM that starts at this address next.
+        """
         self._is_leaving = True
-        await self._write(self._address.vm, None)
+        if self._gathering.is_direct:
+            await self._write(self._address.vm, None)
 
     @Service.task
     async def _enter(self) -> None:
-        value = {"ip": self._address.ip, "port": self._address.port}
         while not self.should_stop and not self._is_leaving:
-            if await self._write(self._address.vm, value):
+            if self._vms.has_list and await self._is_entered():
                 return
-            await self.sleep(_RETRY_S)
+            pause_s = _RETRY_S if self._vms.has_list else _LIST_S
+            await self.sleep(pause_s)
+
+    async def _is_entered(self) -> bool:
+        """Enter the list, if this VM isn't on it as it stands."""
+        if self._vms.is_listed(self._address):
+            return True
+        value = {
+            "ip": self._address.ip,
+            "port": self._address.port,
+            "data_centre": self._address.data_centre,
+        }
+        return await self._write(self._address.vm, value)
 
     @Service.task
     async def _tidy(self) -> None:
@@ -98,8 +136,9 @@
         now = self._clock.now()
         for vm in self._vms.forget_long_silent(now):
             self._on_gone(vm)
-        # A VM that hears few may be the one that is cut off.
-        if not self._vms.hears_half(now):
+        # A VM that hears few may be the one that is cut off. One of the
+        # others is enough: each removal is a call.
+        if not self._vms.hears_half(now) or self._vms.place(_TIDY, now):
             return
         for vm in self._vms.silent_vms(now)[:1]:
             log_event("vm-taken-off", vm=vm)
@@ -120,4 +159,7 @@
     port = row.value.get("port")
     if not isinstance(ip, str) or not isinstance(port, int):
         return None
-    return VmAddress(row.key.removeprefix(VM_PREFIX), ip, port)
+    data_centre = row.value.get("data_centre")
+    if not isinstance(data_centre, str):
+        return None
+    return VmAddress(row.key.removeprefix(VM_PREFIX), ip, port, data_centre)
--- a/redwingpost/node/heartbeat_writer.py
+++ b/redwingpost/node/heartbeat_writer.py
@@ -1,7 +1,7 @@
 """What this VM's heartbeats say, and what it takes from others'."""
 
 from redwingpost.groups.directory import Directory
-from redwingpost.membership.hearing import (
+from redwingpost.membership.heartbeat import (
     Heartbeat,
     PrimaryHealth,
     SharedSample,
@@ -29,7 +29,7 @@
     ) -> None:
         self._vm = vm
         self._ip = ip
-        self._boot = new_boot()
+        self.boot = new_boot()
         self._group_by_name = group_by_name
         self._directory = directory
         self._admission = admission
@@ -47,7 +47,7 @@
         is_brief = may_be_brief and not self._is_anything_wrong()
         return Heartbeat(
             self._vm,
-            self._boot,
+            self.boot,
             self._ip,
             self._admission.rules.version,
             {} if is_brief else self._health(now),
@@ -73,12 +73,21 @@
                 )
         return health_by_primary
 
-    def take_samples(self, heartbeat: Heartbeat) -> None:
-        """Give another VM's samples to the groups they belong to."""
-        left_at = heartbeat.left_after()
+    def take_samples(
+        self, samples: tuple[SharedSample, ...], left_at: float | None
+    ) -> None:
+        """Give another VM's samples to the groups they belong to.
+
+        Parameters
+        ----------
+        samples : tuple of SharedSample
+            What it told.
+        left_at : float or None
+            A moment of this VM's clock that they left after (seconds).
+        """
         if left_at is None:
             return
-        for sample in heartbeat.samples:
+        for sample in samples:
             listed = self._directory.get(sample.member)
             if listed is None:
                 continue
--- a/redwingpost/node/leader_view.py
+++ b/redwingpost/node/leader_view.py
@@ -3,12 +3,8 @@
 from collections.abc import Callable
 
 from redwingpost.membership.centres import CentreWatch
-from redwingpost.membership.hearing import (
-    HEARD_S,
-    LATELY_S,
-    PrimaryHealth,
-    VmTable,
-)
+from redwingpost.membership.hearing import LATELY_S, VmTable
+from redwingpost.membership.heartbeat import MergedHealth
 from redwingpost.node.group import GroupClient
 from redwingpost.node.member import MemberClient
 from redwingpost.takeover.triggers import LeaderView, stuck_at_all_s
@@ -37,19 +33,30 @@
         self._centres = centres
         self._is_registry_lost = is_registry_lost
 
+    def may_be_wrong(self, group: GroupClient, now: float) -> bool:
+        """Say whether a group is worth a closer look.
+
+        Nearly always nothing is wrong, and a view of it would be the most
+        that a VM without callers does.
+        """
+        if group.is_alert() or self._vms.is_any_write_stuck(now):
+            return True
+        client = group.member_by_name.get(group.evidence.leader or "")
+        return self._centre_lost_s(client) > 0.0
+
     def describe(self, group: GroupClient, now: float) -> LeaderView:
         """Return what is seen of a group's primary at ``now`` (seconds)."""
         leader = group.evidence.leader
         client = group.member_by_name.get(leader or "")
-        reports = self._reports(leader, now)
-        latest = self._reports(leader, now, LATELY_S)
+        reports = self._vms.health_of(leader or "", now)
+        latest = self._vms.health_of(leader or "", now, LATELY_S)
         return LeaderView(
             leader=leader,
             is_listed=client is not None,
             is_draining=client is not None and client.entry.is_draining,
             silent_s=float("inf") if client is None else client.failing_s,
             others_silent_s=tuple(r.silent_ms / 1000.0 for r in reports),
-            others_failing_s=tuple(r.failing_ms / 1000.0 for r in reports),
+            others_failing_s=_failing_s(reports),
             hears_half=self._vms.hears_half(now),
             stalled_s=group.stalled_s,
             stuck_s=stuck_at_all_s(
@@ -64,16 +71,6 @@
             hears_half_lately=self._vms.hears_half(now, LATELY_S),
         )
 
-    def _reports(
-        self, leader: str | None, now: float, within_s: float = HEARD_S
-    ) -> list[PrimaryHealth]:
-        """Return what the VMs in hearing say of a primary."""
-        return [
-            heartbeat.health_by_primary[leader]
-            for heartbeat in self._vms.heard(now, within_s)
-            if leader in heartbeat.health_by_primary
-        ]
-
     def _centre_lost_s(self, client: MemberClient | None) -> float:
         if client is None:
             return 0.0
@@ -89,6 +86,14 @@
         )
 
 
+def _failing_s(reports: tuple[MergedHealth, ...]) -> tuple[float, ...]:
+    """Return for how long a primary fails, for each VM that tells of it."""
+    failing_ms = [ms for report in reports for ms in report.failing_ms]
+    observers = sum(report.observers for report in reports)
+    fine = observers - len(failing_ms)
+    return (*(ms / 1000.0 for ms in failing_ms), *([0.0] * fine))
+
+
 def _answering(group: GroupClient, leader: str | None) -> int:
     """Return how many members but the primary have answered last."""
     return sum(
--- a/redwingpost/node/member.py
+++ b/redwingpost/node/member.py
@@ -131,6 +131,11 @@
             return 0.0
         return self._clock.now() - max(self._sent_at, self.answered_at)
 
+    @property
+    def awaits_answer(self) -> bool:
+        """Whether anything sent there has had no answer yet."""
+        return self._awaited > 0 or self.asked_at > self.answered_at
+
     @property
     def awaited_s(self) -> float:
         """Return for how long anything sent there has waited in vain."""
--- a/redwingpost/node/metrics.py
+++ b/redwingpost/node/metrics.py
@@ -54,6 +54,11 @@
             "Part of the VMs that hear each other (0 to 1)",
             registry=self._registry,
         )
+        self.gathers = Gauge(
+            "redwing_gathers",
+            "Whether this VM gathers heartbeats for others (0 or 1)",
+            registry=self._registry,
+        )
         self.takeovers = Counter(
             "redwing_takeovers_total",
             "Takeovers conducted, by reason and outcome",
--- a/redwingpost/node/readiness_inputs.py
+++ b/redwingpost/node/readiness_inputs.py
@@ -1,7 +1,8 @@
 """What this VM can do for callers, and whether others can do more."""
 
 from redwingpost.membership.centres import CentreWatch
-from redwingpost.membership.hearing import LATELY_S, Heartbeat, VmTable
+from redwingpost.membership.hearing import LATELY_S, VmTable
+from redwingpost.membership.heartbeat import Heartbeat
 from redwingpost.membership.readiness import ReadinessInputs
 from redwingpost.node.admission import Admission
 from redwingpost.node.group import GroupClient
@@ -36,17 +37,21 @@
             groups=len(groups),
             reached=reached,
             hears_half=self._vms.hears_half(now),
-            others_reach_more=any(
-                _reached_by(heartbeat) > reached
-                for heartbeat in self._vms.heard(now)
-            ),
+            others_reach_more=most_reached(self._vms, now) > reached,
             cut_off_s=self._centres.cut_off_s(),
             hears_half_lately=self._vms.hears_half(now, LATELY_S),
         )
 
 
-def _reached_by(heartbeat: Heartbeat) -> int:
-    """Return how many primaries another VM reaches, as it says itself."""
+def most_reached(vms: VmTable, now: float) -> int:
+    """Return the most primaries that another VM says it reaches."""
+    told = [report.reached for report in vms.cells(now)]
+    told.extend(reached_by(heartbeat) for heartbeat in vms.heard(now))
+    return max(told, default=0)
+
+
+def reached_by(heartbeat: Heartbeat) -> int:
+    """Return how many primaries a VM reaches, as it says itself."""
     return sum(
         health.failing_ms < _REACHED_MS and health.stuck_ms < _REACHED_MS
         for health in heartbeat.health_by_primary.values()
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -9,7 +9,9 @@
 from redwingpost.core.requests import Refusal
 from redwingpost.groups.directory import Directory
 from redwingpost.membership.centres import CentreWatch
-from redwingpost.membership.hearing import VmAddress, VmTable
+from redwingpost.membership.gathering import Gathering
+from redwingpost.membership.hearing import VmTable
+from redwingpost.membership.heartbeat import VmAddress
 from redwingpost.membership.readiness import Readiness
 from redwingpost.node.admission import Admission
 from redwingpost.node.conductor import Outside as TakeoverOutside
@@ -21,13 +23,15 @@
 from redwingpost.node.leader_view import LeaderViews
 from redwingpost.node.metrics import NodeMetrics
 from redwingpost.node.readiness_inputs import ReadinessView
-from redwingpost.node.heartbeats import Heartbeats
+from redwingpost.node.heartbeats import Heartbeats, Here
 from redwingpost.node.reads import ReadRunner
 from redwingpost.node.registry import MemberReader, RulesReader
+from redwingpost.node.relayed_store import RelayedStore
 from redwingpost.node.rosters import RosterKeeper
 from redwingpost.node.session import NodeSession, Services
 from redwingpost.node.start_gate import StartGate
 from redwingpost.node.steps import repeat
+from redwingpost.node.table_pages import TABLE_PATH, TablePages
 from redwingpost.node.takeover import TakeoverKeeper
 from redwingpost.node.watcher import TableWatcher
 from redwingpost.node.heartbeat_writer import HeartbeatWriter
@@ -43,8 +47,15 @@
 #: Seconds between looks at directory, readiness and pools.
 STEP_S = 0.1
 
-#: Seconds between looks at which members must be asked.
+#: Steps after which groups, pools and metrics are brought in step though
+#: nothing has changed.
+FOLLOW_EVERY = 5
+
+#: Seconds between looks at which members must be asked: while something
+#: waits for a member's answer, and while nothing does. The longer one is
+#: below the shortest wait that speaks for a loss.
 ASK_S = 0.05
+IDLE_ASK_S = 0.19
 
 #: Connections assumed for a group that the configuration doesn't name.
 _DEFAULT_CONNECTIONS = 32
@@ -113,12 +124,14 @@
         self._clock = clock
         self._ledger = UsageLedger(clock.now())
         self._vms = VmTable(settings.vm, clock.now())
+        self._gathering = Gathering(settings.vm)
         self._admission = Admission(self._vms, self._ledger, clock)
         self._centres = CentreWatch(settings.data_centre)
         self._readiness = Readiness()
         self._copies = Copies()
         self._start_gate = StartGate()
         self._unready_since: float | None = None
+        self._steps = 0
         self.callers: Callers | None = None
         self._services = Services(
             self._admission,
@@ -169,6 +182,13 @@
 
     def _make_watchers(self) -> None:
         outside = self._outside
+        store = RelayedStore(
+            outside.store,
+            self._gathering,
+            self.settings.metrics_port,
+            FLEET_TABLE,
+            self._clock,
+        )
         self._rules_reader = RulesReader(
             self._admission, outside.format, self._on_rules
         )
@@ -176,23 +196,25 @@
             self.directory, outside.format, self._clock, self._follow
         )
         self._rules_watcher = TableWatcher(
-            outside.store,
+            store,
             outside.format.configuration_table,
             self._rules_reader,
             self._clock,
             self._try_takeovers,
         )
         self._member_watcher = TableWatcher(
-            outside.store,
+            store,
             outside.format.member_table,
             self._member_reader,
             self._clock,
             self._try_takeovers,
         )
         self._fleet_watcher = TableWatcher(
-            outside.store,
+            store,
             FLEET_TABLE,
-            FleetReader(self._vms, lambda: self._heartbeats.greet()),
+            FleetReader(
+                self._vms, self._gathering, lambda: self._heartbeats.greet()
+            ),
             self._clock,
             self._try_takeovers,
         )
@@ -203,7 +225,7 @@
     def _make_fleet_parts(self) -> None:
         settings = self.settings
         outside = self._outside
-        self._word = HeartbeatWriter(
+        self._heartbeat_writer = HeartbeatWriter(
             settings.vm,
             settings.ip,
             self.group_by_name,
@@ -211,23 +233,32 @@
             self._admission,
             self._clock,
         )
-        address = VmAddress(settings.vm, settings.ip, settings.heartbeat_port)
+        address = VmAddress(
+            settings.vm,
+            settings.ip,
+            settings.heartbeat_port,
+            settings.data_centre,
+        )
         self._entry = FleetEntry(
             outside.store,
             self._vms,
+            self._gathering,
             address,
             self._clock,
-            self._ledger.forget_peer,
+            self._forget_vm,
         )
         self._heartbeats = Heartbeats(
             self._vms,
             self._ledger,
-            self._word.describe,
+            self._gathering,
+            self._heartbeat_writer,
             self._clock,
-            settings.ip,
-            settings.heartbeat_port,
-            settings.peer_ips,
-            self._word.take_samples,
+            Here(
+                settings.vm,
+                settings.ip,
+                settings.heartbeat_port,
+                settings.peer_ips,
+            ),
         )
         self._admission.on_admitted = self._heartbeats.report_if_due
         self._takeovers = TakeoverKeeper(
@@ -255,6 +286,10 @@
             self._clock,
         )
 
+    def _forget_vm(self, vm: str) -> None:
+        self._ledger.forget_peer(vm)
+        self._heartbeats.forget(vm)
+
     def _is_registry_lost(self) -> bool:
         return self._member_watcher.is_lost
 
@@ -272,6 +307,21 @@
                 "/metrics": lambda: Page(200, self.metrics.render()),
                 COPY_PATH: self._copies.page,
             },
+            {TABLE_PATH: self._table_pages().page},
+        )
+
+    def _table_pages(self) -> TablePages:
+        watcher_by_table = {
+            watcher.table: watcher
+            for watcher in (
+                self._rules_watcher,
+                self._member_watcher,
+                self._fleet_watcher,
+            )
+        }
+        return TablePages(
+            {name: item.copy for name, item in watcher_by_table.items()},
+            lambda table: watcher_by_table[table].is_lost,
         )
 
     def on_init_dependencies(self) -> list[Service]:
@@ -296,7 +346,15 @@
 
     @Service.task
     async def _rounds(self) -> None:
-        await repeat(self, self._ask_members, ASK_S)
+        await repeat(self, self._ask_members, self._ask_pause_s)
+
+    def _ask_pause_s(self) -> float:
+        awaits = any(
+            client.awaits_answer
+            for group in self.group_by_name.values()
+            for client in group.member_by_name.values()
+        )
+        return ASK_S if awaits else IDLE_ASK_S
 
     async def _ask_members(self) -> None:
         groups = tuple(self.group_by_name.values())
@@ -313,6 +371,7 @@
     async def _look_around(self) -> None:
         self._tidy()
         self._judge_readiness()
+        self._takeovers.look_at_all()
         await self._copy_fetcher.fetch_if_behind()
 
     def _tidy(self) -> None:
@@ -320,11 +379,15 @@
         if self._member_watcher.is_lost:
             self.directory.note_outage(now)
         self.directory.expire(now)
+        self._steps += 1
+        if self._steps % FOLLOW_EVERY:
+            return
         self._follow()
         if self.callers is not None:
             self.metrics.sessions.set(self.callers.open_connections)
         self.metrics.version.set(self._admission.rules.version)
         self.metrics.part.set(self._vms.part(now))
+        self.metrics.gathers.set(self._vms.gathers)
 
     def _on_rules(self) -> None:
         self._copies.configuration = self._rules_reader.row
--- /dev/null
+++ b/redwingpost/node/table_copy.py
@@ -0,0 +1,95 @@
+"""A VM's copy of a table, and what changed in it lately, for neighbours."""
+
+from asyncio import Event, wait_for
+from collections import deque
+from typing import NamedTuple
+
+from redwingpost.ports.fleet_store import Changes, RowChange, Snapshot
+from redwingpost.ports.platform import Row
+
+#: Batches of changes that are kept: a neighbour that turns here from
+#: another VM is a few behind.
+KEPT_BATCHES = 64
+
+
+class _Batch(NamedTuple):
+    changes: tuple[RowChange, ...]
+    version: int
+
+
+class TableCopy:
+    """Rows as the store told them, with the versions that it gave.
+
+    A reader may go from this copy to the store, or to another VM's copy,
+    and back: all count by the store's versions. It may get a change twice
+    then, always followed by what came after it.
+
+    Examples
+    --------
+    >>> copy = TableCopy()
+    >>> copy.note_snapshot(Snapshot((Row("t", "k", 3, {}),), 5, 0))
+    >>> copy.since(5)
+    Changes(changes=(), version=5, history_lost=False)
+    >>> copy.since(4).history_lost
+    True
+    """
+
+    def __init__(self) -> None:
+        self.version: int | None = None
+        self._row_by_key: dict[str, Row] = {}
+        self._batches: deque[_Batch] = deque(maxlen=KEPT_BATCHES)
+        self._from_version = 0
+        self._changed = Event()
+
+    def note_snapshot(self, snapshot: Snapshot) -> None:
+        """Take over the whole table."""
+        self._row_by_key = {row.key: row for row in snapshot.rows}
+        self._batches.clear()
+        self._from_version = snapshot.version
+        self._advance(snapshot.version)
+
+    def note_changes(self, changes: Changes) -> None:
+        """Take in what the store told since."""
+        for change in changes.changes:
+            if change.is_removed:
+                self._row_by_key.pop(change.row.key, None)
+            else:
+                self._row_by_key[change.row.key] = change.row
+        if changes.changes:
+            if len(self._batches) == KEPT_BATCHES:
+                self._from_version = self._batches[0].version
+            self._batches.append(_Batch(changes.changes, changes.version))
+        self._advance(max(changes.version, self.version or 0))
+
+    def rows(self) -> tuple[Row, ...]:
+        """Return all rows."""
+        return tuple(self._row_by_key.values())
+
+    def since(self, after: int) -> Changes:
+        """Return what changed after a version."""
+        if after < self._from_version:
+            return Changes((), 0, history_lost=True)
+        changes = tuple(
+            change
+            for batch in self._batches
+            if batch.version > after
+            for change in batch.changes
+        )
+        return Changes(changes, max(self.version or 0, after))
+
+    async def wait(self, after: int, wait_s: float) -> Changes:
+        """Return what changed after a version once anything has."""
+        found = self.since(after)
+        if found.changes or found.history_lost:
+            return found
+        try:
+            await wait_for(self._changed.wait(), wait_s)
+        except TimeoutError:
+            # Nothing changed: that is an answer as well.
+            return found
+        return self.since(after)
+
+    def _advance(self, version: int) -> None:
+        self.version = version
+        self._changed.set()
+        self._changed = Event()
--- /dev/null
+++ b/redwingpost/node/table_pages.py
@@ -0,0 +1,101 @@
+"""Hand a table's rows and changes from VM to VM.
+
+Load pattern: every VM follows three tables of the fleet's store. Each
+change wakes all of them, and each asks again: at 200 VMs one new
+configuration is 200 calls, and a start of the fleet 200 times 200. So
+only gatherers follow the store; the others follow a gatherer here.
+"""
+
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import parse_qsl, urlencode
+
+from expression import Error, Ok, Result
+from msgspec import DecodeError
+from msgspec.json import decode, encode
+
+from redwingpost.adapters.http_client import HttpAnswer
+from redwingpost.adapters.http_pages import Page
+from redwingpost.core.codes import Code
+from redwingpost.core.requests import Refusal
+from redwingpost.node.table_copy import TableCopy
+from redwingpost.ports.fleet_store import Changes, RowChange
+from redwingpost.ports.platform import Row
+
+#: Where a VM shows what changed in its copies, at its metrics port.
+TABLE_PATH = "/table"
+
+#: Seconds that a page may wait for a change.
+_MAX_WAIT_S = 30.0
+
+
+def table_target(table: str, after: int, wait_s: float) -> str:
+    """Return what to ask a neighbour for."""
+    fields = {"table": table, "after": after, "wait_ms": int(wait_s * 1e3)}
+    return f"{TABLE_PATH}?{urlencode(fields)}"
+
+
+class TablePages:
+    """Shows this VM's copies to its neighbours.
+
+    Parameters
+    ----------
+    copy_by_table : dict of str to TableCopy
+        The copies.
+    is_lost : callable
+        Says whether the store has not answered lately for a table. Then
+        neighbours do better elsewhere.
+    """
+
+    def __init__(
+        self,
+        copy_by_table: dict[str, TableCopy],
+        is_lost: Callable[[str], bool],
+    ) -> None:
+        self._copy_by_table = copy_by_table
+        self._is_lost = is_lost
+
+    async def page(self, query: str) -> Page:
+        """Return what changed in a table, once anything has."""
+        try:
+            fields = dict(parse_qsl(query))
+            table = fields["table"]
+            copy = self._copy_by_table[table]
+            after = int(fields["after"])
+            wait_s = min(int(fields["wait_ms"]) / 1000.0, _MAX_WAIT_S)
+        except (KeyError, ValueError):
+            return Page(400)
+        if copy.version is None or self._is_lost(table):
+            return Page(503)
+        changes = await copy.wait(after, wait_s)
+        if self._is_lost(table) and not changes.changes:
+            return Page(503)
+        return Page(200, encode(_encode(changes)), "application/json")
+
+
+def read_changes(answer: HttpAnswer) -> Result[Changes, Refusal]:
+    """Return a neighbour's answer."""
+    if answer.status != 200:
+        detail = f"status {answer.status}"
+        return Error(Refusal(Code.STORE_UNAVAILABLE, detail))
+    try:
+        return Ok(_decode(decode(answer.body)))
+    except (DecodeError, KeyError, TypeError) as error:
+        return Error(Refusal(Code.PEER_REFUSED, str(error)))
+
+
+def _encode(changes: Changes) -> dict[str, Any]:
+    return {
+        "changes": [
+            [*change.row, change.is_removed] for change in changes.changes
+        ],
+        "version": changes.version,
+        "history_lost": changes.history_lost,
+    }
+
+
+def _decode(body: dict[str, Any]) -> Changes:
+    changes = tuple(
+        RowChange(Row(*item[:-1]), item[-1]) for item in body["changes"]
+    )
+    return Changes(changes, body["version"], body["history_lost"])
--- a/redwingpost/node/takeover.py
+++ b/redwingpost/node/takeover.py
@@ -13,7 +13,6 @@
 from redwingpost.node.leader_view import LeaderViews
 from redwingpost.node.metrics import NodeMetrics
 from redwingpost.node.rosters import decode_rosters
-from redwingpost.node.steps import repeat
 from redwingpost.observability.journal import log_event
 from redwingpost.takeover.roster import Roster
 from redwingpost.takeover.triggers import (
@@ -22,9 +21,6 @@
     reason_to_act,
 )
 
-#: Seconds between looks at the groups.
-LOOK_S = 0.1
-
 #: Seconds before a takeover that failed is tried again.
 AGAIN_S = 0.7
 
@@ -58,11 +54,8 @@
         self._due_by_group: dict[str, tuple[Reason, float]] = {}
         self._task_by_group: dict[str, Task] = {}
 
-    @Service.task
-    async def _watch(self) -> None:
-        await repeat(self, self._look_at_all, LOOK_S)
-
-    async def _look_at_all(self) -> None:
+    def look_at_all(self) -> None:
+        """Look whether a group's primary must be replaced."""
         for group in tuple(self._group_by_name.values()):
             self._look(group)
 
@@ -71,7 +64,9 @@
         if running is not None and not running.done():
             return
         now = self._clock.now()
-        reason = reason_to_act(self._views.describe(group, now))
+        reason = None
+        if self._views.may_be_wrong(group, now):
+            reason = reason_to_act(self._views.describe(group, now))
         known = self._due_by_group.get(group.name)
         if reason is None:
             self._due_by_group.pop(group.name, None)
--- /dev/null
+++ b/redwingpost/node/tests/many_vms.py
@@ -0,0 +1,199 @@
+"""Hundreds of VMs that tell each other heartbeats, on a clock of their own.
+
+Real messages are packed and read; the network between is a queue with a
+delay, which can be cut anywhere.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from redwingpost.configuration.routes import OrganisationRule
+from redwingpost.membership.gathering import Gathering
+from redwingpost.membership.hearing import BEAT_S, VmTable
+from redwingpost.membership.heartbeat import (
+    Heartbeat,
+    PrimaryHealth,
+    VmAddress,
+)
+from redwingpost.node.heartbeats import Heartbeats, Here
+from redwingpost.ports.clock import VirtualClock
+from redwingpost.rates.usage import UsageLedger
+
+#: Seconds from any VM to any other.
+DELAY_S = 0.0015
+
+#: The only primary that heartbeats tell of.
+PRIMARY = "primary"
+
+_PORT = 7
+
+
+class _Writer:
+    """Describes a VM that reaches all primaries."""
+
+    def __init__(self, vm: str, ip: str, boot: int, clock: VirtualClock):
+        self._vm, self._ip, self._boot = vm, ip, boot
+        self._clock = clock
+        self.health = PrimaryHealth(0, 0, 0, 0)
+
+    def describe(self, may_be_brief: bool) -> Heartbeat:
+        """Return the VM's heartbeat."""
+        is_brief = may_be_brief and not self.health.failing_ms
+        return Heartbeat(
+            self._vm,
+            self._boot,
+            self._ip,
+            1,
+            {} if is_brief else {PRIMARY: self.health},
+            int(self._clock.now() * 1000),
+            None,
+            (),
+            is_brief,
+        )
+
+    def take_samples(self, samples, left_at) -> None:
+        """Leave samples aside."""
+
+
+class _Transport:
+    """One VM's socket."""
+
+    def __init__(self, fleet: "ManyVms", vm: str) -> None:
+        self._fleet = fleet
+        self._vm = vm
+
+    def sendto(self, datagram: bytes, address: tuple[str, int]) -> None:
+        """Put a datagram on its way."""
+        self._fleet.send(self._vm, address[0], datagram)
+
+    def is_closing(self) -> bool:
+        """Sockets stay open."""
+        return False
+
+
+class SimulatedVm:
+    """One life of a VM."""
+
+    def __init__(self, fleet: "ManyVms", address: VmAddress, boot: int):
+        now = fleet.clock.now()
+        self.address = address
+        self.vms = VmTable(address.vm, now)
+        self.ledger = UsageLedger(now)
+        self.gathering = Gathering(address.vm)
+        self.writer = _Writer(address.vm, address.ip, boot, fleet.clock)
+        self.heartbeats = Heartbeats(
+            self.vms,
+            self.ledger,
+            self.gathering,
+            self.writer,
+            fleet.clock,
+            Here(address.vm, address.ip, _PORT),
+            fleet.call_later,
+        )
+        self.heartbeats.use(_Transport(fleet, address.vm))
+
+    def set_listed(self, addresses: tuple[VmAddress, ...]) -> None:
+        """Take in the list of VMs."""
+        self.vms.set_listed(addresses)
+        self.gathering.set_listed(addresses)
+        self.heartbeats.greet()
+
+    def admit(self, rule: OrganisationRule, now: float) -> bool:
+        """Take an operation in if the rate allows it."""
+        if not self.ledger.admit(rule, self.vms.part(now), now):
+            return False
+        self.heartbeats.report_if_due(rule.name)
+        return True
+
+
+class ManyVms:
+    """VMs of several data centres, all started at once.
+
+    ``sent`` and ``received`` count datagrams by VM; ``is_cut`` says of two
+    VMs whether nothing passes from the one to the other.
+    """
+
+    def __init__(self, vms: int, centres: int, seed: int = 1) -> None:
+        self.clock = VirtualClock(1000.0)
+        self.sent: Counter[str] = Counter()
+        self.received: Counter[str] = Counter()
+        self.is_cut: Callable[[str, str], bool] = lambda one, other: False
+        self._random = Random(seed)
+        self._due: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = count()
+        self._boots = count(1)
+        self.addresses = tuple(
+            VmAddress(f"vm-{n}", f"10.0.{n}", _PORT, f"dc-{n % centres}")
+            for n in range(vms)
+        )
+        self._vm_by_ip = {item.ip: item.vm for item in self.addresses}
+        self.vm_by_name: dict[str, SimulatedVm] = {}
+        for address in self.addresses:
+            self.start(address)
+
+    def start(self, address: VmAddress) -> None:
+        """Start a VM, anew if it ran."""
+        life = SimulatedVm(self, address, next(self._boots))
+        self.vm_by_name[address.vm] = life
+        life.set_listed(self.addresses)
+        first_s = self._random.uniform(0.0, BEAT_S)
+        self.call_later(first_s, lambda: self._beat(life))
+
+    def stop(self, vm: str) -> None:
+        """Kill a VM."""
+        del self.vm_by_name[vm]
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        until = self.clock.now() + seconds
+        while self._due and self._due[0][0] <= until:
+            at, _, step = heappop(self._due)
+            self.clock.advance(max(0.0, at - self.clock.now()))
+            step()
+        self.clock.advance(until - self.clock.now())
+
+    def call_later(self, seconds: float, step: Callable[[], None]) -> None:
+        """Call a function after some seconds."""
+        at = self.clock.now() + seconds
+        heappush(self._due, (at, next(self._order), step))
+
+    def send(self, vm: str, ip: str, datagram: bytes) -> None:
+        """Bring a datagram to a VM, unless one of the two is gone."""
+        if vm not in self.vm_by_name:
+            return
+        self.sent[vm] += 1
+        reader = self._vm_by_ip[ip]
+        sender = self.vm_by_name[vm].address
+        if not self.is_cut(vm, reader):
+            self.call_later(
+                DELAY_S, lambda: self._arrive(reader, datagram, sender.ip)
+            )
+
+    def parts(self) -> list[float]:
+        """Return the part of the fleet that each VM hears."""
+        now = self.clock.now()
+        return [vm.vms.part(now) for vm in self.vm_by_name.values()]
+
+    def gatherers(self) -> list[str]:
+        """Return the VMs that gather."""
+        now = self.clock.now()
+        return [
+            name
+            for name, vm in self.vm_by_name.items()
+            if vm.gathering.gathers(now)
+        ]
+
+    def _arrive(self, vm: str, datagram: bytes, ip: str) -> None:
+        life = self.vm_by_name.get(vm)
+        if life is not None:
+            self.received[vm] += 1
+            life.heartbeats.take_in(datagram, ip)
+
+    def _beat(self, life: SimulatedVm) -> None:
+        if self.vm_by_name.get(life.address.vm) is not life:
+            return
+        life.heartbeats.beat()
+        self.call_later(BEAT_S, lambda: self._beat(life))
--- a/redwingpost/node/tests/test_heartbeats.py
+++ b/redwingpost/node/tests/test_heartbeats.py
@@ -4,8 +4,10 @@
 from socket import AF_INET, SOCK_DGRAM, socket
 from unittest import IsolatedAsyncioTestCase
 
-from redwingpost.membership.hearing import Heartbeat, VmAddress, VmTable
-from redwingpost.node.heartbeats import Heartbeats
+from redwingpost.membership.gathering import Gathering
+from redwingpost.membership.hearing import VmTable
+from redwingpost.membership.heartbeat import Heartbeat, VmAddress
+from redwingpost.node.heartbeats import Heartbeats, Here
 from redwingpost.ports.clock import MonotonicClock
 from redwingpost.rates.usage import UsageLedger
 
@@ -21,6 +23,20 @@
         return probe.getsockname()[1]
 
 
+class FakeWriter:
+    """Always says the same."""
+
+    def __init__(self, heartbeat: Heartbeat) -> None:
+        self._heartbeat = heartbeat
+
+    def describe(self, may_be_brief: bool) -> Heartbeat:
+        """Return the heartbeat."""
+        return self._heartbeat
+
+    def take_samples(self, samples, left_at) -> None:
+        """Leave samples aside."""
+
+
 class QuietHeartbeats(Heartbeats):
     """Sends what is asked for, and no heartbeat by itself."""
 
@@ -33,15 +49,14 @@
         clock = MonotonicClock()
         vm, ip = f"vm-{number}", _IPS[number]
         vms = VmTable(vm, clock.now())
+        gathering = Gathering(vm)
         heartbeats = QuietHeartbeats(
             vms,
             UsageLedger(clock.now()),
-            lambda may_be_brief: Heartbeat(vm, 1, ip, 1, {}, 1, None, ()),
+            gathering,
+            FakeWriter(Heartbeat(vm, 1, ip, 1, {}, 1, None, ())),
             clock,
-            ip,
-            port,
-            (),
-            lambda heartbeat: None,
+            Here(vm, ip, port),
         )
         return vms, heartbeats
 
--- /dev/null
+++ b/redwingpost/node/tests/test_relayed_store.py
@@ -0,0 +1,172 @@
+"""Tables followed at a neighbour, which dies or loses the store."""
+
+from asyncio import create_task, gather, sleep, wait_for
+from unittest import IsolatedAsyncioTestCase
+
+from expression import Ok, Result
+
+from redwingpost.adapters.http_pages import PageServer
+from redwingpost.bench.ports import find_free_port
+from redwingpost.core.requests import Refusal
+from redwingpost.membership.heartbeat import VmAddress
+from redwingpost.node.relayed_store import RelayedStore
+from redwingpost.node.table_copy import KEPT_BATCHES, TableCopy
+from redwingpost.node.table_pages import TABLE_PATH, TablePages
+from redwingpost.ports.clock import MonotonicClock
+from redwingpost.ports.fleet_store import Changes, RowChange, Snapshot
+from redwingpost.ports.platform import Row
+
+_IPS = ("127.0.73.1", "127.0.73.2")
+
+#: Seconds for what comes about at once; never waited for.
+_PATIENCE_S = 10.0
+
+
+def _change(version: int) -> RowChange:
+    return RowChange(Row("t", f"k{version}", version, {}), False)
+
+
+class FakeGathering:
+    """Names the neighbours to follow, and who this VM is."""
+
+    has_list = True
+    is_new = False
+    is_direct = False
+
+    def __init__(self, vms: int) -> None:
+        self.relays = tuple(
+            VmAddress(f"vm-{n}", ip, 1, "a") for n, ip in enumerate(_IPS[:vms])
+        )
+        self.is_gatherer = False
+
+    def gathers(self, now: float) -> bool:
+        """Say whether this VM asks the store itself."""
+        return self.is_gatherer
+
+    def gatherers(self, now: float) -> tuple[VmAddress, ...]:
+        """Return whom to follow."""
+        return self.relays
+
+
+class CountingStore:
+    """Counts what it is asked."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+
+    async def changes(
+        self, table: str, after: int, wait_s: float
+    ) -> Result[Changes, Refusal]:
+        """Return one change."""
+        self.calls += 1
+        return Ok(Changes((_change(after + 1),), after + 1))
+
+
+class RelayTest(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.port = find_free_port(_IPS[0])
+        self.lost: set[str] = set()
+        self.copies = []
+        self.servers = []
+        for ip in _IPS:
+            copy = TableCopy()
+            copy.note_snapshot(Snapshot((), 5, 0))
+            pages = TablePages(
+                {"t": copy}, lambda name, ip=ip: ip in self.lost
+            )
+            server = PageServer(ip, self.port, {}, {TABLE_PATH: pages.page})
+            await server.start()
+            self.addAsyncCleanup(server.stop)
+            self.copies.append(copy)
+            self.servers.append(server)
+        self.store = CountingStore()
+        self.gathering = FakeGathering(2)
+        self.relayed = self._relayed()
+
+    def _relayed(self) -> RelayedStore:
+        return RelayedStore(
+            self.store, self.gathering, self.port, "list", MonotonicClock()
+        )
+
+    async def _next(self, wait_s: float = 5.0) -> Changes:
+        got = await wait_for(self.relayed.changes("t", 5, wait_s), _PATIENCE_S)
+        return got.ok
+
+    async def test_news_come_from_a_neighbour(self) -> None:
+        asking = create_task(self._next())
+        await sleep(0.05)
+        self.copies[0].note_changes(Changes((_change(6),), 6))
+        changes = await asking
+        self.assertEqual(6, changes.version)
+        self.assertEqual((_change(6),), changes.changes)
+        self.assertEqual(0, self.store.calls)
+
+    async def test_a_neighbour_that_must_be_left(self) -> None:
+        """The gatherer that this VM follows dies, or has lost the store.
+
+        A configuration must be in force within seconds all the same, so
+        the VM turns to the second gatherer, and then to the store.
+        """
+        first, second = self.gathering.relays
+        cases = (
+            ("another gatherer is first", (second,), set(), 0),
+            ("nobody gathers", (), set(), 1),
+            ("it has lost the store", (first, second), {first.ip}, 0),
+            ("both have", (first, second), {first.ip, second.ip}, 1),
+        )
+        for name, relays, lost, calls in cases:
+            with self.subTest(name):
+                self.gathering.relays = (first, second)
+                self.lost = set()
+                self.relayed = self._relayed()
+                before = self.store.calls
+                asking = create_task(self._next())
+                await sleep(0.05)
+                self.gathering.relays = relays
+                self.lost = lost
+                if lost:
+                    # Its copy stops waiting as the next wait ends.
+                    asking.cancel()
+                    await gather(asking, return_exceptions=True)
+                    asking = create_task(self._next())
+                await sleep(0.3)
+                self.copies[1].note_changes(Changes((_change(6),), 6))
+                await asking
+                self.assertEqual(calls, self.store.calls - before)
+                self.copies[1].note_snapshot(Snapshot((), 5, 0))
+
+    async def test_a_store_that_is_down_is_left_alone(self) -> None:
+        """The store is down, and both gatherers say so.
+
+        Two hundred VMs that ask it again and again pay for each call.
+        """
+        self.lost = set(_IPS)
+        await self._next()
+        got = await self.relayed.changes("t", 5, 5.0)
+        self.assertTrue(got.is_error())
+        self.assertEqual(1, self.store.calls)
+
+    async def test_a_gatherer_asks_the_store(self) -> None:
+        self.gathering.is_gatherer = True
+        await self._next()
+        self.assertEqual(1, self.store.calls)
+
+
+class CopyTest(IsolatedAsyncioTestCase):
+    async def test_what_a_reader_gets(self) -> None:
+        copy = TableCopy()
+        copy.note_snapshot(Snapshot((), 5, 0))
+        for version in range(6, 6 + KEPT_BATCHES + 2):
+            copy.note_changes(Changes((_change(version),), version))
+        newest = copy.version
+        cases = (
+            ("up to date", newest, 0, False),
+            ("one behind", newest - 1, 1, False),
+            ("too far behind", 5, 0, True),
+            ("ahead", newest + 3, 0, False),
+        )
+        for name, after, changes, is_lost in cases:
+            with self.subTest(name):
+                found = copy.since(after)
+                self.assertEqual(changes, len(found.changes))
+                self.assertEqual(is_lost, found.history_lost)
--- a/redwingpost/node/watcher.py
+++ b/redwingpost/node/watcher.py
@@ -8,6 +8,7 @@
 from mode import Service
 
 from redwingpost.node.steps import repeat
+from redwingpost.node.table_copy import TableCopy
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.fleet_store import FleetStore, Snapshot
@@ -73,13 +74,14 @@
         super().__init__(**kwargs)
         self._on_regained = on_regained
         self._store = store
-        self._table = table
+        self.table = table
         self._reader = reader
         self._clock = clock
         self._version: int | None = None
         self._answered_at = float("-inf")
         self._changed_at = float("-inf")
         self._was_lost = False
+        self.copy = TableCopy()
 
     @property
     def is_lost(self) -> bool:
@@ -93,12 +95,13 @@
 
     async def read_now(self) -> bool:
         """Read the whole table; False where the store didn't answer."""
-        got = await self._store.snapshot(self._table)
+        got = await self._store.snapshot(self.table)
         if got.is_error():
             self._note_lost(got.error.detail)
             return False
         self._note_answer()
         self._version = got.ok.version
+        self.copy.note_snapshot(got.ok)
         self._reader.on_snapshot(got.ok)
         return True
 
@@ -115,9 +118,7 @@
                 return
 
     async def _wait_once(self) -> bool:
-        got = await self._store.changes(
-            self._table, self._version, FEED_WAIT_S
-        )
+        got = await self._store.changes(self.table, self._version, FEED_WAIT_S)
         if got.is_error():
             self._note_lost(got.error.detail)
             # What was removed while the feed was away shows in the whole
@@ -126,10 +127,11 @@
         self._note_answer()
         changes = got.ok
         if changes.history_lost:
-            log_event("store-history-lost", table=self._table)
+            log_event("store-history-lost", table=self.table)
             self._version = None
             return True
         self._version = max(self._version, changes.version)
+        self.copy.note_changes(changes)
         for is_removed, run in groupby(
             changes.changes, key=attrgetter("is_removed")
         ):
@@ -153,11 +155,11 @@
         self._answered_at = self._clock.now()
         if self._was_lost:
             self._was_lost = False
-            log_event("store-regained", table=self._table)
+            log_event("store-regained", table=self.table)
             if self._on_regained is not None:
                 self._on_regained()
 
     def _note_lost(self, detail: str) -> None:
         if not self._was_lost:
             self._was_lost = True
-            log_event("store-lost", table=self._table, detail=detail)
+            log_event("store-lost", table=self.table, detail=detail)
--- a/redwingpost/rates/usage.py
+++ b/redwingpost/rates/usage.py
@@ -32,10 +32,12 @@
 takes the view of those that haven't.
 """
 
+from collections.abc import Iterable
 from math import exp
 from typing import NamedTuple
 
 from redwingpost.configuration.routes import OrganisationRule
+from redwingpost.rates.counters import Usage
 
 #: Admissions of one organisation after which the others are told at once
 #: rather than with the next heartbeat: six VMs then exceed a bucket by
@@ -54,6 +56,12 @@
 #: little.
 BLEND = 0.1
 
+#: VMs that tell their views, beyond which all of them together move the
+#: reader's view by ``BLEND`` with one report each. Views of many VMs come
+#: over gatherers and lack what was used lately; moved by each as by one of
+#: a few, a bucket would get that back before it is known everywhere.
+FEW_TELLERS = 12
+
 #: Seconds after its start from which a VM tells its view: by then it has
 #: heard each counter of the others, and its own guess has worn off.
 SETTLED_AFTER_S = 3.0
@@ -73,30 +81,6 @@
 LEAST_SHARE = 0.01
 
 
-class Usage(NamedTuple):
-    """Operations of one organisation at a VM since its start.
-
-    ``returned`` of the admitted ones reached no member. ``tokens`` is the
-    whole bucket as the VM sees it; None where it has just started.
-    """
-
-    organisation: str
-    admitted: int
-    offered: int = 0
-    returned: int = 0
-    tokens: float | None = None
-
-    @property
-    def counts(self) -> tuple[int, int, int]:
-        """Return the counters, which only grow."""
-        return self.admitted, self.offered, self.returned
-
-    @property
-    def used(self) -> int:
-        """Return the operations that count against the rate."""
-        return self.admitted - self.returned
-
-
 class _Told:
     """What a VM has told of itself since one of its starts.
 
@@ -292,31 +276,47 @@
         return BucketView(bucket.tokens, demand.per_s, demand.share)
 
     def note_peer(
-        self, vm: str, boot: int, usages: tuple[Usage, ...], now: float
-    ) -> None:
+        self, vm: str, boot: int, usages: Iterable[Usage], now: float
+    ) -> tuple[Usage, ...]:
         """Take in what another VM has admitted since its start.
 
-        The first word of a VM is where counting starts: what it admitted
-        before has long been refilled. Of a VM that started again only the
-        newest start is kept.
+        Counters that are met for the first time count from the VM's report
+        before: what it admitted earlier has long been refilled. Of a VM
+        that started again only the newest start is kept.
+
+        Returns
+        -------
+        tuple of Usage
+            Those that were news.
         """
         told = self._told_by_vm.get(vm)
         if told is None or told.boot < boot:
             told = self._told_by_vm[vm] = _Told(boot)
         if told.boot > boot:
-            return
+            return ()
         told.told_at = now
-        for usage in usages:
-            known = told.usage_by_organisation.get(usage.organisation, usage)
-            if usage.counts < known.counts:
-                continue
-            told.usage_by_organisation[usage.organisation] = usage
-            bucket = self._bucket_by_organisation.get(usage.organisation)
-            if bucket is not None:
-                bucket.settle_again(now)
+        return tuple(
+            usage for usage in usages if self._note_usage(told, usage, now)
+        )
+
+    def _note_usage(self, told: "_Told", usage: Usage, now: float) -> bool:
+        """Take in one counter; False where it was known already."""
+        known = told.usage_by_organisation.get(usage.organisation)
+        if known is not None and usage.counts < known.counts:
+            return False
+        is_new = known is None or usage.counts != known.counts
+        told.usage_by_organisation[usage.organisation] = usage
+        bucket = self._bucket_by_organisation.get(usage.organisation)
+        if bucket is not None:
+            bucket.settle_again(now)
+            if known is None:
+                bucket.demand.total += usage.newly_offered
+                bucket.tokens -= usage.newly_used
+            else:
                 bucket.demand.total += usage.offered - known.offered
                 bucket.tokens -= usage.used - known.used
-                self._blend(bucket, usage, now)
+            self._blend(bucket, usage, now)
+        return is_new
 
     def peers(self) -> tuple[str, ...]:
         """Return the VMs whose counters are kept."""
@@ -336,16 +336,27 @@
     def take_report(self, everything: bool, now: float) -> tuple[Usage, ...]:
         """Return the counters to send: those that changed, or all."""
         usages = tuple(
-            own
+            self._since_last(own)
             for name, own in self._own_by_organisation.items()
             if everything or own != self._reported_by_organisation.get(name)
         )
         for usage in usages:
-            self._reported_by_organisation[usage.organisation] = usage
+            own = self._own_by_organisation[usage.organisation]
+            self._reported_by_organisation[usage.organisation] = own
         if not self._is_settled(now):
             return usages
         return tuple(self._with_view(usage, now) for usage in usages)
 
+    def _since_last(self, own: Usage) -> Usage:
+        """Return counters with what came since they were last reported."""
+        told = self._reported_by_organisation.get(
+            own.organisation, Usage(own.organisation, 0)
+        )
+        return own._replace(
+            newly_used=own.used - told.used,
+            newly_offered=own.offered - told.offered,
+        )
+
     def _own(self, organisation: str) -> Usage:
         nothing = Usage(organisation, 0)
         return self._own_by_organisation.get(organisation, nothing)
@@ -366,9 +377,13 @@
         # report. Taken as told, each report would give some of that back:
         # 11.5 operations a second at a rate of 11 (played load, 7 VMs).
         tokens = usage.tokens - self._unreported(usage.organisation)
-        weight = BLEND if self._is_settled(now) else 1.0
+        weight = self._blend_weight() if self._is_settled(now) else 1.0
         bucket.tokens += weight * (tokens - bucket.tokens)
 
+    def _blend_weight(self) -> float:
+        tellers = len(self._told_by_vm)
+        return BLEND if tellers <= FEW_TELLERS else BLEND / tellers
+
     def _unreported(self, organisation: str) -> int:
         """Return what this VM has used since its last report."""
         own = self._own(organisation)
--- a/redwingpost/takeover/triggers.py
+++ b/redwingpost/takeover/triggers.py
@@ -8,10 +8,11 @@
 than half of them can't.
 """
 
+from collections.abc import Iterable
 from enum import Enum
 from typing import NamedTuple
 
-from redwingpost.membership.hearing import PrimaryHealth
+from redwingpost.membership.heartbeat import MergedHealth, PrimaryHealth
 
 #: Seconds without an answer after which a primary counts as silent:
 #: several times the longest ordinary answer and the probe's interval.
@@ -119,7 +120,9 @@
 
 
 def stuck_at_all_s(
-    own_stuck_s: float, own_acked_s: float, reports: list[PrimaryHealth]
+    own_stuck_s: float,
+    own_acked_s: float,
+    reports: Iterable[PrimaryHealth | MergedHealth],
 ) -> float:
     """Return since when writes wait in vain and none is acknowledged.
 
@@ -127,7 +130,7 @@
     ----------
     own_stuck_s, own_acked_s : float
         This VM's experience (seconds).
-    reports : list of PrimaryHealth
+    reports : iterable of PrimaryHealth or MergedHealth
         That of the VMs in hearing.
 
     Examples
--- a/redwingpost/wire/heartbeat.py
+++ b/redwingpost/wire/heartbeat.py
@@ -1,21 +1,20 @@
-"""Heartbeats as datagrams: pack and unpack, once each."""
+"""Heartbeats and digests as datagrams: pack and unpack, once each."""
 
-from pathlib import Path
+from typing import NamedTuple
 
-from capnp import KjException, SchemaParser
+from capnp import KjException
 
 from redwingpost.core.positions import Position
-from redwingpost.membership.hearing import (
-    Heartbeat,
+from redwingpost.membership.heartbeat import (
+    Digest,
     Echo,
+    Heartbeat,
     PrimaryHealth,
     SharedSample,
 )
-from redwingpost.rates.usage import Usage
-
-_SCHEMA = SchemaParser().load(
-    str(Path(__file__).with_name("heartbeat.capnp")), imports=[]
-)
+from redwingpost.rates.counters import Usage
+from redwingpost.wire.digest import fill_digest, read_digest
+from redwingpost.wire.heartbeat_schema import SCHEMA
 
 
 def pack_heartbeat(heartbeat: Heartbeat, usages: tuple[Usage, ...]) -> bytes:
@@ -28,30 +27,44 @@
     >>> heartbeat = Heartbeat("a", 7, "ip", 3, health, 5, None, samples)
     >>> usages = (Usage("org", 5, 6, tokens=-2.5), Usage("other", 1))
     >>> datagram = pack_heartbeat(heartbeat, usages)
-    >>> unpack_heartbeat(datagram, "ip") == (heartbeat, usages)
+    >>> unpack(datagram, "ip") == (heartbeat, usages)
     True
     """
     sample_by_member = {sample.member: sample for sample in heartbeat.samples}
-    message = _SCHEMA.Heartbeat.new_message(
-        vm=heartbeat.vm,
-        boot=heartbeat.boot,
-        configVersion=heartbeat.config_version,
-        usages=[_pack_usage(usage) for usage in usages],
-        primaries=[
+    fields = {
+        "vm": heartbeat.vm,
+        "boot": heartbeat.boot,
+        "configVersion": heartbeat.config_version,
+        "usages": [_pack_usage(usage) for usage in usages],
+        "primaries": [
             _pack_primary(member, health, sample_by_member.get(member))
             for member, health in heartbeat.health_by_primary.items()
         ],
-        clockMs=heartbeat.clock_ms,
-        echo=_pack_echo(heartbeat.echo),
-        isBrief=heartbeat.is_brief,
-    )
+        "clockMs": heartbeat.clock_ms,
+        "echo": _pack_echo(heartbeat.echo),
+        "isBrief": heartbeat.is_brief,
+        "wantsUsages": heartbeat.wants_usages,
+        "isUrgent": heartbeat.is_urgent,
+    }
+    return SCHEMA.Message.new_message(heartbeat=fields).to_bytes_packed()
+
+
+def pack_digest(digest: Digest) -> bytes:
+    """Return the datagram of one digest."""
+    message = SCHEMA.Message.new_message()
+    fill_digest(message.init("digest"), digest)
     return message.to_bytes_packed()
 
 
-def unpack_heartbeat(
-    datagram: bytes, ip: str
-) -> tuple[Heartbeat, tuple[Usage, ...]] | None:
-    """Return a heartbeat and its usages; None for anything else.
+class HeartbeatWithUsages(NamedTuple):
+    """One VM's heartbeat and its counters."""
+
+    heartbeat: Heartbeat
+    usages: tuple[Usage, ...]
+
+
+def unpack(datagram: bytes, ip: str) -> HeartbeatWithUsages | Digest | None:
+    """Return what a datagram says; None where it can't be read.
 
     Parameters
     ----------
@@ -62,35 +75,43 @@
 
     Examples
     --------
-    >>> unpack_heartbeat(b"\\xff\\xffbroken", "10.0.0.1") is None
+    >>> unpack(b"\\xff\\xffbroken", "10.0.0.1") is None
     True
     """
     try:
-        message = _SCHEMA.Heartbeat.from_bytes_packed(datagram)
-        heartbeat = Heartbeat(
-            message.vm,
-            message.boot,
-            ip,
-            message.configVersion,
-            {
-                item.member: PrimaryHealth(
-                    item.silentMs, item.stuckMs, item.ackedMs, item.failingMs
-                )
-                for item in message.primaries
-            },
-            message.clockMs,
-            _unpack_echo(message.echo),
-            tuple(
-                _unpack_sample(item)
-                for item in message.primaries
-                if item.sampleAgeMs
-            ),
-            message.isBrief,
-        )
-        usages = tuple(_unpack_usage(item) for item in message.usages)
-    except (KjException, UnicodeDecodeError, ValueError):
+        message = SCHEMA.Message.from_bytes_packed(datagram)
+        if message.which() == "digest":
+            return read_digest(message.digest)
+        return _unpack_heartbeat(message.heartbeat, ip)
+    except (KjException, UnicodeDecodeError, ValueError, IndexError):
         return None
-    return heartbeat, usages
+
+
+def _unpack_heartbeat(message, ip: str) -> HeartbeatWithUsages:
+    heartbeat = Heartbeat(
+        message.vm,
+        message.boot,
+        ip,
+        message.configVersion,
+        {
+            item.member: PrimaryHealth(
+                item.silentMs, item.stuckMs, item.ackedMs, item.failingMs
+            )
+            for item in message.primaries
+        },
+        message.clockMs,
+        _unpack_echo(message.echo),
+        tuple(
+            _unpack_sample(item)
+            for item in message.primaries
+            if item.sampleAgeMs
+        ),
+        message.isBrief,
+        message.wantsUsages,
+        message.isUrgent,
+    )
+    usages = tuple(_unpack_usage(item) for item in message.usages)
+    return HeartbeatWithUsages(heartbeat, usages)
 
 
 def _pack_usage(usage: Usage) -> dict:
@@ -102,13 +123,21 @@
         "returned": usage.returned,
         "tokens": usage.tokens if is_told else 0.0,
         "isTold": is_told,
+        "newlyUsed": max(0, usage.newly_used),
+        "newlyOffered": usage.newly_offered,
     }
 
 
 def _unpack_usage(item) -> Usage:
     tokens = item.tokens if item.isTold else None
     return Usage(
-        item.organisation, item.admitted, item.offered, item.returned, tokens
+        item.organisation,
+        item.admitted,
+        item.offered,
+        item.returned,
+        tokens,
+        item.newlyUsed,
+        item.newlyOffered,
     )
 
 
