Group the node's files by a request's way, the fleet and takeovers

node/request/ holds a request's way in order, node/fleet/ what VMs tell each other and follow in the store, node/takeover/ the replacement of primaries. Only imports change with that.

With it, two changes of the roster: an ended member is off it a tenth of a second after its end, not up to three seconds, and a VM that hears less than half of the others writes none.

Small fleets stay each to each by a count of datagrams, not by a number of VMs: 18 VMs in six data centres had twelve gatherers and half as many bytes again. First counters of a VM don't count in a small fleet's first seconds.

--- a/redwingpost/membership/gathering.py
+++ b/redwingpost/membership/gathering.py
@@ -18,8 +18,8 @@
 finds itself to be the first. Two that gather without need cost some
 datagrams and nothing else, since all that they tell merges the same.
 
-A small fleet needs none of it: with ``DIRECT_VMS`` or fewer each tells
-each, which is one step less for whatever is told.
+A small fleet needs none of it: where that is no more work, each tells each
+(``is_direct_cheaper``), which is one step less for whatever is told.
 """
 
 from collections.abc import Iterable
@@ -30,9 +30,9 @@
 #: Gatherers of a cell: one more than must be there.
 GATHERERS = 2
 
-#: VMs that tell each other without gatherers: a gatherer among a dozen
-#: would send nearly as many datagrams as without.
-DIRECT_VMS = 12
+#: Heartbeats that are as much work as a gatherer's digest, for who packs
+#: and for who reads it.
+DIGEST_WEIGHT = 3
 
 #: VMs of a cell, at most: what a gatherer of half a core tells within a
 #: few percent of its time.
@@ -106,6 +106,26 @@
     return -(-vms // CELL_VMS)
 
 
+def is_direct_cheaper(vms: int, cells: int) -> bool:
+    """Say whether VMs should tell each other each to each.
+
+    Parameters
+    ----------
+    vms, cells : int
+        How many there are.
+
+    Examples
+    --------
+    >>> is_direct_cheaper(7, 3), is_direct_cheaper(18, 6)
+    (True, True)
+    >>> is_direct_cheaper(62, 3), is_direct_cheaper(195, 6)
+    (False, False)
+    """
+    reports = 2 * GATHERERS * vms
+    between = GATHERERS * cells * GATHERERS * (cells - 1)
+    return vms * (vms - 1) <= DIGEST_WEIGHT * (reports + between)
+
+
 class Suspicions:
     """VMs that were told something and say nothing.
 
@@ -163,6 +183,7 @@
         self._cells = Cells()
         self._suspicions = Suspicions()
         self._address_by_vm: dict[str, VmAddress] = {}
+        self._is_direct = True
         self.has_list = False
         #: Whether this VM wasn't on the list as it was first read.
         self.is_new = False
@@ -178,7 +199,7 @@
     @property
     def is_direct(self) -> bool:
         """Return whether the fleet is small enough to do without."""
-        return self.cell is None or len(self._address_by_vm) <= DIRECT_VMS
+        return self.cell is None or self._is_direct
 
     def set_listed(self, addresses: tuple[VmAddress, ...]) -> None:
         """Take in the list of VMs."""
@@ -187,6 +208,8 @@
         self.has_list = True
         self._address_by_vm = {item.vm: item for item in addresses}
         self._cells.set_listed(addresses)
+        cells = len(self._cells.names())
+        self._is_direct = is_direct_cheaper(len(addresses), cells)
 
     def note_report(self, vm: str, now: float) -> None:
         """Take in that a VM reported here."""
--- a/redwingpost/membership/tests/test_gathering.py
+++ b/redwingpost/membership/tests/test_gathering.py
@@ -6,7 +6,6 @@
 from redwingpost.membership.gathering import (
     ALONE_S,
     CELL_VMS,
-    DIRECT_VMS,
     GATHERERS,
     REPORTS_S,
     RETRY_S,
@@ -46,9 +45,11 @@
         self.assertEqual(GATHERERS, len(chosen.pop()))
 
     def test_small_fleets_have_none(self) -> None:
-        for vms, expected in ((DIRECT_VMS, True), (DIRECT_VMS + 1, False)):
-            with self.subTest(vms=vms):
-                gathering = _gathering("vm-0", vms)
+        cases = ((7, 3, True), (18, 6, True), (18, 3, False), (62, 3, False))
+        for vms, centres, expected in cases:
+            with self.subTest(vms=vms, centres=centres):
+                gathering = Gathering("vm-0")
+                gathering.set_listed(_addresses(vms, centres))
                 self.assertEqual(expected, gathering.is_direct)
 
     def test_a_large_data_centre_has_cells(self) -> None:
--- a/redwingpost/node/digest_writer.py
+++ b/redwingpost/node/fleet/digest_writer.py
@@ -14,7 +14,7 @@
     set_number,
     vm_number,
 )
-from redwingpost.node.readiness_inputs import reached_by
+from redwingpost.node.fleet.readiness_inputs import reached_by
 from redwingpost.rates.counters import NO_USAGES, UsageTable
 
 #: Digests in a row that tell a new set of VMs: one of them will arrive.
--- a/redwingpost/node/heartbeats.py
+++ b/redwingpost/node/fleet/heartbeats.py
@@ -25,7 +25,7 @@
     VmAddress,
     vm_number,
 )
-from redwingpost.node.digest_writer import DigestWriter
+from redwingpost.node.fleet.digest_writer import DigestWriter
 from redwingpost.node.steps import repeat
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
--- a/redwingpost/node/readiness_inputs.py
+++ b/redwingpost/node/fleet/readiness_inputs.py
@@ -4,7 +4,7 @@
 from redwingpost.membership.hearing import LATELY_S, VmTable
 from redwingpost.membership.heartbeat import Heartbeat
 from redwingpost.membership.readiness import ReadinessInputs
-from redwingpost.node.admission import Admission
+from redwingpost.node.request.admission import Admission
 from redwingpost.node.group import GroupClient
 
 #: Milliseconds within which a primary answered another VM lately enough
--- a/redwingpost/node/registry.py
+++ b/redwingpost/node/fleet/registry.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from redwingpost.groups.directory import Directory
-from redwingpost.node.admission import Admission
+from redwingpost.node.request.admission import Admission
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.fleet_store import Snapshot
--- a/redwingpost/node/relayed_store.py
+++ b/redwingpost/node/fleet/relayed_store.py
@@ -10,7 +10,7 @@
 from redwingpost.core.requests import Refusal
 from redwingpost.membership.gathering import Gathering
 from redwingpost.membership.heartbeat import VmAddress
-from redwingpost.node.table_pages import read_changes, table_target
+from redwingpost.node.fleet.table_pages import read_changes, table_target
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.fleet_store import Changes, FleetStore, Snapshot
--- a/redwingpost/node/table_pages.py
+++ b/redwingpost/node/fleet/table_pages.py
@@ -18,7 +18,7 @@
 from redwingpost.adapters.http_pages import Page
 from redwingpost.core.codes import Code
 from redwingpost.core.requests import Refusal
-from redwingpost.node.table_copy import TableCopy
+from redwingpost.node.fleet.table_copy import TableCopy
 from redwingpost.ports.fleet_store import Changes, RowChange
 from redwingpost.ports.platform import Row
 
--- /dev/null
+++ b/redwingpost/node/request/__init__.py
@@ -0,0 +1,1 @@
+"""A request on its way: session, admission, read, write, transaction."""
--- a/redwingpost/node/reads.py
+++ b/redwingpost/node/request/reads.py
@@ -16,7 +16,7 @@
 from redwingpost.core.statements import Answer, Statement
 from redwingpost.groups.choice import BEHIND_PAUSE_S
 from redwingpost.groups.reads import ReadPlan, plan_read
-from redwingpost.node.attempt import (
+from redwingpost.node.request.attempt import (
     Caller,
     NoAnswer,
     NotSent,
--- a/redwingpost/node/session.py
+++ b/redwingpost/node/request/session.py
@@ -9,13 +9,13 @@
 from redwingpost.core.registry import Registry
 from redwingpost.core.requests import Refusal
 from redwingpost.core.statements import Answer, Statement, StatementKind
-from redwingpost.node.admission import Admission, Admitted
-from redwingpost.node.attempt import Caller
+from redwingpost.node.request.admission import Admission, Admitted
+from redwingpost.node.request.attempt import Caller
 from redwingpost.node.group import GroupClient
 from redwingpost.node.metrics import GRANTED, NodeMetrics
-from redwingpost.node.reads import ReadRequest, ReadRunner, Result
-from redwingpost.node.transaction import Transaction
-from redwingpost.node.writes import WriteRunner
+from redwingpost.node.request.reads import ReadRequest, ReadRunner, Result
+from redwingpost.node.request.transaction import Transaction
+from redwingpost.node.request.writes import WriteRunner
 from redwingpost.observability.journal import log_event
 from redwingpost.observability.trace import StatementTrace
 from redwingpost.ports.clock import Clock
--- a/redwingpost/node/transaction.py
+++ b/redwingpost/node/request/transaction.py
@@ -15,7 +15,7 @@
 from redwingpost.core.statements import Answer, Statement, StatementKind
 from redwingpost.groups.choice import BEHIND_PAUSE_S
 from redwingpost.groups.reads import oldest_sample_time
-from redwingpost.node.attempt import (
+from redwingpost.node.request.attempt import (
     Caller,
     NoAnswer,
     NotSent,
@@ -25,7 +25,7 @@
 )
 from redwingpost.node.group import GroupClient
 from redwingpost.node.member import MemberClient, is_good
-from redwingpost.node.reads import (
+from redwingpost.node.request.reads import (
     MAX_TRIES,
     ReadRequest,
     Result,
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -13,29 +13,29 @@
 from redwingpost.membership.hearing import VmTable
 from redwingpost.membership.heartbeat import VmAddress
 from redwingpost.membership.readiness import Readiness
-from redwingpost.node.admission import Admission
-from redwingpost.node.conductor import Outside as TakeoverOutside
-from redwingpost.node.copies import COPY_PATH, Copies
-from redwingpost.node.copy_fetcher import CopyFetcher
-from redwingpost.node.duty import DutyKeeper
-from redwingpost.node.fleet import FLEET_TABLE, FleetEntry, FleetReader
+from redwingpost.node.request.admission import Admission
+from redwingpost.node.takeover.conductor import Outside as TakeoverOutside
+from redwingpost.node.fleet.copies import COPY_PATH, Copies
+from redwingpost.node.fleet.copy_fetcher import CopyFetcher
+from redwingpost.node.takeover.duty import DutyKeeper
+from redwingpost.node.fleet.vm_list import FLEET_TABLE, FleetEntry, FleetReader
 from redwingpost.node.group import GroupClient
-from redwingpost.node.leader_view import LeaderViews
+from redwingpost.node.takeover.leader_view import LeaderViews
 from redwingpost.node.metrics import NodeMetrics
-from redwingpost.node.readiness_inputs import ReadinessView
-from redwingpost.node.heartbeats import Heartbeats, Here
-from redwingpost.node.reads import ReadRunner
-from redwingpost.node.registry import MemberReader, RulesReader
-from redwingpost.node.relayed_store import RelayedStore
-from redwingpost.node.rosters import RosterKeeper
-from redwingpost.node.session import NodeSession, Services
-from redwingpost.node.start_gate import StartGate
+from redwingpost.node.fleet.readiness_inputs import ReadinessView
+from redwingpost.node.fleet.heartbeats import Heartbeats, Here
+from redwingpost.node.request.reads import ReadRunner
+from redwingpost.node.fleet.registry import MemberReader, RulesReader
+from redwingpost.node.fleet.relayed_store import RelayedStore
+from redwingpost.node.takeover.rosters import RosterKeeper
+from redwingpost.node.request.session import NodeSession, Services
+from redwingpost.node.request.start_gate import StartGate
 from redwingpost.node.steps import repeat
-from redwingpost.node.table_pages import TABLE_PATH, TablePages
-from redwingpost.node.takeover import TakeoverKeeper
-from redwingpost.node.watcher import TableWatcher
-from redwingpost.node.heartbeat_writer import HeartbeatWriter
-from redwingpost.node.writes import WriteRunner
+from redwingpost.node.fleet.table_pages import TABLE_PATH, TablePages
+from redwingpost.node.takeover.keeper import TakeoverKeeper
+from redwingpost.node.fleet.watcher import TableWatcher
+from redwingpost.node.fleet.heartbeat_writer import HeartbeatWriter
+from redwingpost.node.request.writes import WriteRunner
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.database import LinkFactory, PromotionOrders
@@ -193,7 +193,7 @@
             self._admission, outside.format, self._on_rules
         )
         self._member_reader = MemberReader(
-            self.directory, outside.format, self._clock, self._follow
+            self.directory, outside.format, self._clock, self._on_members
         )
         self._rules_watcher = TableWatcher(
             store,
@@ -394,6 +394,10 @@
         self._start_gate.open()
         self._follow()
 
+    def _on_members(self) -> None:
+        self._follow()
+        self._rosters.look_soon()
+
     def _follow(self) -> None:
         """Bring the groups in step with directory and rules."""
         for name in self.directory.groups():
--- /dev/null
+++ b/redwingpost/node/takeover/__init__.py
@@ -0,0 +1,1 @@
+"""Primaries replaced: who notices, who conducts, whose logs matter."""
--- a/redwingpost/node/rosters.py
+++ b/redwingpost/node/takeover/rosters.py
@@ -8,7 +8,7 @@
 from redwingpost.core.positions import Position
 from redwingpost.groups.directory import Directory
 from redwingpost.membership.hearing import VmTable
-from redwingpost.node.duty import GROUP_TABLE
+from redwingpost.node.takeover.duty import GROUP_TABLE
 from redwingpost.node.group import GroupClient
 from redwingpost.node.steps import repeat
 from redwingpost.observability.journal import log_event
@@ -23,9 +23,13 @@
 #: the row is for those that start after it has gone.
 _LOOK_S = 1.0
 
+#: Seconds between steps: as soon as a member ends it is asked what the
+#: others must hold, and then whether they do.
+_STEP_S = 0.1
+
 #: Seconds after a VM's start before it writes: by then it hears the others
 #: and knows whether it is the one to write.
-_FIRST_LOOK_S = 3.0
+_FIRST_LOOK_S = 1.0
 
 #: One VM at a time writes the rosters; its place in the order of VMs is
 #: looked up under this name.
@@ -91,19 +95,40 @@
         self._drain_s = drain_s
         self._clock = clock
         self._stored_by_group: dict[str, StoredRoster] | None = None
+        self._look_at = float("-inf")
         self._missing_since: dict[str, float] = {}
         self._pending_by_group: dict[str, _Pending] = {}
 
     @Service.task
     async def _keep(self) -> None:
         await self.sleep(_FIRST_LOOK_S)
-        await repeat(self, self.look, _LOOK_S)
+        await repeat(self, self._look_again, _STEP_S)
+
+    def look_soon(self) -> None:
+        """Look at once: a member has come or gone.
+
+        Until one that ended is off the roster, a primary that is lost
+        can't be replaced: both are silent then.
+        """
+        self._look_at = float("-inf")
+
+    async def _look_again(self) -> None:
+        now = self._clock.now()
+        if now < self._look_at:
+            return
+        self._look_at = now + _LOOK_S
+        before = len(self._pending_by_group)
+        await self.look()
+        if len(self._pending_by_group) > before:
+            self._look_at = float("-inf")
 
     async def look(self) -> None:
         """Bring the rows in step with who is listed and who is gone."""
-        if self._is_registry_lost():
+        now = self._clock.now()
+        # Whoever hears few takes itself for the first that is there.
+        if self._is_registry_lost() or not self._vms.hears_half(now):
             return
-        if self._vms.place(_SUBJECT, self._clock.now()) != 0:
+        if self._vms.place(_SUBJECT, now) != 0:
             return
         if self._stored_by_group is None:
             self._stored_by_group = await self._read()
@@ -139,7 +164,9 @@
             for name in roster.member_by_name
             if self._is_gone(name, self._clock.now())
         )
-        if gone and not await self._do_rest_hold_all(group, gone):
+        if not gone:
+            self._pending_by_group.pop(group.name, None)
+        elif not await self._do_rest_hold_all(group, gone):
             gone = frozenset()
         return roster.without(gone).with_listed(listed)
 
--- a/redwingpost/node/tests/many_vms.py
+++ b/redwingpost/node/tests/many_vms.py
@@ -18,7 +18,7 @@
     PrimaryHealth,
     VmAddress,
 )
-from redwingpost.node.heartbeats import Heartbeats, Here
+from redwingpost.node.fleet.heartbeats import Heartbeats, Here
 from redwingpost.ports.clock import VirtualClock
 from redwingpost.rates.usage import UsageLedger
 
--- a/redwingpost/node/tests/test_attempt.py
+++ b/redwingpost/node/tests/test_attempt.py
@@ -5,7 +5,7 @@
 from unittest import IsolatedAsyncioTestCase
 
 from redwingpost.core.statements import Statement, StatementKind
-from redwingpost.node.attempt import Caller, NotSent, run_alone
+from redwingpost.node.request.attempt import Caller, NotSent, run_alone
 from redwingpost.observability.trace import StatementTrace
 from redwingpost.ports.clock import VirtualClock
 from redwingpost.ports.database import Reply
--- a/redwingpost/node/tests/test_conductor.py
+++ b/redwingpost/node/tests/test_conductor.py
@@ -7,7 +7,7 @@
 from redwingpost.groups.directory import Directory
 from redwingpost.groups.evidence import GroupEvidence
 from redwingpost.leases.duty import HeldDuty
-from redwingpost.node.conductor import Conductor, Outside
+from redwingpost.node.takeover.conductor import Conductor, Outside
 from redwingpost.ports.clock import MonotonicClock
 from redwingpost.ports.database import MemberEntry, StatusReport
 from redwingpost.takeover.roster import Roster
--- a/redwingpost/node/tests/test_heartbeats.py
+++ b/redwingpost/node/tests/test_heartbeats.py
@@ -7,7 +7,7 @@
 from redwingpost.membership.gathering import Gathering
 from redwingpost.membership.hearing import VmTable
 from redwingpost.membership.heartbeat import Heartbeat, VmAddress
-from redwingpost.node.heartbeats import Heartbeats, Here
+from redwingpost.node.fleet.heartbeats import Heartbeats, Here
 from redwingpost.ports.clock import MonotonicClock
 from redwingpost.rates.usage import UsageLedger
 
--- a/redwingpost/node/tests/test_many_vms.py
+++ b/redwingpost/node/tests/test_many_vms.py
@@ -7,7 +7,7 @@
 from redwingpost.membership.gathering import GATHERERS, SUSPECT_AFTER_S
 from redwingpost.membership.hearing import BEAT_S, HEARD_S
 from redwingpost.membership.heartbeat import PrimaryHealth
-from redwingpost.node.heartbeats import PASS_ON_S
+from redwingpost.node.fleet.heartbeats import PASS_ON_S
 from redwingpost.node.tests.many_vms import (
     DELAY_S,
     PRIMARY,
--- a/redwingpost/node/tests/test_relayed_store.py
+++ b/redwingpost/node/tests/test_relayed_store.py
@@ -9,9 +9,9 @@
 from redwingpost.bench.ports import find_free_port
 from redwingpost.core.requests import Refusal
 from redwingpost.membership.heartbeat import VmAddress
-from redwingpost.node.relayed_store import RelayedStore
-from redwingpost.node.table_copy import KEPT_BATCHES, TableCopy
-from redwingpost.node.table_pages import TABLE_PATH, TablePages
+from redwingpost.node.fleet.relayed_store import RelayedStore
+from redwingpost.node.fleet.table_copy import KEPT_BATCHES, TableCopy
+from redwingpost.node.fleet.table_pages import TABLE_PATH, TablePages
 from redwingpost.ports.clock import MonotonicClock
 from redwingpost.ports.fleet_store import Changes, RowChange, Snapshot
 from redwingpost.ports.platform import Row
--- a/redwingpost/node/tests/test_rosters.py
+++ b/redwingpost/node/tests/test_rosters.py
@@ -9,7 +9,8 @@
 from redwingpost.groups.directory import Directory
 from redwingpost.groups.evidence import GroupEvidence
 from redwingpost.membership.hearing import VmTable
-from redwingpost.node.rosters import RosterKeeper, decode_rosters
+from redwingpost.membership.heartbeat import VmAddress
+from redwingpost.node.takeover.rosters import RosterKeeper, decode_rosters
 from redwingpost.ports.clock import VirtualClock
 from redwingpost.ports.database import MemberEntry, StatusReport
 from redwingpost.ports.fleet_store import Snapshot
@@ -18,6 +19,13 @@
 _DRAIN_S = 7.0
 
 
+def _table() -> VmTable:
+    """Return the view of a VM that is alone."""
+    table = VmTable("vm-1", 0.0)
+    table.set_listed((VmAddress("vm-1", "ip", 1),))
+    return table
+
+
 class FakeStore:
     """Rows under conditions."""
 
@@ -85,7 +93,7 @@
             self.store,
             {"g": self.group},
             self.directory,
-            VmTable("vm-1", 0.0),
+            _table(),
             lambda: False,
             _DRAIN_S,
             self.clock,
--- a/redwingpost/node/tests/test_start_gate.py
+++ b/redwingpost/node/tests/test_start_gate.py
@@ -3,7 +3,7 @@
 from asyncio import create_task, sleep
 from unittest import IsolatedAsyncioTestCase
 
-from redwingpost.node.start_gate import StartGate
+from redwingpost.node.request.start_gate import StartGate
 
 #: Seconds, far above what the loop takes for a turn.
 LONG_S = 60.0
--- a/redwingpost/node/tests/test_watcher.py
+++ b/redwingpost/node/tests/test_watcher.py
@@ -7,7 +7,7 @@
 
 from redwingpost.core.codes import Code
 from redwingpost.core.requests import Refusal
-from redwingpost.node.watcher import TableWatcher
+from redwingpost.node.fleet.watcher import TableWatcher
 from redwingpost.ports.clock import MonotonicClock, VirtualClock
 from redwingpost.ports.fleet_store import Changes, RowChange, Snapshot
 from redwingpost.ports.platform import Row
--- a/redwingpost/rates/usage.py
+++ b/redwingpost/rates/usage.py
@@ -310,14 +310,27 @@
         if bucket is not None:
             bucket.settle_again(now)
             if known is None:
-                bucket.demand.total += usage.newly_offered
-                bucket.tokens -= usage.newly_used
+                self._count_new(bucket, usage, now)
             else:
                 bucket.demand.total += usage.offered - known.offered
                 bucket.tokens -= usage.used - known.used
             self._blend(bucket, usage, now)
         return is_new
 
+    def _count_new(self, bucket: _Bucket, usage: Usage, now: float) -> None:
+        """Take in a VM's first counters of an organisation.
+
+        While a few VMs have just started they don't count: what was in the
+        bucket before is a low guess, and taken together both refuse
+        callers who come back within their rates. Of many VMs the first few
+        operations of each would be more than the guess leaves out.
+        """
+        is_guess = not self._is_settled(now)
+        if is_guess and len(self._told_by_vm) <= FEW_TELLERS:
+            return
+        bucket.demand.total += usage.newly_offered
+        bucket.tokens -= usage.newly_used
+
     def peers(self) -> tuple[str, ...]:
         """Return the VMs whose counters are kept."""
         return tuple(self._told_by_vm)
