Few VMs ask while something looks wrong; what gatherers heard counts together

Change: seven VMs, by their place, ask at the short pace, the others every three seconds; the second gatherer tells with each heartbeat; what several gatherers of a cell have heard is taken together. A status has its module, a table's copy keeps what changed only.

--- a/redwingpost/groups/questions.py
+++ b/redwingpost/groups/questions.py
@@ -26,6 +26,17 @@
 ASK_AGAIN_S = 0.4
 
 
+#: VMs that ask all members of a group in which something looks wrong, each
+#: at the shorter pace: enough that one of them acts though some are cut
+#: off. All others ask at the longer one, and hear of a new primary in
+#: heartbeats. If each of 200 VMs asked four times a second, a member would
+#: answer questions only; full with their connections it would look lost to
+#: the rest, who would ask in their turn.
+ALERT_ASKERS = 7
+ALERT_ROUND_S = 0.25
+ALERT_OTHERS_S = 3.0
+
+
 class MemberQuiet(NamedTuple):
     """For how long a member has been quiet; all in seconds.
 
@@ -41,6 +52,22 @@
     waiting_s: float
 
 
+def alert_round_s(place: int) -> float:
+    """Return how often to ask while something looks wrong (seconds).
+
+    Parameters
+    ----------
+    place : int
+        This VM's place in the order of VMs that ask.
+
+    Examples
+    --------
+    >>> alert_round_s(0), alert_round_s(100)
+    (0.25, 3.0)
+    """
+    return ALERT_ROUND_S if place < ALERT_ASKERS else ALERT_OTHERS_S
+
+
 def is_overdue(quiet: MemberQuiet) -> bool:
     """Say whether statements wait too long at a member.
 
--- a/redwingpost/groups/tests/test_questions.py
+++ b/redwingpost/groups/tests/test_questions.py
@@ -8,6 +8,7 @@
     QUIET_S,
     QUIET_STEP_S,
     MemberQuiet,
+    alert_round_s,
     is_overdue,
     is_primary_due,
 )
@@ -51,3 +52,15 @@
             with self.subTest(name):
                 quiet = MemberQuiet(answered_s, _NEVER, elsewhere_s, 0.0)
                 self.assertEqual(expected, is_primary_due(quiet, place))
+
+    def test_how_many_ask_while_something_looks_wrong(self) -> None:
+        """A primary of a fleet of 200 VMs fails, or is only full.
+
+        If all asked its group four times a second, the members would
+        answer nothing else, and look lost to more and more VMs.
+        """
+        for vms, most_a_second in ((7, 28.0), (62, 50.0), (200, 100.0)):
+            with self.subTest(vms=vms):
+                a_second = sum(1.0 / alert_round_s(n) for n in range(vms))
+                self.assertLessEqual(a_second, most_a_second)
+                self.assertGreaterEqual(a_second, 28.0)
--- a/redwingpost/membership/digests.py
+++ b/redwingpost/membership/digests.py
@@ -7,6 +7,7 @@
     CellReport,
     Digest,
     MergedHealth,
+    set_number,
 )
 
 #: Sets of VMs that are kept of each cell: gatherers of one cell may see a
@@ -85,9 +86,8 @@
 
         Its age is that of now.
 
-        Of several the youngest counts, unless it covers less than half of
-        what another does: a gatherer that has just begun has heard few of
-        its VMs yet, and one that died goes on covering all of them.
+        What several gatherers of a cell heard is taken together: VMs that
+        have just left one for another are known to one of them only.
         """
         found_by_cell: dict[str, list[CellReport]] = {}
         for told in self._told_by_vm.values():
@@ -97,7 +97,7 @@
                 if age_ms <= within_s * 1000.0:
                     aged = report._replace(age_ms=age_ms)
                     found_by_cell.setdefault(report.cell, []).append(aged)
-        return tuple(_best(found) for found in found_by_cell.values())
+        return tuple(_together(found) for found in found_by_cell.values())
 
     def healths(
         self, now: float, within_s: float, is_fleet: bool
@@ -132,7 +132,16 @@
                 del self._told_by_vm[vm]
 
 
-def _best(reports: list[CellReport]) -> CellReport:
-    most = max(len(report.vms) for report in reports)
-    wide = [report for report in reports if 2 * len(report.vms) >= most]
-    return min(wide, key=lambda report: report.age_ms)
+def _together(reports: list[CellReport]) -> CellReport:
+    """Return what several gatherers of one cell heard, as one report."""
+    youngest = min(reports, key=lambda report: report.age_ms)
+    newest = max(reports, key=lambda report: report.config_version)
+    merged = youngest._replace(
+        config_version=newest.config_version,
+        config_ip=newest.config_ip,
+        reached=max(report.reached for report in reports),
+    )
+    if len({report.vms_number for report in reports}) == 1:
+        return merged
+    vms = frozenset().union(*(report.vms for report in reports))
+    return merged._replace(vms=vms, vms_number=set_number(vms))
--- a/redwingpost/node/fleet/heartbeats.py
+++ b/redwingpost/node/fleet/heartbeats.py
@@ -286,9 +286,7 @@
         digest = self._digests.leave_out_known(digest, everything or has_new)
         readers = self._wanting_readers(now)
         self._send_digest(digest, readers, news, now)
-        if not may_be_brief:
-            return
-        # Those that have the rest from another gatherer, in case it dies.
+        # The others have the rest from another gatherer, until it dies.
         reporters = self._gathering.reporters(now)
         others = [item for item in reporters if item not in readers]
         self._send_digest(digest.without_health(), others, (), now)
--- a/redwingpost/node/fleet/table_copy.py
+++ b/redwingpost/node/fleet/table_copy.py
@@ -1,11 +1,10 @@
-"""A VM's copy of a table, and what changed in it lately, for neighbours."""
+"""What changed in a table lately, as a VM knows it, for its neighbours."""
 
 from asyncio import Event, wait_for
 from collections import deque
 from typing import NamedTuple
 
 from redwingpost.ports.fleet_store import Changes, RowChange, Snapshot
-from redwingpost.ports.platform import Row
 
 #: Batches of changes that are kept: a neighbour that turns here from
 #: another VM is a few behind.
@@ -18,16 +17,16 @@
 
 
 class TableCopy:
-    """Rows as the store told them, with the versions that it gave.
+    """Changes as the store told them, with the versions that it gave.
 
-    A reader may go from this copy to the store, or to another VM's copy,
-    and back: all count by the store's versions. It may get a change twice
-    then, always followed by what came after it.
+    A reader may go from here to the store, or to another VM, and back: all
+    count by the store's versions. It may get a change twice then, always
+    followed by what came after it.
 
     Examples
     --------
     >>> copy = TableCopy()
-    >>> copy.note_snapshot(Snapshot((Row("t", "k", 3, {}),), 5, 0))
+    >>> copy.note_snapshot(Snapshot((), 5, 0))
     >>> copy.since(5)
     Changes(changes=(), version=5, history_lost=False)
     >>> copy.since(4).history_lost
@@ -36,35 +35,24 @@
 
     def __init__(self) -> None:
         self.version: int | None = None
-        self._row_by_key: dict[str, Row] = {}
         self._batches: deque[_Batch] = deque(maxlen=KEPT_BATCHES)
         self._from_version = 0
         self._changed = Event()
 
     def note_snapshot(self, snapshot: Snapshot) -> None:
-        """Take over the whole table."""
-        self._row_by_key = {row.key: row for row in snapshot.rows}
+        """Take in that the whole table was read."""
         self._batches.clear()
         self._from_version = snapshot.version
         self._advance(snapshot.version)
 
     def note_changes(self, changes: Changes) -> None:
         """Take in what the store told since."""
-        for change in changes.changes:
-            if change.is_removed:
-                self._row_by_key.pop(change.row.key, None)
-            else:
-                self._row_by_key[change.row.key] = change.row
         if changes.changes:
             if len(self._batches) == KEPT_BATCHES:
                 self._from_version = self._batches[0].version
             self._batches.append(_Batch(changes.changes, changes.version))
         self._advance(max(changes.version, self.version or 0))
 
-    def rows(self) -> tuple[Row, ...]:
-        """Return all rows."""
-        return tuple(self._row_by_key.values())
-
     def since(self, after: int) -> Changes:
         """Return what changed after a version."""
         if after < self._from_version:
--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -13,7 +13,9 @@
 from redwingpost.groups.directory import Directory
 from redwingpost.groups.evidence import FRESH_START_S, GroupEvidence
 from redwingpost.groups.questions import (
+    ALERT_ROUND_S,
     MemberQuiet,
+    alert_round_s,
     is_askable,
     is_overdue,
     is_primary_due,
@@ -35,11 +37,6 @@
 #: day's 10,000 exchanges with members.
 ROUND_S = 30.0
 
-#: Seconds between rounds while something looks wrong: all VMs ask then.
-#: At 0.15 s three days with two takeovers each had 2,730 questions of our
-#: own where 2,200 do, and callers fared no better.
-ALERT_ROUND_S = 0.25
-
 #: Seconds between rounds until a first primary is known: members of a
 #: system that starts come one by one.
 FIRST_ROUND_S = 0.4
@@ -191,16 +188,19 @@
     def ask_if_due(self) -> None:
         """Ask whichever members must be asked now; don't wait."""
         now = self._clock.now()
-        pause = ALERT_ROUND_S if self.is_alert() else ROUND_S
-        if self.evidence.term == 0:
-            pause = FIRST_ROUND_S
-        if now - self.round_at >= pause:
+        if now - self.round_at >= self._round_pause_s(now):
             create_task(self.run_round())
             return
         for name, client in tuple(self.member_by_name.items()):
             if self._is_question_due(name, client, now):
                 create_task(self._ask_one(client, now))
 
+    def _round_pause_s(self, now: float) -> float:
+        if self.evidence.term and not self.is_alert():
+            return ROUND_S
+        pause_s = alert_round_s(self._vms.place(self.name, now))
+        return pause_s if self.evidence.term else max(pause_s, FIRST_ROUND_S)
+
     def _is_question_due(
         self, member: str, client: MemberClient, now: float
     ) -> bool:
--- a/redwingpost/node/takeover/conductor.py
+++ b/redwingpost/node/takeover/conductor.py
@@ -19,7 +19,6 @@
     PromotionOrders,
 )
 from redwingpost.takeover.plan import (
-    MemberStatus,
     Survey,
     candidates,
     choose,
@@ -28,6 +27,12 @@
     pause_term,
 )
 from redwingpost.takeover.roster import Roster
+from redwingpost.takeover.status import (
+    MemberStatus,
+    brief,
+    leading,
+    newest_term,
+)
 from redwingpost.takeover.triggers import Reason
 
 #: Seconds between questions while a change is under way.
@@ -103,7 +108,7 @@
     async def run(self, reason: Reason) -> str:
         """Replace the primary; return the outcome for the log."""
         statuses = await self._ask_all(self.clients, "status")
-        leader = _leading(statuses, self._group.evidence.term)
+        leader = leading(statuses, self._group.evidence.term)
         if await self._depose_stale(statuses, leader):
             statuses = await self._ask_all(self.clients, "status")
         if reason is Reason.LEFT_PAUSED and leader is not None:
@@ -181,7 +186,7 @@
         self, statuses: tuple[MemberStatus, ...], leader: str | None
     ) -> bool:
         """Make primaries of earlier terms replicas; True if any was."""
-        newest = _newest_term(statuses)
+        newest = newest_term(statuses)
         stale = {
             item.entry.member: self.clients[item.entry.member]
             for item in statuses
@@ -253,14 +258,14 @@
         if not await self._catches_up(chosen, leader, term):
             return None
         old = {leader: self.clients[leader]}
-        newest = _newest_term(statuses) + 1
-        stopped = await self._ask_all(old, "step_down", newest)
+        next_term = newest_term(statuses) + 1
+        stopped = await self._ask_all(old, "step_down", next_term)
         log_event(
             "primary-stopped",
             group=self._group.name,
             member=leader,
             reason=reason.value,
-            answers=[_brief(item) for item in stopped],
+            answers=[brief(item) for item in stopped],
         )
         if not stopped or stopped[0].is_silent:
             return await self._pause_all(leader, term)
@@ -407,36 +412,6 @@
         log_event(
             "takeover-unsafe",
             group=self._group.name,
-            members=[_brief(item) for item in statuses],
+            members=[brief(item) for item in statuses],
             floor=str(self._group.evidence.floor),
         )
-
-
-def _newest_term(statuses: tuple[MemberStatus, ...]) -> int:
-    return max(
-        (item.report.term for item in statuses if not item.is_silent),
-        default=0,
-    )
-
-
-def _leading(statuses: tuple[MemberStatus, ...], term: int) -> str | None:
-    """Return the member that answers as primary of the newest term."""
-    claims = [
-        (item.report.term, item.entry.member)
-        for item in statuses
-        if not item.is_silent and item.report.is_primary
-    ]
-    if not claims or max(claims)[0] < term:
-        return None
-    return max(claims)[1]
-
-
-def _brief(status: MemberStatus) -> str:
-    """Return a member's answer in a few words, for the log."""
-    report = status.report
-    if report is None:
-        return f"{status.entry.member} silent"
-    role = "leads" if report.is_primary else "follows"
-    head = f"{report.received.term}.{report.received.index}"
-    paused = f" paused for {report.paused_for}" if report.paused_for else ""
-    return f"{status.entry.member} {role} {report.term} at {head}{paused}"
--- a/redwingpost/takeover/plan.py
+++ b/redwingpost/takeover/plan.py
@@ -25,8 +25,8 @@
 
 from typing import NamedTuple
 
-from redwingpost.core.positions import ZERO_POSITION, Position
-from redwingpost.ports.database import MemberEntry, StatusReport
+from redwingpost.core.positions import Position
+from redwingpost.takeover.status import MemberStatus
 
 #: Members that may be silent where no primary was stopped: the primary
 #: itself. A second one may hold the other copy of a commit, confirm more
@@ -34,23 +34,6 @@
 MAX_SILENT = 1
 
 
-class MemberStatus(NamedTuple):
-    """A member and its report; None where it didn't answer."""
-
-    entry: MemberEntry
-    report: StatusReport | None
-
-    @property
-    def received(self) -> Position:
-        """Return the head of the member's log, as far as known."""
-        return ZERO_POSITION if self.report is None else self.report.received
-
-    @property
-    def is_silent(self) -> bool:
-        """Return whether the member didn't answer."""
-        return self.report is None
-
-
 class Survey(NamedTuple):
     """What is known of a group's members right before an order.
 
@@ -87,6 +70,7 @@
 
     Examples
     --------
+    >>> from redwingpost.ports.database import MemberEntry, StatusReport
     >>> entry = MemberEntry("a", "g", "ip", 1, "z", False, False)
     >>> report = StatusReport(False, 3, Position(3, 1), 5, 0, 0, 0)
     >>> pause_term((MemberStatus(entry, report),))
@@ -179,6 +163,8 @@
 
     Examples
     --------
+    >>> from redwingpost.core.positions import ZERO_POSITION
+    >>> from redwingpost.ports.database import MemberEntry, StatusReport
     >>> def status(name, index):
     ...     entry = MemberEntry(name, "g", "ip", 1, "z", False, False)
     ...     head = Position(1, index)
