A primary that answers a stop and leads all the same is not replaced

A primary that has heard of a newer term answers STEPDOWN and goes on leading; its answer was taken for a stop. The test fails without the check. With it the wait for a promotion's effect is three functions, and a pause that is still on its way is waited for before the others are let go on; imports stand in order.

--- a/redwingpost/membership/tests/test_dissemination.py
+++ b/redwingpost/membership/tests/test_dissemination.py
@@ -9,9 +9,9 @@
     Tell,
     whom_to_tell,
 )
+from redwingpost.membership.dissemination import IN_TURN, MAX_CHANGES
 from redwingpost.membership.ranking import rank_vms
 from redwingpost.membership.table import MemberTable
-from redwingpost.membership.dissemination import IN_TURN, MAX_CHANGES
 
 
 def fleet(data_centres, per_data_centre):
--- a/redwingpost/node/fleet/copy_fetcher.py
+++ b/redwingpost/node/fleet/copy_fetcher.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 
 from redwingpost.membership.hearing import VmTable
-from redwingpost.node.request.admission import Admission
 from redwingpost.node.fleet.copies import fetch_copy
 from redwingpost.node.fleet.registry import MemberReader, RulesReader
+from redwingpost.node.request.admission import Admission
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
 
--- a/redwingpost/node/fleet/heartbeat_writer.py
+++ b/redwingpost/node/fleet/heartbeat_writer.py
@@ -6,9 +6,9 @@
     PrimaryHealth,
     SharedSample,
 )
-from redwingpost.node.request.admission import Admission
-from redwingpost.node.group import GroupClient
 from redwingpost.node.fleet.heartbeats import new_boot
+from redwingpost.node.group import GroupClient
+from redwingpost.node.request.admission import Admission
 from redwingpost.ports.clock import Clock
 
 #: Seconds for which a sample is worth sending to others.
--- a/redwingpost/node/fleet/readiness_inputs.py
+++ b/redwingpost/node/fleet/readiness_inputs.py
@@ -4,8 +4,8 @@
 from redwingpost.membership.hearing import LATELY_S, VmTable
 from redwingpost.membership.heartbeat import Heartbeat
 from redwingpost.membership.readiness import ReadinessInputs
-from redwingpost.node.request.admission import Admission
 from redwingpost.node.group import GroupClient
+from redwingpost.node.request.admission import Admission
 
 #: Milliseconds within which a primary answered another VM lately enough
 #: to count as reached: longer than a question and its time limit take.
--- a/redwingpost/node/fleet/watcher.py
+++ b/redwingpost/node/fleet/watcher.py
@@ -7,8 +7,8 @@
 
 from mode import Service
 
-from redwingpost.node.steps import repeat
 from redwingpost.node.fleet.table_copy import TableCopy
+from redwingpost.node.steps import repeat
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.fleet_store import FleetStore, Snapshot
--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -23,8 +23,8 @@
 from redwingpost.membership.centres import CentreWatch
 from redwingpost.membership.hearing import VmTable
 from redwingpost.node.member import MemberClient
-from redwingpost.node.request.placing import Placing, rank_for_read
 from redwingpost.node.prover import SharedProof
+from redwingpost.node.request.placing import Placing, rank_for_read
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.database import LinkFactory, MemberEntry
--- a/redwingpost/node/request/reads.py
+++ b/redwingpost/node/request/reads.py
@@ -16,6 +16,8 @@
 from redwingpost.core.statements import Answer, Statement
 from redwingpost.groups.choice import BEHIND_PAUSE_S
 from redwingpost.groups.reads import ReadPlan, plan_read
+from redwingpost.node.group import GroupClient
+from redwingpost.node.member import MemberClient, is_good
 from redwingpost.node.request.attempt import (
     Caller,
     NoAnswer,
@@ -23,8 +25,6 @@
     Outcome,
     run_alone,
 )
-from redwingpost.node.group import GroupClient
-from redwingpost.node.member import MemberClient, is_good
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.database import (
     DID_NOT_RUN,
--- a/redwingpost/node/request/session.py
+++ b/redwingpost/node/request/session.py
@@ -9,10 +9,10 @@
 from redwingpost.core.registry import Registry
 from redwingpost.core.requests import Refusal
 from redwingpost.core.statements import Answer, Statement, StatementKind
-from redwingpost.node.request.admission import Admission, Admitted
-from redwingpost.node.request.attempt import Caller
 from redwingpost.node.group import GroupClient
 from redwingpost.node.metrics import GRANTED, NodeMetrics
+from redwingpost.node.request.admission import Admission, Admitted
+from redwingpost.node.request.attempt import Caller
 from redwingpost.node.request.reads import ReadRequest, ReadRunner, Result
 from redwingpost.node.request.transaction import Transaction
 from redwingpost.node.request.writes import WriteRunner
--- a/redwingpost/node/request/transaction.py
+++ b/redwingpost/node/request/transaction.py
@@ -15,6 +15,8 @@
 from redwingpost.core.statements import Answer, Statement, StatementKind
 from redwingpost.groups.choice import BEHIND_PAUSE_S
 from redwingpost.groups.reads import oldest_sample_time
+from redwingpost.node.group import GroupClient
+from redwingpost.node.member import MemberClient, is_good
 from redwingpost.node.request.attempt import (
     Caller,
     NoAnswer,
@@ -23,8 +25,6 @@
     make_ready,
     run_on,
 )
-from redwingpost.node.group import GroupClient
-from redwingpost.node.member import MemberClient, is_good
 from redwingpost.node.request.reads import (
     MAX_TRIES,
     ReadRequest,
--- a/redwingpost/node/request/writes.py
+++ b/redwingpost/node/request/writes.py
@@ -5,14 +5,14 @@
 from redwingpost.core.codes import Code
 from redwingpost.core.requests import Refusal
 from redwingpost.core.statements import Answer
+from redwingpost.node.group import GroupClient
+from redwingpost.node.member import MemberClient, is_good
 from redwingpost.node.request.attempt import (
     NoAnswer,
     NotSent,
     Outcome,
     run_alone,
 )
-from redwingpost.node.group import GroupClient
-from redwingpost.node.member import MemberClient, is_good
 from redwingpost.node.request.reads import (
     MAX_TRIES,
     ReadRequest,
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -13,36 +13,36 @@
 from redwingpost.membership.hearing import VmTable
 from redwingpost.membership.heartbeat import VmAddress
 from redwingpost.membership.readiness import Readiness
-from redwingpost.node.request.admission import Admission
-from redwingpost.node.takeover.conductor import Outside as TakeoverOutside
 from redwingpost.node.fleet.copies import COPY_PATH, Copies
 from redwingpost.node.fleet.copy_fetcher import CopyFetcher
-from redwingpost.node.takeover.duty import DutyKeeper
+from redwingpost.node.fleet.heartbeat_writer import HeartbeatWriter
+from redwingpost.node.fleet.heartbeats import Heartbeats, Here
+from redwingpost.node.fleet.readiness_inputs import ReadinessView
+from redwingpost.node.fleet.registry import MemberReader, RulesReader
+from redwingpost.node.fleet.relayed_store import RelayedStore
+from redwingpost.node.fleet.table_pages import TABLE_PATH, TablePages
 from redwingpost.node.fleet.vm_list import FLEET_TABLE, FleetEntry, FleetReader
+from redwingpost.node.fleet.watcher import TableWatcher
 from redwingpost.node.group import GroupClient
-from redwingpost.node.takeover.leader_view import LeaderViews
 from redwingpost.node.metrics import NodeMetrics
-from redwingpost.node.fleet.readiness_inputs import ReadinessView
-from redwingpost.node.fleet.heartbeats import Heartbeats, Here
+from redwingpost.node.request.admission import Admission
 from redwingpost.node.request.reads import ReadRunner
-from redwingpost.node.fleet.registry import MemberReader, RulesReader
-from redwingpost.node.fleet.relayed_store import RelayedStore
-from redwingpost.node.takeover.rosters import RosterKeeper
 from redwingpost.node.request.session import NodeSession, Services
 from redwingpost.node.request.start_gate import StartGate
+from redwingpost.node.request.writes import WriteRunner
+from redwingpost.node.settings import NodeSettings
 from redwingpost.node.steps import repeat
-from redwingpost.node.fleet.table_pages import TABLE_PATH, TablePages
+from redwingpost.node.takeover.conductor import Outside as TakeoverOutside
+from redwingpost.node.takeover.duty import DutyKeeper
 from redwingpost.node.takeover.keeper import TakeoverKeeper
-from redwingpost.node.fleet.watcher import TableWatcher
-from redwingpost.node.fleet.heartbeat_writer import HeartbeatWriter
-from redwingpost.node.request.writes import WriteRunner
+from redwingpost.node.takeover.leader_view import LeaderViews
+from redwingpost.node.takeover.rosters import RosterKeeper
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.database import LinkFactory, PromotionOrders
 from redwingpost.ports.fleet_store import FleetStore
 from redwingpost.ports.registry import RegistryFormat
 from redwingpost.rates.usage import UsageLedger
-from redwingpost.node.settings import NodeSettings
 
 #: Seconds between looks at directory, readiness and pools.
 STEP_S = 0.1
--- a/redwingpost/node/takeover/conductor.py
+++ b/redwingpost/node/takeover/conductor.py
@@ -3,7 +3,7 @@
 What is decided by the answers is in ``redwingpost.takeover.plan``.
 """
 
-from asyncio import Task, create_task, gather, sleep
+from asyncio import create_task, gather, sleep
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -269,6 +269,8 @@
         )
         if not stopped or stopped[0].is_silent:
             return await self._pause_all(leader, term)
+        if stopped[0].report.is_primary:
+            return None
         return await self._take_last_commits(chosen, stopped[0], term)
 
     async def _catches_up(
@@ -335,36 +337,47 @@
         self, chosen: MemberStatus, term: int, old: str | None
     ) -> bool:
         """Order the promotion and wait until it shows."""
-        member = chosen.entry.member
+        # A replica that starts again, or comes back, is not paused: it
+        # would vouch for the old primary to readers that haven't heard of
+        # the new one. Not waited for, since a member that is silent would
+        # hide the effect for as long as its time limit.
+        others = self._but([chosen.entry.member, old])
+        pausing = create_task(self._ask_all(others, "pause", term))
         until = self._clock.now() + EFFECT_S
         is_ordered = False
-        pausing: Task | None = None
-        while self._clock.now() < until:
-            may_order = is_ordered or await self._may_order(member, term, old)
-            if may_order and not is_ordered:
-                is_ordered = await self._orders.promote(
-                    self._group.name, member, self._vm, self._duty.fence
-                )
-            # A replica that starts again, or comes back, is not paused: it
-            # would vouch for the old primary to readers that haven't heard
-            # of the new one. Not waited for, since a member that is silent
-            # would hide the effect for as long as its time limit.
-            if pausing is None or pausing.done():
-                others = self._but([member, old])
-                pausing = create_task(self._ask_all(others, "pause", term))
-            asked_at = self._clock.now()
-            report = await self.clients[member].ask("status")
-            if report is not None and report.is_primary:
-                self._group.evidence.note_report(member, report, asked_at)
-                await pausing
-                return True
-            if not may_order:
-                return False
-            await sleep(POLL_S)
+        try:
+            while self._clock.now() < until:
+                if not is_ordered:
+                    if not await self._may_order(chosen, term, old):
+                        return await self._leads(chosen)
+                    is_ordered = await self._order(chosen)
+                if await self._leads(chosen):
+                    return True
+                if pausing.done():
+                    pausing = create_task(self._ask_all(others, "pause", term))
+                await sleep(POLL_S)
+        finally:
+            # One that arrives later would undo what follows.
+            await pausing
         return False
 
+    async def _order(self, chosen: MemberStatus) -> bool:
+        return await self._orders.promote(
+            self._group.name, chosen.entry.member, self._vm, self._duty.fence
+        )
+
+    async def _leads(self, chosen: MemberStatus) -> bool:
+        """Say whether the chosen member leads; note it if so."""
+        member = chosen.entry.member
+        asked_at = self._clock.now()
+        report = await self.clients[member].ask("status")
+        if report is None or not report.is_primary:
+            return False
+        self._group.evidence.note_report(member, report, asked_at)
+        return True
+
     async def _may_order(
-        self, member: str, term: int, old: str | None
+        self, chosen: MemberStatus, term: int, old: str | None
     ) -> bool:
         """Say whether the answers still allow the order right now.
 
@@ -372,8 +385,8 @@
         the members answered.
         """
         if not self._is_stopped and self._is_old_news():
-            chosen = await self._pause_all(old, term)
-            if chosen is None or chosen.entry.member != member:
+            again = await self._pause_all(old, term)
+            if again is None or again.entry != chosen.entry:
                 return False
             if self._is_old_news():
                 return False
--- a/redwingpost/node/takeover/keeper.py
+++ b/redwingpost/node/takeover/keeper.py
@@ -6,12 +6,12 @@
 from mode import Service
 
 from redwingpost.membership.hearing import VmTable
+from redwingpost.node.group import GroupClient
+from redwingpost.node.metrics import NodeMetrics
 from redwingpost.node.request.admission import Admission
 from redwingpost.node.takeover.conductor import Conductor, Outside
 from redwingpost.node.takeover.duty import DutyKeeper
-from redwingpost.node.group import GroupClient
 from redwingpost.node.takeover.leader_view import LeaderViews
-from redwingpost.node.metrics import NodeMetrics
 from redwingpost.node.takeover.rosters import decode_rosters
 from redwingpost.observability.journal import log_event
 from redwingpost.takeover.roster import Roster
--- a/redwingpost/node/takeover/rosters.py
+++ b/redwingpost/node/takeover/rosters.py
@@ -8,9 +8,9 @@
 from redwingpost.core.positions import Position
 from redwingpost.groups.directory import Directory
 from redwingpost.membership.hearing import VmTable
-from redwingpost.node.takeover.duty import GROUP_TABLE
 from redwingpost.node.group import GroupClient
 from redwingpost.node.steps import repeat
+from redwingpost.node.takeover.duty import GROUP_TABLE
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.fleet_store import FleetStore
--- a/redwingpost/node/tests/test_conductor.py
+++ b/redwingpost/node/tests/test_conductor.py
@@ -167,3 +167,21 @@
         outcome = await self._conductor(group).run(Reason.STALLED)
         self.assertEqual("not safe yet", outcome)
         self.assertNotIn("step_down", group.all_by_name["p"].heard)
+
+    async def test_a_primary_that_does_not_stop(self) -> None:
+        """A primary answers the stop, and leads all the same.
+
+        It has heard of a newer term than this VM. Promoted over it,
+        another would lack what it goes on acknowledging.
+        """
+        group = FakeGroup()
+        primary = group.all_by_name["p"]
+
+        def hear_of_a_newer_term(command: str) -> None:
+            if command == "step_down":
+                primary.term = 9
+
+        primary.before = hear_of_a_newer_term
+        outcome = await self._conductor(group).run(Reason.LEAVING)
+        self.assertEqual("not safe yet", outcome)
+        self.assertEqual([], group.ordered)
--- a/redwingpost/node/tests/test_duty.py
+++ b/redwingpost/node/tests/test_duty.py
@@ -6,8 +6,8 @@
 from expression import Ok, Result
 
 from redwingpost.core.requests import Refusal
-from redwingpost.node.takeover.duty import DUTY_KEY, DutyKeeper
 from redwingpost.node.fleet.vm_list import FLEET_TABLE
+from redwingpost.node.takeover.duty import DUTY_KEY, DutyKeeper
 from redwingpost.ports.clock import VirtualClock
 from redwingpost.ports.fleet_store import Snapshot
 from redwingpost.ports.platform import Row, TransactResult
