--- a/redwingpost/groups/choice.py
+++ b/redwingpost/groups/choice.py
@@ -9,10 +9,9 @@
 
 from typing import NamedTuple
 
-#: What a new connection counts for (seconds): 12 ms of a member's slot
-#: and two round trips, 16 to 18 ms in all. Counted for less, the reads of
-#: one organisation change members and find no connection of theirs there:
-#: 1,820 new connections on a calm day at 12 ms, 1,690 at 20 ms.
+#: What a new connection counts for (seconds): the handshake's time at the
+#: member, and two round trips. Counted for less, the reads of one
+#: organisation change members and find no connection of theirs there.
 OPEN_S = 0.02
 
 #: A primary counts as this much slower than it is, so that reads which
--- a/redwingpost/groups/questions.py
+++ b/redwingpost/groups/questions.py
@@ -3,8 +3,7 @@
 Load pattern: a cut drops what goes to a member, without a word. The
 statements under way there wait for their time limit, a second or more,
 and so does whoever decides that callers fare better at another VM. Asked
-too often, members answer questions in place of statements: asked twice a
-second, questions were 6,000 of a calm day's 10,000 exchanges.
+too often, members answer questions in place of statements.
 """
 
 from typing import NamedTuple
@@ -12,14 +11,14 @@
 #: Seconds after which a primary that answered neither this VM nor, by
 #: their heartbeats, another is asked; each further VM leaves the one
 #: before it the time of a heartbeat. One question a second then shows all
-#: VMs that the primary of an idle group lives; six asked before.
+#: VMs that the primary of an idle group lives.
 QUIET_S = 0.8
 QUIET_STEP_S = 0.3
 
 #: Seconds that statements may wait at a member that answers none of them
-#: before it is asked: the 99th percentile of a calm day. A cut that drops
-#: what is sent shows after this and the question's time limit, 0.7 s in
-#: all, and not after a statement's, 1.2 s and more.
+#: before it is asked: hardly any takes longer where all is well. A cut that
+#: drops what is sent shows after this and the question's time limit, and
+#: not after a statement's, which is much longer.
 OVERDUE_S = 0.3
 
 #: Seconds between questions to one member: a question's time limit.
--- a/redwingpost/membership/centres.py
+++ b/redwingpost/membership/centres.py
@@ -14,9 +14,9 @@
 from typing import NamedTuple
 
 #: Seconds that a statement or a question may wait before it speaks for a
-#: loss: 10 of a calm day's 5,250 statements took longer. A data centre
-#: that is silent as long and keeps one waiting has its other members
-#: asked, so that nobody must wait until callers happen to need them.
+#: loss: hardly any takes longer where all is well. A data centre that is
+#: silent as long and keeps one waiting has its other members asked, so
+#: that nobody must wait until callers happen to need them.
 AWAITED_S = 0.2
 
 #: Members that must keep this VM waiting: one alone may be slow.
--- a/redwingpost/membership/readiness.py
+++ b/redwingpost/membership/readiness.py
@@ -17,9 +17,8 @@
 
 #: Seconds for which only the own data centre may have answered before
 #: this VM says that it is cut off; heartbeats of half of the VMs must be
-#: missing as well. Failing primaries alone show the same later: a VM of a
-#: cut data centre says so after 0.62 s, 1.01 s without this (medians of 45
-#: and 22 cuts, logs of played days).
+#: missing as well. Failing primaries alone show the same later, and callers
+#: stay behind the cut for as long.
 CUT_OFF_S = 0.5
 
 
--- a/redwingpost/node/fleet/watcher.py
+++ b/redwingpost/node/fleet/watcher.py
@@ -18,16 +18,15 @@
 #: is found by its keep-alive probes, long before.
 FEED_WAIT_S = 30.0
 
-#: Seconds between tries while the store doesn't answer. Six VMs ask for
-#: three tables then, 45 calls a second of the 2,000 that it takes.
+#: Seconds between tries while the store doesn't answer: each VM that asks
+#: it directly does so for three tables.
 RETRY_S = 0.4
 
 
 #: Seconds within which a second change makes a series, and for which a
 #: series is left to gather before it is fetched: far below the three
 #: seconds within which a configuration must be in force. Each call is paid
-#: for; fetched one by one, 25 configurations in a second and a half were
-#: 25 calls of each VM.
+#: for, and fetched one by one a storm of configurations is as many calls.
 SERIES_S = 0.5
 GATHER_S = 0.2
 
--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -33,8 +33,8 @@
 
 #: Seconds between rounds of status questions to all members. Statements
 #: show that a member lives, and heartbeats bring samples, so that a round
-#: only finds what neither shows. At 0.5 s questions were 6,000 of a quiet
-#: day's 10,000 exchanges with members.
+#: only finds what neither shows. More often, members would answer more
+#: questions than statements.
 ROUND_S = 30.0
 
 #: Seconds between rounds until a first primary is known: members of a
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -70,9 +70,8 @@
 ELSEWHERE_AFTER_S = 1.5
 
 #: Seconds that a caller waits for the first configuration of a VM that
-#: has just started: it is there some 20 to 60 ms after the VM listens.
-#: Refused at once, callers who come back together after a loss of power
-#: use up their tries within that time, 10 to 30 of them each time.
+#: has just started: it is there well within this. Refused at once, callers
+#: who come back together after a loss of power use up their tries.
 START_WAIT_S = 0.5
 
 #: Seconds of the grace that are kept for the end itself.
--- a/redwingpost/pools/pool.py
+++ b/redwingpost/pools/pool.py
@@ -34,9 +34,8 @@
 #: Seconds after which an idle connection closes. A VM that loses power
 #: leaves its connections behind, and a member counts them for seconds
 #: more. With full pools, a fleet that starts again after it lost power
-#: finds two places in 32 and refuses callers until the rest time out:
-#: 45% of the worst two windows served, 58% with this (mean of two days).
-#: The price is half as many new connections again on a calm day.
+#: finds hardly a place and refuses callers until the rest time out. The
+#: price is more new connections on a calm day.
 IDLE_S = 1.5
 
 
--- a/redwingpost/rates/usage.py
+++ b/redwingpost/rates/usage.py
@@ -40,10 +40,9 @@
 from redwingpost.rates.counters import Usage
 
 #: Admissions of one organisation after which the others are told at once
-#: rather than with the next heartbeat: six VMs then exceed a bucket by
-#: two dozen operations at most. Told with heartbeats only, a flood of
-#: 1,500 operations a second took 312 in five seconds where 185 were
-#: allowed; 188 so, for some 15 datagrams more (played load, 6 VMs).
+#: rather than with the next heartbeat. Until they know, each admits from
+#: what is used up already: a flood at a few VMs would exceed a bucket by
+#: all that arrives in a quarter of a second.
 REPORT_AFTER = 4
 
 #: Part of the burst that a VM starts with: after a restart of the whole
@@ -387,8 +386,8 @@
         if usage.tokens is None:
             return
         # The teller can't know yet what this VM has used since its last
-        # report. Taken as told, each report would give some of that back:
-        # 11.5 operations a second at a rate of 11 (played load, 7 VMs).
+        # report. Taken as told, each report would give some of that back,
+        # and more than the rate would be admitted.
         tokens = usage.tokens - self._unreported(usage.organisation)
         weight = self._blend_weight() if self._is_settled(now) else 1.0
         bucket.tokens += weight * (tokens - bucket.tokens)
--- a/redwingpost/takeover/triggers.py
+++ b/redwingpost/takeover/triggers.py
@@ -23,10 +23,8 @@
 OTHERS_SILENT_S = 0.6
 
 #: Seconds for which the primary's whole data centre must have been lost:
-#: the evidence of several members and VMs needs no second. Together with
-#: turns that skip unheard VMs and a shorter wait for the lost primary's
-#: report, a group whose primary is cut off with its data centre is without
-#: one for 1.1 to 1.5 s; 1.5 to 2.4 s before (logs of played days).
+#: the evidence of several members and VMs needs no second, for which the
+#: group would be without a primary.
 CENTRE_LOST_S = 0.6
 
 #: What the VMs heard lately must report at least then (seconds): their
