Tell a writer that its commit is kept only where no takeover may hide it

By reasoning, and now by the search: a commit that was told as kept is missing after a promotion (LOST), or was acknowledged by a primary that had been replaced (ONE).

Cause: a replica that starts again has forgotten its pause. If that happens between the order of a promotion and its effect, or after the effect, and the old primary lives where only the conductor can't reach it, the replica confirms commits to the old primary that the new one lacks. No order of the conductor's questions closes that; the acknowledgement itself still passes a VM, which took the primary's word.

Evidence: the search leaves the move out no longer (`_may_restart`).

Change: while a takeover may be under way (a replica started again lately, another VM doesn't reach the primary, less than half of the fleet is in hearing) the VM asks the replicas after the primary's answer (`groups/confirmation.py`, `node/request/commits.py`). One that has not started again is still paused, or leads, and doesn't vouch. Until one vouches the answer waits; past the deadline it is "outcome unknown". A commit that was held up isn't believed while any replica is paused, since the restart that released it may not be known yet. One that the new primary began with is kept.

It is tested without the new rule now, on the moves that it was made for (`spares_ordered`), and that it is enough there has a test of its own.

--- a/redwingpost/groups/evidence.py
+++ b/redwingpost/groups/evidence.py
@@ -85,6 +85,18 @@
             return self._acknowledged
         return max(self._prefix, self._acknowledged)
 
+    def holds(self, position: Position) -> bool:
+        """Say whether the present primary began with a commit in its log.
+
+        False where that isn't known.
+        """
+        prefix = self._prefix
+        return (
+            self._prefix_term == self.term
+            and prefix.term == position.term < self.term
+            and prefix >= position
+        )
+
     def note_report(
         self, member: str, report: StatusReport, asked_at: float
     ) -> None:
--- /dev/null
+++ b/redwingpost/groups/tests/test_confirmation.py
@@ -0,0 +1,73 @@
+"""When a commit that a primary acknowledged may be reported as kept."""
+
+from unittest import TestCase
+
+from redwingpost.core.positions import Position
+from redwingpost.groups.confirmation import (
+    FAILS_ELSEWHERE_S,
+    HELD_UP_S,
+    LeadSigns,
+    ReplicaAnswer,
+    Verdict,
+    judge_commit,
+    needs_confirmation,
+)
+from redwingpost.ports.database import StatusReport
+
+_TERM = 3
+_FOLLOWS = StatusReport(False, _TERM, Position(_TERM, 9), 0, 0, 0, 1)
+_PAUSED = _FOLLOWS._replace(paused_for=_TERM + 1)
+_LEADS_NEXT = _FOLLOWS._replace(is_primary=True, term=_TERM + 1)
+_CALM = LeadSigns(False, 0.0, 60.0)
+
+
+class SignsTest(TestCase):
+    def test_signs_that_a_takeover_may_be_under_way(self) -> None:
+        cases = (
+            ("calm", _CALM, False),
+            (
+                "a replica started again",
+                _CALM._replace(has_fresh_replica=True),
+                True,
+            ),
+            (
+                "the primary fails to another VM",
+                _CALM._replace(fails_elsewhere_s=FAILS_ELSEWHERE_S),
+                True,
+            ),
+            ("cut off", _CALM._replace(heard_half_s=0.0), True),
+        )
+        for name, signs, expected in cases:
+            with self.subTest(name):
+                self.assertEqual(expected, needs_confirmation(signs))
+
+
+class JudgeCommitTest(TestCase):
+    """Guards against commits that only a replaced primary's side has."""
+
+    def test_verdicts(self) -> None:
+        trusted = ReplicaAnswer(_FOLLOWS, is_trusted=True)
+        fresh = ReplicaAnswer(_FOLLOWS, is_trusted=False)
+        paused = ReplicaAnswer(_PAUSED, is_trusted=True)
+        leads = ReplicaAnswer(_LEADS_NEXT, is_trusted=True)
+        silent = ReplicaAnswer(None, is_trusted=True)
+        cases = (
+            ("a replica vouches", (trusted,), 0.0, Verdict.KEPT),
+            ("one of two vouches", (trusted, silent), 0.0, Verdict.KEPT),
+            ("only one that restarted", (fresh,), 0.0, Verdict.OPEN),
+            ("restarted, other paused", (fresh, paused), 0.0, Verdict.OPEN),
+            ("restarted, other leads", (fresh, leads), 0.0, Verdict.REPLACED),
+            ("planned change", (trusted, paused), 0.0, Verdict.KEPT),
+            ("nobody answers", (silent, silent), 0.0, Verdict.OPEN),
+            (
+                "held up, and released by one that forgot its pause",
+                (trusted, paused),
+                HELD_UP_S,
+                Verdict.OPEN,
+            ),
+            ("held up by load", (trusted, trusted), HELD_UP_S, Verdict.KEPT),
+        )
+        for name, answers, held_up_s, expected in cases:
+            with self.subTest(name):
+                verdict = judge_commit(_TERM, answers, held_up_s)
+                self.assertIs(expected, verdict)
--- a/redwingpost/membership/hearing.py
+++ b/redwingpost/membership/hearing.py
@@ -75,6 +75,7 @@
         self._seen_at_by_number: dict[int, float] = {}
         self._heard_cache: dict[float, tuple[float, frozenset[int]]] = {}
         self._has_list = False
+        self._lacked_half_at = now
         #: Whether this VM gathers: then what its own VMs say counts besides
         #: the digests of the other cells; else the digest of the fleet.
         self.gathers = False
@@ -222,6 +223,16 @@
         heard = 1 + len(self.heard_numbers(now, within_s))
         return 2 * heard >= self.count()
 
+    def note_hearing(self, now: float) -> None:
+        """Note whether at least half of the VMs are in hearing now."""
+        if not self.hears_half(now):
+            self._lacked_half_at = now
+
+    def heard_half_s(self, now: float) -> float:
+        """Return for how long at least half have been in hearing (seconds)."""
+        self.note_hearing(now)
+        return now - self._lacked_half_at
+
     def newest_configuration(self, now: float) -> tuple[int, str]:
         """Return the newest version that others have, and where."""
         versions = [(item.config_version, item.ip) for item in self.heard(now)]
--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -11,7 +11,7 @@
 
 from redwingpost.core.positions import Position
 from redwingpost.groups.directory import Directory
-from redwingpost.groups.evidence import FRESH_START_S, GroupEvidence
+from redwingpost.groups.evidence import GroupEvidence
 from redwingpost.groups.questions import (
     ALERT_ROUND_S,
     MemberQuiet,
@@ -22,8 +22,8 @@
 )
 from redwingpost.membership.centres import CentreWatch
 from redwingpost.membership.hearing import VmTable
+from redwingpost.node.lead_proofs import LeadProofs
 from redwingpost.node.member import MemberClient
-from redwingpost.node.prover import SharedProof
 from redwingpost.node.request.placing import Placing, rank_for_read
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
@@ -53,10 +53,6 @@
 #: looked at: a commit that reaches no replica hangs.
 SLOW_WRITE_S = 0.4
 
-#: Seconds of silence after which a replica is asked for a proof last: one
-#: that doesn't answer holds up whoever waits for it.
-DOUBTFUL_S = 1.0
-
 #: Part of the time in which a leaving member may get new work that is
 #: used: other VMs and the caller's way to here take their part.
 DRAIN_PART = 0.6
@@ -94,7 +90,15 @@
         self._centres = centres
         self._stall = StallWatch()
         self._round: Task | None = None
-        self._proof = SharedProof(self._ask_a_replica)
+        self.proofs = LeadProofs(
+            self.member_by_name,
+            self.evidence,
+            directory,
+            vms,
+            data_centre,
+            clock,
+            self._settle,
+        )
         self._changed = Event()
 
     # Members -----------------------------------------------------------
@@ -267,37 +271,7 @@
 
     async def prove(self) -> bool:
         """Say whether the primary led at some moment after this call."""
-        return await self._proof.get()
-
-    async def _ask_a_replica(self) -> bool:
-        asked_at = self._clock.now()
-        for client in self._provers():
-            report = await client.ask("status")
-            if report is None:
-                continue
-            member = client.entry.member
-            self.evidence.note_report(member, report, asked_at)
-            if self.evidence.is_proof(report):
-                self.evidence.note_proof(asked_at)
-                return True
-        self._settle()
-        return False
-
-    def _provers(self) -> list[MemberClient]:
-        """Return replicas whose word counts, the nearest first."""
-        now = self._clock.now()
-        able = [
-            client
-            for name, client in self.member_by_name.items()
-            if name != self.evidence.leader and self._may_prove(name, now)
-        ]
-        return sorted(able, key=self._cost_to_ask)
-
-    def _may_prove(self, member: str, now: float) -> bool:
-        listed = self._directory.get(member)
-        if listed is None:
-            return False
-        return now - listed.restarted_at > FRESH_START_S
+        return await self.proofs.prove()
 
     async def _ask_all(self) -> None:
         asked_at = self.round_at = self._clock.now()
@@ -315,7 +289,9 @@
         self.evidence.note_report(member, report, asked_at)
         now = self._clock.now()
         provers = frozenset(
-            name for name in self.member_by_name if self._may_prove(name, now)
+            name
+            for name in self.member_by_name
+            if self.proofs.is_trusted(name, now)
         )
         self.evidence.conclude(asked_at, provers)
         self._settle()
@@ -399,11 +375,6 @@
         self.evidence.forget(member)
         self._settle()
 
-    def _cost_to_ask(self, client: MemberClient) -> tuple[bool, bool]:
-        """Return what speaks against asking a member, the worst first."""
-        is_far = client.entry.data_centre != self._data_centre
-        return client.silent_s > DOUBTFUL_S, is_far
-
 
 def _is_same_life(known: MemberEntry, entry: MemberEntry) -> bool:
     return (known.ip, known.port, known.started_ms) == (
--- /dev/null
+++ b/redwingpost/node/lead_proofs.py
@@ -0,0 +1,146 @@
+"""Ask a group's members whether its primary still leads."""
+
+from asyncio import gather
+from collections.abc import Callable
+
+from redwingpost.groups.confirmation import (
+    LeadSigns,
+    ReplicaAnswer,
+)
+from redwingpost.groups.directory import Directory
+from redwingpost.groups.evidence import FRESH_START_S, GroupEvidence
+from redwingpost.membership.hearing import VmTable
+from redwingpost.node.member import MemberClient
+from redwingpost.node.prover import SharedProof
+from redwingpost.ports.clock import Clock
+from redwingpost.ports.database import StatusReport
+
+#: Seconds of silence after which a replica is asked for a proof last: one
+#: that doesn't answer holds up whoever waits for it.
+DOUBTFUL_S = 1.0
+
+
+class LeadProofs:
+    """Proofs that a primary leads, shared by those who wait for one.
+
+    Parameters
+    ----------
+    member_by_name : dict of str to MemberClient
+        The group's members; the group keeps it up to date.
+    evidence : GroupEvidence
+        Takes in what members report.
+    directory, vms : Directory, VmTable
+        Which members started again, and what other VMs say of the primary.
+    data_centre : str
+        Where this VM stands: near replicas are asked first.
+    clock : Clock
+        For the time of questions.
+    on_answers : callable
+        Called when reports have come in.
+    """
+
+    def __init__(
+        self,
+        member_by_name: dict[str, MemberClient],
+        evidence: GroupEvidence,
+        directory: Directory,
+        vms: VmTable,
+        data_centre: str,
+        clock: Clock,
+        on_answers: Callable[[], None],
+    ) -> None:
+        self._member_by_name = member_by_name
+        self._evidence = evidence
+        self._directory = directory
+        self._vms = vms
+        self._data_centre = data_centre
+        self._clock = clock
+        self._on_answers = on_answers
+        self._proof = SharedProof(self._ask_a_replica)
+
+    async def prove(self) -> bool:
+        """Say whether the primary led at some moment after this call."""
+        return await self._proof.get()
+
+    def signs(self) -> LeadSigns:
+        """Return the signs that a takeover may be under way."""
+        now = self._clock.now()
+        leader = self._evidence.leader or ""
+        failing_ms = (
+            ms
+            for health in self._vms.health_of(leader, now)
+            for ms in health.failing_ms
+        )
+        return LeadSigns(
+            any(self._is_fresh(name, now) for name in self._replicas()),
+            max(failing_ms, default=0) / 1000.0,
+            self._vms.heard_half_s(now),
+        )
+
+    def is_trusted(self, member: str, now: float) -> bool:
+        """Say whether a replica's word counts as proof."""
+        is_listed = self._directory.get(member) is not None
+        return is_listed and not self._is_fresh(member, now)
+
+    async def ask_replicas(self, leader: str) -> tuple[ReplicaAnswer, ...]:
+        """Ask all members but one for a report."""
+        asked_at = self._clock.now()
+        clients = [
+            client
+            for name, client in self._member_by_name.items()
+            if name != leader
+        ]
+        reports = await gather(
+            *(self._report(client, asked_at) for client in clients)
+        )
+        now = self._clock.now()
+        self._on_answers()
+        return tuple(
+            ReplicaAnswer(report, self.is_trusted(client.entry.member, now))
+            for client, report in zip(clients, reports, strict=True)
+        )
+
+    async def _ask_a_replica(self) -> bool:
+        asked_at = self._clock.now()
+        for client in self._provers():
+            report = await self._report(client, asked_at)
+            if report is not None and self._evidence.is_proof(report):
+                self._evidence.note_proof(asked_at)
+                return True
+        self._on_answers()
+        return False
+
+    async def _report(
+        self, client: MemberClient, asked_at: float
+    ) -> StatusReport | None:
+        report = await client.ask("status")
+        member = client.entry.member
+        if report is not None and member in self._member_by_name:
+            self._evidence.note_report(member, report, asked_at)
+        return report
+
+    def _replicas(self) -> list[str]:
+        leader = self._evidence.leader
+        return [name for name in self._member_by_name if name != leader]
+
+    def _provers(self) -> list[MemberClient]:
+        """Return replicas whose word counts, the nearest first."""
+        now = self._clock.now()
+        able = [
+            self._member_by_name[name]
+            for name in self._replicas()
+            if self.is_trusted(name, now)
+        ]
+        return sorted(able, key=self._cost_to_ask)
+
+    def _cost_to_ask(self, client: MemberClient) -> tuple[bool, bool]:
+        """Return what speaks against asking a member, the worst first."""
+        is_far = client.entry.data_centre != self._data_centre
+        return client.silent_s > DOUBTFUL_S, is_far
+
+    def _is_fresh(self, member: str, now: float) -> bool:
+        """Say whether a member has started again a short while ago."""
+        listed = self._directory.get(member)
+        if listed is None:
+            return False
+        return now - listed.restarted_at <= FRESH_START_S
--- a/redwingpost/node/request/writes.py
+++ b/redwingpost/node/request/writes.py
@@ -13,6 +13,10 @@
     Outcome,
     run_alone,
 )
+from redwingpost.node.request.commits import (
+    AcknowledgedCommit,
+    confirm_commit,
+)
 from redwingpost.node.request.reads import (
     MAX_TRIES,
     ReadRequest,
@@ -98,13 +102,21 @@
             return self._unknown(group, write, outcome.reason)
         if not is_good(outcome):
             return self._refused(group, leader, outcome)
-        if sync_replicas == 0 and not await group.prove():
+        if sync_replicas == 0:
             # No replica had to confirm it: a primary that was replaced
             # would have taken it all the same.
+            is_kept = await group.prove()
+        else:
+            commit = AcknowledgedCommit(
+                write.statement.request,
+                outcome.position,
+                write.arrived_at,
+                write.deadline,
+            )
+            is_kept = await confirm_commit(group, leader, commit, self._clock)
+        if not is_kept:
             return self._unknown(group, write, "lead not proven")
         write.caller.state.note_commit(outcome.position)
-        if sync_replicas > 0:
-            group.note_commit(leader, outcome.position, write.arrived_at)
         return Answer(outcome.rows, outcome.proof)
 
     def _refused(
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -375,6 +375,7 @@
 
     def _tidy(self) -> None:
         now = self._clock.now()
+        self._vms.note_hearing(now)
         if self._member_watcher.is_lost:
             self.directory.note_outage(now)
         self.directory.expire(now)
--- a/redwingpost/node/tests/test_group.py
+++ b/redwingpost/node/tests/test_group.py
@@ -4,14 +4,28 @@
 from unittest import IsolatedAsyncioTestCase
 
 from redwingpost.core.positions import Position
+from redwingpost.groups.confirmation import HELD_UP_S
 from redwingpost.groups.directory import Directory
 from redwingpost.membership.centres import CentreWatch
 from redwingpost.membership.hearing import VmTable
+from redwingpost.membership.heartbeat import (
+    Heartbeat,
+    PrimaryHealth,
+    VmAddress,
+)
 from redwingpost.node.group import GroupClient
+from redwingpost.node.request.commits import AcknowledgedCommit, confirm_commit
 from redwingpost.ports.clock import VirtualClock
 from redwingpost.ports.database import MemberEntry, StatusReport
 
 
+def _entry(member: str, started_ms: int = 0) -> MemberEntry:
+    is_primary = member == "m1"
+    return MemberEntry(
+        member, "g", "ip", 1, "a", False, is_primary, started_ms
+    )
+
+
 class ReportingMembers:
     """Opens links whose members answer with the report they were given."""
 
@@ -23,8 +37,8 @@
     ) -> SimpleNamespace:
         """Open a link to a member."""
 
-        async def status() -> StatusReport:
-            return self.report_by_member[entry.member]
+        async def status() -> StatusReport | None:
+            return self.report_by_member.get(entry.member)
 
         return SimpleNamespace(is_open=True, status=status, close=lambda: None)
 
@@ -37,15 +51,15 @@
             )
 
 
-class NewPrimaryTest(IsolatedAsyncioTestCase):
+class GroupTest(IsolatedAsyncioTestCase):
+    """A group of three whose members answer with given reports."""
+
     async def asyncSetUp(self) -> None:
         self.clock = VirtualClock()
-        directory = Directory()
+        self.directory = directory = Directory()
+        self.vms = VmTable("vm-1", 0.0)
         for member in ("m1", "m2", "m3"):
-            directory.put(
-                MemberEntry(member, "g", "ip", 1, "a", False, member == "m1"),
-                0.0,
-            )
+            directory.put(_entry(member), 0.0)
         self.members = ReportingMembers()
         self.group = GroupClient(
             "g",
@@ -54,7 +68,7 @@
             self.clock,
             "a",
             7.0,
-            VmTable("vm-1", 0.0),
+            self.vms,
             CentreWatch("a"),
         )
         self.group.follow_directory(32, 1)
@@ -65,6 +79,8 @@
         await self.group.run_round()
         self.assertEqual(leader, self.group.evidence.leader)
 
+
+class NewPrimaryTest(GroupTest):
     async def test_hanging_writes_don_t_speak_against_a_new_primary(
         self,
     ) -> None:
@@ -89,3 +105,88 @@
         self.clock.advance(2.0)
         await self._learn("m1", 1)
         self.assertLess(2.0, self.group.writes.stuck_s(self.clock.now()))
+
+
+class ReplacedPrimaryTest(GroupTest):
+    """A takeover that this VM hasn't heard of: m2 is to succeed m1."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.vms.set_listed((VmAddress("vm-1", "ip1", 1),))
+        await self._learn("m1", 1)
+        self.clock.advance(1.0)
+
+    def _change(self, member: str, **changes) -> None:
+        report = self.members.report_by_member[member]
+        self.members.report_by_member[member] = report._replace(**changes)
+
+    def _restart(self, member: str) -> None:
+        self.directory.put(_entry(member, started_ms=9), self.clock.now())
+
+    def _fail_elsewhere(self) -> None:
+        health = {"m1": PrimaryHealth(900, 0, 900, 900)}
+        heartbeat = Heartbeat("vm-2", 1, "ip2", 1, health, 1, None, ())
+        self.vms.note(heartbeat, self.clock.now())
+
+    async def _confirm(self, sent_s_ago: float = 0.0) -> bool:
+        now = self.clock.now()
+        commit = AcknowledgedCommit(
+            "1", Position(1, 10), now - sent_s_ago, deadline=now
+        )
+        leader = self.group.member_by_name["m1"]
+        return await confirm_commit(self.group, leader, commit, self.clock)
+
+    async def test_a_commit_is_confirmed_in_doubt_only(self) -> None:
+        """Guards against commits confirmed by a replica that restarted."""
+        cases = (
+            (
+                "calm, nobody is asked",
+                None,
+                {"m2": {"paused_for": 2}},
+                1.0,
+                True,
+            ),
+            ("fails elsewhere", self._fail_elsewhere, {}, 0.0, True),
+            (
+                "fails elsewhere, both paused",
+                self._fail_elsewhere,
+                {"m2": {"paused_for": 2}, "m3": {"paused_for": 2}},
+                0.0,
+                False,
+            ),
+            (
+                "m3 has restarted, m2 is paused",
+                lambda: self._restart("m3"),
+                {"m2": {"paused_for": 2}},
+                0.0,
+                False,
+            ),
+            (
+                "m3 has restarted, m2 leads",
+                lambda: self._restart("m3"),
+                {"m2": {"is_primary": True, "term": 2}},
+                0.0,
+                False,
+            ),
+            (
+                "released by a restart that isn't known of",
+                self._fail_elsewhere,
+                {"m2": {"paused_for": 2}},
+                HELD_UP_S,
+                False,
+            ),
+        )
+        for name, prepare, changes, sent_s_ago, expected in cases:
+            with self.subTest(name):
+                await self.asyncSetUp()
+                for member, change in changes.items():
+                    self._change(member, **change)
+                if prepare is not None:
+                    prepare()
+                self.assertEqual(expected, await self._confirm(sent_s_ago))
+
+    async def test_a_commit_that_the_new_primary_has_is_kept(self) -> None:
+        self._restart("m3")
+        head = Position(1, 10)
+        self._change("m2", is_primary=True, term=2, received=head)
+        self.assertTrue(await self._confirm())
--- a/redwingpost/verify/takeover.py
+++ b/redwingpost/verify/takeover.py
@@ -11,15 +11,19 @@
 What must hold: a promoted log holds every acknowledged commit; nothing is
 acknowledged at a primary that was replaced; no read that is served lacks
 what was acknowledged before it.
-
-One thing is left out: that a replica starts again between the order and
-its effect, while the conductor doesn't reach a primary that lives and
-that this replica reaches. No order of questions closes that.
 """
 
 from collections.abc import Iterator
 
 from redwingpost.core.positions import ZERO_POSITION, Position
+from redwingpost.groups.confirmation import (
+    FAILS_ELSEWHERE_S,
+    LeadSigns,
+    ReplicaAnswer,
+    Verdict,
+    judge_commit,
+    needs_confirmation,
+)
 from redwingpost.ports.database import MemberEntry, StatusReport
 from redwingpost.takeover.plan import MemberStatus, Survey, may_promote
 from redwingpost.verify.takeover_reads import ReadSteps
@@ -27,6 +31,7 @@
     Conductor,
     Member,
     Moves,
+    Pending,
     Step,
     TakeoverRules,
     TakeoverState,
@@ -62,8 +67,9 @@
     ----------
     rules : TakeoverRules
         The guards in force.
-    restarts, may_go, may_return, may_cut, may_hide : optional
-        What may go wrong (``redwingpost.verify.takeover_state.Moves``).
+    restarts, may : optional
+        What may go wrong, by the names of
+        ``redwingpost.verify.takeover_state.Moves``.
 
     Examples
     --------
@@ -74,16 +80,10 @@
     """
 
     def __init__(
-        self,
-        rules: TakeoverRules,
-        restarts: int = 0,
-        may_go: bool = False,
-        may_return: bool = False,
-        may_cut: bool = False,
-        may_hide: bool = False,
+        self, rules: TakeoverRules, restarts: int = 0, **may: bool
     ) -> None:
         self._rules = rules
-        self._moves = Moves(restarts, may_go, may_return, may_cut, may_hide)
+        self._moves = Moves(restarts, **may)
         self._reads = ReadSteps(rules)
 
     def steps(self, state: TakeoverState) -> Iterator[Step]:
@@ -92,6 +92,7 @@
             yield from self._member_steps(state, number, member)
         yield from self._cut_steps(state)
         yield from self._conductor_steps(state)
+        yield from self._writer_steps(state)
         yield from self._reads.steps(state)
 
     # Members -----------------------------------------------------------
@@ -162,7 +163,7 @@
             return False
         conductor = state.conductor
         is_ordered = conductor is not None and conductor.is_ordered
-        return not (is_ordered and any(m.is_hidden for m in state.members))
+        return not (is_ordered and self._moves.spares_ordered)
 
     def _primary_steps(
         self, state: TakeoverState, number: int, member: Member
@@ -191,7 +192,7 @@
             if replica.receives_from(member) and replica.log != member.log:
                 yield (
                     f"{other} receives from {number}",
-                    _receive(state, number, other),
+                    self._receive(state, number, other),
                 )
 
     def _cut_steps(self, state: TakeoverState) -> Iterator[Step]:
@@ -213,6 +214,66 @@
             )
             yield "the cut heals", state._replace(members=healed)
 
+    # Writers -----------------------------------------------------------
+
+    def _receive(
+        self, state: TakeoverState, number: int, other: int
+    ) -> TakeoverState:
+        """Let a replica take a primary's log, which then acknowledges it."""
+        primary = state.members[number]
+        following = state.put(other, state.members[other].take_log(primary))
+        known = {item.commit for item in state.pending} | state.acknowledged
+        is_late = state.newest_primary().term > primary.term
+        fresh = frozenset(
+            Pending(commit, number, is_late)
+            for commit in primary.log
+            if commit not in known
+        )
+        if self._needs_confirmation(following, primary):
+            return following._replace(pending=state.pending | fresh)
+        for item in fresh:
+            following = _acknowledge(following, item)
+        return following
+
+    def _needs_confirmation(
+        self, state: TakeoverState, primary: Member
+    ) -> bool:
+        """Say whether a takeover may be under way, as a writer's VM sees it.
+
+        VMs tell each other which primaries they don't reach.
+        """
+        if not self._rules.confirms_commits:
+            return False
+        signs = LeadSigns(
+            any(member.has_restarted for member in state.members),
+            0.0 if primary.is_reachable else FAILS_ELSEWHERE_S,
+            heard_half_s=1.0,
+        )
+        return needs_confirmation(signs)
+
+    def _writer_steps(self, state: TakeoverState) -> Iterator[Step]:
+        for item in state.pending:
+            answers = self._answers_for(state, item.primary)
+            if judge_commit(item.commit[1], answers) is Verdict.KEPT:
+                following = state._replace(pending=state.pending - {item})
+                yield (
+                    f"commit {item.commit[0]} is confirmed",
+                    _acknowledge(following, item),
+                )
+
+    def _answers_for(
+        self, state: TakeoverState, primary: int
+    ) -> list[ReplicaAnswer]:
+        """Return what a VM beside a primary hears of the others."""
+        is_cut = state.members[primary].is_cut
+        return [
+            ReplicaAnswer(_report(member), not member.has_restarted)
+            for number, member in enumerate(state.members)
+            if number != primary
+            and not member.is_dark
+            and member.is_cut == is_cut
+        ]
+
     # Conductor ---------------------------------------------------------
 
     def _conductor_steps(self, state: TakeoverState) -> Iterator[Step]:
@@ -341,21 +402,28 @@
         paused_for = member.paused_for
         if not self._rules.asks_again and number in conductor.paused:
             paused_for = conductor.term
-        head = Position(*member.head)
-        report = StatusReport(
-            member.is_primary, member.term, head, paused_for, 0, 0, 0
-        )
+        report = _report(member)._replace(paused_for=paused_for)
         return MemberStatus(_ENTRIES[number], report)
 
 
-def _receive(state: TakeoverState, number: int, other: int) -> TakeoverState:
-    """Let a replica take a primary's log, which acknowledges its commits."""
-    primary = state.members[number]
-    following = state.put(other, state.members[other].take_log(primary))
-    fresh = frozenset(primary.log) - state.acknowledged
-    if fresh and state.newest_primary().term > primary.term:
+def _report(member: Member) -> StatusReport:
+    head = Position(*member.head)
+    return StatusReport(
+        member.is_primary, member.term, head, member.paused_for, 0, 0, 0
+    )
+
+
+def _acknowledge(state: TakeoverState, item: Pending) -> TakeoverState:
+    """Tell a writer that its commit is kept."""
+    following = state._replace(acknowledged=state.acknowledged | {item.commit})
+    if item.is_late:
         return following._replace(wrong="acknowledged when replaced")
-    return following._replace(acknowledged=state.acknowledged | fresh)
+    newest = state.newest_primary()
+    if newest is None or newest.term <= item.commit[1]:
+        return following
+    if item.commit not in newest.log:
+        return following._replace(wrong="an acknowledged commit is lost")
+    return following
 
 
 def _promote(state: TakeoverState) -> TakeoverState:
--- a/redwingpost/verify/takeover_state.py
+++ b/redwingpost/verify/takeover_state.py
@@ -13,7 +13,9 @@
     that stay hold what the primary does. ``counts_dropped``: one that the
     registry no longer lists counts until then. ``stops_first``: an old
     primary that answers is stopped before the order. ``asks_again``: the
-    pauses are confirmed right before the order.
+    pauses are confirmed right before the order. ``confirms_commits``: while
+    a takeover may be under way, replicas are asked before a writer is told
+    that its commit is kept.
     """
 
     pauses_others: bool = True
@@ -25,6 +27,7 @@
     counts_dropped: bool = True
     stops_first: bool = True
     asks_again: bool = True
+    confirms_commits: bool = True
 
 
 class Moves(NamedTuple):
@@ -35,6 +38,7 @@
     it may fall off the registry's list and come back, with its log.
     ``may_cut``: members may be cut off together. ``may_hide``: the
     conductor may not reach a primary that its replicas reach.
+    ``spares_ordered``: none starts again between an order and its effect.
     """
 
     restarts: int = 0
@@ -42,6 +46,7 @@
     may_return: bool = False
     may_cut: bool = False
     may_hide: bool = False
+    spares_ordered: bool = False
 
 
 class Member(NamedTuple):
@@ -116,6 +121,17 @@
     is_ordered: bool = False
 
 
+class Pending(NamedTuple):
+    """A commit that a primary has acknowledged and no writer knows of yet.
+
+    ``is_late``: the primary had been replaced by then.
+    """
+
+    commit: Commit
+    primary: int
+    is_late: bool
+
+
 class Read(NamedTuple):
     """A read: where it ran, what it had to see, what it lacked."""
 
@@ -132,6 +148,7 @@
 
     members: tuple[Member, ...]
     acknowledged: frozenset[Commit] = frozenset()
+    pending: frozenset[Pending] = frozenset()
     commits: int = 0
     takeovers: int = 0
     restarts: int = 0
--- a/redwingpost/verify/tests/test_takeover.py
+++ b/redwingpost/verify/tests/test_takeover.py
@@ -22,6 +22,10 @@
     return state.wrong if "read" in state.wrong else ""
 
 
+def _wrong_write(state) -> str:
+    return state.wrong if "read" not in state.wrong else ""
+
+
 def _wrong_log(state) -> str:
     return state.wrong if "lost" in state.wrong else ""
 
@@ -99,6 +103,18 @@
                 print(f"searched {found.states} states, not all: {name}")
                 self.assertEqual("", found.violation, found.trace)
 
+    def test_a_replaced_primary_acknowledges_nothing(self) -> None:
+        """Guards against writes told as kept by a primary out of reach.
+
+        A replica that forgets its pause confirms them, before or after the
+        promotion takes effect.
+        """
+        moves = {"restarts": 1, "may_hide": True}
+        model = TakeoverModel(TakeoverRules(), **moves)
+        found = search(first_state(), model.steps, _wrong_write, _LIMIT)
+        print(f"searched {found.states} states, not all: writers are told")
+        self.assertEqual("", found.violation, found.trace)
+
     def test_each_guard_is_needed(self) -> None:
         cases = (
             ("pauses_others", 0),
@@ -115,6 +131,24 @@
                 found = search(first_state(), model.steps, invariant)
                 self.assertTrue(found.violation)
 
+    def test_each_guard_of_whom_callers_are_told_is_needed(self) -> None:
+        hidden = {"restarts": 1, "may_hide": True}
+        cases = (
+            ("confirms_commits", "is lost", hidden),
+            ("confirms_commits", "when replaced", hidden),
+        )
+        for guard, wrong, moves in cases:
+            with self.subTest(guard, wrong=wrong):
+                model = TakeoverModel(TakeoverRules(**{guard: False}), **moves)
+                found = search(
+                    first_state(),
+                    model.steps,
+                    lambda state, wrong=wrong: (
+                        state.wrong if wrong in state.wrong else ""
+                    ),
+                )
+                self.assertTrue(found.violation)
+
     def test_the_floor_is_needed_when_a_member_is_off_the_list(self) -> None:
         rules = TakeoverRules(checks_floor=False)
         model = TakeoverModel(rules, may_go=True)
@@ -123,15 +157,31 @@
 
     def test_each_guard_against_silent_members_is_needed(self) -> None:
         returns = {"may_go": True, "may_return": True}
-        out_of_reach = {"restarts": 1, "may_hide": True}
+        out_of_reach = {
+            "restarts": 1,
+            "may_hide": True,
+            "spares_ordered": True,
+        }
         cases = (
-            ("counts_dropped", {"may_cut": True}),
-            ("counts_dropped", returns),
-            ("stops_first", {"restarts": 1}),
-            ("asks_again", out_of_reach),
+            ("counts_dropped", {"may_cut": True}, True),
+            ("counts_dropped", returns, True),
+            ("stops_first", {"restarts": 1}, True),
+            # Alone, without what confirms commits besides.
+            ("asks_again", out_of_reach, False),
         )
-        for guard, moves in cases:
+        for guard, moves, confirms in cases:
             with self.subTest(guard, **moves):
-                model = TakeoverModel(TakeoverRules(**{guard: False}), **moves)
+                rules = TakeoverRules(
+                    **{guard: False}, confirms_commits=confirms
+                )
+                model = TakeoverModel(rules, **moves)
                 found = search(first_state(), model.steps, _wrong_log)
                 self.assertTrue(found.violation)
+
+    def test_asking_again_is_enough_until_the_order(self) -> None:
+        moves = {"restarts": 1, "may_hide": True, "spares_ordered": True}
+        rules = TakeoverRules(confirms_commits=False)
+        model = TakeoverModel(rules, **moves)
+        found = search(first_state(), model.steps, _wrong_log, _LIMIT)
+        print(f"searched {found.states} states, not all: until the order")
+        self.assertEqual("", found.violation, found.trace)
