A primary that may have been stopped says itself that it leads

By reasoning, and now by the search: a read on a route that promises the newest data lacks a commit (STALE).

Cause: a replica that is silent is not paused when a primary that answers is stopped and replaced. A VM that was cut off together with that replica reads at the old primary as the cut heals, and takes the replica's word that it still leads; neither has heard of the change.

Change: where the primary is leaving, its commits reach no replica, or the VM has heard half of the fleet for less than a second, the proof of a read needs the old primary's own word besides, asked after the read arrived. One that answered was stopped before the order.

VMs ask by these rules only in doubt, so the guards must do without: they are tested so now, and that they are enough has a test of its own, the search that was whole before.

--- a/redwingpost/groups/confirmation.py
+++ b/redwingpost/groups/confirmation.py
@@ -28,18 +28,25 @@
 #: before the registry tells of the restart.
 HELD_UP_S = 0.25
 
+#: Seconds after which a VM that was cut off has heard of every takeover
+#: that it missed: two heartbeats over two gatherers.
+SETTLED_S = 1.0
+
 
 class LeadSigns(NamedTuple):
     """Signs that a takeover may be under way.
 
     ``has_fresh_replica``: a replica has started again lately.
     ``fails_elsewhere_s`` is for how long the primary has failed to the VM
-    that has reached it least. ``heard_half_s`` is for how
-    long at least half of the VMs have been in hearing.
+    that has reached it least. ``is_suspect``: something speaks for replacing
+    a primary that answers; it is leaving, or its commits reach no replica.
+    ``heard_half_s`` is for how long at least half of the VMs have been in
+    hearing.
     """
 
     has_fresh_replica: bool
     fails_elsewhere_s: float
+    is_suspect: bool
     heard_half_s: float
 
 
@@ -66,7 +73,7 @@
 
     Examples
     --------
-    >>> calm = LeadSigns(False, 0.0, 60.0)
+    >>> calm = LeadSigns(False, 0.0, False, 60.0)
     >>> needs_confirmation(calm)
     False
     >>> needs_confirmation(calm._replace(has_fresh_replica=True))
@@ -79,6 +86,22 @@
     )
 
 
+def needs_claim(signs: LeadSigns) -> bool:
+    """Say whether a primary must say itself that it leads.
+
+    A primary that answers is stopped before it is replaced, and replicas
+    that are silent are not waited for. Such a replica vouches for the old
+    primary until it hears of the new one.
+
+    Examples
+    --------
+    >>> calm = LeadSigns(False, 0.0, False, 60.0)
+    >>> needs_claim(calm), needs_claim(calm._replace(is_suspect=True))
+    (False, True)
+    """
+    return signs.is_suspect or signs.heard_half_s < SETTLED_S
+
+
 def judge_commit(
     term: int, answers: Iterable[ReplicaAnswer], held_up_s: float = 0.0
 ) -> Verdict:
--- a/redwingpost/groups/tests/test_confirmation.py
+++ b/redwingpost/groups/tests/test_confirmation.py
@@ -6,10 +6,12 @@
 from redwingpost.groups.confirmation import (
     FAILS_ELSEWHERE_S,
     HELD_UP_S,
+    SETTLED_S,
     LeadSigns,
     ReplicaAnswer,
     Verdict,
     judge_commit,
+    needs_claim,
     needs_confirmation,
 )
 from redwingpost.ports.database import StatusReport
@@ -18,28 +20,43 @@
 _FOLLOWS = StatusReport(False, _TERM, Position(_TERM, 9), 0, 0, 0, 1)
 _PAUSED = _FOLLOWS._replace(paused_for=_TERM + 1)
 _LEADS_NEXT = _FOLLOWS._replace(is_primary=True, term=_TERM + 1)
-_CALM = LeadSigns(False, 0.0, 60.0)
+_CALM = LeadSigns(False, 0.0, False, 60.0)
 
 
 class SignsTest(TestCase):
     def test_signs_that_a_takeover_may_be_under_way(self) -> None:
         cases = (
-            ("calm", _CALM, False),
+            ("calm", _CALM, False, False),
             (
                 "a replica started again",
                 _CALM._replace(has_fresh_replica=True),
                 True,
+                False,
             ),
             (
                 "the primary fails to another VM",
                 _CALM._replace(fails_elsewhere_s=FAILS_ELSEWHERE_S),
                 True,
+                False,
+            ),
+            (
+                "the primary leaves",
+                _CALM._replace(is_suspect=True),
+                False,
+                True,
+            ),
+            ("cut off", _CALM._replace(heard_half_s=0.0), True, True),
+            (
+                "cut off until a moment ago",
+                _CALM._replace(heard_half_s=SETTLED_S / 2),
+                False,
+                True,
             ),
-            ("cut off", _CALM._replace(heard_half_s=0.0), True),
         )
-        for name, signs, expected in cases:
+        for name, signs, confirms, claims in cases:
             with self.subTest(name):
-                self.assertEqual(expected, needs_confirmation(signs))
+                self.assertEqual(confirms, needs_confirmation(signs))
+                self.assertEqual(claims, needs_claim(signs))
 
 
 class JudgeCommitTest(TestCase):
--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -97,6 +97,7 @@
             vms,
             data_centre,
             clock,
+            self.is_alert,
             self._settle,
         )
         self._changed = Event()
--- a/redwingpost/node/lead_proofs.py
+++ b/redwingpost/node/lead_proofs.py
@@ -6,6 +6,7 @@
 from redwingpost.groups.confirmation import (
     LeadSigns,
     ReplicaAnswer,
+    needs_claim,
 )
 from redwingpost.groups.directory import Directory
 from redwingpost.groups.evidence import FRESH_START_S, GroupEvidence
@@ -35,6 +36,8 @@
         Where this VM stands: near replicas are asked first.
     clock : Clock
         For the time of questions.
+    is_alert : callable
+        Says whether something looks wrong with the primary.
     on_answers : callable
         Called when reports have come in.
     """
@@ -47,6 +50,7 @@
         vms: VmTable,
         data_centre: str,
         clock: Clock,
+        is_alert: Callable[[], bool],
         on_answers: Callable[[], None],
     ) -> None:
         self._member_by_name = member_by_name
@@ -55,8 +59,9 @@
         self._vms = vms
         self._data_centre = data_centre
         self._clock = clock
+        self._is_alert = is_alert
         self._on_answers = on_answers
-        self._proof = SharedProof(self._ask_a_replica)
+        self._proof = SharedProof(self._ask)
 
     async def prove(self) -> bool:
         """Say whether the primary led at some moment after this call."""
@@ -74,6 +79,7 @@
         return LeadSigns(
             any(self._is_fresh(name, now) for name in self._replicas()),
             max(failing_ms, default=0) / 1000.0,
+            self._is_alert() or self._vms.is_any_write_stuck(now),
             self._vms.heard_half_s(now),
         )
 
@@ -100,6 +106,16 @@
             for client, report in zip(clients, reports, strict=True)
         )
 
+    async def _ask(self) -> bool:
+        """Ask a replica and, in doubt, the primary itself."""
+        leader = self._member_by_name.get(self._evidence.leader or "")
+        if leader is None or not needs_claim(self.signs()):
+            return await self._ask_a_replica()
+        is_proven, is_claimed = await gather(
+            self._ask_a_replica(), self._ask_leader(leader)
+        )
+        return is_proven and is_claimed
+
     async def _ask_a_replica(self) -> bool:
         asked_at = self._clock.now()
         for client in self._provers():
@@ -110,6 +126,15 @@
         self._on_answers()
         return False
 
+    async def _ask_leader(self, leader: MemberClient) -> bool:
+        """Say whether the primary itself still says that it leads."""
+        term = self._evidence.term
+        report = await self._report(leader, self._clock.now())
+        self._on_answers()
+        if report is None:
+            return False
+        return report.is_primary and report.term == term
+
     async def _report(
         self, client: MemberClient, asked_at: float
     ) -> StatusReport | None:
--- a/redwingpost/node/tests/test_group.py
+++ b/redwingpost/node/tests/test_group.py
@@ -4,7 +4,7 @@
 from unittest import IsolatedAsyncioTestCase
 
 from redwingpost.core.positions import Position
-from redwingpost.groups.confirmation import HELD_UP_S
+from redwingpost.groups.confirmation import HELD_UP_S, SETTLED_S
 from redwingpost.groups.directory import Directory
 from redwingpost.membership.centres import CentreWatch
 from redwingpost.membership.hearing import VmTable
@@ -114,7 +114,7 @@
         await super().asyncSetUp()
         self.vms.set_listed((VmAddress("vm-1", "ip1", 1),))
         await self._learn("m1", 1)
-        self.clock.advance(1.0)
+        self.clock.advance(SETTLED_S)
 
     def _change(self, member: str, **changes) -> None:
         report = self.members.report_by_member[member]
@@ -190,3 +190,21 @@
         head = Position(1, 10)
         self._change("m2", is_primary=True, term=2, received=head)
         self.assertTrue(await self._confirm())
+
+    async def test_a_primary_that_is_leaving_must_claim_its_lead(self) -> None:
+        """Guards against stale reads vouched for by a replica cut off."""
+        self.assertTrue(await self.group.prove())
+        leaving = _entry("m1")._replace(is_draining=True)
+        self.directory.put(leaving, self.clock.now())
+        self.group.follow_directory(32, 1)
+        self.assertTrue(await self.group.prove())
+        self._change("m1", is_primary=False)
+        self.assertFalse(await self.group.prove())
+
+    async def test_a_primary_must_claim_its_lead_to_a_vm_cut_off(self) -> None:
+        """Guards against stale reads right after a cut has healed."""
+        others = tuple(VmAddress(f"vm-{n}", f"ip{n}", 1) for n in (1, 2, 3))
+        self.vms.set_listed(others)
+        self.assertTrue(await self.group.prove())
+        self._change("m1", is_primary=False)
+        self.assertFalse(await self.group.prove())
--- a/redwingpost/verify/takeover.py
+++ b/redwingpost/verify/takeover.py
@@ -18,6 +18,7 @@
 from redwingpost.core.positions import ZERO_POSITION, Position
 from redwingpost.groups.confirmation import (
     FAILS_ELSEWHERE_S,
+    SETTLED_S,
     LeadSigns,
     ReplicaAnswer,
     Verdict,
@@ -54,6 +55,9 @@
 #: of its replicas.
 _CUTS = ((0,), (0, 1))
 
+#: A replica that is cut off by itself.
+_REPLICA_CUTS = ((1,),)
+
 _ENTRIES = tuple(
     MemberEntry(str(number), "g", "ip", number, "dc", False, False)
     for number in range(3)
@@ -196,8 +200,11 @@
                 )
 
     def _cut_steps(self, state: TakeoverState) -> Iterator[Step]:
-        if self._moves.may_cut and not state.has_cut:
-            for cut in _CUTS:
+        if not state.has_cut:
+            cuts = _CUTS if self._moves.may_cut else ()
+            if self._moves.may_lose_replica:
+                cuts = (*cuts, *_REPLICA_CUTS)
+            for cut in cuts:
                 names = " and ".join(map(str, cut))
                 following = state._replace(has_cut=True)
                 for number in cut:
@@ -247,7 +254,8 @@
         signs = LeadSigns(
             any(member.has_restarted for member in state.members),
             0.0 if primary.is_reachable else FAILS_ELSEWHERE_S,
-            heard_half_s=1.0,
+            is_suspect=False,
+            heard_half_s=SETTLED_S,
         )
         return needs_confirmation(signs)
 
--- a/redwingpost/verify/takeover_reads.py
+++ b/redwingpost/verify/takeover_reads.py
@@ -1,7 +1,9 @@
 """A reader with an old view, for the search of takeovers.
 
 It reads at whoever it takes for the primary, and asks one replica for a
-proof that no promotion was in effect when the read began.
+proof that no promotion was in effect when the read began. A replica that
+nobody could pause may not know of one; the old primary was stopped then,
+and doesn't say any more that it leads.
 """
 
 from collections.abc import Iterator
@@ -31,7 +33,13 @@
             yield "the read runs", state._replace(read=_run(state, read))
         if not read.is_proven:
             yield from self._proof_steps(state, read)
-        if read.has_run and read.is_proven:
+        if not read.is_claimed and self._claims_to_lead(state, read):
+            yield (
+                f"{read.member} says that it leads",
+                state._replace(read=read._replace(is_claimed=True)),
+            )
+        is_claimed = read.is_claimed or not self._rules.asks_leader
+        if read.has_run and read.is_proven and is_claimed:
             wrong = "a read lacks a commit" if read.lacks else ""
             yield "the read is served", state._replace(wrong=wrong)
 
@@ -70,6 +78,16 @@
                     state._replace(read=proven),
                 )
 
+    def _claims_to_lead(self, state: TakeoverState, read: Read) -> bool:
+        if not self._rules.asks_leader:
+            return False
+        member = state.members[read.member]
+        return (
+            member.is_primary
+            and not member.is_dark
+            and member.term == read.term
+        )
+
     def _vouches(self, member: Member, read: Read) -> bool:
         if member.is_primary or member.term > read.term:
             return False
--- a/redwingpost/verify/takeover_state.py
+++ b/redwingpost/verify/takeover_state.py
@@ -15,7 +15,8 @@
     primary that answers is stopped before the order. ``asks_again``: the
     pauses are confirmed right before the order. ``confirms_commits``: while
     a takeover may be under way, replicas are asked before a writer is told
-    that its commit is kept.
+    that its commit is kept. ``asks_leader``: whoever a read ran at must
+    say itself that it leads, after the read began.
     """
 
     pauses_others: bool = True
@@ -28,6 +29,7 @@
     stops_first: bool = True
     asks_again: bool = True
     confirms_commits: bool = True
+    asks_leader: bool = True
 
 
 class Moves(NamedTuple):
@@ -39,6 +41,7 @@
     ``may_cut``: members may be cut off together. ``may_hide``: the
     conductor may not reach a primary that its replicas reach.
     ``spares_ordered``: none starts again between an order and its effect.
+    ``may_lose_replica``: a replica may be cut off by itself.
     """
 
     restarts: int = 0
@@ -47,6 +50,7 @@
     may_cut: bool = False
     may_hide: bool = False
     spares_ordered: bool = False
+    may_lose_replica: bool = False
 
 
 class Member(NamedTuple):
@@ -133,7 +137,11 @@
 
 
 class Read(NamedTuple):
-    """A read: where it ran, what it had to see, what it lacked."""
+    """A read: where it ran, what it had to see, what it lacked.
+
+    ``is_proven``: a replica has vouched for the member; ``is_claimed``: the
+    member has said that it leads.
+    """
 
     member: int
     term: int
@@ -141,6 +149,7 @@
     has_run: bool = False
     lacks: frozenset[Commit] = frozenset()
     is_proven: bool = False
+    is_claimed: bool = False
 
 
 class TakeoverState(NamedTuple):
--- a/redwingpost/verify/tests/test_takeover.py
+++ b/redwingpost/verify/tests/test_takeover.py
@@ -17,6 +17,13 @@
 #: States of a search that can't be whole within the time of a test run.
 _LIMIT = 110_000
 
+#: The same where what a guard prevents lies deeper.
+_READ_LIMIT = 300_000
+
+#: VMs ask whether commits are kept, and primaries whether they lead, only
+#: in doubt. Where there is none the other guards must do.
+_WITHOUT_DOUBT = TakeoverRules(confirms_commits=False, asks_leader=False)
+
 
 def _wrong_read(state) -> str:
     return state.wrong if "read" in state.wrong else ""
@@ -45,6 +52,13 @@
         self.assertEqual("", found.violation, found.trace)
         self.assertTrue(found.complete)
 
+    def test_no_promise_breaks_where_nobody_is_in_doubt(self) -> None:
+        model = TakeoverModel(_WITHOUT_DOUBT)
+        found = search(first_state(), model.steps, what_is_wrong)
+        print(f"searched {found.states} states: without doubt")
+        self.assertEqual("", found.violation, found.trace)
+        self.assertTrue(found.complete)
+
     def test_nothing_is_lost_when_a_member_is_off_the_list(self) -> None:
         """A primary crashes for good while one replica receives nothing.
 
@@ -115,6 +129,13 @@
         print(f"searched {found.states} states, not all: writers are told")
         self.assertEqual("", found.violation, found.trace)
 
+    def test_reads_stay_true_when_a_replica_is_cut_off(self) -> None:
+        """Guards against a proof by a replica that missed a takeover."""
+        model = TakeoverModel(TakeoverRules(), may_lose_replica=True)
+        found = search(first_state(), model.steps, _wrong_read, _READ_LIMIT)
+        print(f"searched {found.states} states, not all: a replica cut off")
+        self.assertEqual("", found.violation, found.trace)
+
     def test_each_guard_is_needed(self) -> None:
         cases = (
             ("pauses_others", 0),
@@ -125,7 +146,7 @@
         )
         for guard, restarts in cases:
             with self.subTest(guard):
-                rules = TakeoverRules(**{guard: False})
+                rules = _WITHOUT_DOUBT._replace(**{guard: False})
                 model = TakeoverModel(rules, restarts)
                 invariant = _wrong_read if restarts else what_is_wrong
                 found = search(first_state(), model.steps, invariant)
@@ -133,9 +154,11 @@
 
     def test_each_guard_of_whom_callers_are_told_is_needed(self) -> None:
         hidden = {"restarts": 1, "may_hide": True}
+        cut_off = {"may_lose_replica": True}
         cases = (
             ("confirms_commits", "is lost", hidden),
             ("confirms_commits", "when replaced", hidden),
+            ("asks_leader", "a read", cut_off),
         )
         for guard, wrong, moves in cases:
             with self.subTest(guard, wrong=wrong):
