Log whom a VM hears, whose copy it follows, and how members refuse it

Three open findings can't be told apart by the lines there are: which VM a configuration came from, which VMs are missing where the part of the fleet in hearing isn't whole and how old the reports on them are, and whether a member that took no connection refused it or broke it off.

`fleet-hearing` on each change, `table-source` on each change, `connection-refused` and `connection-failed` within the budget of a kind.

--- a/redwingpost/membership/hearing.py
+++ b/redwingpost/membership/hearing.py
@@ -214,6 +214,15 @@
             return max(ASSUMED_VMS, len(numbers))
         return len(numbers.union(self._number_by_vm.values()))
 
+    def missing(self, now: float) -> tuple[str, ...]:
+        """Return the listed VMs that are not in hearing."""
+        heard = self.heard_numbers(now) | {self._number}
+        return tuple(
+            vm
+            for vm, number in self._number_by_vm.items()
+            if number not in heard
+        )
+
     def part(self, now: float) -> float:
         """Return the part of all VMs that hear each other (0 to 1)."""
         return (1 + len(self.heard_numbers(now))) / self.count()
--- a/redwingpost/node/fleet/heartbeats.py
+++ b/redwingpost/node/fleet/heartbeats.py
@@ -49,6 +49,9 @@
 #: which travel with it, serve for a second and more.
 HEALTH_EVERY = 2
 
+#: Names of missing VMs in one line of the log.
+_NAMES_LOGGED = 4
+
 #: Seconds for which a gatherer lets urgent counters gather before it
 #: passes them on. Over two gatherers they are at every VM after twice
 #: this and the way; each admission by itself would be a datagram to every
@@ -128,6 +131,8 @@
         self._passing_on: TimerHandle | None = None
         self._transport: DatagramTransport | None = None
         self._beats = 0
+        self._beat_at = clock.now()
+        self._missing: tuple[str, ...] = ()
 
     def use(self, transport: DatagramTransport) -> None:
         """Send through a transport that is open already."""
@@ -189,6 +194,7 @@
 
     def beat(self) -> None:
         """Send what is due with one heartbeat."""
+        self._log_hearing(self._clock.now())
         beats = self._beats
         self._beats += 1
         everything = beats % FULL_EVERY == 0
@@ -201,6 +207,24 @@
         if self._vms.gathers:
             self._pass_on(may_be_brief, everything)
 
+    def _log_hearing(self, now: float) -> None:
+        """Log each change of which VMs are in hearing."""
+        missing = self._vms.missing(now)
+        if missing != self._missing:
+            log_event(
+                "fleet-hearing",
+                part=round(self._vms.part(now), 3),
+                missing=len(missing),
+                some_missing=missing[:_NAMES_LOGGED],
+                cell_age_ms={
+                    report.cell: report.age_ms
+                    for report in self._vms.cells(now, float("inf"))
+                },
+                beat_s=round(now - self._beat_at, 3),
+            )
+        self._missing = missing
+        self._beat_at = now
+
     def _note_role(self, gathers: bool) -> None:
         if gathers != self._vms.gathers and not self._gathering.is_direct:
             log_event("gathers", gathers=gathers, cell=self._gathering.cell)
--- a/redwingpost/node/fleet/relayed_store.py
+++ b/redwingpost/node/fleet/relayed_store.py
@@ -76,6 +76,7 @@
         self._started_at = clock.now()
         self._client_by_table: dict[str, tuple[str, HttpClient]] = {}
         self._asked_store_at: dict[str, float] = {}
+        self._source_by_table: dict[str, str] = {}
 
     async def snapshot(self, table: str) -> Result[Snapshot, Refusal]:
         """Return all rows of a table."""
@@ -101,13 +102,23 @@
             if got is None:
                 continue
             if got.is_ok():
+                self._note_source(table, relay.vm)
                 return got
             is_lost = is_lost or got.error.code is Code.STORE_UNAVAILABLE
         if is_lost and not self._may_ask_store(table):
             detail = "lost to this VM's gatherers"
             return Error(Refusal(Code.STORE_UNAVAILABLE, detail))
         self._asked_store_at[table] = self._clock.now()
-        return await self._store.changes(table, after, wait_s)
+        got = await self._store.changes(table, after, wait_s)
+        if got.is_ok():
+            self._note_source(table, "store")
+        return got
+
+    def _note_source(self, table: str, source: str) -> None:
+        """Log from whom a table's changes come, where that changes."""
+        if self._source_by_table.get(table) != source:
+            self._source_by_table[table] = source
+            log_event("table-source", table=table, source=source)
 
     def _relays(self) -> tuple[VmAddress, ...]:
         now = self._clock.now()
--- a/redwingpost/node/member.py
+++ b/redwingpost/node/member.py
@@ -315,10 +315,22 @@
     async def _connect(self, organisation: str, patience: float):
         try:
             opened = await self._links.open(self.entry, organisation, patience)
-        except LinkLost:
+        except LinkLost as lost:
             self.failed_at = self._clock.now()
+            log_event(
+                "connection-failed",
+                member=self.entry.member,
+                organisation=organisation,
+                detail=lost.detail,
+            )
             raise
         if isinstance(opened, MemberFailure):
+            log_event(
+                "connection-refused",
+                member=self.entry.member,
+                organisation=organisation,
+                word=opened.word,
+            )
             if opened.kind is FailureKind.TOO_MANY_CONNECTIONS:
                 self.budget.note_refused(self._clock.now())
             raise MemberRefused(opened)
