A member that has no free connection is not lost

Cause: a member that takes no further connection answers MAXCONN. A question to it that ended so counted as a failure, as if nobody had answered. VMs that had no connection there took the primary for lost, told the others so, and all of them asked and connected again.

Change: a refusal for want of a connection is an answer: the member lives. Other refusals, and no answer, count as before.

Who may hold which connections is another matter, and stays open.

--- a/redwingpost/node/member.py
+++ b/redwingpost/node/member.py
@@ -259,7 +259,11 @@
                 self._ask_in_turn(command, arguments),
                 SILENT_CONTROL_S if is_silent else CONTROL_S,
             )
-        except (LinkLost, MemberRefused, TimeoutError):
+        except MemberRefused as refused:
+            if refused.failure.kind is not FailureKind.TOO_MANY_CONNECTIONS:
+                self.failed_at = self._clock.now()
+            return None
+        except (LinkLost, TimeoutError):
             # The wait may have ended before its turn came; the command
             # that is under way is closed by its own cancellation.
             self.failed_at = self._clock.now()
@@ -332,6 +336,9 @@
                 word=opened.word,
             )
             if opened.kind is FailureKind.TOO_MANY_CONNECTIONS:
+                # A member that is full lives. Taken for lost, it would be
+                # asked by all VMs, over more connections.
+                self.note_answer()
                 self.budget.note_refused(self._clock.now())
             raise MemberRefused(opened)
         return opened
