Fill a gatherer's missing set of VMs in from what it told itself

Cause: a gatherer tells the set of its cell's VMs three times, and its number after that. A reader kept four sets of each cell, whoever told them, and took the newest where it didn't know a number. When some VMs of a cell turn to a third gatherer, that one tells another set with each VM that comes: four of them, and the whole set of the first gatherer is forgotten. What stands for it then is the third one's, which lacks most of the cell, and in any case the first two, which report to nobody.

Ruled out: datagrams lost on the way, and VMs that are late.

Change: a set's number is looked up among those that were used last, 16 of each cell; where it isn't known, the last set of the same gatherer stands for it.

Why VMs turn to a third gatherer as traffic begins isn't answered by this: digests grow from 0.3 to 4 KB then, sent to 20 VMs in one go.

--- a/redwingpost/membership/digests.py
+++ b/redwingpost/membership/digests.py
@@ -10,9 +10,9 @@
     set_number,
 )
 
-#: Sets of VMs that are kept of each cell: gatherers of one cell may see a
-#: VM come and go at slightly different times.
-KEPT_SETS = 4
+#: Sets of VMs that are kept of each cell: those told by several gatherers,
+#: which may see a VM come and go at slightly different times.
+KEPT_SETS = 16
 
 
 class _Told(NamedTuple):
@@ -40,7 +40,8 @@
 
     def __init__(self) -> None:
         self._told_by_vm: dict[str, _Told] = {}
-        self._vms_by_number: dict[str, dict[int, frozenset[int]]] = {}
+        self._sets_by_cell: dict[str, dict[int, frozenset[int]]] = {}
+        self._last_sets_by_teller: dict[str, dict[str, frozenset[int]]] = {}
 
     def note(self, digest: Digest, now: float) -> Digest:
         """Take in a digest; a brief one takes no health back.
@@ -50,7 +51,9 @@
         Digest
             With the VMs of all cells filled in.
         """
-        cells = tuple(self._fill_in(report) for report in digest.cells)
+        cells = tuple(
+            self._fill_in(report, digest.vm) for report in digest.cells
+        )
         digest = digest._replace(cells=cells)
         known = self._told_by_vm.get(digest.vm)
         if digest.is_brief and known is not None:
@@ -59,22 +62,28 @@
         self._told_by_vm[digest.vm] = _Told(digest, now)
         return digest
 
-    def _fill_in(self, report: CellReport) -> CellReport:
+    def _fill_in(self, report: CellReport, teller: str) -> CellReport:
         """Return a report with its VMs.
 
-        Where the message that told them was lost, those last known of the
-        cell stand for them.
+        Where the message that told them was lost, those that the same
+        gatherer told last stand for them. Another gatherer's may lack
+        most of the cell: some VMs may have turned to it only just now.
         """
-        known = self._vms_by_number.setdefault(report.cell, {})
-        if report.vms is None:
+        known = self._sets_by_cell.setdefault(report.cell, {})
+        last_by_cell = self._last_sets_by_teller.setdefault(teller, {})
+        vms = report.vms
+        if vms is None:
+            vms = known.get(report.vms_number)
+        if vms is None:
             latest = next(reversed(known.values()), frozenset())
-            vms = known.get(report.vms_number, latest)
-            return report._replace(vms=vms)
+            return report._replace(vms=last_by_cell.get(report.cell, latest))
+        # The set that was used last is the last to be dropped.
         known.pop(report.vms_number, None)
-        known[report.vms_number] = report.vms
+        known[report.vms_number] = vms
         if len(known) > KEPT_SETS:
             del known[next(iter(known))]
-        return report
+        last_by_cell[report.cell] = vms
+        return report._replace(vms=vms)
 
     def clock_of(self, vm: str) -> tuple[int, float] | None:
         """Return a gatherer's clock and when it told it."""
@@ -130,6 +139,7 @@
         for vm, told in tuple(self._told_by_vm.items()):
             if now - told.told_at > after_s:
                 del self._told_by_vm[vm]
+                self._last_sets_by_teller.pop(vm, None)
 
 
 def _together(reports: list[CellReport]) -> CellReport:
