Hand the members on to a VM that starts while the store is away

What callers saw: a VM that starts during an outage of the store serves nobody until the store is back, though its neighbours know all members.

Change: a table's copy keeps its rows, and the page shows those of the members. The test fails before: no members where two are expected.

--- a/redwingpost/node/fleet/copies.py
+++ b/redwingpost/node/fleet/copies.py
@@ -13,6 +13,7 @@
 from redwingpost.adapters.http_pages import Page
 from redwingpost.core.codes import Code
 from redwingpost.core.requests import Refusal
+from redwingpost.node.fleet.table_copy import TableCopy
 from redwingpost.node.fleet.table_pages import CONTENT_TYPE
 from redwingpost.ports.platform import Row
 from redwingpost.wire.pages import PageError, pack_page, unpack_page
@@ -26,15 +27,21 @@
 
 
 class Copies:
-    """The rows that a VM would hand on, as a whole."""
+    """The rows that a VM would hand on, as a whole.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    members : TableCopy
+        What this VM knows of the members.
+    """
+
+    def __init__(self, members: TableCopy) -> None:
         self.configuration: Row | None = None
-        self.member_by_key: dict[str, Row] = {}
+        self._members = members
 
     def page(self) -> Page:
         """Return the copy for a peer."""
-        members = [list(row) for row in self.member_by_key.values()]
+        members = [list(row) for row in self._members.row_by_key.values()]
         configuration = self.configuration
         body = {
             "configuration": list(configuration) if configuration else None,
--- a/redwingpost/node/fleet/table_copy.py
+++ b/redwingpost/node/fleet/table_copy.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from redwingpost.ports.fleet_store import Changes, RowChange, Snapshot
+from redwingpost.ports.platform import Row
 
 #: Batches of changes that are kept: a neighbour that turns here from
 #: another VM is a few behind.
@@ -35,6 +36,7 @@
 
     def __init__(self) -> None:
         self.version: int | None = None
+        self.row_by_key: dict[str, Row] = {}
         self._batches: deque[_Batch] = deque(maxlen=KEPT_BATCHES)
         self._from_version = 0
         self._changed = Event()
@@ -42,6 +44,7 @@
     def note_snapshot(self, snapshot: Snapshot) -> None:
         """Take in that the whole table was read."""
         self._batches.clear()
+        self.row_by_key = {row.key: row for row in snapshot.rows}
         self._from_version = snapshot.version
         self._advance(snapshot.version)
 
@@ -51,6 +54,7 @@
             if len(self._batches) == KEPT_BATCHES:
                 self._from_version = self._batches[0].version
             self._batches.append(_Batch(changes.changes, changes.version))
+            self._apply(changes.changes)
         self._advance(max(changes.version, self.version or 0))
 
     def since(self, after: int) -> Changes:
@@ -77,6 +81,13 @@
             return found
         return self.since(after)
 
+    def _apply(self, changes: tuple[RowChange, ...]) -> None:
+        for change in changes:
+            if change.is_removed:
+                self.row_by_key.pop(change.row.key, None)
+            else:
+                self.row_by_key[change.row.key] = change.row
+
     def _advance(self, version: int) -> None:
         self.version = version
         self._changed.set()
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -128,7 +128,6 @@
         self._admission = Admission(self._vms, self._ledger, clock)
         self._centres = CentreWatch(settings.data_centre)
         self._readiness = Readiness()
-        self._copies = Copies()
         self._start_gate = StartGate()
         self._unready_since: float | None = None
         self._steps = 0
@@ -148,6 +147,7 @@
             self._centres,
         )
         self._make_watchers()
+        self._copies = Copies(self._member_watcher.copy)
         self._copy_fetcher = CopyFetcher(
             self._vms,
             self._admission,
--- a/redwingpost/node/tests/test_copy_fetcher.py
+++ b/redwingpost/node/tests/test_copy_fetcher.py
@@ -16,7 +16,9 @@
     SPREAD_S,
     CopyFetcher,
 )
+from redwingpost.node.fleet.table_copy import TableCopy
 from redwingpost.ports.clock import VirtualClock
+from redwingpost.ports.fleet_store import Changes, RowChange, Snapshot
 from redwingpost.ports.platform import Row
 
 _IP = "127.0.74.1"
@@ -28,7 +30,8 @@
 class CopyFetcherTest(IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.clock = VirtualClock()
-        self.copies = Copies()
+        self.members = TableCopy()
+        self.copies = Copies(self.members)
         self.copies.configuration = Row("op", "config", 2, {"version": 2})
         self.may_answer = Event()
         self.may_answer.set()
@@ -36,6 +39,8 @@
         self.taken: list[Row] = []
         self.has_taken = Event()
         self.is_source_lost = False
+        self.has_members = True
+        self.taken_members: list[Row] = []
         port = find_free_port(_IP)
         pages = PageServer(_IP, port, {}, {COPY_PATH: self._page})
         await pages.start()
@@ -46,8 +51,8 @@
             self.vms,
             SimpleNamespace(rules=SimpleNamespace(version=1)),
             SimpleNamespace(take=self._take),
-            SimpleNamespace(),
-            lambda: True,
+            SimpleNamespace(on_rows=self._take_members),
+            lambda: self.has_members,
             lambda: self.is_source_lost,
             port,
             self.clock,
@@ -63,6 +68,9 @@
         self.taken.append(row)
         self.has_taken.set()
 
+    def _take_members(self, rows: tuple[Row, ...]) -> None:
+        self.taken_members.extend(rows)
+
     def _look(self, after_s: float, version: int = 2) -> None:
         """Look again after some seconds, with another VM in hearing."""
         self.clock.advance(after_s)
@@ -104,3 +112,16 @@
         self.assertEqual(1, self.asked)
         self.may_answer.set()
         await wait_for(self.has_taken.wait(), _PATIENCE_S)
+
+    async def test_members_come_along_where_none_are_known(self) -> None:
+        """Guards against a VM that starts without store and serves nobody."""
+        stays, goes, comes = (Row("m", key, 5, {}) for key in "abc")
+        self.members.note_snapshot(Snapshot((stays, goes), 5, 0))
+        changes = (RowChange(goes, True), RowChange(comes, False))
+        self.members.note_changes(Changes(changes, 6))
+        self.has_members = False
+        self._look(0.1)
+        self._look(COPY_ANYWAY_S + SPREAD_S)
+        await wait_for(self.has_taken.wait(), _PATIENCE_S)
+        await sleep(0.05)
+        self.assertEqual([stays, comes], self.taken_members)
