Datagrams between VMs fit one packet

What callers saw: refusals within their rates at 62 VMs, from the moment in which traffic begins.

Cause: with callers of many organisations a gatherer's digest grows from 0.3 to 4 KB, three packets, and is lost with any of them. Readers that hear nothing of a gatherer for 0.6 s turn to a third one, which knows a part of the cell.

Change: heartbeats and digests are at most 1,400 bytes; counters that find no place follow in datagrams of their own. They merge in any order.

The test (a network that loses datagrams of more than one packet) fails without it: VMs out of hearing.

--- a/redwingpost/membership/heartbeat.py
+++ b/redwingpost/membership/heartbeat.py
@@ -178,6 +178,16 @@
     usages: UsageTable
     is_urgent: bool = False
 
+    def counters_only(self) -> "Digest":
+        """Return the digest for counters that found no place in it."""
+        return self._replace(
+            cells=(),
+            health_by_primary={},
+            is_brief=True,
+            samples=(),
+            echo_by_number={},
+        )
+
     def without_health(self) -> "Digest":
         """Return the digest for a reader that has the rest elsewhere."""
         return self._replace(health_by_primary={}, is_brief=True, samples=())
--- a/redwingpost/node/fleet/digest_writer.py
+++ b/redwingpost/node/fleet/digest_writer.py
@@ -15,7 +15,7 @@
     vm_number,
 )
 from redwingpost.node.fleet.readiness_inputs import reached_by
-from redwingpost.rates.counters import NO_USAGES, UsageTable
+from redwingpost.rates.counters import NO_USAGES
 
 #: Digests in a row that tell a new set of VMs: one of them will arrive.
 TELL_TIMES = 3
@@ -91,12 +91,11 @@
         self,
         digest: Digest,
         readers: tuple[VmAddress, ...],
-        usages: UsageTable,
         now: float,
     ) -> Digest:
-        """Return a digest with the echoes and counters of its readers."""
+        """Return a digest with the echoes of its readers."""
         echoes = self._echoes(readers, now) if digest.samples else {}
-        return digest._replace(echo_by_number=echoes, usages=usages)
+        return digest._replace(echo_by_number=echoes)
 
     def leave_out_known(self, digest: Digest, everything: bool) -> Digest:
         """Return a digest without the sets of VMs that were told before.
--- a/redwingpost/node/fleet/heartbeats.py
+++ b/redwingpost/node/fleet/heartbeats.py
@@ -29,13 +29,13 @@
 from redwingpost.node.steps import repeat
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
-from redwingpost.rates.counters import Usage, UsageTable, VmUsage
+from redwingpost.rates.counters import Usage, VmUsage
 from redwingpost.rates.relay import UsageRelay
 from redwingpost.rates.usage import UsageLedger
 from redwingpost.wire.heartbeat import (
     HeartbeatWithUsages,
-    pack_digest,
-    pack_heartbeat,
+    pack_digests,
+    pack_heartbeats,
     unpack,
 )
 
@@ -332,11 +332,11 @@
         readers = tuple(readers)
         if not readers:
             return
-        table = UsageTable.of(usages)
-        told = self._digests.for_readers(digest, readers, table, now)
-        datagram = pack_digest(told)
+        told = self._digests.for_readers(digest, readers, now)
+        datagrams = tuple(pack_digests(told, tuple(usages)))
         for address in readers:
-            self._transport.sendto(datagram, (address.ip, self._here.port))
+            for datagram in datagrams:
+                self._transport.sendto(datagram, (address.ip, self._here.port))
 
     # The socket ----------------------------------------------------------
 
@@ -355,8 +355,9 @@
         if not self._can_send:
             return
         echo = self._vms.echo_for(address.vm, self._clock.now())
-        datagram = pack_heartbeat(heartbeat._replace(echo=echo), usages)
-        self._transport.sendto(datagram, (address.ip, self._here.port))
+        told = heartbeat._replace(echo=echo)
+        for datagram in pack_heartbeats(told, usages):
+            self._transport.sendto(datagram, (address.ip, self._here.port))
 
     def take_in(self, datagram: bytes, ip: str) -> None:
         """Take in a datagram from another VM."""
--- a/redwingpost/node/tests/many_vms.py
+++ b/redwingpost/node/tests/many_vms.py
@@ -113,13 +113,15 @@
     """VMs of several data centres, all started at once.
 
     ``sent`` and ``received`` count datagrams by VM; ``is_cut`` says of two
-    VMs whether nothing passes from the one to the other.
+    VMs whether nothing passes from the one to the other. Datagrams of more
+    than ``max_bytes`` are lost.
     """
 
     def __init__(self, vms: int, centres: int, seed: int = 1) -> None:
         self.clock = VirtualClock(1000.0)
         self.sent: Counter[str] = Counter()
         self.received: Counter[str] = Counter()
+        self.max_bytes = float("inf")
         self.is_cut: Callable[[str, str], bool] = lambda one, other: False
         self._random = Random(seed)
         self._due: list[tuple[float, int, Callable[[], None]]] = []
@@ -167,7 +169,7 @@
         self.sent[vm] += 1
         reader = self._vm_by_ip[ip]
         sender = self.vm_by_name[vm].address
-        if not self.is_cut(vm, reader):
+        if len(datagram) <= self.max_bytes and not self.is_cut(vm, reader):
             self.call_later(
                 DELAY_S, lambda: self._arrive(reader, datagram, sender.ip)
             )
--- a/redwingpost/node/tests/test_many_vms.py
+++ b/redwingpost/node/tests/test_many_vms.py
@@ -52,6 +52,27 @@
                     self.assertLessEqual(fleet.sent[name], most)
                     self.assertLessEqual(fleet.received[name], most)
 
+    def test_datagrams_fit_a_packet(self) -> None:
+        """Guards against VMs out of hearing where many organisations call.
+
+        Counters of many organisations at each VM make digests of several
+        packets, which are lost with any of them.
+        """
+        names = [f"organisation-{n}" for n in range(40)]
+        rules = [
+            OrganisationRule(name, frozenset(), 500.0, 500.0, 1)
+            for name in names
+        ]
+        fleet = ManyVms(30, 3)
+        fleet.max_bytes = 1472
+        fleet.run(_SETTLED_S)
+        for _ in range(5):
+            for vm in fleet.vm_by_name.values():
+                for rule in rules:
+                    vm.admit(rule, fleet.clock.now())
+            fleet.run(BEAT_S)
+            self.assertEqual({1.0}, set(fleet.parts()))
+
     def test_a_small_fleet_tells_each_to_each(self) -> None:
         fleet = ManyVms(7, 3)
         fleet.run(_SETTLED_S)
--- a/redwingpost/wire/heartbeat.py
+++ b/redwingpost/wire/heartbeat.py
@@ -1,5 +1,6 @@
 """Heartbeats and digests as datagrams: pack and unpack, once each."""
 
+from collections.abc import Iterator
 from typing import NamedTuple
 
 from capnp import KjException
@@ -12,10 +13,60 @@
     PrimaryHealth,
     SharedSample,
 )
-from redwingpost.rates.counters import Usage
+from redwingpost.rates.counters import Usage, UsageTable, VmUsage
 from redwingpost.wire.digest import fill_digest, read_digest
 from redwingpost.wire.heartbeat_schema import SCHEMA
 
+#: Bytes of a datagram, at most: a larger one is sent as several packets,
+#: and is lost with any of them.
+MAX_DATAGRAM_BYTES = 1400
+
+
+def pack_heartbeats(
+    heartbeat: Heartbeat, usages: tuple[Usage, ...]
+) -> Iterator[bytes]:
+    """Yield a heartbeat's datagrams, each of them small enough.
+
+    Counters merge in any order, so that those which don't fit follow.
+    """
+    datagram = pack_heartbeat(heartbeat, usages)
+    if len(datagram) <= MAX_DATAGRAM_BYTES or not usages:
+        yield datagram
+        return
+    middle = len(usages) // 2
+    rest = heartbeat._replace(health_by_primary={}, samples=(), is_brief=True)
+    yield from pack_heartbeats(heartbeat, usages[:middle])
+    yield from pack_heartbeats(rest, usages[middle:])
+
+
+def pack_digests(
+    digest: Digest, usages: tuple[VmUsage, ...]
+) -> Iterator[bytes]:
+    """Yield a digest's datagrams with some counters, as ``pack_heartbeats``.
+
+    Examples
+    --------
+    >>> from redwingpost.rates.counters import NO_USAGES
+    >>> digest = Digest("v", 9, True, (), {}, False, (), 8, {}, NO_USAGES)
+    >>> usages = tuple(
+    ...     VmUsage(f"vm-{n}", n, Usage("o", n, n)) for n in range(300)
+    ... )
+    >>> datagrams = list(pack_digests(digest, usages))
+    >>> max(map(len, datagrams)) <= MAX_DATAGRAM_BYTES
+    True
+    >>> parts = [unpack(datagram, "ip").usages for datagram in datagrams]
+    >>> sum(len(part.rows) for part in parts)
+    300
+    """
+    told = digest._replace(usages=UsageTable.of(usages))
+    datagram = pack_digest(told)
+    if len(datagram) <= MAX_DATAGRAM_BYTES or not usages:
+        yield datagram
+        return
+    middle = len(usages) // 2
+    yield from pack_digests(digest, usages[:middle])
+    yield from pack_digests(digest.counters_only(), usages[middle:])
+
 
 def pack_heartbeat(heartbeat: Heartbeat, usages: tuple[Usage, ...]) -> bytes:
     """Return the datagram of one heartbeat.
