A proof of the new primary's lead says nothing of the old one's commit

What callers would see: a commit told as kept that a replaced primary acknowledged, in the moment in which this VM hears of its successor.

Cause: the proof that confirms a commit is of whoever is known to lead by the time it is asked for, and the signs of a takeover are those of the known primary, too.

Change: where another primary is known than the one that took the commit, the replicas are asked, and a proof counts only while nobody else is known. The test fails without it, both for commits that were held up and not.

--- a/redwingpost/node/request/commits.py
+++ b/redwingpost/node/request/commits.py
@@ -37,10 +37,10 @@
     """Say whether a commit is kept; False where that can't be known.
 
     A replica confirmed it to the primary, which is enough unless a takeover
-    may be under way (``redwingpost.groups.confirmation``).
+    may be under way (``redwingpost.groups.confirmation``) or is over.
     """
     signs = group.proofs.signs()
-    if needs_confirmation(signs):
+    if needs_confirmation(signs) or not _leads(group, leader, commit):
         verdict = await _ask_until_clear(group, leader, commit, clock)
         if verdict is not Verdict.KEPT:
             log_event(
@@ -69,7 +69,9 @@
         term = commit.position.term
     while True:
         if held_up_s < HELD_UP_S and await group.prove():
-            return Verdict.KEPT
+            # The proof is of whoever is known to lead by now.
+            if _leads(group, leader, commit):
+                return Verdict.KEPT
         answers = await group.proofs.ask_replicas(leader.entry.member)
         verdict = judge_commit(term, answers, held_up_s)
         if verdict is Verdict.REPLACED and _is_in_new_log(group, commit):
@@ -79,6 +81,16 @@
         await sleep(ASK_AGAIN_S)
 
 
+def _leads(
+    group: GroupClient, leader: MemberClient, commit: AcknowledgedCommit
+) -> bool:
+    """Say whether nobody is known to have replaced a commit's primary."""
+    evidence = group.evidence
+    if evidence.leader != leader.entry.member:
+        return False
+    return commit.position is None or commit.position.term == evidence.term
+
+
 def _is_in_new_log(group: GroupClient, commit: AcknowledgedCommit) -> bool:
     return commit.position is not None and group.evidence.holds(
         commit.position
--- a/redwingpost/node/tests/test_group.py
+++ b/redwingpost/node/tests/test_group.py
@@ -185,6 +185,21 @@
                     prepare()
                 self.assertEqual(expected, await self._confirm(sent_s_ago))
 
+    async def test_a_primary_that_is_known_to_be_replaced(self) -> None:
+        """Guards against proofs of the new primary's lead taken for it."""
+        leader = self.group.member_by_name["m1"]
+        await self._learn("m2", 2)
+        now = self.clock.now()
+        for sent_s_ago in (0.0, HELD_UP_S):
+            with self.subTest(sent_s_ago=sent_s_ago):
+                commit = AcknowledgedCommit(
+                    "1", Position(1, 10), now - sent_s_ago, deadline=now
+                )
+                is_kept = await confirm_commit(
+                    self.group, leader, commit, self.clock
+                )
+                self.assertFalse(is_kept)
+
     async def test_a_commit_that_the_new_primary_has_is_kept(self) -> None:
         self._restart("m3")
         head = Position(1, 10)
