--- a/redwingpost/wire/tests/test_pages.py
+++ b/redwingpost/wire/tests/test_pages.py
@@ -17,17 +17,17 @@
 
 def _configuration(routes: int) -> dict:
     return {
-        "configVersion": 13,
+        "version": 13,
         "routes": [
             {
-                "host": f"lozi{n}x{n % 7}",
-                "service": f"dati{n % 4}b",
-                "routeType": "bounded_staleness",
-                "maxStalenessMs": 1500,
-                "timeoutMs": 2000 + n,
-                "targetLatencyMs": 400,
+                "database": f"lozi{n}x{n % 7}",
+                "group": f"dati{n % 4}b",
+                "consistency": "bounded-staleness",
+                "max_staleness_ms": 1500,
+                "timeout_ms": 2000 + n,
+                "target_latency_ms": 400,
                 "priority": n % 3,
-                "public": False,
+                "is_public": False,
             }
             for n in range(routes)
         ],
