One rule for a replica's word, one choice between proof and confirmation

Read in the diff: what makes a replica's word count stood twice, in the evidence and in the confirmation of commits, and writes and transactions each chose between a proof of the lead and a confirmation by the replicas that a group needs. `vouches` and `confirm_commit` serve both now.

Behaviour stays.

--- a/redwingpost/groups/confirmation.py
+++ b/redwingpost/groups/confirmation.py
@@ -17,6 +17,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from redwingpost.groups.evidence import vouches
 from redwingpost.ports.database import StatusReport
 
 #: Seconds for which a primary must have failed to some VM before that VM's
@@ -133,19 +134,10 @@
     'open'
     """
     answers = [item for item in answers if item.report is not None]
-    vouching = [item for item in answers if _vouches(item.report, term)]
+    vouching = [item for item in answers if vouches(item.report, term)]
     is_held_up = held_up_s >= HELD_UP_S and len(vouching) < len(answers)
     if not is_held_up and any(item.is_trusted for item in vouching):
         return Verdict.KEPT
     if any(item.report.term > term for item in answers):
         return Verdict.REPLACED
     return Verdict.OPEN
-
-
-def _vouches(report: StatusReport, term: int) -> bool:
-    """Say whether a replica takes commits of a term's primary."""
-    return (
-        not report.is_primary
-        and report.term <= term
-        and report.paused_for <= term
-    )
--- a/redwingpost/groups/evidence.py
+++ b/redwingpost/groups/evidence.py
@@ -48,6 +48,15 @@
     asked_at: float
 
 
+def vouches(report: StatusReport, term: int) -> bool:
+    """Say whether a replica takes commits of a term's primary."""
+    return (
+        not report.is_primary
+        and report.term <= term
+        and report.paused_for <= term
+    )
+
+
 class GroupEvidence:
     """Reports of one group's members and what follows from them.
 
@@ -128,12 +137,7 @@
 
     def is_proof(self, report: StatusReport) -> bool:
         """Say whether a report shows that the leader was still in force."""
-        return (
-            self.leader is not None
-            and not report.is_primary
-            and report.term <= self.term
-            and report.paused_for <= self.term
-        )
+        return self.leader is not None and vouches(report, self.term)
 
     def note_proof(self, asked_at: float) -> None:
         """Note that the leader was in force at ``asked_at``."""
--- a/redwingpost/node/request/commits.py
+++ b/redwingpost/node/request/commits.py
@@ -32,13 +32,18 @@
     group: GroupClient,
     leader: MemberClient,
     commit: AcknowledgedCommit,
+    sync_replicas: int,
     clock: Clock,
 ) -> bool:
     """Say whether a commit is kept; False where that can't be known.
 
     A replica confirmed it to the primary, which is enough unless a takeover
-    may be under way (``redwingpost.groups.confirmation``) or is over.
+    may be under way (``redwingpost.groups.confirmation``) or is over. Where
+    none had to (``sync_replicas`` 0), a primary that was replaced would have
+    taken it all the same.
     """
+    if sync_replicas == 0:
+        return await group.prove()
     signs = group.proofs.signs()
     if needs_confirmation(signs) or not _leads(group, leader, commit):
         verdict = await _ask_until_clear(group, leader, commit, clock)
--- a/redwingpost/node/request/transaction.py
+++ b/redwingpost/node/request/transaction.py
@@ -129,17 +129,16 @@
         self._give_back(outcome)
         if not self._has_written:
             return Answer(outcome.rows, outcome.proof)
-        if self._sync_replicas == 0:
-            # No replica had to confirm it: a primary that was replaced
-            # would have taken it all the same.
-            is_kept = await self._group.prove()
-        else:
-            acknowledged = AcknowledgedCommit(
-                statement.request, outcome.position, sent_at, deadline
-            )
-            is_kept = await confirm_commit(
-                self._group, client, acknowledged, self._clock
-            )
+        acknowledged = AcknowledgedCommit(
+            statement.request, outcome.position, sent_at, deadline
+        )
+        is_kept = await confirm_commit(
+            self._group,
+            client,
+            acknowledged,
+            self._sync_replicas,
+            self._clock,
+        )
         if not is_kept:
             return Refusal(Code.COMMIT_UNKNOWN, "lead not proven")
         self._caller.state.note_commit(outcome.position)
--- a/redwingpost/node/request/writes.py
+++ b/redwingpost/node/request/writes.py
@@ -102,18 +102,15 @@
             return self._unknown(group, write, outcome.reason)
         if not is_good(outcome):
             return self._refused(group, leader, outcome)
-        if sync_replicas == 0:
-            # No replica had to confirm it: a primary that was replaced
-            # would have taken it all the same.
-            is_kept = await group.prove()
-        else:
-            commit = AcknowledgedCommit(
-                write.statement.request,
-                outcome.position,
-                write.arrived_at,
-                write.deadline,
-            )
-            is_kept = await confirm_commit(group, leader, commit, self._clock)
+        commit = AcknowledgedCommit(
+            write.statement.request,
+            outcome.position,
+            write.arrived_at,
+            write.deadline,
+        )
+        is_kept = await confirm_commit(
+            group, leader, commit, sync_replicas, self._clock
+        )
         if not is_kept:
             return self._unknown(group, write, "lead not proven")
         write.caller.state.note_commit(outcome.position)
--- a/redwingpost/node/tests/test_group.py
+++ b/redwingpost/node/tests/test_group.py
@@ -134,7 +134,7 @@
             "1", Position(1, 10), now - sent_s_ago, deadline=now
         )
         leader = self.group.member_by_name["m1"]
-        return await confirm_commit(self.group, leader, commit, self.clock)
+        return await confirm_commit(self.group, leader, commit, 1, self.clock)
 
     async def test_a_commit_is_confirmed_in_doubt_only(self) -> None:
         """Guards against commits confirmed by a replica that restarted."""
@@ -196,7 +196,7 @@
                     "1", Position(1, 10), now - sent_s_ago, deadline=now
                 )
                 is_kept = await confirm_commit(
-                    self.group, leader, commit, self.clock
+                    self.group, leader, commit, 1, self.clock
                 )
                 self.assertFalse(is_kept)
 
