--- a/redwingpost/groups/tests/test_choice.py
+++ b/redwingpost/groups/tests/test_choice.py
@@ -142,6 +142,22 @@
                 since = directory.get("m").draining_since
                 self.assertEqual(is_unknown, since < 0.0)
 
+    def test_who_has_restarted_while_off_the_list(self) -> None:
+        """Guards against replicas distrusted only because entries lapsed."""
+        cases = (
+            ("the same life", 5, 5, False),
+            ("another life", 5, 6, True),
+            ("unknown lives", 0, 0, True),
+        )
+        for name, before, after, has_restarted in cases:
+            with self.subTest(name):
+                directory = Directory()
+                directory.put(_entry("m", started_ms=before), 1.0)
+                directory.remove("m", 2.0)
+                directory.put(_entry("m", started_ms=after), 3.0)
+                restarted_at = directory.get("m").restarted_at
+                self.assertEqual(has_restarted, restarted_at == 3.0)
+
     def test_another_life_under_the_same_name(self) -> None:
         directory = Directory()
         directory.put(_entry("m", started_ms=5), 1.0)
--- a/redwingpost/node/tests/test_failures.py
+++ b/redwingpost/node/tests/test_failures.py
@@ -1,11 +1,16 @@
 """Nodes as processes against stand-ins that fail."""
 
 from asyncio import create_task, gather, sleep
+from time import monotonic
 from unittest import IsolatedAsyncioTestCase
 
 from redwingpost.node.tests.line_caller import LineCaller
 from redwingpost.node.tests.line_site import NodeSite, configuration, until
 
+#: Seconds for which members are off the list; they are back sooner than
+#: a member whose entry has lapsed counts as gone.
+LAPSED_S = 0.5
+
 _NOT_KEPT = {"BUSY", "ABORTED", "LAGGING", "READONLY", "MAXCONN"}
 
 
@@ -167,6 +172,19 @@
         told = await caller.run("WRITE s 1")
         self.assertEqual("", told.code)
 
+    async def test_entries_that_lapse_together_cost_no_read(self) -> None:
+        """Guards against groups without members after a store's outage."""
+        caller = await self.node.caller("strict")
+        self.assertEqual("", (await caller.run("READ a")).code)
+        members = tuple(self.site.outside.server_by_member)
+        for member in members:
+            self.site.outside.lapse(member)
+        told = await self._read_for(caller, LAPSED_S)
+        for member in members:
+            self.site.outside.register(member)
+        told += await self._read_for(caller, LAPSED_S)
+        self.assertEqual({""}, {item.code for item in told})
+
     async def test_broken_input(self) -> None:
         """Bytes that are no message, or hide one inside another.
 
@@ -214,6 +232,15 @@
         await gather(*workers, return_exceptions=True)
         return told_by_item
 
+    async def _read_for(self, caller: LineCaller, seconds: float) -> list:
+        """Read again and again; return all answers."""
+        until = monotonic() + seconds
+        told = []
+        while monotonic() < until:
+            told.append(await caller.run("READ a"))
+            await sleep(0.02)
+        return told
+
     async def _write(self, node, prefix: str, told_by_item: dict) -> None:
         caller = await node.caller("own")
         number = 0
--- a/redwingpost/standin/lines/site.py
+++ b/redwingpost/standin/lines/site.py
@@ -1,6 +1,7 @@
 """A whole site of stand-ins in one process: store, groups, promotions."""
 
 from asyncio import create_task, sleep
+from time import time
 from typing import Any
 
 from aiohttp.web import (
@@ -74,6 +75,10 @@
         entry["seq"] += 1
         self.store.put("servers", member, entry)
 
+    def lapse(self, member: str) -> None:
+        """Drop a member's entry, as after heartbeats that didn't come."""
+        self.store.remove("servers", member)
+
     def find(self, member: str) -> LineMember:
         """Return a member's state."""
         return self.server_by_member[member].member
@@ -100,6 +105,7 @@
                 "coldLeftMs": 0,
                 "dbRole": "primary" if server.member.is_primary else "replica",
                 "seq": 0,
+                "born": int(time() * 1000),
             }
             self.register(member)
 
