Count an operation that a member may have run, whatever its refusal says

Cause: a token was given back for each refusal whose code says "not run". That code speaks of what is kept. A read that the primary had answered, up to four times, and that nothing proved, got its token back; so did one whose first try was lost and whose second reached nobody.

Change: a statement's trace knows whether a member may have run it: sent, and not refused by the member with a word that says it didn't run. Only a refusal without that gives the token back. A counter shows how many were given back.

--- a/redwingpost/node/metrics.py
+++ b/redwingpost/node/metrics.py
@@ -41,6 +41,13 @@
             ("organisation", "group", "outcome"),
             registry=self._registry,
         )
+        self._given_back = Counter(
+            "redwing_operations_given_back_total",
+            "Granted operations whose token was given back, as no member"
+            " ran anything of them",
+            ("organisation", "group"),
+            registry=self._registry,
+        )
         self.sessions = Gauge(
             "redwing_sessions", "Open sessions", registry=self._registry
         )
@@ -71,6 +78,10 @@
         self._statements.labels(kind, code).inc()
         self._seconds.labels(kind).observe(seconds)
 
+    def note_given_back(self, organisation: str, group: str) -> None:
+        """Count a granted operation that was refused without a run."""
+        self._given_back.labels(organisation, group).inc()
+
     def note_operation(
         self, organisation: str, group: str, outcome: str
     ) -> None:
--- a/redwingpost/node/request/attempt.py
+++ b/redwingpost/node/request/attempt.py
@@ -9,6 +9,7 @@
 from redwingpost.pools.pool import PooledLink
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.database import (
+    DID_NOT_RUN,
     FailureKind,
     LinkLost,
     MemberFailure,
@@ -85,6 +86,7 @@
             client.release(item)
             return NotSent("another answer came first")
         started_at = clock.now()
+        trace.note_sent()
         try:
             outcome = await run_on(client, item, statement, after, shape)
         finally:
@@ -97,6 +99,8 @@
     if outcome.failure is None:
         now = clock.now()
         client.latency.observe(now - started_at, now)
+    elif outcome.failure.kind in DID_NOT_RUN:
+        trace.note_not_run()
     if _is_unusable(outcome):
         client.discard(item)
     else:
--- a/redwingpost/node/request/session.py
+++ b/redwingpost/node/request/session.py
@@ -289,11 +289,25 @@
         )
     else:
         result = await services.reads.run(group, request)
-    if isinstance(result, Refusal) and result.code.outcome is Outcome.NOT_RUN:
+    if _costs_nothing(result, session.state.trace):
         services.admission.give_back(admitted.organisation)
+        services.metrics.note_given_back(
+            admitted.organisation.name, admitted.route.group
+        )
     return result
 
 
+def _costs_nothing(result: Result, trace: StatementTrace) -> bool:
+    """Say whether a refused operation has cost no member anything.
+
+    "Not run" tells the caller that nothing is kept. A member may have run
+    a read all the same, whose answer nothing proved.
+    """
+    if not isinstance(result, Refusal) or trace.may_have_run:
+        return False
+    return result.code.outcome is Outcome.NOT_RUN
+
+
 async def _refuse_withdrawn(
     session: NodeSession, phase: Phase
 ) -> Refusal | None:
--- a/redwingpost/observability/trace.py
+++ b/redwingpost/observability/trace.py
@@ -23,6 +23,31 @@
         self._tries = 0
         self._waited_s = 0.0
         self._ran_s = 0.0
+        self._sent = 0
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a member may have run the statement.
+
+        Examples
+        --------
+        >>> trace = StatementTrace()
+        >>> trace.note_sent()
+        >>> trace.may_have_run
+        True
+        >>> trace.note_not_run()
+        >>> trace.may_have_run
+        False
+        """
+        return self._sent > 0
+
+    def note_sent(self) -> None:
+        """Note that a member gets the statement."""
+        self._sent += 1
+
+    def note_not_run(self) -> None:
+        """Note that a member says that it hasn't run the statement."""
+        self._sent -= 1
 
     def note_wait(self, member: str, seconds: float) -> None:
         """Note a wait for a connection to a member."""
