A member that is back on the list in the same life has not restarted

Callers were refused by all groups for ten seconds after the members' entries had lapsed: no read was proven and no commit confirmed.

Cause: a replica that started again has forgotten its pause, so its word counts for nothing for ten seconds. A member that came back on the list counted as started again even where it said that it was in the same life.

Change: its life is compared with the one in which it went. Where members don't tell their life, nothing changes. The search of takeovers has distrusted just those that started again all along, so no state is new to it.

--- a/redwingpost/groups/directory.py
+++ b/redwingpost/groups/directory.py
@@ -76,14 +76,7 @@
         """Take in a member's present entry."""
         known = self._listed_by_member.get(entry.member)
         since = self._draining_since(known, now) if entry.is_draining else None
-        restarted_at = float("-inf")
-        if known is not None:
-            restarted_at = known.restarted_at
-            if known.entry.started_ms != entry.started_ms:
-                restarted_at = now
-        elif entry.member in self._gone_by_member:
-            # It may have started again while it was off the list.
-            restarted_at = now
+        restarted_at = self._restarted_at(known, entry, now)
         listed = Listed(entry, since, restarted_at)
         self._listed_by_member[entry.member] = listed
         self._leaving_at_by_member.pop(entry.member, None)
@@ -157,6 +150,22 @@
             listed.entry.group for listed in self._listed_by_member.values()
         )
 
+    def _restarted_at(
+        self, known: Listed | None, entry: MemberEntry, now: float
+    ) -> float:
+        """Return when a member was first seen in another life (seconds)."""
+        gone = self._gone_by_member.get(entry.member)
+        if known is None and gone is not None:
+            known = gone.listed
+            if not entry.started_ms:
+                # Nothing tells whether it started again off the list.
+                return now
+        if known is None:
+            return float("-inf")
+        if known.entry.started_ms != entry.started_ms:
+            return now
+        return known.restarted_at
+
     def _draining_since(self, known: Listed | None, now: float) -> float:
         """Return since when a member that is leaving has been (seconds)."""
         if known is not None and known.draining_since is not None:
