Keep a member that answers for a moment after its entry has lapsed

Callers were refused by every group after the store had been away: all members went off the list at the moment of its return, and were back within two seconds.

Cause: entries that lapsed in an outage are kept for 2.5 s after it, but a VM that waits for the store's next change (a call of up to 30 s) makes no call in an outage of nine seconds, so none fails and nobody knows of it.

Chosen: what a member's own answers say. One that is removed without having announced its end, and at which nothing has failed since its last answer, is kept for as long as after an outage, or six tenths of the time in which a leaving member may get work where that is shorter. One that fails is dropped at once, as before.

--- a/redwingpost/groups/directory.py
+++ b/redwingpost/groups/directory.py
@@ -6,8 +6,13 @@
 them run, and every caller would be refused. So what is missing then is
 kept for ``REAPPEAR_S`` after the registry's return, the time within
 which living members are back; what is still missing is gone.
+
+An outage may show nowhere: a VM that waits for the registry's next change
+gets it once the outage is over. So a member that is removed without having
+announced its end is kept as long if it answers.
 """
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from redwingpost.ports.database import MemberEntry
@@ -64,9 +69,15 @@
     >>> directory.expire(now=8.0)
     >>> directory.members_of("g")
     ()
+
+    Parameters
+    ----------
+    keep_answering_s : float, optional
+        Seconds for which a member that is removed and answers is kept.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, keep_answering_s: float = REAPPEAR_S) -> None:
+        self._keep_answering_s = keep_answering_s
         self._listed_by_member: dict[str, Listed] = {}
         self._gone_by_member: dict[str, Gone] = {}
         self._leaving_at_by_member: dict[str, float] = {}
@@ -82,24 +93,42 @@
         self._leaving_at_by_member.pop(entry.member, None)
         self._gone_by_member.pop(entry.member, None)
 
-    def remove(self, member: str, now: float) -> None:
-        """Take in that the registry no longer lists a member."""
-        if member not in self._listed_by_member:
+    def remove(self, member: str, now: float, answers: bool = False) -> None:
+        """Take in that the registry no longer lists a member.
+
+        Parameters
+        ----------
+        member : str
+            Its name.
+        now : float
+            Seconds.
+        answers : bool, optional
+            Whether nothing has failed there since its last answer.
+        """
+        listed = self._listed_by_member.get(member)
+        if listed is None:
             return
-        if now < self._outage_at + REAPPEAR_S:
-            leave_at = self._outage_at + REAPPEAR_S
+        leave_at = self._outage_at + REAPPEAR_S
+        if answers and listed.draining_since is None:
+            leave_at = max(leave_at, now + self._keep_answering_s)
+        if now < leave_at:
             self._leaving_at_by_member.setdefault(member, leave_at)
             return
         self._drop(member, now)
 
-    def replace(self, entries: tuple[MemberEntry, ...], now: float) -> None:
-        """Take in the whole list."""
+    def replace(
+        self,
+        entries: tuple[MemberEntry, ...],
+        now: float,
+        answers: Callable[[str], bool] = lambda member: False,
+    ) -> None:
+        """Take in the whole list; ``answers`` as in ``remove``."""
         present = {entry.member for entry in entries}
         for entry in entries:
             self.put(entry, now)
         for member in tuple(self._listed_by_member):
             if member not in present:
-                self.remove(member, now)
+                self.remove(member, now, answers(member))
 
     def note_outage(self, now: float) -> None:
         """Note that the registry is, or was until now, away."""
--- a/redwingpost/groups/tests/test_choice.py
+++ b/redwingpost/groups/tests/test_choice.py
@@ -112,6 +112,23 @@
                 left = len(directory.members_of("g"))
                 self.assertEqual(int(comes_back), left)
 
+    def test_whom_a_removal_leaves_for_a_moment(self) -> None:
+        """Guards against an outage that no call to the registry shows."""
+        cases = (
+            ("answers", True, False, True),
+            ("fails", False, False, False),
+            ("had announced its end", True, True, False),
+        )
+        for name, answers, is_draining, is_kept in cases:
+            with self.subTest(name):
+                directory = Directory()
+                directory.put(_entry("m", is_draining=is_draining), 1.0)
+                directory.remove("m", 2.0, answers)
+                listed = directory.members_of("g")
+                self.assertEqual(int(is_kept), len(listed))
+                directory.expire(2.0 + REAPPEAR_S)
+                self.assertEqual((), directory.members_of("g"))
+
     def test_leaving_is_counted_from_when_it_was_first_seen(self) -> None:
         directory = Directory()
         directory.put(_entry("m"), 1.0)
--- a/redwingpost/node/fleet/registry.py
+++ b/redwingpost/node/fleet/registry.py
@@ -51,7 +51,10 @@
 
 
 class MemberReader:
-    """Keeps the directory in step with the members' entries."""
+    """Keeps the directory in step with the members' entries.
+
+    ``answers`` says of a member whether it answers this VM.
+    """
 
     def __init__(
         self,
@@ -59,17 +62,19 @@
         format_: RegistryFormat,
         clock: Clock,
         on_change: Callable[[], None],
+        answers: Callable[[str], bool],
     ) -> None:
         self._directory = directory
         self._format = format_
         self._clock = clock
         self._on_change = on_change
+        self._answers = answers
 
     def on_snapshot(self, snapshot: Snapshot) -> None:
         """Take in the whole list."""
         entries = (self._decode(row) for row in snapshot.rows)
         present = tuple(entry for entry in entries if entry is not None)
-        self._directory.replace(present, self._clock.now())
+        self._directory.replace(present, self._clock.now(), self._answers)
         self._on_change()
 
     def on_rows(self, rows: tuple[Row, ...]) -> None:
@@ -86,8 +91,9 @@
     def on_removed(self, keys: tuple[str, ...]) -> None:
         """Take in that entries were removed."""
         for key in keys:
-            log_event("member-removed", member=key)
-            self._directory.remove(key, self._clock.now())
+            answers = self._answers(key)
+            log_event("member-removed", member=key, answers=answers)
+            self._directory.remove(key, self._clock.now(), answers)
         self._on_change()
 
     def _decode(self, row: Row):
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -8,7 +8,7 @@
 
 from redwingpost.adapters.http_pages import Page, PageServer
 from redwingpost.core.requests import Refusal
-from redwingpost.groups.directory import Directory
+from redwingpost.groups.directory import REAPPEAR_S, Directory
 from redwingpost.membership.centres import CentreWatch
 from redwingpost.membership.gathering import Gathering
 from redwingpost.membership.hearing import VmTable
@@ -24,7 +24,7 @@
 from redwingpost.node.fleet.table_pages import TABLE_PATH, TablePages
 from redwingpost.node.fleet.vm_list import FLEET_TABLE, FleetEntry, FleetReader
 from redwingpost.node.fleet.watcher import TableWatcher
-from redwingpost.node.group import GroupClient
+from redwingpost.node.group import DRAIN_PART, GroupClient
 from redwingpost.node.metrics import NodeMetrics
 from redwingpost.node.request.admission import Admission
 from redwingpost.node.request.reads import ReadRunner
@@ -116,7 +116,9 @@
         clock = outside.clock
         self.settings = settings
         self.metrics = NodeMetrics()
-        self.directory = Directory()
+        self.directory = Directory(
+            min(REAPPEAR_S, settings.drain_s * DRAIN_PART)
+        )
         self.group_by_name: dict[str, GroupClient] = {}
         self.is_stopping = False
         self.is_ready = False
@@ -195,7 +197,11 @@
             self._admission, outside.format, self._on_rules
         )
         self._member_reader = MemberReader(
-            self.directory, outside.format, self._clock, self._on_members
+            self.directory,
+            outside.format,
+            self._clock,
+            self._on_members,
+            self._answers,
         )
         self._rules_watcher = TableWatcher(
             store,
@@ -397,6 +403,16 @@
         self._start_gate.open()
         self._follow()
 
+    def _answers(self, member: str) -> bool:
+        """Say whether nothing has failed at a member since it answered."""
+        clients = (
+            group.member_by_name.get(member)
+            for group in self.group_by_name.values()
+        )
+        return any(
+            item is not None and not item.is_failing for item in clients
+        )
+
     def _on_members(self) -> None:
         self._follow()
         self._rosters.look_soon()
