Refuse at once what no replica can vouch for in time

Callers whose group had only replicas that had started again lately were refused after four runs of their read at the primary, or told after a whole time limit that nobody knows whether their write is kept.

Cause: such a replica's word counts for nothing for ten seconds, so nothing can be proven or confirmed, and the VM knows that before it sends anything.

Change: a read at the primary that can't be proven before its time is over is refused before it is sent, with the seconds until a replica's word counts; so is a write or a transaction whose commit would have to be confirmed. A group whose replicas are only missing from the list takes writes as before.

The test failed for reads on the code before; its write hung there until the test was ended by hand, as time stands still in it.

--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -9,7 +9,10 @@
     wait_for,
 )
 
+from redwingpost.core.codes import Code
 from redwingpost.core.positions import Position
+from redwingpost.core.requests import Refusal
+from redwingpost.groups.confirmation import needs_confirmation
 from redwingpost.groups.directory import Directory
 from redwingpost.groups.evidence import GroupEvidence
 from redwingpost.groups.questions import (
@@ -270,6 +273,40 @@
         member = client.entry.member
         self.evidence.note_commit(member, position, sent_at)
 
+    def refuse_unprovable(self, left_s: float) -> Refusal | None:
+        """Refuse a read at the primary that can't be proven in time.
+
+        Parameters
+        ----------
+        left_s : float
+            Seconds that the caller still waits.
+        """
+        wait_s = self.proofs.unprovable_s()
+        if wait_s <= 0.0 or wait_s < left_s:
+            return None
+        return Refusal(
+            Code.NO_PRIMARY,
+            "no replica may vouch for the primary",
+            round(wait_s * 1000),
+        )
+
+    def refuse_unconfirmable(
+        self, left_s: float, sync_replicas: int
+    ) -> Refusal | None:
+        """Refuse a write whose commit can't be confirmed in time.
+
+        Parameters
+        ----------
+        left_s : float
+            Seconds that the caller still waits.
+        sync_replicas : int
+            Replicas that receive a commit before it is acknowledged. Where
+            there are any, a commit needs no other word in calm times.
+        """
+        if sync_replicas and not needs_confirmation(self.proofs.signs()):
+            return None
+        return self.refuse_unprovable(left_s)
+
     async def prove(self) -> bool:
         """Say whether the primary led at some moment after this call."""
         return await self.proofs.prove()
--- a/redwingpost/node/lead_proofs.py
+++ b/redwingpost/node/lead_proofs.py
@@ -20,6 +20,9 @@
 #: that doesn't answer holds up whoever waits for it.
 DOUBTFUL_S = 1.0
 
+#: Seconds after which callers of a group without any replica may try again.
+NO_REPLICA_S = 0.5
+
 
 class LeadProofs:
     """Proofs that a primary leads, shared by those who wait for one.
@@ -88,6 +91,18 @@
         is_listed = self._directory.get(member) is not None
         return is_listed and not self._is_fresh(member, now)
 
+    def unprovable_s(self) -> float:
+        """Return for how long no replica's word will count (seconds).
+
+        0 where one's counts now. Until then no read at the primary can be
+        proven and no commit confirmed, whoever is asked.
+        """
+        now = self._clock.now()
+        return min(
+            (self._trusted_in_s(name, now) for name in self._replicas()),
+            default=NO_REPLICA_S,
+        )
+
     async def ask_replicas(self, leader: str) -> tuple[ReplicaAnswer, ...]:
         """Ask all members but one for a report."""
         asked_at = self._clock.now()
@@ -169,3 +184,12 @@
         if listed is None:
             return False
         return now - listed.restarted_at <= FRESH_START_S
+
+    def _trusted_in_s(self, member: str, now: float) -> float:
+        """Return after how long a replica's word counts (seconds)."""
+        if self.is_trusted(member, now):
+            return 0.0
+        listed = self._directory.get(member)
+        if listed is None:
+            return NO_REPLICA_S
+        return listed.restarted_at + FRESH_START_S - now
--- a/redwingpost/node/request/reads.py
+++ b/redwingpost/node/request/reads.py
@@ -96,6 +96,9 @@
         leader = await await_leader(group, read.deadline, self._clock)
         if leader is None:
             return Refusal(Code.NO_PRIMARY, "", 500)
+        refused = group.refuse_unprovable(self._left_s(read))
+        if refused is not None:
+            return refused
         proof = create_task(group.prove())
         outcome = await self._race(read, [leader, leader], None)
         result = self._judge(group, leader, outcome)
--- a/redwingpost/node/request/transaction.py
+++ b/redwingpost/node/request/transaction.py
@@ -217,6 +217,9 @@
         leader = await await_leader(self._group, deadline, self._clock)
         if leader is None:
             return Refusal(Code.NO_PRIMARY, "", 500)
+        refused = self._refuse_hopeless(deadline - self._clock.now())
+        if refused is not None:
+            return refused
         if self._needs_proof():
             self._proof = create_task(self._group.prove())
         result = await self._begin_at(leader, None, deadline)
@@ -225,6 +228,15 @@
             await self._group.fresh_round()
         return result
 
+    def _refuse_hopeless(self, left_s: float) -> Refusal | None:
+        if self._needs_proof():
+            return self._group.refuse_unprovable(left_s)
+        if self._begin.kind is StatementKind.BEGIN:
+            return self._group.refuse_unconfirmable(
+                left_s, self._sync_replicas
+            )
+        return None
+
     def _needs_proof(self) -> bool:
         if self._route.consistency is Consistency.PRIMARY:
             return True
--- a/redwingpost/node/request/writes.py
+++ b/redwingpost/node/request/writes.py
@@ -51,6 +51,10 @@
             leader = await await_leader(group, write.deadline, self._clock)
             if leader is None:
                 return result or Refusal(Code.NO_PRIMARY, "", 500)
+            left_s = write.deadline - self._clock.now()
+            refused = group.refuse_unconfirmable(left_s, sync_replicas)
+            if refused is not None:
+                return refused
             outcome = await self._attempt(group, leader, write)
             done = await self._judge(
                 group, leader, write, outcome, sync_replicas
--- a/redwingpost/node/tests/test_quota.py
+++ b/redwingpost/node/tests/test_quota.py
@@ -10,9 +10,11 @@
     RouteRule,
     ServiceRules,
 )
+from redwingpost.core.codes import Outcome
 from redwingpost.core.positions import Position
 from redwingpost.core.statements import Statement, StatementKind
 from redwingpost.groups.directory import Directory
+from redwingpost.groups.evidence import FRESH_START_S
 from redwingpost.membership.centres import CentreWatch
 from redwingpost.membership.hearing import VmTable
 from redwingpost.node.group import GroupClient
@@ -80,7 +82,7 @@
     async def asyncSetUp(self) -> None:
         self.clock = VirtualClock()
         self.members = PausedReplicas()
-        directory = Directory()
+        self.directory = directory = Directory()
         for member in ("m1", "m2", "m3"):
             is_primary = member == "m1"
             entry = MemberEntry(member, "g", "ip", 1, "a", False, is_primary)
@@ -130,6 +132,24 @@
         granted = _PARISH.rate * WINDOW_S + _PARISH.burst
         self.assertLessEqual(len(ran), granted)
 
+    async def test_what_no_replica_can_vouch_for_isn_t_sent(self) -> None:
+        """Guards against members busy with reads that nothing can prove."""
+        for member in ("m2", "m3"):
+            entry = MemberEntry(member, "g", "ip", 1, "a", False, False, 9)
+            self.directory.put(entry, self.clock.now())
+        session = NodeSession(self.services, "strict", "key")
+        for number, kind in enumerate(
+            (StatementKind.READ, StatementKind.WRITE)
+        ):
+            with self.subTest(kind):
+                self.clock.advance(1.0)
+                statement = Statement(str(number), kind, "READ a")
+                told = await session.run(statement)
+                self.assertIs(Outcome.NOT_RUN, told.code.outcome)
+                left_s = FRESH_START_S - self.clock.now()
+                self.assertAlmostEqual(left_s * 1000, told.retry_after_ms)
+        self.assertEqual([], self.members.run_requests)
+
     async def test_what_reached_no_member_doesn_t_count(self) -> None:
         """Guards against callers over their rate once a primary is back."""
         self.clock.advance(1.0)
