Homes: a few VMs hold a group's connections, the others ask them

Cause: a member takes 75 to 82 connections; every VM wanted one to each and one for questions, and none was ever the right organisation's.

Change: each group has twelve homes or more, by rendezvous hashing; the other VMs forward statements and transactions to them over kept connections, an organisation always to the same one. Only homes ask members and conduct takeovers. Fleets of up to twelve VMs are all homes, and forward nothing.

Before: test_all_vms_agree_on_the_homes failed for VMs that had just started, which took few others for alive.

--- a/redwingpost/membership/hearing.py
+++ b/redwingpost/membership/hearing.py
@@ -197,6 +197,17 @@
         self._heard_cache[within_s] = (now, found)
         return found
 
+    def at_work(self, now: float, within_s: float) -> tuple[VmAddress, ...]:
+        """Return the listed VMs that were heard, and this one.
+
+        Right after this VM's start all others count as heard.
+        """
+        return tuple(
+            address
+            for vm, address in self._listed_by_vm.items()
+            if vm == self._vm or now - self._last(vm) <= within_s
+        )
+
     def is_heard(self, vm: str, now: float) -> bool:
         """Say whether a VM is in hearing."""
         return vm_number(vm) in self.heard_numbers(now)
@@ -276,9 +287,13 @@
             del self._hearing_by_vm[vm]
         return gone
 
-    def place(self, subject: str, now: float) -> int:
+    def place(
+        self, subject: str, now: float, among: frozenset[str] | None = None
+    ) -> int:
         """Return this VM's place in the order in which VMs see to it.
 
+        ``among`` names those that do, besides this one; all where None.
+
         Without an order all would act at once. It differs by subject.
         VMs that aren't heard have no turn: those of a data centre that
         is cut off would delay all others, 0.4 s each.
@@ -287,6 +302,8 @@
         first = -sum(subject.encode()) % len(ordered)
         in_turn = ordered[first:] + ordered[:first]
         before = in_turn[: in_turn.index(self._vm)]
+        if among is not None:
+            before = [vm for vm in before if vm in among]
         heard = self.heard_numbers(now, LATELY_S)
         return sum(self._number_by_vm[vm] in heard for vm in before)
 
--- a/redwingpost/node/fleet/heartbeat_writer.py
+++ b/redwingpost/node/fleet/heartbeat_writer.py
@@ -58,11 +58,20 @@
         )
 
     def _is_anything_wrong(self) -> bool:
-        return any(group.is_alert() for group in self._group_by_name.values())
+        now = self._clock.now()
+        return any(group.is_alert() for group in self._active_groups(now))
+
+    def _active_groups(self, now: float) -> list[GroupClient]:
+        """Return the groups of whose members this VM knows anything."""
+        return [
+            group
+            for group in self._group_by_name.values()
+            if group.is_active(now)
+        ]
 
     def _health(self, now: float) -> dict[str, PrimaryHealth]:
         health_by_primary = {}
-        for group in self._group_by_name.values():
+        for group in self._active_groups(now):
             leader = group.member_by_name.get(group.evidence.leader or "")
             if leader is not None:
                 health_by_primary[leader.entry.member] = PrimaryHealth(
--- a/redwingpost/node/fleet/readiness_inputs.py
+++ b/redwingpost/node/fleet/readiness_inputs.py
@@ -30,7 +30,7 @@
     def describe(self, is_stopping: bool, now: float) -> ReadinessInputs:
         """Return the inputs at ``now`` (seconds)."""
         groups = self._group_by_name.values()
-        reached = sum(group.is_useful() for group in groups)
+        reached = sum(self._is_served(group, now) for group in groups)
         return ReadinessInputs(
             has_rules=self._admission.has_rules,
             is_stopping=is_stopping,
@@ -42,6 +42,15 @@
             hears_half_lately=self._vms.hears_half(now, LATELY_S),
         )
 
+    def _is_served(self, group: GroupClient, now: float) -> bool:
+        """Say whether callers of a group are served over this VM.
+
+        A home elsewhere does that, unless this VM is behind a cut.
+        """
+        if group.is_home(now):
+            return group.is_useful()
+        return self._vms.hears_half(now, LATELY_S)
+
 
 def most_reached(vms: VmTable, now: float) -> int:
     """Return the most primaries that another VM says it reaches."""
--- /dev/null
+++ b/redwingpost/node/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Statements that a home of their group runs for another VM."""
--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -25,10 +25,12 @@
 )
 from redwingpost.membership.centres import CentreWatch
 from redwingpost.membership.hearing import VmTable
+from redwingpost.node.forwarding.homes import HomeView
 from redwingpost.node.lead_proofs import LeadProofs
 from redwingpost.node.member import MemberClient
 from redwingpost.node.request.placing import Placing, rank_for_read
 from redwingpost.observability.journal import log_event
+from redwingpost.pools.pool import IDLE_S
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.database import LinkFactory, MemberEntry
 from redwingpost.takeover.stall import StallWatch
@@ -56,6 +58,10 @@
 #: looked at: a commit that reaches no replica hangs.
 SLOW_WRITE_S = 0.4
 
+#: Seconds after a statement for which a VM that is no home of a group goes
+#: on dealing with its members.
+ACTIVE_S = 5.0
+
 #: Part of the time in which a leaving member may get new work that is
 #: used: other VMs and the caller's way to here take their part.
 DRAIN_PART = 0.6
@@ -74,6 +80,7 @@
         drain_s: float,
         vms: VmTable,
         centres: CentreWatch,
+        homes: HomeView | None = None,
     ) -> None:
         self.name = name
         self.evidence = GroupEvidence()
@@ -91,6 +98,8 @@
         self._drain_s = drain_s
         self._vms = vms
         self._centres = centres
+        self._homes = homes
+        self._used_at = float("-inf")
         self._stall = StallWatch()
         self._round: Task | None = None
         self.proofs = LeadProofs(
@@ -107,7 +116,9 @@
 
     # Members -----------------------------------------------------------
 
-    def follow_directory(self, max_connections: int, vms: int) -> None:
+    def follow_directory(
+        self, max_connections: int, vms: int, idle_s: float = IDLE_S
+    ) -> None:
         """Take over who is listed, and how many connections each takes."""
         entries = self._directory.members_of(self.name)
         listed = {entry.member: entry for entry in entries}
@@ -116,7 +127,8 @@
                 self._remove(member)
         for member, entry in listed.items():
             self._update(member, entry)
-            self.member_by_name[member].budget.set_terms(max_connections, vms)
+            budget = self.member_by_name[member].budget
+            budget.set_terms(max_connections, vms, idle_s)
         for client in self.member_by_name.values():
             client.close_idle(not self.takes_work(client))
 
@@ -178,6 +190,26 @@
         place = Placing(organisation, self._data_centre, now)
         return rank_for_read(clients, self.evidence, place)
 
+    # Homes -------------------------------------------------------------
+
+    def note_use(self) -> None:
+        """Note that a statement runs here, whoever is the group's home."""
+        self._used_at = self._clock.now()
+
+    def is_home(self, now: float) -> bool:
+        """Say whether this VM is a home of the group."""
+        return self._homes is None or self._homes.is_home(self.name, now)
+
+    def is_active(self, now: float) -> bool:
+        """Say whether this VM deals with the group's members itself."""
+        return now - self._used_at < ACTIVE_S or self.is_home(now)
+
+    def place(self, now: float) -> int:
+        """Return this VM's place among those that deal with the group."""
+        if self._homes is None:
+            return self._vms.place(self.name, now)
+        return self._homes.place(self.name, now)
+
     # Rounds ------------------------------------------------------------
 
     def is_alert(self) -> bool:
@@ -196,6 +228,11 @@
     def ask_if_due(self) -> None:
         """Ask whichever members must be asked now; don't wait."""
         now = self._clock.now()
+        if not self.is_active(now):
+            if self.leaderless_since is not None:
+                # Nobody here has looked for a primary until now.
+                self.leaderless_since = now
+            return
         if now - self.round_at >= self._round_pause_s(now):
             create_task(self.run_round())
             return
@@ -206,7 +243,7 @@
     def _round_pause_s(self, now: float) -> float:
         if self.evidence.term and not self.is_alert():
             return ROUND_S
-        pause_s = alert_round_s(self._vms.place(self.name, now))
+        pause_s = alert_round_s(self.place(now))
         return pause_s if self.evidence.term else max(pause_s, FIRST_ROUND_S)
 
     def _is_question_due(
@@ -224,7 +261,7 @@
             return is_askable(quiet)
         if member != self.evidence.leader:
             return False
-        return is_primary_due(quiet, self._vms.place(self.name, now))
+        return is_primary_due(quiet, self.place(now))
 
     def note_shared(
         self, member: str, position: Position, taken_at: float
--- a/redwingpost/node/request/session.py
+++ b/redwingpost/node/request/session.py
@@ -9,6 +9,8 @@
 from redwingpost.core.registry import Registry
 from redwingpost.core.requests import Refusal
 from redwingpost.core.statements import Answer, Statement, StatementKind
+from redwingpost.node.forwarding.forwarder import Forwarder, Task
+from redwingpost.node.forwarding.transaction import ForwardedTransaction
 from redwingpost.node.group import GroupClient
 from redwingpost.node.metrics import GRANTED, NodeMetrics
 from redwingpost.node.request.admission import Admission, Admitted
@@ -46,6 +48,15 @@
     writes: WriteRunner
     metrics: NodeMetrics
     clock: Clock
+    forwarder: Forwarder | None = None
+
+    def has_home_elsewhere(self, admitted: Admitted) -> bool:
+        """Say whether another VM should run an operation."""
+        return self.forwarder is not None and (
+            self.forwarder.has_home_elsewhere(
+                admitted.route.group, admitted.organisation.name
+            )
+        )
 
 
 class NodeSession:
@@ -55,7 +66,7 @@
         self.state = SessionState()
         self.position: Position | None = None
         self.services = services
-        self.transaction: Transaction | None = None
+        self.transaction: Transaction | ForwardedTransaction | None = None
         self._database = database
         self._key = key
         self._idle_timer: TimerHandle | None = None
@@ -205,18 +216,46 @@
     group = session.group_of(admitted)
     if group is None:
         return Refusal(Code.NO_PRIMARY, "no member is listed", 500)
-    session.transaction = Transaction(
-        statement,
-        session.caller(admitted),
-        admitted.route,
-        group,
-        admitted.sync_replicas,
-        session.services.clock,
+    session.transaction = _open_transaction(
+        session, statement, admitted, group
     )
     session.state.phase = Phase.IN_TRANSACTION
     return _DONE
 
 
+def _open_transaction(
+    session: NodeSession,
+    begin: Statement,
+    admitted: Admitted,
+    group: GroupClient,
+) -> Transaction | ForwardedTransaction:
+    services = session.services
+    caller = session.caller(admitted)
+
+    def run_here() -> Transaction:
+        group.note_use()
+        return Transaction(
+            begin,
+            caller,
+            admitted.route,
+            group,
+            admitted.sync_replicas,
+            services.clock,
+        )
+
+    if not services.has_home_elsewhere(admitted):
+        return run_here()
+    return ForwardedTransaction(
+        begin,
+        caller,
+        admitted.route,
+        admitted.sync_replicas,
+        services.forwarder,
+        run_here,
+        services.clock,
+    )
+
+
 @HANDLERS.register(StatementKind.COMMIT.value)
 async def _commit(session: NodeSession, statement: Statement) -> Result:
     if session.phase is Phase.IDLE:
@@ -283,12 +322,12 @@
         admitted.route,
         services.clock.now(),
     )
-    if session.state.writes(statement):
-        result = await services.writes.run(
-            group, request, admitted.sync_replicas
-        )
-    else:
-        result = await services.reads.run(group, request)
+    result: Result | None = None
+    if services.has_home_elsewhere(admitted):
+        task = Task(*request[:3], admitted.sync_replicas, request.arrived_at)
+        result = await services.forwarder.run_alone(task)
+    if result is None:
+        result = await _run_here(session, group, request, admitted)
     if _costs_nothing(result, session.state.trace):
         services.admission.give_back(admitted.organisation)
         services.metrics.note_given_back(
@@ -297,6 +336,21 @@
     return result
 
 
+async def _run_here(
+    session: NodeSession,
+    group: GroupClient,
+    request: ReadRequest,
+    admitted: Admitted,
+) -> Result:
+    services = session.services
+    group.note_use()
+    if session.state.writes(request.statement):
+        return await services.writes.run(
+            group, request, admitted.sync_replicas
+        )
+    return await services.reads.run(group, request)
+
+
 def _costs_nothing(result: Result, trace: StatementTrace) -> bool:
     """Say whether a refused operation has cost no member anything.
 
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -24,6 +24,10 @@
 from redwingpost.node.fleet.table_pages import TABLE_PATH, TablePages
 from redwingpost.node.fleet.vm_list import FLEET_TABLE, FleetEntry, FleetReader
 from redwingpost.node.fleet.watcher import TableWatcher
+from redwingpost.node.forwarding.channel import Channels
+from redwingpost.node.forwarding.forwarder import Forwarder
+from redwingpost.node.forwarding.homes import HomeView
+from redwingpost.node.forwarding.server import HomeParts, HomeServer
 from redwingpost.node.group import DRAIN_PART, GroupClient
 from redwingpost.node.metrics import NodeMetrics
 from redwingpost.node.request.admission import Admission
@@ -43,6 +47,7 @@
 from redwingpost.ports.database import LinkFactory, PromotionOrders
 from redwingpost.ports.fleet_store import FleetStore
 from redwingpost.ports.registry import RegistryFormat
+from redwingpost.pools.pool import HOME_IDLE_S, IDLE_S
 from redwingpost.rates.usage import UsageLedger
 
 #: Seconds between looks at directory, readiness and pools.
@@ -134,6 +139,8 @@
         self._unready_since: float | None = None
         self._steps = 0
         self.callers: Callers | None = None
+        self._homes = HomeView(settings.vm, self._vms, self.directory)
+        self._channels = Channels(clock)
         self._services = Services(
             self._admission,
             self.group_by_name,
@@ -141,6 +148,7 @@
             WriteRunner(clock),
             self.metrics,
             clock,
+            Forwarder(self._homes, self._channels, clock),
         )
         self._readiness_view = ReadinessView(
             self._admission,
@@ -149,6 +157,17 @@
             self._centres,
         )
         self._make_watchers()
+        self._home_server = HomeServer(
+            settings.ip,
+            settings.heartbeat_port,
+            HomeParts(
+                self.group_by_name,
+                self._services.reads,
+                self._services.writes,
+                clock,
+                lambda: self.is_stopping,
+            ),
+        )
         self._copies = Copies(self._member_watcher.copy)
         self._copy_fetcher = CopyFetcher(
             self._vms,
@@ -344,6 +363,7 @@
             self._heartbeats,
             self._takeovers,
             self._rosters,
+            self._home_server,
         ]
 
     # Steps -------------------------------------------------------------
@@ -365,11 +385,13 @@
         return ASK_S if awaits else IDLE_ASK_S
 
     async def _ask_members(self) -> None:
+        now = self._clock.now()
         groups = tuple(self.group_by_name.values())
         self._centres.take(
             tuple(
                 client.health()
                 for group in groups
+                if group.is_active(now)
                 for client in group.member_by_name.values()
             )
         )
@@ -400,6 +422,7 @@
 
     def _on_rules(self) -> None:
         self._copies.configuration = self._rules_reader.row
+        self._homes.take_rules(self._admission.rules)
         self._start_gate.open()
         self._follow()
 
@@ -430,12 +453,18 @@
                     self.settings.drain_s,
                     self._vms,
                     self._centres,
+                    self._homes,
                 )
-        vms = self._vms.count()
+        now = self._clock.now()
         for name, group in self.group_by_name.items():
             rule = self._admission.rules.groups_by_name.get(name)
             limit = rule.max_connections if rule else _DEFAULT_CONNECTIONS
-            group.follow_directory(limit, vms)
+            is_all = self._homes.homes_of(name, now).is_all
+            group.follow_directory(
+                limit,
+                self._homes.sharers(name, now),
+                IDLE_S if is_all else HOME_IDLE_S,
+            )
 
     # Readiness ---------------------------------------------------------
 
@@ -485,8 +514,11 @@
         await self.sleep(LEAVE_S)
         callers.stop_listening()
         until = started_at + self.settings.grace_s - _END_MARGIN_S
-        while callers.open_connections and self._clock.now() < until:
+        while self._clock.now() < until:
+            if not callers.open_connections and self._home_server.is_idle:
+                break
             callers.close_resting()
             await self.sleep(0.03)
         await gather(leave, return_exceptions=True)
+        self._channels.close()
         log_event("stopped", sessions=callers.open_connections)
--- a/redwingpost/node/takeover/keeper.py
+++ b/redwingpost/node/takeover/keeper.py
@@ -65,14 +65,14 @@
             return
         now = self._clock.now()
         reason = None
-        if self._views.may_be_wrong(group, now):
+        if group.is_active(now) and self._views.may_be_wrong(group, now):
             reason = reason_to_act(self._views.describe(group, now))
         known = self._due_by_group.get(group.name)
         if reason is None:
             self._due_by_group.pop(group.name, None)
             return
         if known is None or known[0] is not reason:
-            delay = self._vms.place(group.name, now) * TURN_S
+            delay = group.place(now) * TURN_S
             self._due_by_group[group.name] = (reason, now + delay)
             log_event("takeover-due", group=group.name, reason=reason.value)
         elif now >= known[1]:
--- /dev/null
+++ b/redwingpost/node/tests/test_forwarding.py
@@ -0,0 +1,290 @@
+"""Statements that a home runs for another VM, over real connections."""
+
+from asyncio import Event, create_task, sleep
+from collections.abc import Coroutine
+from types import SimpleNamespace
+from unittest import IsolatedAsyncioTestCase
+
+from redwingpost.configuration.routes import Consistency, RouteRule
+from redwingpost.core.codes import Code
+from redwingpost.core.positions import Position
+from redwingpost.core.statements import (
+    Answer,
+    Shape,
+    Statement,
+    StatementKind,
+)
+from redwingpost.groups.directory import Directory
+from redwingpost.membership.centres import CentreWatch
+from redwingpost.membership.hearing import VmTable
+from redwingpost.membership.heartbeat import VmAddress
+from redwingpost.node.forwarding.channel import Channels
+from redwingpost.node.forwarding.forwarder import Forwarder, Task
+from redwingpost.node.forwarding.server import HomeParts, HomeServer
+from redwingpost.node.forwarding.transaction import ForwardedTransaction
+from redwingpost.node.group import GroupClient
+from redwingpost.node.request.attempt import Caller
+from redwingpost.node.request.reads import ReadRunner, Result
+from redwingpost.node.request.writes import WriteRunner
+from redwingpost.ports.clock import MonotonicClock
+from redwingpost.ports.database import (
+    LinkLost,
+    MemberEntry,
+    Reply,
+    StatusReport,
+)
+from redwingpost.statements.session import SessionState
+
+_IP = "127.0.0.1"
+_ROUTE = RouteRule("d", "g", Consistency.PRIMARY, 1.0, 0.4, 1, 0.0, False)
+_BEGIN = Statement("b", StatementKind.BEGIN, "BEGIN")
+_COMMIT = Statement("c", StatementKind.COMMIT, "COMMIT")
+
+
+def _read(request: str) -> Statement:
+    return Statement(request, StatementKind.READ, "READ a")
+
+
+def _write(request: str) -> Statement:
+    return Statement(request, StatementKind.WRITE, "WRITE a 1")
+
+
+class GroupOfThree:
+    """Opens links to members that answer at once, or wait."""
+
+    def __init__(self) -> None:
+        self.ran: list[str] = []
+        self.rolled_back = 0
+        self.shapes: list[Shape] = []
+        self.holds = Event()
+        self.holds.set()
+
+    async def open(
+        self, entry: MemberEntry, organisation: str, timeout_s: float
+    ) -> SimpleNamespace:
+        """Open a link to a member."""
+        head = Position(1, 9)
+        report = StatusReport(entry.claims_primary, 1, head, 0, 0, 0, 1)
+        link = SimpleNamespace(is_open=True)
+
+        async def status() -> StatusReport:
+            return report
+
+        async def run(
+            statement: Statement, after=None, prepared_as="", first=None
+        ) -> Reply:
+            self.ran.append(statement.request)
+            if first is not None:
+                self.shapes.append(first.shape)
+            await self.holds.wait()
+            if not link.is_open:
+                raise LinkLost("closed", sent=True)
+            is_open = statement.kind is not StatementKind.COMMIT
+            in_transaction = is_open and self._in_transaction(link, statement)
+            return Reply(("1",), "1.p", None, Position(1, 10), in_transaction)
+
+        async def roll_back() -> Reply:
+            self.rolled_back += 1
+            return Reply()
+
+        def close() -> None:
+            link.is_open = False
+
+        link.status, link.run, link.close = status, run, close
+        link.roll_back = roll_back
+        return link
+
+    def _in_transaction(self, link, statement: Statement) -> bool:
+        if statement.kind is StatementKind.BEGIN:
+            link.has_begun = True
+        return getattr(link, "has_begun", False)
+
+
+class _Homes:
+    """Names the homes to try, and those that were doubted."""
+
+    def __init__(self, addresses: tuple[VmAddress, ...]) -> None:
+        self.addresses = addresses
+        self.doubted: list[str] = []
+
+    def order(self, group, organisation, now) -> tuple[VmAddress, ...]:
+        """Return all but the doubted."""
+        return tuple(a for a in self.addresses if a.vm not in self.doubted)
+
+    def doubt(self, vm: str, now: float) -> None:
+        """Note that a home is doubted."""
+        self.doubted.append(vm)
+
+
+class ForwardingTest(IsolatedAsyncioTestCase):
+    """Two homes of a group and a VM that asks them."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = MonotonicClock()
+        self.members = GroupOfThree()
+        self.stopping: set[int] = set()
+        self.servers = [await self._start_home(n) for n in range(2)]
+        self.homes = _Homes(
+            tuple(
+                VmAddress(f"home-{n}", _IP, server.port)
+                for n, server in enumerate(self.servers)
+            )
+        )
+        channels = Channels(self.clock)
+        self.addCleanup(channels.close)
+        self.forwarder = Forwarder(self.homes, channels, self.clock)
+        self.state = SessionState()
+
+    async def _start_home(self, number: int) -> HomeServer:
+        directory = Directory()
+        for member in ("m1", "m2", "m3"):
+            is_primary = member == "m1"
+            entry = MemberEntry(member, "g", "ip", 1, "a", False, is_primary)
+            directory.put(entry, 0.0)
+        vms = VmTable(f"home-{number}", self.clock.now())
+        vms.set_listed(())
+        group = GroupClient(
+            "g",
+            directory,
+            self.members,
+            self.clock,
+            "a",
+            7.0,
+            vms,
+            CentreWatch("a"),
+        )
+        group.follow_directory(32, 1)
+        await group.run_round()
+        parts = HomeParts(
+            {"g": group},
+            ReadRunner(self.clock),
+            WriteRunner(self.clock),
+            self.clock,
+            lambda: number in self.stopping,
+        )
+        server = HomeServer(_IP, 0, parts)
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+        return server
+
+    def _task(self, statement: Statement) -> Task:
+        caller = Caller("parish", self.state, 1)
+        return Task(statement, caller, _ROUTE, 1, self.clock.now())
+
+    def _transaction(self, run_here=None) -> ForwardedTransaction:
+        return ForwardedTransaction(
+            _BEGIN,
+            Caller("parish", self.state, 1),
+            _ROUTE,
+            1,
+            self.forwarder,
+            run_here,
+            self.clock,
+        )
+
+    async def test_statements_that_stand_alone(self) -> None:
+        self.state.prepare("s", Shape(False, "q2"))
+        execute = Statement(
+            "e", StatementKind.EXECUTE, "EXECUTE s a", "s", "a"
+        )
+        cases = ((_read("r"), 0), (_write("w"), 10), (execute, 10))
+        for statement, written in cases:
+            with self.subTest(statement.kind):
+                result = await self.forwarder.run_alone(self._task(statement))
+                self.assertIsInstance(result, Answer)
+                self.assertEqual(("1",), result.rows)
+                self.assertEqual(written, self.state.written.index)
+                self.assertTrue(self.state.trace.may_have_run)
+        self.assertEqual(["r", "w", "e"], self.members.ran)
+        self.assertEqual([Shape(False, "q2")], self.members.shapes)
+
+    async def test_a_transaction_is_held_at_its_home(self) -> None:
+        transaction = self._transaction()
+        for statement in (_read("1"), _write("2")):
+            self.assertIsInstance(await transaction.run(statement), Answer)
+        self.assertFalse(self.servers[0].is_idle)
+        self.assertIsInstance(await transaction.commit(_COMMIT), Answer)
+        self.assertTrue(transaction.is_over)
+        self.assertEqual(["b", "1", "2", "c"], self.members.ran)
+        self.assertEqual(Position(1, 10), self.state.written)
+
+    async def test_a_rollback_reaches_the_home(self) -> None:
+        """Guards against transactions left open when a caller leaves."""
+        transaction = self._transaction()
+        await transaction.run(_write("1"))
+        await transaction.roll_back()
+        await self._until(lambda: self.servers[0].is_idle)
+        self.assertEqual(1, self.members.rolled_back)
+
+    async def test_a_home_that_stops_is_passed_over(self) -> None:
+        self.stopping.add(0)
+        result = await self.forwarder.run_alone(self._task(_write("w")))
+        self.assertIsInstance(result, Answer)
+        transaction = self._transaction()
+        self.assertIsInstance(await transaction.run(_read("r")), Answer)
+        self.assertEqual(["home-0"], self.homes.doubted)
+        self.assertEqual(["w", "b", "r"], self.members.ran)
+
+    async def test_what_runs_where_no_home_answers(self) -> None:
+        for server in self.servers:
+            await server.stop()
+        result = await self.forwarder.run_alone(self._task(_read("r")))
+        self.assertIsNone(result)
+        self.assertEqual(["home-0", "home-1"], self.homes.doubted)
+
+    async def test_a_read_whose_home_is_lost_runs_at_another(self) -> None:
+        task = self._task(_read("r"))
+        result = await self._lose_home(self.forwarder.run_alone(task))
+        self.assertIsInstance(result, Answer)
+        self.assertEqual(["r", "r"], self.members.ran)
+
+    async def test_a_write_whose_home_is_lost_may_have_run(self) -> None:
+        """Guards against "not run" for what a home may have run."""
+        task = self._task(_write("w"))
+        result = await self._lose_home(self.forwarder.run_alone(task))
+        self.assertEqual(Code.OUTCOME_UNKNOWN.name, result.code.name)
+        self.assertEqual(["w"], self.members.ran)
+
+    async def test_a_transaction_whose_home_is_lost_is_rolled_back(
+        self,
+    ) -> None:
+        transaction = self._transaction()
+        await transaction.run(_write("1"))
+        result = await self._lose_home(transaction.run(_read("2")))
+        expected = Code.TRANSACTION_ROLLED_BACK.name
+        self.assertEqual(expected, result.code.name)
+        self.assertTrue(transaction.is_over)
+
+    async def test_a_commit_whose_home_is_lost_may_be_kept(self) -> None:
+        """Guards against "rolled back" for a commit that may be kept."""
+        transaction = self._transaction()
+        await transaction.run(_write("1"))
+        result = await self._lose_home(transaction.commit(_COMMIT))
+        self.assertEqual(Code.COMMIT_UNKNOWN.name, result.code.name)
+        self.assertTrue(transaction.is_over)
+
+    async def test_a_home_at_work_isn_t_silent(self) -> None:
+        """Guards against reads sent twice while a member is slow."""
+        self.members.holds.clear()
+        asked = create_task(self.forwarder.run_alone(self._task(_read("r"))))
+        await sleep(0.7)
+        self.members.holds.set()
+        self.assertIsInstance(await asked, Answer)
+        self.assertEqual([], self.homes.doubted)
+
+    async def _lose_home(self, asking: Coroutine) -> Result:
+        """Stop the first home while a member is at work on a statement."""
+        self.members.holds.clear()
+        ran = len(self.members.ran)
+        asked = create_task(asking)
+        await self._until(lambda: len(self.members.ran) > ran)
+        await self.servers[0].stop()
+        self.members.holds.set()
+        return await asked
+
+    async def _until(self, is_so) -> None:
+        for _ in range(500):
+            if is_so():
+                return
+            await sleep(0.01)
+        self.fail("it never came about")
--- /dev/null
+++ b/redwingpost/node/tests/test_homes.py
@@ -0,0 +1,135 @@
+"""Which VMs are homes of a group, and what each of them does then."""
+
+from unittest import TestCase
+
+from redwingpost.configuration.routes import (
+    GroupRule,
+    NO_RULES,
+    OrganisationRule,
+)
+from redwingpost.groups.directory import Directory
+from redwingpost.membership.hearing import VmTable
+from redwingpost.membership.heartbeat import Heartbeat, VmAddress
+from redwingpost.node.forwarding.homes import (
+    DOUBT_S,
+    GONE_S,
+    KEEP_S,
+    HomeView,
+)
+from redwingpost.ports.database import MemberEntry
+from redwingpost.routing.homes import MIN_HOMES, count_homes
+
+_CENTRES = ("a", "b", "c")
+
+
+def _addresses(vms: int) -> tuple[VmAddress, ...]:
+    return tuple(
+        VmAddress(f"vm-{n}", f"10.0.0.{n}", 7, _CENTRES[n % 3])
+        for n in range(vms)
+    )
+
+
+class _Fleet:
+    """The views of all VMs of a fleet that hear each other."""
+
+    def __init__(self, vms: int) -> None:
+        self.addresses = _addresses(vms)
+        rules = NO_RULES._replace(
+            groups_by_name={"g": GroupRule("g", 75, 1)},
+            organisations_by_name={
+                f"o{n}": OrganisationRule(f"o{n}", frozenset(), 9.0, 9.0, 1)
+                for n in range(70)
+            },
+        )
+        self.table_by_vm: dict[str, VmTable] = {}
+        self.view_by_vm: dict[str, HomeView] = {}
+        directory = Directory()
+        for number, centre in enumerate(_CENTRES):
+            entry = MemberEntry(
+                f"m{number}", "g", "ip", 1, centre, False, True
+            )
+            directory.put(entry, 0.0)
+        for address in self.addresses:
+            table = VmTable(address.vm, 0.0)
+            table.set_listed(self.addresses)
+            view = HomeView(address.vm, table, directory)
+            view.take_rules(rules)
+            self.table_by_vm[address.vm] = table
+            self.view_by_vm[address.vm] = view
+
+    def beat(self, now: float, silent: frozenset[str] = frozenset()) -> None:
+        """Let all VMs but some hear each other."""
+        for address in self.addresses:
+            if address.vm in silent:
+                continue
+            told = Heartbeat(address.vm, 1, address.ip, 1, {}, 1, None, ())
+            for table in self.table_by_vm.values():
+                table.note(told, now)
+
+    def homes(self, now: float) -> frozenset[str]:
+        """Return the VMs that take themselves for a home."""
+        return frozenset(
+            vm
+            for vm, view in self.view_by_vm.items()
+            if view.is_home("g", now)
+        )
+
+
+class CountTest(TestCase):
+    def test_how_many_homes_a_group_has(self) -> None:
+        cases = (
+            ("fewer connections than organisations", 75, 6, 81, MIN_HOMES),
+            ("a home for each set of slots that is left", 270, 6, 79, 27),
+            ("a small fleet's member", 32, 5, 8, MIN_HOMES),
+        )
+        for name, connections, slots, organisations, homes in cases:
+            with self.subTest(name):
+                counted = count_homes(connections, slots, organisations)
+                self.assertEqual(homes, counted)
+
+
+class HomeViewTest(TestCase):
+    def test_every_vm_of_a_small_fleet_is_a_home(self) -> None:
+        fleet = _Fleet(MIN_HOMES)
+        self.assertEqual(MIN_HOMES, len(fleet.homes(1.0)))
+        for view in fleet.view_by_vm.values():
+            self.assertEqual((), view.order("g", "o1", 1.0))
+
+    def test_all_vms_agree_on_the_homes(self) -> None:
+        """Guards against a fleet in which everybody connects to members."""
+        fleet = _Fleet(62)
+        for name, now in (("just started", 0.1), ("heard", 2.0)):
+            with self.subTest(name):
+                if now > 1.0:
+                    fleet.beat(now)
+                homes = fleet.homes(now)
+                self.assertEqual(MIN_HOMES, len(homes))
+                for view in fleet.view_by_vm.values():
+                    self.assertEqual(homes, view.homes_of("g", now).names)
+
+    def test_an_organisation_keeps_to_one_home(self) -> None:
+        fleet = _Fleet(62)
+        others = set(fleet.view_by_vm) - fleet.homes(1.0)
+        first = {
+            fleet.view_by_vm[vm].order("g", "o1", 1.0)[0].vm for vm in others
+        }
+        self.assertEqual(1, len(first))
+
+    def test_a_home_that_is_gone_has_a_successor(self) -> None:
+        fleet = _Fleet(62)
+        gone = frozenset(list(fleet.homes(0.1))[:3])
+        now = 0.0
+        while now < GONE_S + 2 * KEEP_S:
+            now += 0.1
+            fleet.beat(now, silent=gone)
+        left = fleet.homes(now) - gone
+        self.assertEqual(MIN_HOMES, len(left))
+
+    def test_a_doubtful_home_is_passed_over_for_a_while(self) -> None:
+        fleet = _Fleet(62)
+        vm = next(iter(set(fleet.view_by_vm) - fleet.homes(1.0)))
+        view = fleet.view_by_vm[vm]
+        first, second = view.order("g", "o1", 1.0)[:2]
+        view.doubt(first.vm, 1.0)
+        self.assertEqual(second, view.order("g", "o1", 1.1)[0])
+        self.assertEqual(first, view.order("g", "o1", 1.0 + DOUBT_S)[0])
--- a/redwingpost/pools/pool.py
+++ b/redwingpost/pools/pool.py
@@ -38,6 +38,10 @@
 #: price is more new connections on a calm day.
 IDLE_S = 1.5
 
+#: The same at a home: few VMs share a member's connections, and an
+#: organisation that comes back finds its own.
+HOME_IDLE_S = 10.0
+
 
 class PooledLink:
     """A connection and what it holds.
@@ -80,10 +84,17 @@
 
     def __init__(self) -> None:
         self.share = 1
+        self.idle_s = IDLE_S
         self._refused_at = float("-inf")
 
-    def set_terms(self, max_connections: int, vms: int) -> None:
-        """Take the member's limit and the number of VMs."""
+    def set_terms(
+        self, max_connections: int, vms: int, idle_s: float = IDLE_S
+    ) -> None:
+        """Take the member's limit and how many VMs share it.
+
+        ``idle_s`` is after how long an idle connection closes (seconds).
+        """
+        self.idle_s = idle_s
         self.share = data_connections(max_connections, vms, CONTROL_LINKS)
 
     def note_refused(self, now: float) -> None:
@@ -180,7 +191,7 @@
         """
         closing = []
         for item in tuple(self._idle):
-            is_old = now - item.last_used > IDLE_S
+            is_old = now - item.last_used > self._budget.idle_s
             if all_of_them or is_old or not item.link.is_open:
                 del self._idle[item]
                 closing.append(item)
--- a/redwingpost/routing/homes.py
+++ b/redwingpost/routing/homes.py
@@ -19,7 +19,7 @@
 """
 
 from collections.abc import Iterable, Sequence
-from typing import NamedTuple
+from typing import NamedTuple, Protocol, TypeVar
 
 from xxhash import xxh64_intdigest
 
@@ -29,6 +29,30 @@
 HOMES = 6
 
 
+#: Homes of a group at least: all VMs of a small fleet, and enough that the
+#: loss of a data centre leaves several, each with few organisations.
+MIN_HOMES = 12
+
+#: Connections of a member that nobody plans on: those of VMs that are gone
+#: linger there for seconds.
+RESERVE = 2
+
+
+class Place(Protocol):
+    """A VM with its name and its data centre."""
+
+    @property
+    def vm(self) -> str:
+        """Its name."""
+
+    @property
+    def data_centre(self) -> str:
+        """Where it stands."""
+
+
+PlaceT = TypeVar("PlaceT", bound=Place)
+
+
 class ForwardTarget(NamedTuple):
     """A home VM to forward to, and whether it is in our data centre."""
 
@@ -36,16 +60,65 @@
     is_near: bool
 
 
-def _score(group: str, vm: VmAddress) -> int:
+def count_homes(connections: int, slots: int, organisations: int) -> int:
+    """Return how many homes a group has, where there are as many VMs.
+
+    Each organisation should find a connection of its own at each member,
+    and each home needs as many besides as the member has slots, for those
+    that ask much, and one for its questions. More homes share the work of
+    a group; with more than this, connections are opened for statements
+    again and again.
+
+    Parameters
+    ----------
+    connections : int
+        That each member takes, from all VMs together.
+    slots : int
+        Statements that a member runs at once.
+    organisations : int
+        With callers.
+
+    Examples
+    --------
+    >>> count_homes(75, 6, 73), count_homes(270, 6, 79)
+    (12, 27)
+    """
+    spare = connections - RESERVE - organisations
+    return max(MIN_HOMES, spare // (slots + 1))
+
+
+def order_homes(
+    group: str, organisation: str, homes: Iterable[PlaceT]
+) -> tuple[PlaceT, ...]:
+    """Return a group's homes in the order in which to try them.
+
+    An organisation keeps to one home, whichever VM its callers reach: there
+    it finds connections of its own.
+
+    Parameters
+    ----------
+    group : str
+        Name of the database group.
+    organisation : str
+        Whose statement is to run.
+    homes : iterable
+        The group's homes.
+    """
+    subject = f"{group}\0{organisation}"
+    ranked = sorted(homes, key=lambda vm: (-_score(subject, vm), vm.vm))
+    return tuple(ranked)
+
+
+def _score(group: str, vm: Place) -> int:
     return xxh64_intdigest(f"home\0{group}\0{vm.vm}".encode())
 
 
 def choose_homes(
     group: str,
     data_centres: Iterable[str],
-    vms: Sequence[VmAddress],
+    vms: Iterable[PlaceT],
     limit: int = HOMES,
-) -> tuple[VmAddress, ...]:
+) -> tuple[PlaceT, ...]:
     """Return the home VMs of a group, best first.
 
     VMs in the data centres of the group's members come first, one of
@@ -58,7 +131,7 @@
         Name of the database group.
     data_centres : iterable of str
         Where the group's members are.
-    vms : sequence of VmAddress
+    vms : iterable
         The VMs believed alive.
     limit : int, optional
         How many to choose at most.
--- /dev/null
+++ b/redwingpost/wire/work.capnp
@@ -0,0 +1,98 @@
+@0xb0f5c1d27e9a4361;
+
+# Between VMs: a statement that a home of its group is to run, and what
+# became of it.
+
+struct Message {
+  union {
+    work @0 :Work;
+    done @1 :Done;
+    busy @2 :Busy;
+  }
+}
+
+struct Busy {
+  # The sender lives, and statements are under way there.
+  statements @0 :UInt32;
+}
+
+struct Work {
+  number @0 :UInt64;
+  action @1 :Text;
+  transaction @2 :UInt64;
+  organisation @3 :Text;
+  route @4 :Route;
+  syncReplicas @5 :UInt16;
+  statement @6 :Statement;
+  begin @7 :Statement;
+  # Of the transaction, with its first statement only.
+  values @8 :List(Value);
+  written @9 :Position;
+  waitedMs @10 :UInt32;
+}
+
+struct Route {
+  database @0 :Text;
+  group @1 :Text;
+  consistency @2 :Text;
+  timeoutS @3 :Float64;
+  targetLatencyS @4 :Float64;
+  priority @5 :Int32;
+  maxStalenessS @6 :Float64;
+  isPublic @7 :Bool;
+}
+
+struct Statement {
+  request @0 :Text;
+  kind @1 :Text;
+  text @2 :Text;
+  name @3 :Text;
+  argument @4 :Text;
+  shape @5 :Text;
+  # What a prepared name runs, if hasShape.
+  hasShape @6 :Bool;
+  shapeWrites @7 :Bool;
+}
+
+struct Value {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct Position {
+  term @0 :UInt64;
+  index @1 :UInt64;
+}
+
+struct Done {
+  number @0 :UInt64;
+  union {
+    answer @1 :Answer;
+    failure @2 :Failure;
+    refusal @3 :Refusal;
+  }
+  written @4 :Position;
+  isOver @5 :Bool;
+  mayHaveRun @6 :Bool;
+  member @7 :Text;
+  tries @8 :UInt16;
+  waitedS @9 :Float64;
+  ranS @10 :Float64;
+}
+
+struct Answer {
+  rows @0 :List(Text);
+  proof @1 :Text;
+}
+
+struct Failure {
+  kind @0 :Text;
+  word @1 :Text;
+  detail @2 :Text;
+}
+
+struct Refusal {
+  code @0 :UInt32;
+  detail @1 :Text;
+  retryAfterMs @2 :UInt32;
+}
--- /dev/null
+++ b/redwingpost/wire/work.py
@@ -0,0 +1,225 @@
+"""Forwarded statements and their outcomes as bytes: pack and unpack."""
+
+from typing import Any
+
+from capnp import KjException
+
+from redwingpost.configuration.routes import Consistency, RouteRule
+from redwingpost.core.codes import CODES_BY_NUMBER
+from redwingpost.core.positions import Position
+from redwingpost.core.requests import Refusal
+from redwingpost.core.statements import (
+    Answer,
+    Shape,
+    Statement,
+    StatementKind,
+)
+from redwingpost.node.forwarding.messages import Action, Busy, Done, Work
+from redwingpost.observability.trace import RunParts
+from redwingpost.ports.database import FailureKind, MemberFailure
+from redwingpost.wire.work_schema import SCHEMA
+
+
+class MessageError(Exception):
+    """Bytes that are no message."""
+
+
+def pack_work(work: Work) -> bytes:
+    """Return a statement for a home as bytes.
+
+    Examples
+    --------
+    >>> route = RouteRule("d", "g", Consistency.PRIMARY, 1.0, .2, 1, 0.0, True)
+    >>> read = Statement("1", StatementKind.EXECUTE, "EXECUTE s a", "s", "a")
+    >>> work = Work(
+    ...     7, Action.RUN, 2, "o", route, 1, read, Shape(False, "q2"),
+    ...     Statement("0", StatementKind.BEGIN, "BEGIN"), {"tone": "b"},
+    ...     Position(3, 9), 0.25,
+    ... )
+    >>> unpack(pack_work(work)) == work
+    True
+    """
+    message = SCHEMA.Message.new_message()
+    body = message.init("work")
+    body.number = work.number
+    body.action = work.action.value
+    body.transaction = work.transaction
+    body.organisation = work.organisation
+    _fill_route(body.init("route"), work.route)
+    body.syncReplicas = work.sync_replicas
+    _fill_statement(body.init("statement"), work.statement)
+    if work.shape is not None:
+        body.statement.hasShape = True
+        body.statement.shape = work.shape.text
+        body.statement.shapeWrites = work.shape.writes
+    if work.begin is not None:
+        _fill_statement(body.init("begin"), work.begin)
+    body.values = [
+        {"name": name, "value": value}
+        for name, value in work.values_by_name.items()
+    ]
+    body.written = work.written._asdict()
+    body.waitedMs = int(work.waited_s * 1000)
+    return message.to_bytes()
+
+
+def pack_done(done: Done) -> bytes:
+    """Return the outcome of a statement as bytes.
+
+    Examples
+    --------
+    >>> parts = RunParts("m1", 1, 0.0, 0.25, True)
+    >>> done = Done(7, Answer(("a",), "1.p"), Position(3, 9), False, parts)
+    >>> unpack(pack_done(done)) == done
+    True
+    """
+    message = SCHEMA.Message.new_message()
+    body = message.init("done")
+    body.number = done.number
+    _fill_result(body, done.result)
+    body.written = done.written._asdict()
+    body.isOver = done.is_over
+    parts = done.parts
+    body.member = parts.member
+    body.tries = parts.tries
+    body.waitedS = parts.waited_s
+    body.ranS = parts.ran_s
+    body.mayHaveRun = parts.may_have_run
+    return message.to_bytes()
+
+
+def pack_busy(busy: Busy) -> bytes:
+    """Return the word that a home is at work as bytes.
+
+    Examples
+    --------
+    >>> unpack(pack_busy(Busy(2)))
+    Busy(statements=2)
+    """
+    return SCHEMA.Message.new_message(busy=busy._asdict()).to_bytes()
+
+
+def unpack(body: bytes) -> Work | Done | Busy:
+    """Return the message that bytes hold.
+
+    Raises
+    ------
+    MessageError
+        Where they hold none.
+    """
+    try:
+        with SCHEMA.Message.from_bytes(body) as message:
+            if message.which() == "work":
+                return _read_work(message.work)
+            if message.which() == "busy":
+                return Busy(message.busy.statements)
+            return _read_done(message.done)
+    except (KjException, UnicodeDecodeError, ValueError, KeyError) as error:
+        raise MessageError(str(error)) from error
+
+
+def _fill_route(body: Any, route: RouteRule) -> None:
+    body.database = route.database
+    body.group = route.group
+    body.consistency = route.consistency.value
+    body.timeoutS = route.timeout_s
+    body.targetLatencyS = route.target_latency_s
+    body.priority = route.priority
+    body.maxStalenessS = route.max_staleness_s
+    body.isPublic = route.is_public
+
+
+def _read_route(body: Any) -> RouteRule:
+    return RouteRule(
+        body.database,
+        body.group,
+        Consistency(body.consistency),
+        body.timeoutS,
+        body.targetLatencyS,
+        body.priority,
+        body.maxStalenessS,
+        body.isPublic,
+    )
+
+
+def _fill_statement(body: Any, statement: Statement) -> None:
+    body.request = statement.request
+    body.kind = statement.kind.value
+    body.text = statement.text
+    body.name = statement.name
+    body.argument = statement.argument
+
+
+def _read_statement(body: Any) -> Statement:
+    return Statement(
+        body.request,
+        StatementKind(body.kind),
+        body.text,
+        body.name,
+        body.argument,
+    )
+
+
+def _read_work(body: Any) -> Work:
+    told = body.statement
+    shape = Shape(told.shapeWrites, told.shape) if told.hasShape else None
+    has_begin = bool(body.begin.kind)
+    return Work(
+        body.number,
+        Action(body.action),
+        body.transaction,
+        body.organisation,
+        _read_route(body.route),
+        body.syncReplicas,
+        _read_statement(told),
+        shape,
+        _read_statement(body.begin) if has_begin else None,
+        {item.name: item.value for item in body.values},
+        Position(body.written.term, body.written.index),
+        body.waitedMs / 1000.0,
+    )
+
+
+def _fill_result(body: Any, result: Answer | MemberFailure | Refusal) -> None:
+    if isinstance(result, Answer):
+        answer = body.init("answer")
+        answer.rows = list(result.rows)
+        answer.proof = result.proof
+    elif isinstance(result, MemberFailure):
+        failure = body.init("failure")
+        failure.kind = result.kind.value
+        failure.word = result.word
+        failure.detail = result.detail
+    else:
+        refusal = body.init("refusal")
+        refusal.code = result.code.number
+        refusal.detail = result.detail
+        refusal.retryAfterMs = result.retry_after_ms
+
+
+def _read_result(body: Any) -> Answer | MemberFailure | Refusal:
+    which = body.which()
+    if which == "answer":
+        return Answer(tuple(body.answer.rows), body.answer.proof)
+    if which == "failure":
+        told = body.failure
+        return MemberFailure(FailureKind(told.kind), told.word, told.detail)
+    told = body.refusal
+    code = CODES_BY_NUMBER[told.code]
+    return Refusal(code, told.detail, told.retryAfterMs)
+
+
+def _read_done(body: Any) -> Done:
+    return Done(
+        body.number,
+        _read_result(body),
+        Position(body.written.term, body.written.index),
+        body.isOver,
+        RunParts(
+            body.member,
+            body.tries,
+            body.waitedS,
+            body.ranS,
+            body.mayHaveRun,
+        ),
+    )
