--- a/redwingpost/node/forwarding/forwarder.py
+++ b/redwingpost/node/forwarding/forwarder.py
@@ -16,7 +16,7 @@
 from redwingpost.configuration.routes import RouteRule
 from redwingpost.core.codes import Code, Outcome
 from redwingpost.core.requests import Refusal
-from redwingpost.core.statements import Answer, Statement, StatementKind
+from redwingpost.core.statements import Statement, StatementKind
 from redwingpost.membership.heartbeat import VmAddress
 from redwingpost.node.forwarding.channel import (
     Channels,
@@ -266,8 +266,3 @@
     if result.code.outcome is not Outcome.NOT_RUN:
         return False
     return result.code.name in _ELSEWHERE
-
-
-def is_good(done: Done) -> bool:
-    """Say whether a statement succeeded."""
-    return isinstance(done.result, Answer)
--- a/redwingpost/node/forwarding/homes.py
+++ b/redwingpost/node/forwarding/homes.py
@@ -75,6 +75,8 @@
         self._rules: ServiceRules | None = None
         self._kept_by_group: dict[str, _Kept] = {}
         self._doubted_until: dict[str, float] = {}
+        self._alive: tuple[VmAddress, ...] = ()
+        self._alive_until = float("-inf")
 
     def take_rules(self, rules: ServiceRules) -> None:
         """Take in the configuration in force."""
@@ -140,11 +142,18 @@
         members = self._directory.members_of(group)
         slots = (entry.slots or ASSUMED_SLOTS for entry in members)
         return _Choice(
-            self._vms.at_work(now, GONE_S),
+            self._alive_vms(now),
             frozenset(entry.data_centre for entry in members),
             min(slots, default=ASSUMED_SLOTS),
         )
 
+    def _alive_vms(self, now: float) -> tuple[VmAddress, ...]:
+        """Return the VMs that may be homes, the same for all groups."""
+        if now >= self._alive_until:
+            self._alive = self._vms.at_work(now, GONE_S)
+            self._alive_until = now + KEEP_S / 2.0
+        return self._alive
+
     def _choose(self, group: str, choice: _Choice) -> Homes:
         rule = self._rules and self._rules.groups_by_name.get(group)
         if rule is None:
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -27,7 +27,8 @@
 from redwingpost.node.forwarding.channel import Channels
 from redwingpost.node.forwarding.forwarder import Forwarder
 from redwingpost.node.forwarding.homes import HomeView
-from redwingpost.node.forwarding.server import HomeParts, HomeServer
+from redwingpost.node.forwarding.peer import HomeParts
+from redwingpost.node.forwarding.server import HomeServer
 from redwingpost.node.group import DRAIN_PART, GroupClient
 from redwingpost.node.metrics import NodeMetrics
 from redwingpost.node.request.admission import Admission
--- a/redwingpost/node/tests/test_forwarding.py
+++ b/redwingpost/node/tests/test_forwarding.py
@@ -20,7 +20,8 @@
 from redwingpost.membership.heartbeat import VmAddress
 from redwingpost.node.forwarding.channel import Channels
 from redwingpost.node.forwarding.forwarder import Forwarder, Task
-from redwingpost.node.forwarding.server import HomeParts, HomeServer
+from redwingpost.node.forwarding.peer import HomeParts
+from redwingpost.node.forwarding.server import HomeServer
 from redwingpost.node.forwarding.transaction import ForwardedTransaction
 from redwingpost.node.group import GroupClient
 from redwingpost.node.request.attempt import Caller
