--- a/redwingpost/node/forwarding/forwarder.py
+++ b/redwingpost/node/forwarding/forwarder.py
@@ -29,13 +29,18 @@
 from redwingpost.node.request.reads import Result
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
+from redwingpost.retries.budget import RetryBudget
 
 #: Homes that are asked for one statement before it is run here.
 MAX_HOMES = 3
 
 #: Seconds for which a home may send nothing at all while a read waits there
 #: before another is asked: far above a member's usual time.
-SILENT_S = 0.3
+SILENT_S = 0.5
+
+#: Seconds of silence after which a connection is taken for broken. Sooner,
+#: a busy home would lose all that is under way over it.
+BROKEN_S = 2.0
 
 #: Seconds beyond a statement's own time for its home to tell how it ended.
 MARGIN_S = 0.3
@@ -66,6 +71,7 @@
         self._homes = homes
         self._channels = channels
         self._clock = clock
+        self._budget = RetryBudget()
         self._transactions = count(1)
 
     def has_home_elsewhere(self, group: str, organisation: str) -> bool:
@@ -79,6 +85,7 @@
 
     async def run_alone(self, task: Task) -> Result | None:
         """Have a statement that stands alone run; None where no home can."""
+        self._budget.earn()
         is_write = bool(task.caller.state.writes(task.statement))
         refused: Refusal | None = None
         async for home, channel in self._channels_for(task):
@@ -207,7 +214,9 @@
             await wait({future}, timeout=min(SILENT_S, left_s))
             if future.done():
                 return await shield(future)
-            if channel.heard_at < asked_at:
+            # Homes that are overloaded are silent as well: without a bound
+            # each of their reads would be asked for several times.
+            if channel.heard_at < asked_at and self._budget.spend():
                 raise HomeLost("silent", sent=True)
 
     def _note_lost(
@@ -222,8 +231,7 @@
         )
         now = self._clock.now()
         self._homes.doubt(home.vm, now)
-        if now - channel.heard_at >= SILENT_S:
-            # The connection may have gone silent for good.
+        if now - channel.heard_at >= BROKEN_S:
             channel.close()
 
     def _work(
