Forwarded statements: nobody awaits what nobody reads

A rollback sent to a home, and a read given up at one, left a future behind whose error was never read when the connection ended. Read in the diff; the type of a forwarded statement has a name of its own.

--- a/redwingpost/node/forwarding/channel.py
+++ b/redwingpost/node/forwarding/channel.py
@@ -78,17 +78,25 @@
         except TimeoutError as error:
             raise HomeLost("no answer in time", sent=True) from error
         finally:
-            self._waiting_by_number.pop(work.number, None)
+            self.forget(work)
 
     def send(self, work: Work) -> Future:
         """Send a statement; the future gets what became of it."""
-        if not self.is_open:
-            raise HomeLost("closed", sent=False)
+        self.tell(work)
         future = get_running_loop().create_future()
         self._waiting_by_number[work.number] = future
-        write_frame(self._writer, pack_work(work))
         return future
 
+    def tell(self, work: Work) -> None:
+        """Send a statement of which nobody awaits the outcome."""
+        if not self.is_open:
+            raise HomeLost("closed", sent=False)
+        write_frame(self._writer, pack_work(work))
+
+    def forget(self, work: Work) -> None:
+        """Await the outcome of a statement no longer."""
+        self._waiting_by_number.pop(work.number, None)
+
     def close(self) -> None:
         """Close; whoever waits gets nothing."""
         if not self.is_open:
--- a/redwingpost/node/forwarding/forwarder.py
+++ b/redwingpost/node/forwarding/forwarder.py
@@ -8,7 +8,7 @@
 it is kept.
 """
 
-from asyncio import shield, wait
+from asyncio import Future, wait
 from collections.abc import AsyncIterator
 from itertools import count
 from typing import NamedTuple
@@ -52,7 +52,7 @@
 _ELSEWHERE = _HOME_ALONE | {Code.NO_PRIMARY.name, Code.TARGET_LOST.name}
 
 
-class Task(NamedTuple):
+class ForwardedStatement(NamedTuple):
     """A statement, whose it is, and the rules by which it may run."""
 
     statement: Statement
@@ -83,7 +83,7 @@
         """Return a number that no other transaction of this VM has."""
         return next(self._transactions)
 
-    async def run_alone(self, task: Task) -> Result | None:
+    async def run_alone(self, task: ForwardedStatement) -> Result | None:
         """Have a statement that stands alone run; None where no home can."""
         self._budget.earn()
         is_write = bool(task.caller.state.writes(task.statement))
@@ -112,7 +112,11 @@
         return refused
 
     async def open(
-        self, task: Task, begin: Statement, action: Action, number: int
+        self,
+        task: ForwardedStatement,
+        begin: Statement,
+        action: Action,
+        number: int,
     ) -> tuple[HomeChannel, Done] | None:
         """Begin a transaction with its first statement at a home.
 
@@ -148,7 +152,11 @@
         return None
 
     async def go_on(
-        self, channel: HomeChannel, task: Task, action: Action, number: int
+        self,
+        channel: HomeChannel,
+        task: ForwardedStatement,
+        action: Action,
+        number: int,
     ) -> Done:
         """Run another statement of a transaction at its home.
 
@@ -162,11 +170,13 @@
         self.take(task.caller, None, done)
         return done
 
-    def roll_back(self, channel: HomeChannel, task: Task, number: int) -> None:
+    def roll_back(
+        self, channel: HomeChannel, task: ForwardedStatement, number: int
+    ) -> None:
         """Let a home undo a transaction; don't wait for it."""
         work = self._work(channel, Action.ROLL_BACK, task, number)
         try:
-            channel.send(work)
+            channel.tell(work)
         except HomeLost:
             # Its home undoes it when the connection ends.
             return
@@ -185,7 +195,7 @@
         return None
 
     async def _channels_for(
-        self, task: Task
+        self, task: ForwardedStatement
     ) -> AsyncIterator[tuple[VmAddress, HomeChannel]]:
         """Yield connections to homes, the first choice first."""
         now = self._clock.now()
@@ -201,11 +211,19 @@
             yield home, channel
 
     async def _ask_to_read(
-        self, channel: HomeChannel, work: Work, task: Task
+        self, channel: HomeChannel, work: Work, task: ForwardedStatement
     ) -> Done:
         """Ask for a read; give up at a home that sends nothing at all."""
         until = self._clock.now() + self._patience_s(task)
         future = channel.send(work)
+        try:
+            return await self._await_read(channel, future, until)
+        finally:
+            channel.forget(work)
+
+    async def _await_read(
+        self, channel: HomeChannel, future: Future, until: float
+    ) -> Done:
         while True:
             asked_at = self._clock.now()
             left_s = until - asked_at
@@ -213,14 +231,18 @@
                 raise HomeLost("no answer in time", sent=True)
             await wait({future}, timeout=min(SILENT_S, left_s))
             if future.done():
-                return await shield(future)
+                return future.result()
             # Homes that are overloaded are silent as well: without a bound
             # each of their reads would be asked for several times.
             if channel.heard_at < asked_at and self._budget.spend():
                 raise HomeLost("silent", sent=True)
 
     def _note_lost(
-        self, home: VmAddress, channel: HomeChannel, task: Task, lost: HomeLost
+        self,
+        home: VmAddress,
+        channel: HomeChannel,
+        task: ForwardedStatement,
+        lost: HomeLost,
     ) -> None:
         log_event(
             "home-lost",
@@ -238,7 +260,7 @@
         self,
         channel: HomeChannel,
         action: Action,
-        task: Task,
+        task: ForwardedStatement,
         transaction: int = 0,
         begin: Statement | None = None,
     ) -> Work:
@@ -261,7 +283,7 @@
             self._clock.now() - task.arrived_at,
         )
 
-    def _patience_s(self, task: Task) -> float:
+    def _patience_s(self, task: ForwardedStatement) -> float:
         until = task.arrived_at + task.route.timeout_s
         return max(0.0, until - self._clock.now()) + MARGIN_S
 
--- a/redwingpost/node/forwarding/transaction.py
+++ b/redwingpost/node/forwarding/transaction.py
@@ -7,7 +7,7 @@
 from redwingpost.core.requests import Refusal
 from redwingpost.core.statements import Answer, Statement
 from redwingpost.node.forwarding.channel import HomeChannel, HomeLost
-from redwingpost.node.forwarding.forwarder import Forwarder, Task
+from redwingpost.node.forwarding.forwarder import Forwarder, ForwardedStatement
 from redwingpost.node.forwarding.messages import Action
 from redwingpost.node.request.attempt import Caller
 from redwingpost.node.request.reads import Result
@@ -42,7 +42,7 @@
         self._number = forwarder.next_transaction()
         self._channel: HomeChannel | None = None
         self._here: Transaction | None = None
-        self._last: Task | None = None
+        self._last: ForwardedStatement | None = None
         self._has_written = False
         self._is_over = False
 
@@ -75,7 +75,7 @@
     async def _run(self, statement: Statement, action: Action) -> Result:
         if self._here is not None:
             return await self._run_at(self._here, statement, action)
-        task = self._last = Task(
+        task = self._last = ForwardedStatement(
             statement,
             self._caller,
             self._route,
@@ -93,7 +93,7 @@
         self._is_over = done.is_over
         return done.result
 
-    async def _open(self, task: Task, action: Action) -> Result:
+    async def _open(self, task: ForwardedStatement, action: Action) -> Result:
         opened = await self._forwarder.open(
             task, self._begin, action, self._number
         )
--- a/redwingpost/node/request/session.py
+++ b/redwingpost/node/request/session.py
@@ -9,7 +9,7 @@
 from redwingpost.core.registry import Registry
 from redwingpost.core.requests import Refusal
 from redwingpost.core.statements import Answer, Statement, StatementKind
-from redwingpost.node.forwarding.forwarder import Forwarder, Task
+from redwingpost.node.forwarding.forwarder import Forwarder, ForwardedStatement
 from redwingpost.node.forwarding.transaction import ForwardedTransaction
 from redwingpost.node.group import GroupClient
 from redwingpost.node.metrics import GRANTED, NodeMetrics
@@ -324,7 +324,9 @@
     )
     result: Result | None = None
     if services.has_home_elsewhere(admitted):
-        task = Task(*request[:3], admitted.sync_replicas, request.arrived_at)
+        task = ForwardedStatement(
+            *request[:3], admitted.sync_replicas, request.arrived_at
+        )
         result = await services.forwarder.run_alone(task)
     if result is None:
         result = await _run_here(session, group, request, admitted)
--- a/redwingpost/node/tests/test_forwarding.py
+++ b/redwingpost/node/tests/test_forwarding.py
@@ -19,7 +19,7 @@
 from redwingpost.membership.hearing import VmTable
 from redwingpost.membership.heartbeat import VmAddress
 from redwingpost.node.forwarding.channel import Channels
-from redwingpost.node.forwarding.forwarder import Forwarder, Task
+from redwingpost.node.forwarding.forwarder import Forwarder, ForwardedStatement
 from redwingpost.node.forwarding.peer import HomeParts
 from redwingpost.node.forwarding.server import HomeServer
 from redwingpost.node.forwarding.transaction import ForwardedTransaction
@@ -168,9 +168,11 @@
         self.addAsyncCleanup(server.stop)
         return server
 
-    def _task(self, statement: Statement) -> Task:
+    def _task(self, statement: Statement) -> ForwardedStatement:
         caller = Caller("parish", self.state, 1)
-        return Task(statement, caller, _ROUTE, 1, self.clock.now())
+        return ForwardedStatement(
+            statement, caller, _ROUTE, 1, self.clock.now()
+        )
 
     def _transaction(self, run_here=None) -> ForwardedTransaction:
         return ForwardedTransaction(
