--- a/redwingpost/wire/work.capnp
+++ b/redwingpost/wire/work.capnp
@@ -22,7 +22,7 @@
   transaction @2 :UInt64;
   organisation @3 :Text;
   route @4 :Route;
-  syncReplicas @5 :UInt16;
+  replicas @5 :UInt16;
   statement @6 :Statement;
   begin @7 :Statement;
   # Of the transaction, with its first statement only.
--- a/redwingpost/wire/work.py
+++ b/redwingpost/wire/work.py
@@ -46,7 +46,7 @@
     body.transaction = work.transaction
     body.organisation = work.organisation
     _fill_route(body.init("route"), work.route)
-    body.syncReplicas = work.sync_replicas
+    body.replicas = work.sync_replicas
     _fill_statement(body.init("statement"), work.statement)
     if work.shape is not None:
         body.statement.hasShape = True
@@ -170,7 +170,7 @@
         body.transaction,
         body.organisation,
         _read_route(body.route),
-        body.syncReplicas,
+        body.replicas,
         _read_statement(told),
         shape,
         _read_statement(body.begin) if has_begin else None,
