HTTP client: a response may take as long as bytes arrive

Cause: a call's timeout of 1.5 s was for the whole response. The table of the configuration, after 1,496 routes were added, takes longer than that over 2 Mbit/s. Every VM gave the transfer up and began again: by the log, all 16 VMs start at 45.07 to 45.51 s, "store-lost op TimeoutError" 1.5 s later, and the first "rules-in-force" is at 52.50 s (three VMs); the others copy it from these at 54.3 to 55.7 s. Until then every statement is refused. Ruled out: members, homes, takeovers (primaries known from 46 s on).

Change: the timeout limits the wait until the response begins; after that the transfer fails after 1.5 s without a byte, or 30 s in all.

--- a/redwingpost/adapters/http_client.py
+++ b/redwingpost/adapters/http_client.py
@@ -50,6 +50,15 @@
 #: once the cut has ended.
 CONNECT_TIMEOUT_S = 1.0
 
+#: Seconds without a byte after which a response that has begun counts as
+#: lost. There is no shorter limit on the whole transfer: a configuration of
+#: hundreds of kilobytes takes seconds over a link of 2 Mbit/s, and a VM that
+#: gave up and started again would never have it.
+STALL_TIMEOUT_S = 1.5
+
+#: Seconds for the transfer of one response, at most.
+MAX_TRANSFER_S = 30.0
+
 #: Seconds for which an idle pooled connection is reused. If it broke
 #: meanwhile, a call on it waits for its whole timeout; a new connection
 #: costs one round trip.
@@ -105,6 +114,9 @@
     ) -> HttpAnswer:
         """Send a request and return the complete response.
 
+        ``timeout_s`` limits the wait for the response to begin; after that
+        the transfer may take as long as bytes keep arriving.
+
         Raises
         ------
         HttpLost
@@ -117,8 +129,8 @@
                 connect_timeout_s = min(timeout_s, CONNECT_TIMEOUT_S)
                 await wait_for(self._connect(), connect_timeout_s)
             sent = True
-            exchange = self._exchange(method, target, body, headers)
-            return await wait_for(exchange, timeout_s)
+            exchange = self._exchange(method, target, body, headers, timeout_s)
+            return await wait_for(exchange, timeout_s + MAX_TRANSFER_S)
         except (OSError, RemoteProtocolError, TimeoutError) as error:
             self.close()
             detail = f"{type(error).__name__} {error}".strip()
@@ -160,6 +172,7 @@
         target: str,
         body: bytes,
         headers: tuple[tuple[str, str], ...],
+        timeout_s: float,
     ) -> HttpAnswer:
         fields = [("Host", f"{self._ip}:{self._port}"), *headers]
         if body or method in ("POST", "PUT"):
@@ -170,22 +183,24 @@
             parts.append(self._framing.send(Data(data=body)))
         parts.append(self._framing.send(EndOfMessage()))
         self._writer.write(b"".join(part for part in parts if part))
-        answer = await self._receive()
+        answer = await self._receive(timeout_s)
         if self._framing.our_state is self._framing.their_state:
             self._framing.start_next_cycle()
         else:
             self.close()
         return answer
 
-    async def _receive(self) -> HttpAnswer:
+    async def _receive(self, timeout_s: float) -> HttpAnswer:
+        """Return the response; fail after ``timeout_s`` without its start."""
         status = 0
         body = bytearray()
         while True:
             event = self._framing.next_event()
             if event is NEED_DATA:
-                self._framing.receive_data(
-                    await self._reader.read(_READ_BYTES)
-                )
+                pending = self._reader.read(_READ_BYTES)
+                received = await wait_for(pending, timeout_s)
+                self._framing.receive_data(received)
+                timeout_s = STALL_TIMEOUT_S
             elif isinstance(event, Response):
                 status = event.status_code
             elif isinstance(event, Data):
