Evacuation of a data centre: no statements to its members

An order is a row of the configuration's table, so it arrives by the same feed, a gatherer's copy, or, for a VM that starts without the store, with a peer's copy of the configuration.

- reads go to members elsewhere at once;
- the primary is moved by a planned takeover (reason "evacuated"), like one that announces its end; members to be evacuated are chosen last, and without one elsewhere that answers nothing is moved;
- the primary gets statements for half of `evacuateMs` at most, counted from the order's arrival; an order read at the start or just after an outage may be old and gives no time.
A connection that is claimed later is not used, an open transaction is closed, which rolls it back, and its COMMIT gets "transaction rolled back";
- what no other member can run is refused at once with a new code, 20312 evacuated, not run;
- idle connections there are closed.
Status and takeover commands still go there: they are no caller's requests, and a takeover must see every log.

A withdrawal ends all of it.

Weighed: marking the members as draining in the directory would have reused more, but a member that counts as having announced its end may be taken off the roster without its log, and one that crashed during an evacuation may return with it.

--- a/redwingpost/core/codes.py
+++ b/redwingpost/core/codes.py
@@ -145,6 +145,12 @@
         Outcome.UNKNOWN,
         "no member answered the read in time",
     )
+    EVACUATED = ResultCode(
+        20312,
+        "evacuated",
+        _NOT_RUN,
+        "the only member that can run it is in an evacuated data centre",
+    )
     BAD_MARK = ResultCode(
         20401, "bad-mark", _NOT_RUN, "a request mark can't be read"
     )
--- a/redwingpost/groups/directory.py
+++ b/redwingpost/groups/directory.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from redwingpost.groups.evacuations import Evacuations
 from redwingpost.ports.database import MemberEntry
 
 #: Seconds after the registry's return within which living members have
@@ -75,9 +76,16 @@
     ----------
     keep_answering_s : float, optional
         Seconds for which a removed member that still answers is kept.
+    evacuations : Evacuations, optional
+        The data centres whose members get no statements.
     """
 
-    def __init__(self, keep_answering_s: float = REREGISTRATION_S) -> None:
+    def __init__(
+        self,
+        keep_answering_s: float = REREGISTRATION_S,
+        evacuations: Evacuations | None = None,
+    ) -> None:
+        self.evacuations = evacuations or Evacuations()
         self._keep_answering_s = keep_answering_s
         self._listed_by_member: dict[str, ListedMember] = {}
         self._removed_by_member: dict[str, RemovedMember] = {}
--- a/redwingpost/node/fleet/copies.py
+++ b/redwingpost/node/fleet/copies.py
@@ -14,6 +14,7 @@
 from redwingpost.adapters.http_pages import Page
 from redwingpost.core.codes import Code
 from redwingpost.core.requests import Refusal
+from redwingpost.groups.evacuations import Evacuations
 from redwingpost.node.fleet.table_copy import TableCopy
 from redwingpost.node.fleet.table_pages import CONTENT_TYPE
 from redwingpost.ports.platform import Row
@@ -34,11 +35,14 @@
     ----------
     members : TableCopy
         This VM's copy of the table of members.
+    evacuations : Evacuations
+        The data centres to be evacuated.
     """
 
-    def __init__(self, members: TableCopy) -> None:
+    def __init__(self, members: TableCopy, evacuations: Evacuations) -> None:
         self.configuration: Row | None = None
         self._members = members
+        self._evacuations = evacuations
 
     def page(self) -> Page:
         """Return the page."""
@@ -47,6 +51,7 @@
         body = {
             "configuration": list(configuration) if configuration else None,
             "members": members,
+            "evacuated": sorted(self._evacuations.data_centres),
         }
         return Page(200, pack_page(body), CONTENT_TYPE)
 
@@ -54,9 +59,15 @@
 class CopiedRows:
     """Rows that were fetched from a peer."""
 
-    def __init__(self, configuration: Row | None, members: tuple[Row, ...]):
+    def __init__(
+        self,
+        configuration: Row | None,
+        members: tuple[Row, ...],
+        evacuated: tuple[str, ...],
+    ) -> None:
         self.configuration = configuration
         self.members = members
+        self.evacuated = evacuated
 
 
 async def fetch_copy(ip: str, port: int) -> Result[CopiedRows, Refusal]:
@@ -74,4 +85,8 @@
 def _decode(body: dict[str, Any]) -> CopiedRows:
     configuration = body["configuration"]
     members = tuple(Row(*item) for item in body["members"])
-    return CopiedRows(Row(*configuration) if configuration else None, members)
+    return CopiedRows(
+        Row(*configuration) if configuration else None,
+        members,
+        tuple(body.get("evacuated", ())),
+    )
--- a/redwingpost/node/fleet/copy_fetcher.py
+++ b/redwingpost/node/fleet/copy_fetcher.py
@@ -6,7 +6,11 @@
 
 from redwingpost.membership.vm_table import VmTable
 from redwingpost.node.fleet.copies import fetch_copy
-from redwingpost.node.fleet.registry import MemberReader, RulesReader
+from redwingpost.node.fleet.registry import (
+    EvacuationReader,
+    MemberReader,
+    RulesReader,
+)
 from redwingpost.node.request.admission import Admission
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
@@ -30,10 +34,12 @@
     ----------
     vms, admission : VmTable, Admission
         The versions at other VMs, and the version in force here.
-    rules, members : RulesReader, MemberReader
-        Receive the rows.
-    has_members : callable
-        Returns whether the members have been read from the store.
+    rules, members, evacuations : readers of the copied tables
+        Receive the rows. Orders to evacuate are taken from a copy only if
+        this VM has read none from the store.
+    has_members, has_rules_table : callable
+        Return whether the members, and the configuration's table, have been
+        read from the store.
     is_source_lost : callable
         Returns whether the configuration's own source has failed.
     port : int
@@ -50,7 +56,9 @@
         admission: Admission,
         rules: RulesReader,
         members: MemberReader,
+        evacuations: EvacuationReader,
         has_members: Callable[[], bool],
+        has_rules_table: Callable[[], bool],
         is_source_lost: Callable[[], bool],
         port: int,
         clock: Clock,
@@ -60,7 +68,9 @@
         self._admission = admission
         self._rules = rules
         self._members = members
+        self._evacuations = evacuations
         self._has_members = has_members
+        self._has_rules_table = has_rules_table
         self._is_source_lost = is_source_lost
         self._port = port
         self._clock = clock
@@ -103,5 +113,7 @@
         if got.ok.configuration is not None:
             log_event("copy-taken", ip=ip)
             self._rules.apply_if_newer(got.ok.configuration)
+        if not self._has_rules_table():
+            self._evacuations.replace(got.ok.evacuated)
         if not self._has_members():
             self._members.on_rows(got.ok.members)
--- a/redwingpost/node/fleet/registry.py
+++ b/redwingpost/node/fleet/registry.py
@@ -1,8 +1,10 @@
 """Apply rows of the configuration and of members to this VM's state."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from redwingpost.groups.directory import Directory
+from redwingpost.groups.evacuations import Evacuations
+from redwingpost.node.fleet.watcher import TableReader
 from redwingpost.node.request.admission import Admission
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
@@ -50,6 +52,96 @@
             self._on_change()
 
 
+class EvacuationReader:
+    """Keeps the evacuations up to date with the operator's orders.
+
+    ``data_centres`` returns the names of the known data centres; an order
+    for another one is applied, too, and logged.
+    """
+
+    def __init__(
+        self,
+        evacuations: Evacuations,
+        prefix: str,
+        clock: Clock,
+        data_centres: Callable[[], frozenset[str]],
+        on_change: Callable[[], None],
+    ) -> None:
+        self._evacuations = evacuations
+        self._prefix = prefix
+        self._clock = clock
+        self._data_centres = data_centres
+        self._on_change = on_change
+
+    def on_snapshot(self, snapshot: Snapshot) -> None:
+        """Apply the whole table."""
+        self.replace(self._named_by(row.key for row in snapshot.rows))
+
+    def replace(self, data_centres: Iterable[str]) -> None:
+        """Replace all orders by those for ``data_centres``."""
+        before = self._evacuations.data_centres
+        self._evacuations.replace(data_centres, self._clock.now())
+        self._note_changes(before)
+
+    def on_rows(self, rows: tuple[Row, ...]) -> None:
+        """Apply new orders."""
+        before = self._evacuations.data_centres
+        for data_centre in self._named_by(row.key for row in rows):
+            self._evacuations.put(data_centre, self._clock.now())
+        self._note_changes(before)
+
+    def on_removed(self, keys: tuple[str, ...]) -> None:
+        """Apply the withdrawal of orders."""
+        before = self._evacuations.data_centres
+        for data_centre in self._named_by(keys):
+            self._evacuations.withdraw(data_centre)
+        self._note_changes(before)
+
+    def _named_by(self, keys: Iterable[str]) -> tuple[str, ...]:
+        return tuple(
+            key.removeprefix(self._prefix)
+            for key in keys
+            if key.startswith(self._prefix)
+        )
+
+    def _note_changes(self, before: frozenset[str]) -> None:
+        after = self._evacuations.data_centres
+        if after == before:
+            return
+        for data_centre in sorted(after - before):
+            is_known = data_centre in self._data_centres()
+            log_event(
+                "evacuation-ordered",
+                data_centre=data_centre,
+                is_known=is_known,
+            )
+        for data_centre in sorted(before - after):
+            log_event("evacuation-withdrawn", data_centre=data_centre)
+        self._on_change()
+
+
+class CombinedReader:
+    """Passes the rows of one table to several readers, in their order."""
+
+    def __init__(self, readers: tuple[TableReader, ...]) -> None:
+        self._readers = readers
+
+    def on_snapshot(self, snapshot: Snapshot) -> None:
+        """Apply the whole table."""
+        for reader in self._readers:
+            reader.on_snapshot(snapshot)
+
+    def on_rows(self, rows: tuple[Row, ...]) -> None:
+        """Apply rows that changed."""
+        for reader in self._readers:
+            reader.on_rows(rows)
+
+    def on_removed(self, keys: tuple[str, ...]) -> None:
+        """Apply the removal of rows."""
+        for reader in self._readers:
+            reader.on_removed(keys)
+
+
 class MemberReader:
     """Keeps the directory up to date with the members' entries.
 
--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -67,6 +67,12 @@
 DRAIN_WORK_FRACTION = 0.6
 
 
+#: Milliseconds after which a caller may come back that was refused because
+#: of an evacuation: operators withdraw one after minutes, but a member
+#: elsewhere may become able to lead.
+EVACUATED_RETRY_MS = 1000
+
+
 class GroupClient:
     """The members of one group, and what is proven about them."""
 
@@ -127,15 +133,18 @@
                 self._remove(member)
         for member, entry in listed.items():
             self._update(member, entry)
-            budget = self.member_by_name[member].budget
-            budget.set_limits(max_connections, vms, idle_s)
+            client = self.member_by_name[member]
+            client.budget.set_limits(max_connections, vms, idle_s)
+            client.work_ends_at = self._directory.evacuations.work_ends_at(
+                entry.data_centre
+            )
         for client in self.member_by_name.values():
             client.close_idle(not self.accepts_work(client))
 
     def accepts_work(self, client: MemberClient) -> bool:
         """Return whether a member may get new work."""
         listed = self._directory.get(client.entry.member)
-        if listed is None:
+        if listed is None or not client.may_be_sent_work:
             return False
         if listed.draining_since is None:
             return True
@@ -185,11 +194,55 @@
         clients = [
             client
             for client in self.member_by_name.values()
-            if self.accepts_work(client) and client.accepts_reads(now)
+            if self.accepts_work(client)
+            and client.accepts_reads(now)
+            and not self._is_evacuated(client)
         ]
         context = ReadContext(organisation, self._data_centre, now)
         return rank_for_read(clients, self.evidence, context)
 
+    # Evacuation --------------------------------------------------------
+
+    @property
+    def is_primary_evacuated(self) -> bool:
+        """Whether the primary's data centre is ordered to be evacuated."""
+        client = self.member_by_name.get(self.evidence.leader or "")
+        return client is not None and self._is_evacuated(client)
+
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether all members are in data centres to be evacuated."""
+        clients = self.member_by_name.values()
+        return bool(clients) and all(map(self._is_evacuated, clients))
+
+    def count_replicas_elsewhere(self) -> int:
+        """Return how many answering replicas may lead after evacuation."""
+        return sum(
+            name != self.evidence.leader
+            and not client.is_failing
+            and not self._is_evacuated(client)
+            for name, client in self.member_by_name.items()
+        )
+
+    def refuse_without_primary(self) -> Refusal:
+        """Return the refusal of a statement that only a primary can run."""
+        if self.leader() is None and self.is_primary_evacuated:
+            return Refusal(Code.EVACUATED, "", EVACUATED_RETRY_MS)
+        return Refusal(Code.NO_PRIMARY, "", 500)
+
+    def is_primary_expected(self) -> bool:
+        """Return whether a primary that accepts work may be known soon.
+
+        Not if the present one is evacuated and no other member can lead.
+        """
+        return (
+            not self.is_primary_evacuated
+            or self.count_replicas_elsewhere() > 0
+        )
+
+    def _is_evacuated(self, client: MemberClient) -> bool:
+        return self._directory.evacuations.is_ordered(client.entry.data_centre)
+
     # Homes -------------------------------------------------------------
 
     def note_use(self) -> None:
--- a/redwingpost/node/member.py
+++ b/redwingpost/node/member.py
@@ -91,6 +91,8 @@
         self.latency = LatencyTracker()
         self.statements_in_flight = 0
         self.lagging_until = float("-inf")
+        #: When statements may no longer be sent there (seconds).
+        self.work_ends_at = float("inf")
         self.answered_at = clock.now()
         self.failed_at = float("-inf")
         self.command_sent_at = float("-inf")
@@ -150,6 +152,11 @@
             self.entry.data_centre, self.silent_s, self.unanswered_s
         )
 
+    @property
+    def may_be_sent_work(self) -> bool:
+        """Whether statements may be sent to the member now."""
+        return self._clock.now() < self.work_ends_at
+
     def accepts_reads(self, now: float) -> bool:
         """Return whether a read may be sent to the member.
 
--- a/redwingpost/node/request/attempt.py
+++ b/redwingpost/node/request/attempt.py
@@ -84,6 +84,9 @@
         pooled = await claim_connection(client, caller, shape, deadline, clock)
         if isinstance(pooled, NotSent):
             return pooled
+        if not client.may_be_sent_work:
+            client.release(pooled)
+            return NotSent("no statements may be sent there")
         if not is_wanted():
             # The session may already run its next statement with other
             # session values: this statement would run with those.
--- a/redwingpost/node/request/reads.py
+++ b/redwingpost/node/request/reads.py
@@ -16,7 +16,7 @@
 from redwingpost.core.statements import Answer, Statement
 from redwingpost.groups.choice import LAGGING_PAUSE_S
 from redwingpost.groups.reads import ReadPlan, plan_read
-from redwingpost.node.group import GroupClient
+from redwingpost.node.group import EVACUATED_RETRY_MS, GroupClient
 from redwingpost.node.member import MemberClient, is_proven_success
 from redwingpost.node.request.attempt import (
     Caller,
@@ -101,7 +101,7 @@
         """Run at the primary; return None if its lead wasn't proven."""
         leader = await await_leader(group, read.deadline, self._clock)
         if leader is None:
-            return Refusal(Code.NO_PRIMARY, "", 500)
+            return group.refuse_without_primary()
         refused = group.refuse_unprovable(self._remaining_s(read))
         if refused is not None:
             return refused
@@ -127,6 +127,8 @@
     ) -> Result | None:
         """Run at the best member; return None if there is none at present."""
         ranked = group.ranked(read.caller.organisation)
+        if not ranked and group.is_evacuated:
+            return Refusal(Code.EVACUATED, "", EVACUATED_RETRY_MS)
         if not ranked:
             await group.wait_for_change(min(0.2, self._remaining_s(read)))
             return None
@@ -293,9 +295,14 @@
 ) -> MemberClient | None:
     """Return the primary, waiting up to ``LEADER_TIMEOUT_S`` for one.
 
-    Returns None if none is known then or it is unreachable.
+    Returns None if none is known then or it is unreachable, and at once if
+    none can be expected.
     """
     until = min(deadline, clock.now() + LEADER_TIMEOUT_S)
-    while group.leader() is None and clock.now() < until:
+    while (
+        group.leader() is None
+        and group.is_primary_expected()
+        and clock.now() < until
+    ):
         await group.wait_for_change(until - clock.now())
     return None if group.is_primary_unreachable() else group.leader()
--- a/redwingpost/node/request/transaction.py
+++ b/redwingpost/node/request/transaction.py
@@ -172,6 +172,9 @@
             if refused is not None:
                 return refused
         client, pooled = self._pinned
+        if not client.may_be_sent_work:
+            # Closing the connection rolls back at the member.
+            return self._end_lost("no statements may be sent there")
         if not await make_ready(client, pooled, self._caller.state):
             return self._end_lost("set-up failed")
         return None
@@ -218,7 +221,7 @@
     async def _begin_at_primary(self, deadline: float) -> Result | None:
         leader = await await_leader(self._group, deadline, self._clock)
         if leader is None:
-            return Refusal(Code.NO_PRIMARY, "", 500)
+            return self._group.refuse_without_primary()
         refused = self._refuse_if_unconfirmable(deadline - self._clock.now())
         if refused is not None:
             return refused
@@ -253,6 +256,10 @@
         )
         if isinstance(pooled, NotSent):
             return Refusal(Code.TARGET_LOST, pooled.reason, 100)
+        if not client.may_be_sent_work:
+            client.release(pooled)
+            reason = "no statements may be sent there"
+            return Refusal(Code.TARGET_LOST, reason, 100)
         remaining_s = max(deadline - self._clock.now(), 0.01)
         timeout_s = min(remaining_s, BEGIN_TIMEOUT_S)
         try:
--- a/redwingpost/node/request/writes.py
+++ b/redwingpost/node/request/writes.py
@@ -50,7 +50,7 @@
         for _ in range(MAX_TRIES):
             leader = await await_leader(group, write.deadline, self._clock)
             if leader is None:
-                return result or Refusal(Code.NO_PRIMARY, "", 500)
+                return result or group.refuse_without_primary()
             remaining_s = write.deadline - self._clock.now()
             refused = group.refuse_unconfirmable(remaining_s, sync_replicas)
             if refused is not None:
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -9,6 +9,10 @@
 from redwingpost.adapters.http_pages import Page, PageServer
 from redwingpost.core.requests import Refusal
 from redwingpost.groups.directory import REREGISTRATION_S, Directory
+from redwingpost.groups.evacuations import (
+    EVACUATION_WORK_FRACTION,
+    Evacuations,
+)
 from redwingpost.membership.centres import CentreWatch
 from redwingpost.membership.gathering import Gathering
 from redwingpost.membership.heartbeat import VmAddress
@@ -19,7 +23,12 @@
 from redwingpost.node.fleet.heartbeat_writer import HeartbeatWriter
 from redwingpost.node.fleet.heartbeats import Heartbeats, LocalVm
 from redwingpost.node.fleet.readiness_inputs import ReadinessView
-from redwingpost.node.fleet.registry import MemberReader, RulesReader
+from redwingpost.node.fleet.registry import (
+    CombinedReader,
+    EvacuationReader,
+    MemberReader,
+    RulesReader,
+)
 from redwingpost.node.fleet.relayed_store import RelayedStore
 from redwingpost.node.fleet.table_pages import TABLE_PATH, TablePages
 from redwingpost.node.fleet.vm_list import FLEET_TABLE, FleetEntry, FleetReader
@@ -124,7 +133,8 @@
         self.settings = settings
         self.metrics = NodeMetrics()
         self.directory = Directory(
-            min(REREGISTRATION_S, settings.drain_s * DRAIN_WORK_FRACTION)
+            min(REREGISTRATION_S, settings.drain_s * DRAIN_WORK_FRACTION),
+            Evacuations(settings.evacuate_s * EVACUATION_WORK_FRACTION),
         )
         self.group_by_name: dict[str, GroupClient] = {}
         self.is_stopping = False
@@ -170,13 +180,17 @@
                 lambda: self.is_stopping,
             ),
         )
-        self._copies = CopyPage(self._member_watcher.copy)
+        self._copies = CopyPage(
+            self._member_watcher.copy, self.directory.evacuations
+        )
         self._copy_fetcher = CopyFetcher(
             self._vms,
             self._admission,
             self._rules_reader,
             self._member_reader,
+            self._evacuation_reader,
             lambda: self._member_watcher.has_read,
+            lambda: self._rules_watcher.has_read,
             lambda: self._rules_watcher.is_lost,
             settings.metrics_port,
             clock,
@@ -224,10 +238,17 @@
             self._on_members,
             self._is_answering,
         )
+        self._evacuation_reader = EvacuationReader(
+            self.directory.evacuations,
+            ports.format.evacuation_prefix,
+            self._clock,
+            self._known_data_centres,
+            self._sync_groups,
+        )
         self._rules_watcher = TableWatcher(
             store,
             ports.format.configuration_table,
-            self._rules_reader,
+            CombinedReader((self._rules_reader, self._evacuation_reader)),
             self._clock,
             self._try_takeovers,
         )
@@ -248,6 +269,17 @@
             self._try_takeovers,
         )
 
+    def _known_data_centres(self) -> frozenset[str]:
+        """Return the data centres of VMs and members, as far as listed."""
+        now = self._clock.now()
+        members = (
+            client.entry.data_centre
+            for group in self.group_by_name.values()
+            for client in group.member_by_name.values()
+        )
+        vms = self._vms.alive_addresses(now, float("inf"))
+        return frozenset(members) | {item.data_centre for item in vms}
+
     def _try_takeovers(self) -> None:
         self._takeovers.retry_now()
 
@@ -411,6 +443,8 @@
         self._vms.note_hears_half(now)
         if self._member_watcher.is_lost:
             self.directory.note_outage(now)
+        if self._rules_watcher.is_lost:
+            self.directory.evacuations.note_outage(now)
         self.directory.expire(now)
         self._steps += 1
         if self._steps % SYNC_EVERY_STEPS:
--- a/redwingpost/node/settings.py
+++ b/redwingpost/node/settings.py
@@ -15,8 +15,9 @@
 
     ``peer_ips`` are VMs that get heartbeats while the list of VMs can't
     be read from the store. ``drain_s`` is for how long a draining member
-    may still be sent statements, ``grace_s`` how long the process may
-    take to stop.
+    may still be sent statements, ``evacuate_s`` the same for the members
+    of a data centre from the order to evacuate it, ``grace_s`` how long
+    the process may take to stop.
     """
 
     vm: str
@@ -31,3 +32,4 @@
     peer_ips: tuple[str, ...] = ()
     drain_s: float = 7.0
     grace_s: float = 6.0
+    evacuate_s: float = 5.0
--- a/redwingpost/node/takeover/coordinator.py
+++ b/redwingpost/node/takeover/coordinator.py
@@ -164,7 +164,7 @@
 
         async def send(client: MemberClient) -> MemberStatus:
             report = await client.send_command(command, *arguments)
-            return MemberStatus(client.entry, report)
+            return MemberStatus(self._entry_of(client), report)
 
         statuses = await gather(*(send(item) for item in clients.values()))
         return tuple(
@@ -362,7 +362,18 @@
 
     async def _request_status(self, member: str) -> MemberStatus:
         client = self.clients[member]
-        return MemberStatus(client.entry, await client.send_command("status"))
+        report = await client.send_command("status")
+        return MemberStatus(self._entry_of(client), report)
+
+    def _entry_of(self, client: MemberClient) -> MemberEntry:
+        """Return a member's entry; one to be evacuated counts as draining.
+
+        Like a draining one it is chosen only if no other member may lead.
+        """
+        entry = client.entry
+        if self._directory.evacuations.is_ordered(entry.data_centre):
+            return entry._replace(is_draining=True)
+        return entry
 
     # The order -----------------------------------------------------------
 
--- a/redwingpost/node/takeover/leader_view.py
+++ b/redwingpost/node/takeover/leader_view.py
@@ -41,6 +41,8 @@
         """
         if group.is_primary_suspect() or self._vms.is_any_write_stuck(now):
             return True
+        if group.is_primary_evacuated:
+            return True
         client = group.member_by_name.get(group.evidence.leader or "")
         return self._centre_lost_s(client) > 0.0
 
@@ -71,6 +73,8 @@
             centre_lost_s=self._centre_lost_s(client),
             latest_silent_s=tuple(r.silent_ms / 1000.0 for r in latest),
             hears_half_lately=self._vms.hears_half(now, RECENT_HEARTBEAT_S),
+            is_evacuated=group.is_primary_evacuated,
+            replicas_elsewhere=group.count_replicas_elsewhere(),
         )
 
     def _centre_lost_s(self, client: MemberClient | None) -> float:
--- a/redwingpost/node/tests/test_copy_fetcher.py
+++ b/redwingpost/node/tests/test_copy_fetcher.py
@@ -7,6 +7,7 @@
 
 from redwingpost.adapters.http_pages import Page, PageServer
 from redwingpost.bench.ports import find_free_port
+from redwingpost.groups.evacuations import Evacuations
 from redwingpost.membership.heartbeat import Heartbeat
 from redwingpost.membership.vm_table import VmTable
 from redwingpost.node.fleet.copies import COPY_PATH, CopyPage
@@ -31,7 +32,8 @@
     async def asyncSetUp(self) -> None:
         self.clock = VirtualClock()
         self.members = TableCopy()
-        self.copies = CopyPage(self.members)
+        self.evacuations = Evacuations()
+        self.copies = CopyPage(self.members, self.evacuations)
         self.copies.configuration = Row("op", "config", 2, {"version": 2})
         self.may_answer = Event()
         self.may_answer.set()
@@ -41,6 +43,7 @@
         self.is_source_lost = False
         self.has_members = True
         self.applied_members: list[Row] = []
+        self.applied_evacuations: list[tuple[str, ...]] = []
         port = find_free_port(_IP)
         pages = PageServer(_IP, port, {}, {COPY_PATH: self._page})
         await pages.start()
@@ -52,6 +55,8 @@
             SimpleNamespace(rules=SimpleNamespace(version=1)),
             SimpleNamespace(apply_if_newer=self._apply),
             SimpleNamespace(on_rows=self._apply_members),
+            SimpleNamespace(replace=self.applied_evacuations.append),
+            lambda: self.has_members,
             lambda: self.has_members,
             lambda: self.is_source_lost,
             port,
--- a/redwingpost/platform/entries.py
+++ b/redwingpost/platform/entries.py
@@ -145,4 +145,5 @@
     member_table="servers",
     decode_configuration=decode_configuration,
     decode_member=decode_member,
+    evacuation_prefix="evacuate/",
 )
--- a/redwingpost/platform/settings.py
+++ b/redwingpost/platform/settings.py
@@ -16,6 +16,7 @@
 
 _DEFAULT_DRAIN_MS = 7000
 _DEFAULT_GRACE_S = 6.0
+_DEFAULT_EVACUATE_MS = 5000
 
 
 class _SettingsError(Exception):
@@ -55,6 +56,7 @@
         peer_ips=tuple(seed.rpartition(":")[0] for seed in seeds),
         drain_s=bounds.get("drainMs", _DEFAULT_DRAIN_MS) / 1000.0,
         grace_s=float(bounds.get("graceS", _DEFAULT_GRACE_S)),
+        evacuate_s=bounds.get("evacuateMs", _DEFAULT_EVACUATE_MS) / 1000.0,
     )
 
 
--- a/redwingpost/ports/registry.py
+++ b/redwingpost/ports/registry.py
@@ -15,7 +15,9 @@
 class RegistryFormat(NamedTuple):
     """Tables of the configuration and the members, and their decoders.
 
-    The decoders raise EntryError for an invalid row.
+    The decoders raise EntryError for an invalid row. A row of the
+    configuration's table whose key begins with ``evacuation_prefix`` orders
+    the evacuation of the data centre that the rest of the key names.
     """
 
     configuration_table: str
@@ -23,3 +25,4 @@
     member_table: str
     decode_configuration: Callable[[Row], ServiceRules]
     decode_member: Callable[[Row], MemberEntry]
+    evacuation_prefix: str = "evacuate/"
--- a/redwingpost/takeover/tests/test_takeover.py
+++ b/redwingpost/takeover/tests/test_takeover.py
@@ -53,6 +53,16 @@
         cases = (
             ("healthy", _HEALTHY, None),
             ("leaving", _HEALTHY._replace(is_draining=True), Reason.LEAVING),
+            (
+                "evacuated, a replica may lead elsewhere",
+                _HEALTHY._replace(is_evacuated=True, replicas_elsewhere=1),
+                Reason.EVACUATED,
+            ),
+            (
+                "evacuated with all replicas",
+                _HEALTHY._replace(is_evacuated=True, replicas_elsewhere=0),
+                None,
+            ),
             ("silent to all", silent, Reason.SILENT),
             (
                 "silent to this VM alone",
--- a/redwingpost/takeover/triggers.py
+++ b/redwingpost/takeover/triggers.py
@@ -50,6 +50,7 @@
     """Why another primary is needed."""
 
     LEAVING = "leaving"
+    EVACUATED = "evacuated"
     SILENT = "silent"
     STALLED = "stalled"
     NONE_LEADS = "none-leads"
@@ -91,6 +92,10 @@
         As ``others_silent_s``, only from VMs with a recent heartbeat.
     hears_half_lately : bool
         As ``hears_half``, counting only VMs with a recent heartbeat.
+    is_evacuated : bool
+        The primary's data centre is ordered to be evacuated.
+    replicas_elsewhere : int
+        Replicas that answer and aren't in such a data centre.
     """
 
     leader: str | None
@@ -109,6 +114,8 @@
     centre_lost_s: float = 0.0
     latest_silent_s: tuple[float, ...] = ()
     hears_half_lately: bool = True
+    is_evacuated: bool = False
+    replicas_elsewhere: int = 0
 
 
 def reason_to_act(view: LeaderView) -> Reason | None:
@@ -130,6 +137,8 @@
         return _without_leader(view)
     if view.is_draining and view.silent_s < SILENT_S:
         return Reason.LEAVING
+    if _may_leave_evacuated(view):
+        return Reason.EVACUATED
     if _is_silent(view) or _is_centre_lost(view):
         return Reason.SILENT
     if _is_stalled(view):
@@ -182,6 +191,15 @@
     return None
 
 
+def _may_leave_evacuated(view: LeaderView) -> bool:
+    """Return whether the primary can be moved out of an evacuated centre."""
+    return (
+        view.is_evacuated
+        and view.replicas_elsewhere > 0
+        and view.silent_s < SILENT_S
+    )
+
+
 def _is_stalled(view: LeaderView) -> bool:
     """Return whether the primary's commits don't reach its replicas.
 
