Homes and gatherers by what a VM can carry, and few homes for few connections

On 74 VMs, where members accept 36 connections: most of what failed waited for a connection until its time was over.

The connections: each of twelve homes had (36 - 2 - 12) / 12 = 1 to a member, for six or seven organisations.

Change: a VM enters its capacity in the list, from the limits in its settings, the scarcer of processor and link. VMs are ranked by it (in tiers of a factor of two, then by hash) as gatherers of a cell and as homes in a data centre. A group has no more homes than leave each six connections for statements: 4 for 36 connections, 10 for 75, 27 for 270 as before. Fleets of up to twelve VMs have all as homes, as before. The cases of test_homes state the new rule.

--- a/redwingpost/membership/gathering.py
+++ b/redwingpost/membership/gathering.py
@@ -13,8 +13,10 @@
 cell. A large data centre is divided into cells of at most ``CELL_VMS``
 VMs on average, which treat each other like data centres.
 
-There is no election. Every VM ranks the VMs of a cell in the same order
-and reports to the first ones that answer; a VM that gets reports gathers.
+There is no election. Every VM ranks the VMs of a cell in the same order,
+those that can carry most first, and reports to the first ones that answer;
+a VM that gets reports gathers. A gatherer of 20 VMs sends some 250 KB/s,
+which fills half of a link of 5 Mbit/s; its digests would be late or lost.
 A gatherer that dies, is suspended, cut off or stopped is replaced after
 ``SUSPECT_AFTER_S``, and until then the other gatherer has sent everything.
 A VM that receives nothing from any other VM ranks itself first. An
@@ -28,7 +30,7 @@
 from collections.abc import Iterable
 
 from redwingpost.membership.heartbeat import VmAddress, vm_number
-from redwingpost.membership.ranking import rank_vms
+from redwingpost.membership.ranking import capacity_tier, rank_vms
 
 #: Gatherers of a cell: one more than needed, so that one may fail.
 GATHERERS = 2
@@ -76,6 +78,7 @@
 
     def set_listed(self, addresses: Iterable[VmAddress]) -> None:
         """Divide the listed VMs into cells."""
+        addresses = tuple(addresses)
         vms_by_centre: dict[str, list[str]] = {}
         for address in addresses:
             vms_by_centre.setdefault(address.data_centre, []).append(
@@ -89,8 +92,19 @@
         vms_by_cell: dict[str, list[str]] = {}
         for vm, cell in self._cell_by_vm.items():
             vms_by_cell.setdefault(cell, []).append(vm)
+        tier_by_vm = {
+            address.vm: capacity_tier(address.capacity)
+            for address in addresses
+        }
         self._ranked_by_cell = {
-            cell: rank_vms(cell, vms) for cell, vms in vms_by_cell.items()
+            cell: tuple(
+                sorted(
+                    rank_vms(cell, vms),
+                    key=lambda vm: tier_by_vm[vm],
+                    reverse=True,
+                )
+            )
+            for cell, vms in vms_by_cell.items()
         }
 
     def cell_of(self, vm: str) -> str | None:
--- a/redwingpost/membership/heartbeat.py
+++ b/redwingpost/membership/heartbeat.py
@@ -1,5 +1,6 @@
 """Messages between VMs: a VM's heartbeat and a gatherer's digest."""
 
+from functools import lru_cache
 from typing import NamedTuple
 
 from xxhash import xxh32_intdigest
@@ -9,14 +10,20 @@
 
 
 class VmAddress(NamedTuple):
-    """The address that receives a VM's heartbeats, and its data centre."""
+    """The address that receives a VM's heartbeats, and its data centre.
+
+    ``capacity`` is what the VM can carry, in VMs of half a core and
+    10 Mbit/s.
+    """
 
     vm: str
     ip: str
     port: int
     data_centre: str = ""
+    capacity: float = 1.0
 
 
+@lru_cache(maxsize=4096)
 def vm_number(vm: str) -> int:
     """Return a short number for a VM's name, the same at all VMs."""
     return xxh32_intdigest(vm.encode())
--- a/redwingpost/membership/tests/test_gathering.py
+++ b/redwingpost/membership/tests/test_gathering.py
@@ -44,6 +44,21 @@
         self.assertEqual(1, len(chosen))
         self.assertEqual(GATHERERS, len(chosen.pop()))
 
+    def test_gatherers_are_the_vms_that_carry_most(self) -> None:
+        """Guards against digests that fill a small VM's link."""
+        strong = {"vm-6", "vm-14", "vm-7", "vm-15"}
+        addresses = tuple(
+            address._replace(capacity=4.0 if address.vm in strong else 0.5)
+            for address in _addresses(40)
+        )
+        gathering = Gathering("vm-0")
+        gathering.set_listed(addresses)
+        self.assertEqual(
+            {"vm-6", "vm-14"}, set(_names(gathering.gatherers(0.0)))
+        )
+        others = _names(gathering.other_cell_gatherers(0.0))
+        self.assertEqual({"vm-7", "vm-15"}, set(others))
+
     def test_small_fleets_have_no_gatherers(self) -> None:
         cases = ((7, 3, True), (18, 6, True), (18, 3, False), (62, 3, False))
         for vms, centres, expected in cases:
--- a/redwingpost/node/fleet/vm_list.py
+++ b/redwingpost/node/fleet/vm_list.py
@@ -129,6 +129,7 @@
             "ip": self._address.ip,
             "port": self._address.port,
             "data_centre": self._address.data_centre,
+            "capacity": self._address.capacity,
         }
         return await self._write(self._address.vm, value)
 
@@ -166,4 +167,9 @@
     data_centre = row.value.get("data_centre")
     if not isinstance(data_centre, str):
         return None
-    return VmAddress(row.key.removeprefix(VM_PREFIX), ip, port, data_centre)
+    capacity = row.value.get("capacity")
+    if not isinstance(capacity, float):
+        # Written by a VM that doesn't state its capacity.
+        capacity = 1.0
+    vm = row.key.removeprefix(VM_PREFIX)
+    return VmAddress(vm, ip, port, data_centre, capacity)
--- a/redwingpost/node/forwarding/homes.py
+++ b/redwingpost/node/forwarding/homes.py
@@ -1,5 +1,6 @@
 """The homes of each group, chosen from this VM's view of the fleet."""
 
+from operator import attrgetter
 from typing import NamedTuple
 
 from redwingpost.configuration.routes import ServiceRules
@@ -8,6 +9,7 @@
 from redwingpost.membership.heartbeat import VmAddress
 from redwingpost.membership.vm_table import VmTable
 from redwingpost.routing.homes import (
+    MAX_VMS_ALL_HOMES,
     choose_homes,
     count_homes,
     order_homes,
@@ -28,18 +30,14 @@
 
 
 class Homes(NamedTuple):
-    """The homes of a group; ``is_all`` if every VM is one."""
+    """The homes of a group and their names; ``is_all`` if every VM is one."""
 
     addresses: tuple[VmAddress, ...]
     is_all: bool
+    names: frozenset[str]
 
-    @property
-    def names(self) -> frozenset[str]:
-        """The homes' names."""
-        return frozenset(address.vm for address in self.addresses)
 
-
-ALL_VMS = Homes((), is_all=True)
+ALL_VMS = Homes((), is_all=True, names=frozenset())
 
 
 class _Choice(NamedTuple):
@@ -163,7 +161,14 @@
             return ALL_VMS
         organisations = len(self._rules.organisations_by_name)
         wanted = count_homes(rule.max_connections, choice.slots, organisations)
-        if len(self._vms.known_vms()) <= wanted:
+        if len(self._vms.known_vms()) <= max(wanted, MAX_VMS_ALL_HOMES):
             return ALL_VMS
-        homes = choose_homes(group, choice.data_centres, choice.alive, wanted)
-        return Homes(homes, is_all=False)
+        homes = choose_homes(
+            group,
+            choice.data_centres,
+            choice.alive,
+            wanted,
+            attrgetter("capacity"),
+        )
+        names = frozenset(address.vm for address in homes)
+        return Homes(homes, is_all=False, names=names)
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -299,6 +299,7 @@
             settings.ip,
             settings.heartbeat_port,
             settings.data_centre,
+            settings.capacity,
         )
         self._entry = FleetEntry(
             ports.store,
--- a/redwingpost/node/settings.py
+++ b/redwingpost/node/settings.py
@@ -17,7 +17,8 @@
     be read from the store. ``drain_s`` is for how long a draining member
     may still be sent statements, ``evacuate_s`` the same for the members
     of a data centre from the order to evacuate it, ``grace_s`` how long
-    the process may take to stop.
+    the process may take to stop. ``capacity`` is what the VM can carry,
+    in VMs of half a core and 10 Mbit/s.
     """
 
     vm: str
@@ -33,3 +34,4 @@
     drain_s: float = 7.0
     grace_s: float = 6.0
     evacuate_s: float = 5.0
+    capacity: float = 1.0
--- a/redwingpost/node/tests/many_vms.py
+++ b/redwingpost/node/tests/many_vms.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
@@ -25,6 +25,15 @@
 #: Latency of the network in seconds, between any two VMs.
 DELAY_S = 0.0015
 
+#: Longest queue at a link in seconds; what comes later is lost.
+MAX_QUEUE_S = 0.5
+
+#: Capacity of a VM with ten times the link of the others.
+STRONG_CAPACITY = 10.0
+
+#: Bytes of the headers of a datagram.
+_HEADER_BYTES = 42
+
 #: The only primary that heartbeats report on.
 PRIMARY = "primary"
 
@@ -112,12 +121,20 @@
 class SimulatedFleet:
     """VMs in several data centres, all started at once.
 
+    Those whose numbers are in ``strong`` have ``STRONG_CAPACITY``.
+
     ``sent`` and ``received`` count datagrams by VM. ``is_cut`` returns
     whether datagrams from the first VM to the second are lost. Datagrams
     of more than ``max_bytes`` are lost, too.
     """
 
-    def __init__(self, vms: int, data_centres: int, seed: int = 1) -> None:
+    def __init__(
+        self,
+        vms: int,
+        data_centres: int,
+        seed: int = 1,
+        strong: Collection[int] = (),
+    ) -> None:
         self.clock = VirtualClock(1000.0)
         self.sent: Counter[str] = Counter()
         self.received: Counter[str] = Counter()
@@ -128,9 +145,18 @@
         self._order = count()
         self._boots = count(1)
         self.addresses = tuple(
-            VmAddress(f"vm-{n}", f"10.0.{n}", _PORT, f"dc-{n % data_centres}")
+            VmAddress(
+                f"vm-{n}",
+                f"10.0.{n}",
+                _PORT,
+                f"dc-{n % data_centres}",
+                STRONG_CAPACITY if n in strong else 1.0,
+            )
             for n in range(vms)
         )
+        #: Bytes a second that a VM of capacity 1 can send; infinite: any.
+        self.link_bytes_per_s = float("inf")
+        self._link_free_at: dict[str, float] = {}
         self._name_by_ip = {item.ip: item.vm for item in self.addresses}
         self.vm_by_name: dict[str, SimulatedVm] = {}
         for address in self.addresses:
@@ -169,11 +195,24 @@
         self.sent[vm] += 1
         reader = self._name_by_ip[ip]
         sender = self.vm_by_name[vm].address
+        queued_s = self._queue(sender, len(datagram) + _HEADER_BYTES)
+        if queued_s > MAX_QUEUE_S:
+            return
         if len(datagram) <= self.max_bytes and not self.is_cut(vm, reader):
             self.call_later(
-                DELAY_S, lambda: self._arrive(reader, datagram, sender.ip)
+                queued_s + DELAY_S,
+                lambda: self._arrive(reader, datagram, sender.ip),
             )
 
+    def _queue(self, sender: VmAddress, size: int) -> float:
+        """Return how long bytes wait for the sender's link (seconds)."""
+        now = self.clock.now()
+        free_at = max(now, self._link_free_at.get(sender.vm, now))
+        if free_at - now <= MAX_QUEUE_S:
+            free_at += size / (self.link_bytes_per_s * sender.capacity)
+            self._link_free_at[sender.vm] = free_at
+        return free_at - now
+
     def parts(self) -> list[float]:
         """Return the part of the fleet that is alive for each VM."""
         now = self.clock.now()
--- a/redwingpost/node/tests/test_homes.py
+++ b/redwingpost/node/tests/test_homes.py
@@ -1,5 +1,6 @@
 """The homes of a group as chosen by the VMs of a fleet."""
 
+from collections.abc import Iterable
 from unittest import TestCase
 
 from redwingpost.configuration.routes import (
@@ -17,23 +18,39 @@
     HomeView,
 )
 from redwingpost.ports.database import MemberEntry
-from redwingpost.routing.homes import MIN_HOMES, count_homes
+from redwingpost.routing.homes import (
+    MAX_VMS_ALL_HOMES,
+    MIN_HOMES,
+    count_homes,
+)
 
 _CENTRES = ("a", "b", "c")
 
+#: Homes of the group of a ``_Fleet``, whose members accept 75 connections.
+_HOMES = 10
+
 
-def _addresses(vms: int) -> tuple[VmAddress, ...]:
+def _addresses(vms: int, strong: Iterable[str]) -> tuple[VmAddress, ...]:
     return tuple(
-        VmAddress(f"vm-{n}", f"10.0.0.{n}", 7, _CENTRES[n % 3])
+        VmAddress(
+            f"vm-{n}",
+            f"10.0.0.{n}",
+            7,
+            _CENTRES[n % 3],
+            4.0 if f"vm-{n}" in strong else 0.5,
+        )
         for n in range(vms)
     )
 
 
 class _Fleet:
-    """The views of all VMs of a fleet that exchange heartbeats."""
+    """The views of all VMs of a fleet that exchange heartbeats.
 
-    def __init__(self, vms: int) -> None:
-        self.addresses = _addresses(vms)
+    The VMs named in ``strong`` can carry eight times as much as the others.
+    """
+
+    def __init__(self, vms: int, strong: Iterable[str] = ()) -> None:
+        self.addresses = _addresses(vms, strong)
         rules = NO_RULES._replace(
             groups_by_name={"g": GroupRule("g", 75, 1)},
             organisations_by_name={
@@ -82,9 +99,11 @@
 class CountTest(TestCase):
     def test_how_many_homes_a_group_has(self) -> None:
         cases = (
-            ("fewer connections than organisations", 75, 6, 81, MIN_HOMES),
+            ("half as many connections as organisations", 36, 2, 79, 4),
+            ("fewer connections than organisations", 75, 6, 81, _HOMES),
             ("a home for each set of slots that is left", 270, 6, 79, 27),
             ("a small fleet's member", 32, 5, 8, MIN_HOMES),
+            ("a member with hardly any connections", 8, 2, 79, MIN_HOMES),
         )
         for name, connections, slots, organisations, homes in cases:
             with self.subTest(name):
@@ -94,8 +113,8 @@
 
 class HomeViewTest(TestCase):
     def test_every_vm_of_a_small_fleet_is_a_home(self) -> None:
-        fleet = _Fleet(MIN_HOMES)
-        self.assertEqual(MIN_HOMES, len(fleet.homes(1.0)))
+        fleet = _Fleet(MAX_VMS_ALL_HOMES)
+        self.assertEqual(MAX_VMS_ALL_HOMES, len(fleet.homes(1.0)))
         for view in fleet.view_by_vm.values():
             self.assertEqual((), view.homes_to_try("g", "o1", 1.0))
 
@@ -107,7 +126,7 @@
                 if now > 1.0:
                     fleet.exchange_heartbeats(now)
                 homes = fleet.homes(now)
-                self.assertEqual(MIN_HOMES, len(homes))
+                self.assertEqual(_HOMES, len(homes))
                 for view in fleet.view_by_vm.values():
                     self.assertEqual(homes, view.homes_of("g", now).names)
 
@@ -128,7 +147,13 @@
             now += 0.1
             fleet.exchange_heartbeats(now, silent=gone)
         left = fleet.homes(now) - gone
-        self.assertEqual(MIN_HOMES, len(left))
+        self.assertEqual(_HOMES, len(left))
+
+    def test_homes_are_the_vms_that_carry_most(self) -> None:
+        """Guards against callers that wait for a small VM's processor."""
+        strong = {"vm-5", "vm-6", "vm-7", "vm-30", "vm-31", "vm-32"}
+        fleet = _Fleet(62, strong)
+        self.assertLessEqual(strong, fleet.homes(1.0))
 
     def test_a_suspected_home_is_skipped_for_a_while(self) -> None:
         fleet = _Fleet(62)
--- a/redwingpost/node/tests/test_many_vms.py
+++ b/redwingpost/node/tests/test_many_vms.py
@@ -216,6 +216,33 @@
                 late = [at for at in admitted if at >= admitted[0] + 6.0]
                 self.assertGreaterEqual(len(late), 0.85 * 40.0 * 6.0)
 
+    def test_the_first_seconds_of_a_flood_over_small_links(self) -> None:
+        """Guards against counters that are late as gatherers' links fill.
+
+        All organisations have callers, and one begins to send four times
+        as much. Most VMs have links of a few Mbit/s, of which heartbeats
+        get less than half; two of each data centre have ten times that.
+        """
+        fleet = SimulatedFleet(62, 3, strong=range(6))
+        fleet.link_bytes_per_s = 250_000.0
+        flooding = OrganisationRule("flood", frozenset(), 137.0, 137.0, 1)
+        others = [
+            OrganisationRule(f"o{n}", frozenset(), 200.0 / n, 200.0 / n, 1)
+            for n in range(2, 73)
+        ]
+        rule_by_name = {rule.name: rule for rule in (flooding, *others)}
+        for vm in fleet.vm_by_name.values():
+            vm.ledger.find_rule = rule_by_name.get
+        fleet.run(4.0)
+        random = Random(3)
+        for per_s, seconds in ((85.0, 1.0), (350.0, 5.0)):
+            admitted = _play_mixed(
+                fleet, flooding, others, (per_s, 500.0), seconds, random
+            )
+        allowed = (137.0 * 5 + 137.0) * (1 + _EXCESS) + _SLACK_OPS
+        self.assertLessEqual(len(admitted), allowed)
+        self.assertGreaterEqual(len(admitted), 0.85 * 137.0 * 5)
+
     def test_many_admissions_at_one_vm_are_reported_at_once(self) -> None:
         """All callers of an organisation use one VM for a moment.
 
@@ -248,6 +275,33 @@
                 self.assertLessEqual(tokens, before[name] - 20.0)
 
 
+def _play_mixed(
+    fleet: SimulatedFleet,
+    rule: OrganisationRule,
+    others: list[OrganisationRule],
+    per_s: tuple[float, float],
+    seconds: float,
+    random: Random,
+) -> list[float]:
+    """Return when operations of one organisation were admitted (seconds).
+
+    ``per_s`` are its operations a second and those of all others together;
+    of these the first have most.
+    """
+    admitted = []
+    vms = list(fleet.vm_by_name.values())
+    weights = [1.0 / (1 + place) for place in range(len(others))]
+    ends_at = fleet.clock.now() + seconds
+    while fleet.clock.now() < ends_at:
+        fleet.run(random.expovariate(sum(per_s)))
+        vm = random.choice(vms)
+        if random.uniform(0.0, sum(per_s)) > per_s[0]:
+            vm.admit(random.choices(others, weights)[0], fleet.clock.now())
+        elif vm.admit(rule, fleet.clock.now()):
+            admitted.append(fleet.clock.now())
+    return admitted
+
+
 def _play_flood(
     fleet: SimulatedFleet,
     rule: OrganisationRule,
--- a/redwingpost/platform/settings.py
+++ b/redwingpost/platform/settings.py
@@ -18,6 +18,10 @@
 _DEFAULT_GRACE_S = 6.0
 _DEFAULT_EVACUATE_MS = 5000
 
+#: Cores and link (Mbit/s) of a VM whose capacity counts as 1.
+_UNIT_CORES = 0.5
+_UNIT_LINK_MBPS = 10.0
+
 
 class _SettingsError(Exception):
     """A field has no valid value; the message names the field."""
@@ -57,9 +61,26 @@
         drain_s=bounds.get("drainMs", _DEFAULT_DRAIN_MS) / 1000.0,
         grace_s=float(bounds.get("graceS", _DEFAULT_GRACE_S)),
         evacuate_s=bounds.get("evacuateMs", _DEFAULT_EVACUATE_MS) / 1000.0,
+        capacity=_capacity(value.get("limits") or {}),
     )
 
 
+def _capacity(limits: dict[str, Any]) -> float:
+    """Return what a VM can carry; its scarcer resource decides.
+
+    Examples
+    --------
+    >>> _capacity({"cpuShare": 0.72, "cores": 3, "linkMbps": 100})
+    4.32
+    >>> _capacity({"cpuShare": 0.5, "cores": 1, "linkMbps": 5})
+    0.5
+    """
+    cores = limits.get("cpuShare", _UNIT_CORES) * limits.get("cores", 1)
+    link_mbps = limits.get("linkMbps", _UNIT_LINK_MBPS)
+    units = min(cores / _UNIT_CORES, link_mbps / _UNIT_LINK_MBPS)
+    return round(units, 2)
+
+
 def _endpoint(value: dict[str, Any], section: str, name: str) -> Endpoint:
     text = _require_field(_require_field(value, section, dict), name, str)
     ip, _, port = text.rpartition(":")
--- a/redwingpost/routing/homes.py
+++ b/redwingpost/routing/homes.py
@@ -18,20 +18,30 @@
 itself.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple, Protocol, TypeVar
 
 from xxhash import xxh64_intdigest
 
 from redwingpost.core import VmAddress
+from redwingpost.membership.ranking import capacity_tier
 
 #: Default number of VMs that hold connections to one group's members.
 DEFAULT_HOMES = 6
 
 
-#: Minimum number of a group's homes: all VMs of a small fleet, and enough that
-#: the loss of a data centre leaves several, each with few organisations.
-MIN_HOMES = 12
+#: Number of VMs up to which all of them are homes.
+MAX_VMS_ALL_HOMES = 12
+
+#: Minimum number of a group's homes: the loss of a data centre leaves several.
+MIN_HOMES = 4
+
+#: Connections for statements that a home should have to each member, at least.
+#: An organisation without a connection of its own closes another's, and opens
+#: one, which occupies a slot for as long as a statement. Few homes with many
+#: connections each need fewer for the same organisations than many homes with
+#: one or two each.
+MIN_POOL_CONNECTIONS = 6
 
 #: Connections of a member that are not planned for use: those of VMs that are
 #: gone remain open there for seconds.
@@ -67,7 +77,8 @@
     Besides, each home needs as many connections as the member has slots, for
     organisations with many statements, and one for its probes. More homes
     spread the work of a group, but with more than this number connections are
-    opened anew for statements all the time.
+    opened anew for statements all the time. If a member accepts fewer
+    connections than that, each home still gets ``MIN_POOL_CONNECTIONS``.
 
     Parameters
     ----------
@@ -80,11 +91,16 @@
 
     Examples
     --------
-    >>> count_homes(75, 6, 73), count_homes(270, 6, 79)
-    (12, 27)
+    >>> count_homes(36, 2, 79), count_homes(75, 6, 73)
+    (4, 10)
+    >>> count_homes(270, 6, 79)
+    27
     """
-    spare = connections - RESERVED_CONNECTIONS - organisations
-    return max(MIN_HOMES, spare // (slots + 1))
+    available = connections - RESERVED_CONNECTIONS
+    of_own_connections = (available - organisations) // (slots + 1)
+    of_pools = available // (MIN_POOL_CONNECTIONS + 1)
+    wanted = max(MAX_VMS_ALL_HOMES, of_own_connections)
+    return max(MIN_HOMES, min(wanted, of_pools))
 
 
 def order_homes(
@@ -118,12 +134,14 @@
     data_centres: Iterable[str],
     vms: Iterable[VmT],
     limit: int = DEFAULT_HOMES,
+    capacity: Callable[[VmT], float] = lambda vm: 1.0,
 ) -> tuple[VmT, ...]:
     """Return the home VMs of a group, best first.
 
     VMs in the data centres of the group's members come first, one of each
     data centre at a time, so that a home is near every member and the loss of
-    a data centre leaves homes in the others.
+    a data centre leaves homes in the others. In a data centre those that can
+    carry most come first.
 
     Parameters
     ----------
@@ -135,6 +153,8 @@
         VMs that count as alive.
     limit : int, optional
         Maximum number of homes.
+    capacity : callable, optional
+        Returns what a VM can carry; by default all are equal.
 
     Examples
     --------
@@ -149,7 +169,11 @@
     preferred = frozenset(data_centres)
     count_by_data_centre: dict[str, int] = {}
     ranked = []
-    for vm in sorted(vms, key=lambda vm: (-_score(group, vm), vm.vm)):
+
+    def preference(vm: VmT) -> tuple[int, int, str]:
+        return -capacity_tier(capacity(vm)), -_score(group, vm), vm.vm
+
+    for vm in sorted(vms, key=preference):
         count = count_by_data_centre.get(vm.data_centre, 0)
         count_by_data_centre[vm.data_centre] = count + 1
         ranked.append(
