Rates: buckets from the first report on, urgent reports while it matters

Now a report opens the bucket, by the rule in force.

A report with nothing new, as gatherers repeat them, no longer moves the estimate: its own estimate is old. A VM reports at once after four admissions or a tenth of the tokens that are left, whichever is more: with many tokens left a few admissions change no decision, and each report costs gatherers a datagram to every VM. Counters of one VM are applied together.

--- a/redwingpost/node/fleet/heartbeats.py
+++ b/redwingpost/node/fleet/heartbeats.py
@@ -428,12 +428,10 @@
         """Apply counters; a gatherer forwards those of other cells."""
         is_forwarded = self._vms.gathers and not digest.is_fleet
         has_changed = False
-        for item in digest.usages.iter_usages():
-            changed = self._ledger.note_peer(
-                item.vm, item.boot, (item.usage,), now
-            )
+        for vm, boot, usages in digest.usages.iter_by_vm():
+            changed = self._ledger.note_peer(vm, boot, usages, now)
             if is_forwarded and changed:
-                self._relay.record(item.vm, item.boot, changed, is_own=False)
+                self._relay.record(vm, boot, changed, is_own=False)
                 has_changed = True
         if has_changed and digest.is_urgent:
             self._schedule_forward()
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -7,6 +7,7 @@
 from mode import Service
 
 from redwingpost.adapters.http_pages import Page, PageServer
+from redwingpost.configuration.routes import OrganisationRule
 from redwingpost.core.requests import Refusal
 from redwingpost.groups.directory import REREGISTRATION_S, Directory
 from redwingpost.groups.evacuations import (
@@ -145,6 +146,7 @@
         self._vms = VmTable(settings.vm, clock.now())
         self._gathering = Gathering(settings.vm)
         self._admission = Admission(self._vms, self._ledger, clock)
+        self._ledger.find_rule = self._find_organisation_rule
         self._centres = CentreWatch(settings.data_centre)
         self._readiness = Readiness()
         self._start_gate = StartGate()
@@ -217,6 +219,9 @@
             return checked
         return session
 
+    def _find_organisation_rule(self, name: str) -> OrganisationRule | None:
+        return self._admission.rules.organisations_by_name.get(name)
+
     # Parts -------------------------------------------------------------
 
     def _make_watchers(self) -> None:
--- a/redwingpost/rates/counters.py
+++ b/redwingpost/rates/counters.py
@@ -77,9 +77,18 @@
 
     def iter_usages(self) -> Iterator[VmUsage]:
         """Iterate over the counters in the table."""
+        for vm, boot, usages in self.iter_by_vm():
+            for usage in usages:
+                yield VmUsage(vm, boot, usage)
+
+    def iter_by_vm(self) -> Iterator[tuple[str, int, list[Usage]]]:
+        """Iterate over the counters of each VM, with its name and start."""
+        usages_by_index: dict[int, list[Usage]] = {}
         for vm_index, organisation_index, *counts in self.rows:
             usage = Usage(self.organisations[organisation_index], *counts)
-            yield VmUsage(*self.vms[vm_index], usage)
+            usages_by_index.setdefault(vm_index, []).append(usage)
+        for vm_index, usages in usages_by_index.items():
+            yield (*self.vms[vm_index], usages)
 
 
 NO_USAGES = UsageTable((), (), ())
--- a/redwingpost/rates/usage.py
+++ b/redwingpost/rates/usage.py
@@ -36,7 +36,7 @@
 those that have been running.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from math import exp
 from typing import NamedTuple
 
@@ -44,10 +44,14 @@
 from redwingpost.rates.counters import Usage
 
 #: Admissions of one organisation after which a VM reports at once rather
-#: than with the next heartbeat. Until the report arrives, the other VMs
-#: admit from tokens that are already spent: a flood at a few VMs would
-#: exceed a bucket by all that arrives in a quarter of a second.
+#: than with the next heartbeat, at least, and as a fraction of the tokens
+#: that are left. Until the report arrives, the other VMs admit from tokens
+#: that are already spent: a flood at a few VMs would exceed a bucket by all
+#: that arrives in a quarter of a second. While many tokens are left, a few
+#: admissions change no decision, and each report costs the gatherers a
+#: datagram to every VM.
 REPORT_AFTER_ADMISSIONS = 4
+REPORT_AFTER_FRACTION = 0.1
 
 #: Fraction of the burst that a VM starts with: after a restart of the
 #: whole fleet no VM has a record of what was used just before.
@@ -162,7 +166,10 @@
         ``part`` is the part of the rate that the VMs in contact may use
         (0 to 1).
         """
-        self._last_refill_terms = (rule, part)
+        terms = (rule, part)
+        if now == self._refilled_at and terms == self._last_refill_terms:
+            return
+        self._last_refill_terms = terms
         passed_s = max(0.0, now - self._refilled_at)
         self._refilled_at = now
         self.demand.decay(now)
@@ -223,6 +230,10 @@
     """
 
     def __init__(self, started_at: float) -> None:
+        #: Returns the rule of an organisation, None if it has none.
+        self.find_rule: Callable[[str], OrganisationRule | None] = (
+            lambda organisation: None
+        )
         self._started_at = started_at
         self._bucket_by_organisation: dict[str, _Bucket] = {}
         self._own_by_organisation: dict[str, Usage] = {}
@@ -317,12 +328,18 @@
         self, reports: "_PeerReports", usage: Usage, now: float
     ) -> bool:
         """Record one counter; False if it hasn't changed."""
-        previous = reports.usage_by_organisation.get(usage.organisation)
-        if previous is not None and usage.counts < previous.counts:
-            return False
+        organisation = usage.organisation
+        previous = reports.usage_by_organisation.get(organisation)
         is_new = previous is None or usage.counts != previous.counts
-        reports.usage_by_organisation[usage.organisation] = usage
-        bucket = self._bucket_by_organisation.get(usage.organisation)
+        if not is_new and self._is_warmed_up(now):
+            # Repeated by a gatherer, with an estimate of some time ago.
+            return False
+        if is_new and previous is not None and usage.counts < previous.counts:
+            return False
+        bucket = self._bucket_by_organisation.get(organisation)
+        if bucket is None:
+            bucket = self._open_bucket(organisation, now)
+        reports.usage_by_organisation[organisation] = usage
         if bucket is not None:
             bucket.refill_unchanged(now)
             if previous is None:
@@ -333,6 +350,20 @@
             self._blend(bucket, usage, now)
         return is_new
 
+    def _open_bucket(self, organisation: str, now: float) -> _Bucket | None:
+        """Return a new bucket for an organisation that a peer reports.
+
+        It has to be kept from the first report on: a VM whose first caller
+        arrives during a flood would take the bucket for full. None without
+        a rule, or before this VM has warmed up.
+        """
+        rule = self.find_rule(organisation)
+        if rule is None or not self._is_warmed_up(now):
+            return None
+        bucket = self._bucket(rule, 1.0, now)
+        bucket.refill(rule, 1.0, now)
+        return bucket
+
     def _charge_first_usage(
         self, bucket: _Bucket, usage: Usage, now: float
     ) -> None:
@@ -363,7 +394,12 @@
         own = self._own(organisation)
         reported = self._reported_by_organisation.get(organisation)
         before = 0 if reported is None else reported.admitted
-        return own.admitted - before >= REPORT_AFTER_ADMISSIONS
+        bucket = self._bucket_by_organisation.get(organisation)
+        tokens = 0.0 if bucket is None else bucket.tokens
+        due_after = max(
+            REPORT_AFTER_ADMISSIONS, REPORT_AFTER_FRACTION * tokens
+        )
+        return own.admitted - before >= due_after
 
     def take_report(self, everything: bool, now: float) -> tuple[Usage, ...]:
         """Return the counters to report: those that changed, or all."""
