--- a/redwingpost/membership/digests.py
+++ b/redwingpost/membership/digests.py
@@ -20,6 +20,13 @@
     received_at: float
 
 
+class _AgedReport(NamedTuple):
+    """A report and its age now."""
+
+    age_ms: int
+    report: CellReport
+
+
 class DigestTable:
     """The last digest of each gatherer; times are seconds.
 
@@ -101,17 +108,15 @@
         merged: a VM that has just changed its gatherer is in the set of
         one of them only.
         """
-        reports_by_cell: dict[str, list[CellReport]] = {}
+        aged_by_cell: dict[str, list[_AgedReport]] = {}
         for received in self._received_by_vm.values():
             passed_ms = int((now - received.received_at) * 1000)
             for report in received.digest.cells:
                 age_ms = report.age_ms + passed_ms
                 if age_ms <= within_s * 1000.0:
-                    aged = report._replace(age_ms=age_ms)
-                    reports_by_cell.setdefault(report.cell, []).append(aged)
-        return tuple(
-            _merge_reports(reports) for reports in reports_by_cell.values()
-        )
+                    aged = _AgedReport(age_ms, report)
+                    aged_by_cell.setdefault(report.cell, []).append(aged)
+        return tuple(map(_merge_reports, aged_by_cell.values()))
 
     def health_reports(
         self, now: float, within_s: float, is_fleet: bool
@@ -152,16 +157,20 @@
                 self._last_sets_by_gatherer.pop(vm, None)
 
 
-def _merge_reports(reports: list[CellReport]) -> CellReport:
+def _merge_reports(aged_reports: list[_AgedReport]) -> CellReport:
     """Merge the reports of several gatherers of one cell."""
-    youngest = min(reports, key=lambda report: report.age_ms)
+    age_ms, youngest = min(aged_reports, key=lambda aged: aged.age_ms)
+    if len(aged_reports) == 1:
+        return youngest._replace(age_ms=age_ms)
+    reports = [aged.report for aged in aged_reports]
     newest = max(reports, key=lambda report: report.config_version)
     merged = youngest._replace(
+        age_ms=age_ms,
         config_version=newest.config_version,
         config_ip=newest.config_ip,
         reached=max(report.reached for report in reports),
     )
-    if len({report.vms_number for report in reports}) == 1:
+    if all(item.vms_number == youngest.vms_number for item in reports):
         return merged
     vms = frozenset().union(*(report.vms for report in reports))
     return merged._replace(vms=vms, vms_number=vm_set_number(vms))
--- a/redwingpost/membership/vm_table.py
+++ b/redwingpost/membership/vm_table.py
@@ -78,6 +78,7 @@
         self._digests = DigestTable()
         self._seen_at_by_number: dict[int, float] = {}
         self._alive_cache: dict[float, tuple[float, frozenset[int]]] = {}
+        self._count_cache: int | None = None
         self._has_list = False
         self._lacked_half_at = now
         #: Whether this VM gathers. If so, reports on primaries come from
@@ -91,6 +92,7 @@
         self._number_by_vm = {vm: vm_number(vm) for vm in self._sorted_vms}
         self._has_list = True
         self._alive_cache.clear()
+        self._count_cache = None
 
     @property
     def has_list(self) -> bool:
@@ -106,6 +108,8 @@
         if heartbeat.vm == self._vm:
             return
         previous = self._received_by_vm.get(heartbeat.vm)
+        if previous is None:
+            self._count_cache = None
         if heartbeat.is_brief and previous is not None:
             health = previous.heartbeat.health_by_primary
             heartbeat = heartbeat._replace(health_by_primary=health)
@@ -117,10 +121,12 @@
         if not digest.cells:
             return
         digest = self._digests.note(digest, now)
+        count_before = len(self._seen_at_by_number)
         for report in digest.cells:
             seen_at = now - report.age_ms / 1000.0
-            for number in report.vms:
-                self._seen_at_by_number[number] = seen_at
+            self._seen_at_by_number.update(dict.fromkeys(report.vms, seen_at))
+        if len(self._seen_at_by_number) > count_before:
+            self._count_cache = None
         self._alive_cache.clear()
 
     def echo_for(self, vm: str, now: float) -> Echo | None:
@@ -229,6 +235,11 @@
 
     def count(self) -> int:
         """Return the number of VMs, as far as known."""
+        if self._count_cache is None:
+            self._count_cache = self._count()
+        return self._count_cache
+
+    def _count(self) -> int:
         numbers = set(self._seen_at_by_number)
         numbers.update(map(vm_number, self._received_by_vm))
         numbers.add(self._number)
@@ -288,6 +299,7 @@
 
     def forget_long_silent(self, now: float) -> tuple[str, ...]:
         """Forget unlisted VMs that are silent for too long; return them."""
+        self._count_cache = None
         listed = set(self._number_by_vm.values())
         for number, seen_at in tuple(self._seen_at_by_number.items()):
             if number not in listed and now - seen_at > REMOVE_AFTER_S:
