Heartbeats: an urgent digest doesn't make gatherers answer each other

Cause of much of a gatherer's work in a flood: an urgent digest from another cell made a gatherer forward its own cell's changed counters to all other cells at once, as urgent too. While callers went on everywhere there was always something changed, so the gatherers answered each other every 30 ms for as long as the load lasted.

Counters from another cell now go to this cell's VMs only; what an own VM reports as urgent goes to both. What has changed is kept apart for the two.

--- a/redwingpost/node/fleet/heartbeats.py
+++ b/redwingpost/node/fleet/heartbeats.py
@@ -131,6 +131,7 @@
         self._wants_usages_by_vm: dict[str, bool] = {}
         self._has_new_reader = False
         self._forward_timer: TimerHandle | None = None
+        self._forwards_to_cells = False
         self._transport: DatagramTransport | None = None
         self._beats = 0
         self._last_beat_at = clock.now()
@@ -164,7 +165,7 @@
             return
         now = self._clock.now()
         if self._gathering.gathers(now):
-            self._schedule_forward()
+            self._schedule_forward(to_other_cells=True)
         self._report(is_full=False, may_be_brief=True, is_urgent=True)
 
     def announce(self) -> None:
@@ -276,7 +277,14 @@
             self._send_heartbeat(address, report, usages)
         self._gathering.note_sent((item.vm for item in gatherers), now)
 
-    def _schedule_forward(self) -> None:
+    def _schedule_forward(self, to_other_cells: bool) -> None:
+        """Forward urgent counters soon: to this cell's VMs, or to all cells.
+
+        What another cell sent goes to this cell's VMs only. If it made this
+        gatherer send its own to the other cells at once, these would answer
+        in the same way, and the exchange would never end.
+        """
+        self._forwards_to_cells = self._forwards_to_cells or to_other_cells
         if self._forward_timer is None:
             call_later = self._call_later or get_running_loop().call_later
             self._forward_timer = call_later(
@@ -292,12 +300,13 @@
         now = self._clock.now()
         own = self._writer.describe(True)
         digest = self._digest_writer.build_counters_digest(own)
-        changed = self._relay.take_changed()
-        other_gatherers = self._gathering.other_cell_gatherers(now)
-        self._send_digest(
-            digest, other_gatherers, self._relay.select_own_cell(changed), now
-        )
+        if self._forwards_to_cells:
+            self._forwards_to_cells = False
+            other_gatherers = self._gathering.other_cell_gatherers(now)
+            changed_own = self._relay.take_changed_own()
+            self._send_digest(digest, other_gatherers, changed_own, now)
         readers = self._usage_readers(now)
+        changed = self._relay.take_changed()
         self._send_digest(digest, readers, changed, now)
 
     def _send_digests(self, may_be_brief: bool, is_full: bool) -> None:
@@ -307,14 +316,13 @@
             return
         now = self._clock.now()
         own = self._writer.describe(False)
-        changed = self._relay.take_changed()
         digest = self._digest_writer.build_cell_digest(
             own, cell, may_be_brief, now
         )
         digest = self._digest_writer.omit_sent_sets(digest, is_full)
         other_gatherers = self._gathering.other_cell_gatherers(now)
         counters = (
-            *self._relay.select_own_cell(changed),
+            *self._relay.take_changed_own(),
             *self._relay.next_repeated(),
         )
         self._send_digest(digest, other_gatherers, counters, now)
@@ -327,6 +335,7 @@
             digest, is_full or has_new_reader
         )
         readers = self._usage_readers(now)
+        changed = self._relay.take_changed()
         self._send_digest(digest, readers, changed, now)
         # The other VMs get the rest from another gatherer, until it fails.
         reporters = self._gathering.reporters(now)
@@ -411,7 +420,7 @@
         self._relay.record(vm, heartbeat.boot, changed, is_own=True)
         self._wants_usages_by_vm[vm] = heartbeat.wants_usages
         if changed and heartbeat.is_urgent:
-            self._schedule_forward()
+            self._schedule_forward(to_other_cells=True)
 
     def _receive_digest(self, digest: Digest) -> None:
         now = self._clock.now()
@@ -434,7 +443,7 @@
                 self._relay.record(vm, boot, changed, is_own=False)
                 has_changed = True
         if has_changed and digest.is_urgent:
-            self._schedule_forward()
+            self._schedule_forward(to_other_cells=False)
 
 
 class _Receiver(DatagramProtocol):
--- a/redwingpost/node/tests/test_many_vms.py
+++ b/redwingpost/node/tests/test_many_vms.py
@@ -57,6 +57,31 @@
                     self.assertLessEqual(fleet.sent[name], most)
                     self.assertLessEqual(fleet.received[name], most)
 
+    def test_urgent_counters_are_forwarded_once(self) -> None:
+        """Guards against gatherers that answer each other without end.
+
+        One VM admits many operations at once while callers of another
+        organisation go on at all VMs.
+        """
+        fleet = SimulatedFleet(62, 3)
+        fleet.run(_SETTLE_S)
+        rule = OrganisationRule("a", frozenset(), 5000.0, 5000.0, 1)
+        vms = list(fleet.vm_by_name.values())
+        for vm in vms:
+            vm.admit(rule, fleet.clock.now())
+        for sudden in (0, 1000):
+            for _ in range(sudden):
+                vms[0].admit(rule, fleet.clock.now())
+            fleet.sent.clear()
+            for number in range(2000):
+                vms[7 * number % len(vms)].admit(rule, fleet.clock.now())
+                fleet.run(0.001)
+            most = max(fleet.sent.values())
+            with self.subTest(sudden=sudden):
+                # 21 readers and four other gatherers, eight heartbeats, and
+                # two datagrams for each digest.
+                self.assertLessEqual(most, 25 * 9 * 2)
+
     def test_datagrams_fit_a_packet(self) -> None:
         """Guards against lost digests if there are many organisations.
 
--- a/redwingpost/rates/relay.py
+++ b/redwingpost/rates/relay.py
@@ -16,23 +16,53 @@
 REPEATED_PER_HEARTBEAT = 16
 
 
+class _ChangedUsages:
+    """The counters that changed since they were last taken."""
+
+    def __init__(self) -> None:
+        self._item_by_key: dict[tuple[str, str], VmUsage] = {}
+
+    def add(self, item: VmUsage) -> None:
+        """Add a counter; sum its new counts with those of an earlier one."""
+        key = (item.vm, item.usage.organisation)
+        earlier = self._item_by_key.get(key)
+        if earlier is not None:
+            usage = _sum_new_counts(earlier.usage, item.usage)
+            item = item._replace(usage=usage)
+        self._item_by_key[key] = item
+
+    def take(self) -> tuple[VmUsage, ...]:
+        """Return the counters and forget them."""
+        items = tuple(self._item_by_key.values())
+        self._item_by_key.clear()
+        return items
+
+    def forget(self, key: tuple[str, str]) -> None:
+        """Drop a counter."""
+        self._item_by_key.pop(key, None)
+
+
 class UsageRelay:
     """Counters by VM and organisation; tracks which of them changed.
 
+    All that changed is for the VMs that report here, those of the own cell
+    are also for the gatherers of other cells.
+
     Examples
     --------
     >>> relay = UsageRelay()
     >>> relay.record("vm-1", 7, (Usage("a", 3),), is_own=True)
     >>> [item.usage.admitted for item in relay.take_changed()]
     [3]
-    >>> list(relay.take_changed())
-    []
+    >>> list(relay.take_changed()), len(relay.take_changed_own())
+    ([], 1)
     """
 
     def __init__(self) -> None:
         self._item_by_key: dict[tuple[str, str], VmUsage] = {}
         self._own_keys: dict[tuple[str, str], None] = {}
-        self._changed_keys: dict[tuple[str, str], None] = {}
+        self._changed = _ChangedUsages()
+        self._changed_own = _ChangedUsages()
         self._next_repeated_index = 0
 
     def record(
@@ -48,26 +78,20 @@
         """
         for usage in usages:
             key = (vm, usage.organisation)
-            if key in self._changed_keys:
-                usage = _sum_new_counts(self._item_by_key[key].usage, usage)
-            self._item_by_key[key] = VmUsage(vm, boot, usage)
-            self._changed_keys[key] = None
+            item = VmUsage(vm, boot, usage)
+            self._item_by_key[key] = item
+            self._changed.add(item)
             if is_own:
                 self._own_keys[key] = None
+                self._changed_own.add(item)
 
     def take_changed(self) -> tuple[VmUsage, ...]:
         """Return the counters that changed since the last call."""
-        items = tuple(self._item_by_key[key] for key in self._changed_keys)
-        self._changed_keys.clear()
-        return items
+        return self._changed.take()
 
-    def select_own_cell(self, items: Iterable[VmUsage]) -> tuple[VmUsage, ...]:
-        """Return those of ``items`` that belong to the own cell."""
-        return tuple(
-            item
-            for item in items
-            if (item.vm, item.usage.organisation) in self._own_keys
-        )
+    def take_changed_own(self) -> tuple[VmUsage, ...]:
+        """Return those of the own cell that changed since the last call."""
+        return self._changed_own.take()
 
     def next_repeated(self) -> tuple[VmUsage, ...]:
         """Return the next of the own cell's counters in rotation.
@@ -88,7 +112,8 @@
         for key in [key for key in self._item_by_key if key[0] == vm]:
             del self._item_by_key[key]
             self._own_keys.pop(key, None)
-            self._changed_keys.pop(key, None)
+            self._changed.forget(key)
+            self._changed_own.forget(key)
 
 
 def _sum_new_counts(before: Usage, usage: Usage) -> Usage:
--- a/redwingpost/rates/tests/test_relay.py
+++ b/redwingpost/rates/tests/test_relay.py
@@ -19,10 +19,11 @@
         changed = relay.take_changed()
         usage_by_vm = {item.vm: item.usage for item in changed}
         self.assertEqual(5, usage_by_vm["near"].newly_used)
-        self.assertEqual(
-            ["near"], [i.vm for i in relay.select_own_cell(changed)]
-        )
+        changed_own = relay.take_changed_own()
+        self.assertEqual(["near"], [item.vm for item in changed_own])
+        self.assertEqual(5, changed_own[0].usage.newly_used)
         self.assertEqual((), relay.take_changed())
+        self.assertEqual((), relay.take_changed_own())
 
     def test_all_counters_are_repeated_in_turn(self) -> None:
         """A datagram with the last operations of a VM is lost.
@@ -46,7 +47,12 @@
         relay.record("v", 1, (Usage("a", 1),), is_own=True)
         relay.forget("v")
         self.assertEqual(
-            ((), ()), (relay.take_changed(), relay.next_repeated())
+            ((), (), ()),
+            (
+                relay.take_changed(),
+                relay.take_changed_own(),
+                relay.next_repeated(),
+            ),
         )
 
 
