--- a/redwingpost/cli/ctl.py
+++ b/redwingpost/cli/ctl.py
@@ -1,5 +1,6 @@
 """``redwingctl``: commands for operators."""
 
+from collections.abc import Callable
 from getpass import getuser
 from pathlib import Path
 from runpy import run_path
@@ -252,11 +253,51 @@
         return
 
     def edit(body: dict[str, Any]) -> Refusal | None:
-        draining = set(body.get("draining_members", []))
-        draining = draining - {name} if undo else draining | {name}
-        body["draining_members"] = sorted(draining)
+        _mark_draining(body, frozenset({name}), undo)
         return None
 
+    _amend(context, edit)
+
+
+@app.command()
+def evacuate(
+    context: Context,
+    data_centre: Annotated[str, Argument(help="Its members are drained.")],
+    undo: Annotated[bool, Option(help="End the evacuation.")] = False,
+) -> None:
+    """Drain all members of database groups in a data centre.
+
+    Example: redwingctl evacuate lima-1
+    """
+
+    def edit(body: dict[str, Any]) -> Refusal | None:
+        members = frozenset(
+            name
+            for group in body.get("groups", {}).values()
+            for name, member in group["members"].items()
+            if member["data_centre"] == data_centre
+        )
+        if not members:
+            return Refusal(Code.NOT_FOUND, data_centre)
+        _mark_draining(body, members, undo)
+        return None
+
+    _amend(context, edit)
+
+
+def _mark_draining(
+    body: dict[str, Any], members: frozenset[str], undo: bool
+) -> None:
+    """Put members on a configuration's list of draining ones, or off it."""
+    draining = frozenset(body.get("draining_members", []))
+    draining = draining - members if undo else draining | members
+    body["draining_members"] = sorted(draining)
+
+
+def _amend(
+    context: Context, edit: Callable[[dict[str, Any]], Refusal | None]
+) -> None:
+    """Submit the newest configuration with a change."""
     change = make_change(context.obj)
     _show_accepted(
         context,
--- a/redwingpost/cli/tests/test_ctl.py
+++ b/redwingpost/cli/tests/test_ctl.py
@@ -178,6 +178,25 @@
         self.assertEqual([entry["who"] for entry in audit], ["ana", "ana"])
         waiting = "no proxy takes the agent's feed"
         self.wait_for_reasons({"vm-1": waiting, "vm-2": waiting})
+        self.check_evacuation()
+
+    def check_evacuation(self) -> None:
+        """Evacuate a data centre, end it, and try an unknown one."""
+        groups = self.run_ctl("show")["groups"].values()
+        members = [
+            (member["data_centre"], name)
+            for group in groups
+            for name, member in group["members"].items()
+        ]
+        data_centre = members[0][0]
+        expected = sorted(name for dc, name in members if dc == data_centre)
+        self.run_ctl("evacuate", data_centre)
+        shown = self.run_ctl("show")
+        self.assertEqual(expected, shown["draining_members"])
+        self.run_ctl("evacuate", data_centre, "--undo")
+        self.assertEqual([], self.run_ctl("show")["draining_members"])
+        refused = self.run_ctl("evacuate", "nowhere", code=1)
+        self.assertEqual(refused["name"], "not-found")
 
     def wait_for_reasons(self, expected: dict[str, str]) -> None:
         """Poll the status until heartbeats have brought it up to date."""
