Rates: a VM reports after four admissions, as before

The test's bound is right: other VMs admit again what they haven't been told.

A new case in test_attempt: a connection that is claimed after the time to send statements there has ended is given back unused.

--- a/redwingpost/node/tests/test_attempt.py
+++ b/redwingpost/node/tests/test_attempt.py
@@ -23,6 +23,7 @@
         self.entry = SimpleNamespace(member="m1")
         self.latency = SimpleNamespace(observe=lambda seconds, now: None)
         self.statements_in_flight = 0
+        self.may_be_sent_work = True
         self.link = self
 
     async def acquire(self, *wanted) -> SimpleNamespace:
@@ -123,3 +124,20 @@
         member.has_free_connection.set()
         self.assertIsInstance(await late_attempt, NotSent)
         self.assertEqual((0, 1), (member.runs, member.released))
+
+    async def test_a_connection_that_is_claimed_too_late(self) -> None:
+        """Guards against statements at a member of an evacuated centre.
+
+        The time to send statements there ends while one of them waits for a
+        connection.
+        """
+        member = WaitingMember()
+        caller = Caller("parish", SessionState(), 1)
+        attempt = create_task(
+            run_standalone(member, caller, _READ, None, 9.0, VirtualClock())
+        )
+        await sleep(0)
+        member.may_be_sent_work = False
+        member.has_free_connection.set()
+        self.assertIsInstance(await attempt, NotSent)
+        self.assertEqual((0, 1), (member.runs, member.released))
--- a/redwingpost/rates/usage.py
+++ b/redwingpost/rates/usage.py
@@ -44,14 +44,10 @@
 from redwingpost.rates.counters import Usage
 
 #: Admissions of one organisation after which a VM reports at once rather
-#: than with the next heartbeat, at least, and as a fraction of the tokens
-#: that are left. Until the report arrives, the other VMs admit from tokens
-#: that are already spent: a flood at a few VMs would exceed a bucket by all
-#: that arrives in a quarter of a second. While many tokens are left, a few
-#: admissions change no decision, and each report costs the gatherers a
-#: datagram to every VM.
+#: than with the next heartbeat. Until the report arrives, the other VMs
+#: admit from tokens that are already spent: a flood at a few VMs would
+#: exceed a bucket by all that arrives in a quarter of a second.
 REPORT_AFTER_ADMISSIONS = 4
-REPORT_AFTER_FRACTION = 0.1
 
 #: Fraction of the burst that a VM starts with: after a restart of the
 #: whole fleet no VM has a record of what was used just before.
@@ -394,12 +390,7 @@
         own = self._own(organisation)
         reported = self._reported_by_organisation.get(organisation)
         before = 0 if reported is None else reported.admitted
-        bucket = self._bucket_by_organisation.get(organisation)
-        tokens = 0.0 if bucket is None else bucket.tokens
-        due_after = max(
-            REPORT_AFTER_ADMISSIONS, REPORT_AFTER_FRACTION * tokens
-        )
-        return own.admitted - before >= due_after
+        return own.admitted - before >= REPORT_AFTER_ADMISSIONS
 
     def take_report(self, everything: bool, now: float) -> tuple[Usage, ...]:
         """Return the counters to report: those that changed, or all."""
