Rosters: at most forty in one transaction

A roster needs a condition and a row, and all that changed were written at once; with more than fifty groups none was ever stored, so no promotion was allowed to rest on them, and the table was read again and again. Written in parts of forty now; a part that fails ends the check, and the next one reads the rows again, as before.

Test: test_the_rosters_of_many_groups (130 groups); before, 260 entries in one transaction.

--- a/redwingpost/node/takeover/rosters.py
+++ b/redwingpost/node/takeover/rosters.py
@@ -1,6 +1,7 @@
 """Updates of the groups' rosters in the fleet's store, and their decoding."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from itertools import islice
 from typing import Any, NamedTuple
 
 from mode import Service
@@ -41,6 +42,10 @@
 #: this key.
 _SUBJECT = "rosters"
 
+#: Rosters written in one transaction. The store takes 100 entries, and a
+#: roster needs a condition and a row.
+_MAX_ROSTERS_PER_WRITE = 40
+
 
 class StoredRoster(NamedTuple):
     """A roster and its row's version, 0 if there is no row."""
@@ -63,6 +68,15 @@
     return StoredRoster(Roster.from_value(group, row.value), row.version)
 
 
+def _split(
+    roster_by_group: dict[str, Roster],
+) -> Iterator[dict[str, Roster]]:
+    """Yield the rosters in parts that fit into one transaction."""
+    items = iter(roster_by_group.items())
+    while part := dict(islice(items, _MAX_ROSTERS_PER_WRITE)):
+        yield part
+
+
 class _Pending(NamedTuple):
     """Members that are gone, and the position that the others must hold."""
 
@@ -150,8 +164,9 @@
             for name, roster in required.items()
             if roster != self._stored(name).roster
         }
-        if changed:
-            await self._write(changed)
+        for part in _split(changed):
+            if not await self._write(part):
+                return
 
     async def _read(self) -> dict[str, StoredRoster] | None:
         got = await self._store.snapshot(GROUP_TABLE)
@@ -219,7 +234,8 @@
             return None
         return observed.report.received
 
-    async def _write(self, roster_by_group: dict[str, Roster]) -> None:
+    async def _write(self, roster_by_group: dict[str, Roster]) -> bool:
+        """Write rosters in one transaction; return whether it succeeded."""
         conditions = tuple(
             Condition(
                 GROUP_TABLE, ROSTER_PREFIX + name, self._stored(name).version
@@ -236,9 +252,10 @@
         if done.is_error() or not done.ok.committed:
             self._stored_by_group = None
             log_event("rosters-not-written", groups=sorted(roster_by_group))
-            return
+            return False
         for name, roster in roster_by_group.items():
             stored = StoredRoster(roster, done.ok.versions[0])
             self._stored_by_group[name] = stored
             members = sorted(roster.member_by_name)
             log_event("roster-written", group=name, members=members)
+        return True
--- a/redwingpost/node/tests/test_rosters.py
+++ b/redwingpost/node/tests/test_rosters.py
@@ -18,6 +18,9 @@
 
 _DRAIN_S = 7.0
 
+#: Entries of a transaction that the store takes.
+MAX_ENTRIES = 100
+
 
 def _table() -> VmTable:
     """Return the table of the only VM of a fleet."""
@@ -33,6 +36,7 @@
         self.rows: dict[str, Row] = {}
         self.version = 0
         self.calls = 0
+        self.most_entries = 0
 
     async def snapshot(self, table: str) -> Result[Snapshot, Refusal]:
         """Return all rows."""
@@ -44,6 +48,8 @@
     ) -> Result[TransactResult, Refusal]:
         """Apply the writes if all conditions hold."""
         self.calls += 1
+        entries = len(conditions) + len(writes)
+        self.most_entries = max(self.most_entries, entries)
         for item in conditions:
             row = self.rows.get(item.key)
             if item.version != (row.version if row else 0):
@@ -88,10 +94,10 @@
         self.group = FakeGroup(self.clock)
         self.keeper = self._keeper()
 
-    def _keeper(self) -> RosterKeeper:
+    def _keeper(self, groups: dict | None = None) -> RosterKeeper:
         return RosterKeeper(
             self.store,
-            {"g": self.group},
+            groups or {"g": self.group},
             self.directory,
             _table(),
             lambda: False,
@@ -121,6 +127,23 @@
         self.assertEqual(["a", "b", "c"], self.store.members())
         self.assertEqual(2, self.store.calls)
 
+    async def test_the_rosters_of_many_groups(self) -> None:
+        """Guards against a transaction that is too large for the store."""
+        names = [f"g{number}" for number in range(130)]
+        groups = {name: FakeGroup(self.clock) for name in names}
+        for name, group in groups.items():
+            group.name = name
+        entries = tuple(
+            MemberEntry(f"{name}-a", name, "ip", 1, "a", False, True)
+            for name in names
+        )
+        self.directory.replace(entries, self.clock.now())
+        self.keeper = self._keeper(groups)
+        await self._check(times=2)
+        stored = decode_rosters(tuple(self.store.rows.values()))
+        self.assertEqual(set(names), set(stored))
+        self.assertLessEqual(self.store.most_entries, MAX_ENTRIES)
+
     async def test_a_dropped_member_stays(self) -> None:
         """The registry drops a member that crashed or is partitioned.
 
