--- a/redwingpost/membership/gathering.py
+++ b/redwingpost/membership/gathering.py
@@ -15,8 +15,8 @@
 
 There is no election. Every VM ranks the VMs of a cell in the same order,
 those that can carry most first, and reports to the first ones that answer;
-a VM that gets reports gathers. A gatherer of 20 VMs sends some 250 KB/s,
-which fills half of a link of 5 Mbit/s; its digests would be late or lost.
+a VM that gets reports gathers. The digests of a gatherer would fill the
+link of a small VM, and arrive late or not at all.
 A gatherer that dies, is suspended, cut off or stopped is replaced after
 ``SUSPECT_AFTER_S``, and until then the other gatherer has sent everything.
 A VM that receives nothing from any other VM ranks itself first. An
