--- a/redwingpost/groups/directory.py
+++ b/redwingpost/groups/directory.py
@@ -88,6 +88,7 @@
         self.evacuations = evacuations or Evacuations()
         self._keep_answering_s = keep_answering_s
         self._listed_by_member: dict[str, ListedMember] = {}
+        self._entries_by_group: dict[str, dict[str, MemberEntry]] = {}
         self._removed_by_member: dict[str, RemovedMember] = {}
         self._drop_at_by_member: dict[str, float] = {}
         self._outage_at = float("-inf")
@@ -99,8 +100,12 @@
             self._draining_since(previous, now) if entry.is_draining else None
         )
         restarted_at = self._restarted_at(previous, entry, now)
+        if previous is not None and previous.entry.group != entry.group:
+            self._drop_from_group(previous.entry)
         listed = ListedMember(entry, since, restarted_at)
         self._listed_by_member[entry.member] = listed
+        entries = self._entries_by_group.setdefault(entry.group, {})
+        entries[entry.member] = entry
         self._drop_at_by_member.pop(entry.member, None)
         self._removed_by_member.pop(entry.member, None)
 
@@ -160,11 +165,7 @@
 
     def members_of(self, group: str) -> tuple[MemberEntry, ...]:
         """Return the entries of a group's listed members."""
-        return tuple(
-            listed.entry
-            for listed in self._listed_by_member.values()
-            if listed.entry.group == group
-        )
+        return tuple(self._entries_by_group.get(group, {}).values())
 
     def recently_removed(self, group: str) -> tuple[MemberEntry, ...]:
         """Return the entries of a group's recently removed members."""
@@ -186,9 +187,7 @@
 
     def groups(self) -> frozenset[str]:
         """Return the groups that have members."""
-        return frozenset(
-            listed.entry.group for listed in self._listed_by_member.values()
-        )
+        return frozenset(self._entries_by_group)
 
     def _restarted_at(
         self, previous: ListedMember | None, entry: MemberEntry, now: float
@@ -216,7 +215,14 @@
             return float("-inf")
         return now
 
+    def _drop_from_group(self, entry: MemberEntry) -> None:
+        entries = self._entries_by_group[entry.group]
+        del entries[entry.member]
+        if not entries:
+            del self._entries_by_group[entry.group]
+
     def _drop(self, member: str, now: float) -> None:
         listed = self._listed_by_member.pop(member)
+        self._drop_from_group(listed.entry)
         self._drop_at_by_member.pop(member, None)
         self._removed_by_member[member] = RemovedMember(listed, now)
