Directory: a drain counts from the last list without it

Cause, by reading: the drain time was counted from when a VM learned of the announcement.

Change: it is counted from the last list without the announcement. A copy from another VM, which may be old, doesn't count as such a list.

The test failed before (no such time was kept).

--- a/redwingpost/groups/directory.py
+++ b/redwingpost/groups/directory.py
@@ -36,10 +36,13 @@
 class ListedMember(NamedTuple):
     """A listed member and the times of its state changes (seconds).
 
-    ``draining_since`` is minus infinity if this VM did not see the member
-    announce its end: at the start of this VM, or after an outage. It may have
-    done so long ago, and would get new work until it exits if its drain time
-    were counted from when this VM learned of it. ``restarted_at`` is when the
+    ``draining_since`` is the earliest time at which the member can have
+    announced its end: the last time when the list, without the announcement,
+    was known to be up to date. It is minus infinity if this VM did not see the
+    announcement: at the start of this VM, or after an outage. If the drain
+    time were counted from when this VM learned of it, a member whose
+    announcement was delayed would get new work until it exits.
+    ``restarted_at`` is when the
     member was first seen with another start time than before; minus infinity
     if that has never changed.
     """
@@ -92,6 +95,11 @@
         self._removed_by_member: dict[str, RemovedMember] = {}
         self._drop_at_by_member: dict[str, float] = {}
         self._outage_at = float("-inf")
+        self._current_at: float | None = None
+
+    def note_current(self, now: float) -> None:
+        """Record that the list held all that the registry had until now."""
+        self._current_at = now
 
     def put(self, entry: MemberEntry, now: float) -> None:
         """Add a member's entry, or replace its earlier one."""
@@ -213,7 +221,7 @@
             return previous.draining_since
         if previous is None or now < self._outage_at + STALE_LIST_S:
             return float("-inf")
-        return now
+        return now if self._current_at is None else self._current_at
 
     def _drop_from_group(self, entry: MemberEntry) -> None:
         entries = self._entries_by_group[entry.group]
--- a/redwingpost/groups/tests/test_directory.py
+++ b/redwingpost/groups/tests/test_directory.py
@@ -42,3 +42,32 @@
         self.directory.replace((_entry("a", "g"),), 20.0)
         self.assertEqual({"g"}, set(self.directory.groups()))
         self.assertEqual([], self._names("h"))
+
+
+class DrainingSinceTest(TestCase):
+    def test_a_drain_counts_from_the_last_list_without_it(self) -> None:
+        """A member's announcement reaches this VM seconds late.
+
+        The feed of the registry hung, or its history was lost meanwhile.
+        If the drain time were counted from the arrival, the member would
+        get statements beyond its end.
+        """
+        cases = (
+            ("by the next change", 10.0, 10.2, False, 10.0),
+            ("after a feed that hung", 10.0, 13.0, False, 10.0),
+            ("in the list after a lost history", 10.0, 12.5, True, 10.0),
+            ("a list of unknown age", None, 13.0, False, 13.0),
+        )
+        for name, current_at, seen_at, is_replaced, expected in cases:
+            with self.subTest(name):
+                directory = Directory()
+                directory.put(_entry("a", "g"), 1.0)
+                if current_at is not None:
+                    directory.note_current(current_at)
+                draining = _entry("a", "g", is_draining=True)
+                if is_replaced:
+                    directory.replace((draining,), seen_at)
+                else:
+                    directory.put(draining, seen_at)
+                since = directory.get("a").draining_since
+                self.assertEqual(expected, since)
--- a/redwingpost/node/fleet/copy_fetcher.py
+++ b/redwingpost/node/fleet/copy_fetcher.py
@@ -116,4 +116,4 @@
         if not self._has_rules_table():
             self._evacuations.replace(got.ok.evacuated)
         if not self._has_members():
-            self._members.on_rows(got.ok.members)
+            self._members.take_copy(got.ok.members)
--- a/redwingpost/node/fleet/registry.py
+++ b/redwingpost/node/fleet/registry.py
@@ -166,11 +166,23 @@
         """Apply the whole list."""
         entries = (self._decode(row) for row in snapshot.rows)
         present = tuple(entry for entry in entries if entry is not None)
-        self._directory.replace(present, self._clock.now(), self._answers)
+        now = self._clock.now()
+        self._directory.replace(present, now, self._answers)
+        self._directory.note_current(now)
         self._on_change()
 
     def on_rows(self, rows: tuple[Row, ...]) -> None:
         """Apply entries that changed."""
+        self._apply(rows)
+        self._directory.note_current(self._clock.now())
+        self._on_change()
+
+    def take_copy(self, rows: tuple[Row, ...]) -> None:
+        """Apply another VM's copy of the entries, which may be old."""
+        self._apply(rows)
+        self._on_change()
+
+    def _apply(self, rows: tuple[Row, ...]) -> None:
         now = self._clock.now()
         for row in rows:
             entry = self._decode(row)
@@ -178,7 +190,6 @@
                 self._directory.remove(row.key, now)
             else:
                 self._directory.put(entry, now)
-        self._on_change()
 
     def on_removed(self, keys: tuple[str, ...]) -> None:
         """Apply the removal of entries."""
--- a/redwingpost/node/tests/test_copy_fetcher.py
+++ b/redwingpost/node/tests/test_copy_fetcher.py
@@ -54,7 +54,7 @@
             self.vms,
             SimpleNamespace(rules=SimpleNamespace(version=1)),
             SimpleNamespace(apply_if_newer=self._apply),
-            SimpleNamespace(on_rows=self._apply_members),
+            SimpleNamespace(take_copy=self._apply_members),
             SimpleNamespace(replace=self.applied_evacuations.append),
             lambda: self.has_members,
             lambda: self.has_members,
