Homes: a transaction whose handler raises is rolled back

Cause: Peer._run only forgot such a transaction. Its connection stayed claimed, and the member kept its locks, until the connection of the VM that had forwarded it ended.

Change: it is abandoned as by a rollback of its caller: rolled back if it is open, and its connection returned.

The test failed before (no rollback reached the member) and passes now.

--- a/redwingpost/node/forwarding/peer.py
+++ b/redwingpost/node/forwarding/peer.py
@@ -123,6 +123,16 @@
         task.cancel()
         await gather(task, return_exceptions=True)
 
+    async def abandon(self, transaction: int) -> None:
+        """Remove a transaction and roll it back if it is open.
+
+        Only forgotten, it would keep its connection and the member's locks.
+        """
+        held = self.held_by_number.get(transaction)
+        self.discard(transaction)
+        if held is not None and not held.transaction.is_over:
+            await held.transaction.roll_back()
+
     def discard(self, transaction: int) -> None:
         """Remove a transaction that is over."""
         self.held_by_number.pop(transaction, None)
@@ -139,7 +149,7 @@
                 request=work.statement.request,
                 error=f"{type(error).__name__}: {error}",
             )
-            self.discard(work.transaction)
+            await self.abandon(work.transaction)
             done = _done(
                 work, Refusal(Code.OUTCOME_UNKNOWN, "failed at its home")
             )
@@ -223,10 +233,7 @@
 @HANDLERS.register(Action.ROLL_BACK.value)
 async def _roll_back(peer: Peer, work: Work) -> Done:
     await peer.cancel_running(work.transaction)
-    held = peer.held_by_number.get(work.transaction)
-    peer.discard(work.transaction)
-    if held is not None and not held.transaction.is_over:
-        await held.transaction.roll_back()
+    await peer.abandon(work.transaction)
     return _done(work, _NO_TRANSACTION)
 
 
--- a/redwingpost/node/tests/test_forwarding.py
+++ b/redwingpost/node/tests/test_forwarding.py
@@ -4,6 +4,7 @@
 from collections.abc import Coroutine
 from types import SimpleNamespace
 from unittest import IsolatedAsyncioTestCase
+from unittest.mock import patch
 
 from redwingpost.configuration.routes import Consistency, RouteRule
 from redwingpost.core.codes import Code
@@ -26,6 +27,7 @@
 from redwingpost.node.group import GroupClient
 from redwingpost.node.request.attempt import Caller
 from redwingpost.node.request.reads import ReadRunner, Result
+from redwingpost.node.request.transaction import Transaction
 from redwingpost.node.request.writes import WriteRunner
 from redwingpost.ports.clock import MonotonicClock
 from redwingpost.ports.database import (
@@ -124,6 +126,7 @@
         self.clock = MonotonicClock()
         self.members = GroupOfThree()
         self.stopping: set[int] = set()
+        self.groups: list[GroupClient] = []
         self.servers = [await self._start_home(n) for n in range(2)]
         self.homes = _Homes(
             tuple(
@@ -154,6 +157,7 @@
             vms,
             CentreWatch("a"),
         )
+        self.groups.append(group)
         group.follow_directory(32, 1)
         await group.run_round()
         dependencies = HomeDependencies(
@@ -219,6 +223,21 @@
         await self._until(lambda: self.servers[0].is_idle)
         self.assertEqual(1, self.members.rolled_back)
 
+    async def test_a_failed_handler_rolls_its_transaction_back(self) -> None:
+        """A statement's handler raises at the home.
+
+        Guards against a transaction that is only forgotten: its connection
+        stays claimed and the member keeps its locks.
+        """
+        transaction = self._transaction()
+        await transaction.run(_write("1"))
+        with patch.object(Transaction, "run", side_effect=ValueError("no")):
+            result = await transaction.run(_read("2"))
+        self.assertEqual(Code.OUTCOME_UNKNOWN.name, result.code.name)
+        self.assertEqual(1, self.members.rolled_back)
+        in_use = self.groups[0].member_by_name["m1"].pool.in_use
+        self.assertEqual(0, in_use)
+
     async def test_a_stopped_home_is_skipped(self) -> None:
         self.stopping.add(0)
         result = await self.forwarder.run_alone(self._task(_write("w")))
