Homes: a group's homes are ranked once, not for each question

Cause: has_home_elsewhere and _channels_for each hashed and sorted all homes of the group for every operation.

Change: HomeView keeps the order by group and organisation for as long as the group's homes are the same, at most 4,096 of them.

The test counts calls of order_homes for two questions: 2 before, 1 now.

--- a/redwingpost/node/forwarding/homes.py
+++ b/redwingpost/node/forwarding/homes.py
@@ -28,6 +28,10 @@
 #: Seconds for which a home that didn't answer a statement is skipped.
 SUSPECT_S = 2.0
 
+#: Orders of homes that are kept, one for each group and organisation with
+#: callers here; 200 bytes each.
+MAX_RANKINGS = 4096
+
 
 class Homes(NamedTuple):
     """The homes of a group and their names; ``is_all`` if every VM is one."""
@@ -56,6 +60,13 @@
     until: float
 
 
+class _Ranking(NamedTuple):
+    """A group's homes, and their order for one organisation."""
+
+    homes: Homes
+    addresses: tuple[VmAddress, ...]
+
+
 class HomeView:
     """Chooses the homes of each group.
 
@@ -75,6 +86,7 @@
         self._directory = directory
         self._rules: ServiceRules | None = None
         self._cached_by_group: dict[str, _CachedHomes] = {}
+        self._ranking_by_key: dict[tuple[str, str], _Ranking] = {}
         self._suspect_until: dict[str, float] = {}
         self._alive: tuple[VmAddress, ...] = ()
         self._alive_until = float("-inf")
@@ -83,6 +95,7 @@
         """Apply the configuration in force."""
         self._rules = rules
         self._cached_by_group.clear()
+        self._ranking_by_key.clear()
 
     def homes_of(self, group: str, now: float) -> Homes:
         """Return a group's homes at ``now`` (seconds)."""
@@ -125,16 +138,38 @@
         homes = self.homes_of(group, now)
         if homes.is_all:
             return ()
-        ranked = order_homes(group, organisation, homes.addresses)
+        ranked = self.ranked_homes(group, organisation, now)
         names = [address.vm for address in ranked]
         if self._vm in names:
             ranked = ranked[: names.index(self._vm)]
         return tuple(
             address
             for address in ranked
-            if self._suspect_until.get(address.vm, 0.0) <= now
+            if not self.is_suspect(address.vm, now)
         )
 
+    def ranked_homes(
+        self, group: str, organisation: str, now: float
+    ) -> tuple[VmAddress, ...]:
+        """Return all homes of a group in an organisation's order.
+
+        This VM and suspected homes are included. The order is kept as long
+        as the group's homes are the same.
+        """
+        homes = self.homes_of(group, now)
+        key = group, organisation
+        kept = self._ranking_by_key.get(key)
+        if kept is None or kept.homes is not homes:
+            if len(self._ranking_by_key) >= MAX_RANKINGS:
+                self._ranking_by_key.clear()
+            ranked = order_homes(group, organisation, homes.addresses)
+            kept = self._ranking_by_key[key] = _Ranking(homes, ranked)
+        return kept.addresses
+
+    def is_suspect(self, vm: str, now: float) -> bool:
+        """Return whether a home is skipped, as it didn't answer."""
+        return self._suspect_until.get(vm, 0.0) > now
+
     def mark_suspect(self, vm: str, now: float) -> None:
         """Skip a home for ``SUSPECT_S``, as it didn't answer or refused."""
         self._suspect_until[vm] = now + SUSPECT_S
--- a/redwingpost/node/tests/test_homes.py
+++ b/redwingpost/node/tests/test_homes.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from unittest import TestCase
+from unittest.mock import patch
 
 from redwingpost.configuration.routes import (
     GroupRule,
@@ -11,6 +12,7 @@
 from redwingpost.groups.directory import Directory
 from redwingpost.membership.heartbeat import Heartbeat, VmAddress
 from redwingpost.membership.vm_table import VmTable
+from redwingpost.node.forwarding import homes as homes_module
 from redwingpost.node.forwarding.homes import (
     CACHE_S,
     HOME_TIMEOUT_S,
@@ -22,6 +24,7 @@
     MAX_VMS_ALL_HOMES,
     MIN_HOMES,
     count_homes,
+    order_homes,
 )
 
 _CENTRES = ("a", "b", "c")
@@ -155,6 +158,28 @@
         fleet = _Fleet(62, strong)
         self.assertLessEqual(strong, fleet.homes(1.0))
 
+    def test_homes_are_ranked_once(self) -> None:
+        """Guards against hashing all homes several times per operation.
+
+        Each operation asks whether another VM should run it, and then which.
+        """
+        fleet = _Fleet(62)
+        homes = fleet.homes(1.0)
+        vm = next(iter(set(fleet.view_by_vm) - homes))
+        view = fleet.view_by_vm[vm]
+        with patch.object(homes_module, "order_homes", wraps=order_homes) as o:
+            first = view.homes_to_try("g", "o1", 1.0)
+            self.assertEqual(first, view.homes_to_try("g", "o1", 1.0))
+            self.assertEqual(1, o.call_count)
+            view.homes_to_try("g", "o2", 1.0)
+            self.assertEqual(2, o.call_count)
+        fleet.exchange_heartbeats(2.0)
+        gone = first[0].vm
+        for now in (3.0, 4.0, 5.0, 6.0):
+            fleet.exchange_heartbeats(now, silent=frozenset({gone}))
+        left = view.homes_to_try("g", "o1", 6.0)
+        self.assertNotIn(gone, [address.vm for address in left])
+
     def test_a_suspected_home_is_skipped_for_a_while(self) -> None:
         fleet = _Fleet(62)
         vm = next(iter(set(fleet.view_by_vm) - fleet.homes(1.0)))
