Forwarding: a read given up at a home isn't sent to a member later

Cause: a read whose home sends nothing for 0.5 s runs at another home. The first home, once it resumes, sent it as well, with session values that its caller may have replaced by then.

Change: the VM that gives a read up sends the home its number (Work.withdrawn, on a message that orders nothing else, so that homes without the field ignore it). The home cancels the read; an attempt that a member already has finishes there. A home that the message doesn't reach, behind a cut, may still send the read.

--- a/redwingpost/node/forwarding/forwarder.py
+++ b/redwingpost/node/forwarding/forwarder.py
@@ -231,9 +231,29 @@
         future = channel.send(work)
         try:
             return await self._await_read(channel, future, until)
+        except BaseException:
+            self._withdraw(channel, work)
+            raise
         finally:
             channel.discard(work)
 
+    def _withdraw(self, channel: HomeChannel, read: Work) -> None:
+        """Order a home not to send a read to a member any more.
+
+        The caller may have other session values when the home resumes.
+        """
+        order = read._replace(
+            number=channel.next_number(),
+            action=Action.ROLL_BACK,
+            transaction=0,
+            withdrawn=read.number,
+        )
+        try:
+            channel.send_without_reply(order)
+        except HomeLost:
+            # The home cancels the read when the connection ends.
+            return
+
     async def _await_read(
         self, channel: HomeChannel, future: Future, until: float
     ) -> Done:
--- a/redwingpost/node/forwarding/messages.py
+++ b/redwingpost/node/forwarding/messages.py
@@ -32,7 +32,9 @@
     statement that the statement executes. ``begin`` is sent with the first
     statement of a transaction. ``written`` is the position of the session's
     last acknowledged commit, ``waited_s`` the time since the sender
-    received the statement (seconds).
+    received the statement (seconds). ``withdrawn`` is the number of a read
+    that the sender has given up: the home doesn't send it to a member any
+    more. Such a message orders nothing else.
     """
 
     number: int
@@ -47,6 +49,7 @@
     values_by_name: dict[str, str]
     written: Position
     waited_s: float
+    withdrawn: int = 0
 
 
 class Busy(NamedTuple):
--- a/redwingpost/node/forwarding/peer.py
+++ b/redwingpost/node/forwarding/peer.py
@@ -80,6 +80,9 @@
 
     def start(self, work: Work) -> None:
         """Start to run a statement in a task of its own."""
+        if work.withdrawn:
+            self._withdraw(work.withdrawn)
+            return
         if self._busy_timer is None:
             loop = get_running_loop()
             self._busy_timer = loop.call_later(
@@ -115,6 +118,15 @@
         loop = get_running_loop()
         self._busy_timer = loop.call_later(BUSY_INTERVAL_S, self._send_busy)
 
+    def _withdraw(self, number: int) -> None:
+        """Cancel a read that its sender has given up.
+
+        An attempt that a member already has is left to finish there.
+        """
+        task = self._task_by_number.get(number)
+        if task is not None:
+            task.cancel()
+
     async def cancel_running(self, transaction: int) -> None:
         """Cancel the running statement of a transaction."""
         task = self._task_by_transaction.get(transaction)
--- a/redwingpost/node/tests/test_forwarding.py
+++ b/redwingpost/node/tests/test_forwarding.py
@@ -21,7 +21,7 @@
 from redwingpost.membership.vm_table import VmTable
 from redwingpost.node.forwarding.channel import Channels
 from redwingpost.node.forwarding.forwarder import Forwarder, ForwardedStatement
-from redwingpost.node.forwarding.peer import HomeDependencies
+from redwingpost.node.forwarding.peer import HomeDependencies, Peer
 from redwingpost.node.forwarding.server import HomeServer
 from redwingpost.node.forwarding.transaction import ForwardedTransaction
 from redwingpost.node.group import GroupClient
@@ -294,6 +294,30 @@
         self.assertIsInstance(await pending, Answer)
         self.assertEqual([], self.homes.suspected)
 
+    async def test_a_read_given_up_at_a_silent_home_is_not_sent_later(
+        self,
+    ) -> None:
+        """A home is frozen while a read waits there for a connection.
+
+        The read runs at another home, and its caller goes on with other
+        session values. Guards against the first home sending it afterwards.
+        """
+        client = self.groups[0].member_by_name["m1"]
+        client.budget.set_limits(4, 1)
+        self.assertEqual(1, client.budget.allowed(self.clock.now()))
+        blocker = await client.acquire(
+            "parish", {}, None, 1, self.clock.now() + 1.0
+        )
+        with patch.object(Peer, "_send_busy"):
+            task = self._task(_read("r"))
+            self.assertIsInstance(await self.forwarder.run_alone(task), Answer)
+        self.assertEqual(["home-0"], self.homes.suspected)
+        self.assertEqual(["r"], self.members.ran)
+        client.release(blocker)
+        await self._until(lambda: self.servers[0].is_idle)
+        await sleep(0.2)
+        self.assertEqual(["r"], self.members.ran)
+
     async def _lose_home(self, request: Coroutine) -> Result:
         """Stop the first home while a member runs a statement."""
         self.members.may_answer.clear()
--- a/redwingpost/wire/work.capnp
+++ b/redwingpost/wire/work.capnp
@@ -29,6 +29,10 @@
   values @8 :List(Value);
   written @9 :Position;
   waitedMs @10 :UInt32;
+  withdrawn @11 :UInt64;
+  # Number of a read that the sender has given up, or 0. The message itself
+  # has the action "roll-back" and no transaction: a home that doesn't know
+  # this field has nothing to roll back.
 }
 
 struct Route {
--- a/redwingpost/wire/work.py
+++ b/redwingpost/wire/work.py
@@ -34,7 +34,7 @@
     >>> work = Work(
     ...     7, Action.RUN, 2, "o", route, 1, read, Shape(False, "q2"),
     ...     Statement("0", StatementKind.BEGIN, "BEGIN"), {"tone": "b"},
-    ...     Position(3, 9), 0.25,
+    ...     Position(3, 9), 0.25, withdrawn=6,
     ... )
     >>> unpack(pack_work(work)) == work
     True
@@ -60,6 +60,7 @@
     ]
     body.written = work.written._asdict()
     body.waitedMs = int(work.waited_s * 1000)
+    body.withdrawn = work.withdrawn
     return message.to_bytes()
 
 
@@ -177,6 +178,7 @@
         {item.name: item.value for item in body.values},
         Position(body.written.term, body.written.index),
         body.waitedMs / 1000.0,
+        body.withdrawn,
     )
 
 
