Forwarding: homes report how long statements would wait there

Cause: a VM that forwards knows nothing of the homes' loads.

Change: Done.load carries the load of the statement's group, Busy.loads those of all groups that the home probes; both are new fields at the end of their structs, so VMs without them are understood as before. A VM gets reports every 0.1 s while its statements run at the home, and every 0.45 s until 3 s after its last statement; one without statements gets none. GroupClient.wait_s is a simple version: infinite or 0.

Nothing uses the reports yet.

--- a/redwingpost/node/forwarding/messages.py
+++ b/redwingpost/node/forwarding/messages.py
@@ -52,16 +52,38 @@
     withdrawn: int = 0
 
 
+class Load(NamedTuple):
+    """How long a new statement of a group would wait at a home (seconds).
+
+    ``read_wait_s`` is for statements that a replica may run,
+    ``primary_wait_s`` for those that need the primary; infinite if the home
+    can't run such a statement.
+    """
+
+    group: str
+    read_wait_s: float
+    primary_wait_s: float
+
+    def wait_s(self, needs_primary: bool) -> float:
+        """Return the wait of statements of one of the two kinds."""
+        return self.primary_wait_s if needs_primary else self.read_wait_s
+
+
 class Busy(NamedTuple):
-    """Sign of life of a home, with its number of running statements."""
+    """Sign of life of a home, with its number of running statements.
+
+    ``loads`` are those of the groups of which it is a home.
+    """
 
     statements: int
+    loads: tuple[Load, ...] = ()
 
 
 class Done(NamedTuple):
     """Outcome of a statement.
 
-    ``is_over`` tells whether its transaction has ended.
+    ``is_over`` tells whether its transaction has ended. ``load`` is that of
+    the statement's group, if the home has one.
     """
 
     number: int
@@ -69,3 +91,4 @@
     written: Position
     is_over: bool
     parts: RunParts
+    load: Load | None = None
--- a/redwingpost/node/forwarding/peer.py
+++ b/redwingpost/node/forwarding/peer.py
@@ -16,7 +16,13 @@
 from redwingpost.core.registry import Registry
 from redwingpost.core.requests import Refusal
 from redwingpost.node.forwarding.frames import write_frame
-from redwingpost.node.forwarding.messages import Action, Busy, Done, Work
+from redwingpost.node.forwarding.local_loads import LocalLoads
+from redwingpost.node.forwarding.messages import (
+    Action,
+    Busy,
+    Done,
+    Work,
+)
 from redwingpost.node.group import GroupClient
 from redwingpost.node.request.attempt import Caller
 from redwingpost.node.request.reads import ReadRequest, ReadRunner, Result
@@ -33,6 +39,16 @@
 BUSY_INTERVAL_S = 0.1
 
 
+#: Seconds between reports of loads to a VM that has nothing running here:
+#: two in the time for which it keeps them.
+REPORT_INTERVAL_S = 0.45
+
+#: Seconds after a VM's last statement for which it gets reports: most VMs
+#: with callers send several statements to each home in this time, and a VM
+#: without callers costs nothing.
+REPORT_AFTER_USE_S = 3.0
+
+
 class HomeDependencies(NamedTuple):
     """What a home uses to run statements."""
 
@@ -64,14 +80,19 @@
     """Connection from one other VM, with its statements and transactions."""
 
     def __init__(
-        self, writer: StreamWriter, dependencies: HomeDependencies
+        self,
+        writer: StreamWriter,
+        dependencies: HomeDependencies,
+        loads: LocalLoads,
     ) -> None:
         self.dependencies = dependencies
         self.held_by_number: dict[int, _HeldTransaction] = {}
         self._writer = writer
+        self._loads = loads
         self._task_by_number: dict[int, Task] = {}
         self._task_by_transaction: dict[int, Task] = {}
         self._busy_timer: TimerHandle | None = None
+        self._started_at = dependencies.clock.now()
 
     @property
     def is_busy(self) -> bool:
@@ -83,11 +104,8 @@
         if work.withdrawn:
             self._withdraw(work.withdrawn)
             return
-        if self._busy_timer is None:
-            loop = get_running_loop()
-            self._busy_timer = loop.call_later(
-                BUSY_INTERVAL_S, self._send_busy
-            )
+        self._started_at = self.dependencies.clock.now()
+        self._send_busy_within(BUSY_INTERVAL_S)
         task = create_task(self._run(work))
         self._task_by_number[work.number] = task
         task.add_done_callback(
@@ -110,13 +128,32 @@
         self._writer.close()
 
     def _send_busy(self) -> None:
-        """Send a busy message to the waiting VM, as a sign of life."""
+        """Send the waiting VM a sign of life and the groups' loads.
+
+        Loads are sent for a while after its last statement, less often: it
+        needs those of several homes to choose between them.
+        """
         self._busy_timer = None
-        if not self._task_by_number or self._writer.is_closing():
+        if self._writer.is_closing():
+            return
+        idle_s = self.dependencies.clock.now() - self._started_at
+        if not self._task_by_number and idle_s > REPORT_AFTER_USE_S:
             return
-        write_frame(self._writer, pack_busy(Busy(len(self._task_by_number))))
+        busy = Busy(len(self._task_by_number), self._loads.of_all_groups())
+        write_frame(self._writer, pack_busy(busy))
+        self._send_busy_within(
+            BUSY_INTERVAL_S if self._task_by_number else REPORT_INTERVAL_S
+        )
+
+    def _send_busy_within(self, seconds: float) -> None:
+        """Send the next busy message in ``seconds``, or as planned before."""
         loop = get_running_loop()
-        self._busy_timer = loop.call_later(BUSY_INTERVAL_S, self._send_busy)
+        timer = self._busy_timer
+        if timer is not None:
+            if timer.when() <= loop.time() + seconds:
+                return
+            timer.cancel()
+        self._busy_timer = loop.call_later(seconds, self._send_busy)
 
     def _withdraw(self, number: int) -> None:
         """Cancel a read that its sender has given up.
@@ -166,6 +203,8 @@
                 work, Refusal(Code.OUTCOME_UNKNOWN, "failed at its home")
             )
         if not self._writer.is_closing():
+            load = self._loads.of_group(work.route.group)
+            done = done._replace(load=load)
             write_frame(self._writer, pack_done(done))
 
 
--- a/redwingpost/node/forwarding/server.py
+++ b/redwingpost/node/forwarding/server.py
@@ -14,6 +14,7 @@
 
 from redwingpost.adapters.http_client import tune_socket
 from redwingpost.node.forwarding.frames import FrameError, read_frame
+from redwingpost.node.forwarding.local_loads import LocalLoads
 from redwingpost.node.forwarding.messages import Work
 from redwingpost.node.forwarding.peer import HomeDependencies, Peer
 from redwingpost.observability.journal import log_event
@@ -30,6 +31,9 @@
         self._ip = ip
         self._port = port
         self._dependencies = dependencies
+        self._loads = LocalLoads(
+            dependencies.group_by_name, dependencies.clock
+        )
         self._server: Server | None = None
         self._peers: set[Peer] = set()
 
@@ -55,7 +59,7 @@
 
     async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
         tune_socket(writer)
-        peer = Peer(writer, self._dependencies)
+        peer = Peer(writer, self._dependencies, self._loads)
         self._peers.add(peer)
         try:
             while True:
--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -263,6 +263,30 @@
             return self._vms.rank(self.name, now)
         return self._homes.rank(self.name, now)
 
+    def wait_s(self, needs_primary: bool, now: float) -> float:
+        """Return how long a new statement would wait here (seconds).
+
+        Infinite if no member can run it now. Otherwise 0.0: queues at
+        members aren't estimated.
+
+        Parameters
+        ----------
+        needs_primary : bool
+            Whether only the primary can run it.
+        now : float
+            Seconds.
+        """
+        if needs_primary:
+            is_able = self.can_use_primary() and (
+                not self.is_primary_unreachable()
+            )
+        else:
+            is_able = any(
+                self.accepts_work(client) and client.accepts_reads(now)
+                for client in self.member_by_name.values()
+            )
+        return 0.0 if is_able else float("inf")
+
     # Rounds ------------------------------------------------------------
 
     def is_primary_suspect(self) -> bool:
--- a/redwingpost/wire/work.capnp
+++ b/redwingpost/wire/work.capnp
@@ -14,6 +14,15 @@
 struct Busy {
   # The sender is alive, and this many statements are running there.
   statements @0 :UInt32;
+  loads @1 :List(Load);
+}
+
+struct Load {
+  # How long a new statement of the group would wait at the sender, for reads
+  # and for the primary. The maximum value: it can't run such a statement.
+  group @0 :Text;
+  readWaitMs @1 :UInt32;
+  primaryWaitMs @2 :UInt32;
 }
 
 struct Work {
@@ -82,6 +91,8 @@
   tries @8 :UInt16;
   waitedS @9 :Float64;
   ranS @10 :Float64;
+  load @11 :Load;
+  # Of the statement's group; its name is empty if the home doesn't know it.
 }
 
 struct Answer {
--- a/redwingpost/wire/work.py
+++ b/redwingpost/wire/work.py
@@ -1,5 +1,6 @@
 """Conversion of forwarded statements and their outcomes to and from bytes."""
 
+from math import inf, isfinite
 from typing import Any
 
 from capnp import KjException
@@ -14,11 +15,20 @@
     Statement,
     StatementKind,
 )
-from redwingpost.node.forwarding.messages import Action, Busy, Done, Work
+from redwingpost.node.forwarding.messages import (
+    Action,
+    Busy,
+    Done,
+    Load,
+    Work,
+)
 from redwingpost.observability.trace import RunParts
 from redwingpost.ports.database import FailureKind, MemberFailure
 from redwingpost.wire.work_schema import SCHEMA
 
+#: Wait (milliseconds) that stands for a home that can't run a statement.
+_CANNOT_RUN_MS = 2**32 - 1
+
 
 class MessageError(Exception):
     """The bytes are no valid message."""
@@ -73,6 +83,9 @@
     >>> done = Done(7, Answer(("a",), "1.p"), Position(3, 9), False, parts)
     >>> unpack(pack_done(done)) == done
     True
+    >>> loaded = done._replace(load=Load("g", 0.25, float("inf")))
+    >>> unpack(pack_done(loaded)) == loaded
+    True
     """
     message = SCHEMA.Message.new_message()
     body = message.init("done")
@@ -86,6 +99,8 @@
     body.waitedS = parts.waited_s
     body.ranS = parts.ran_s
     body.mayHaveRun = parts.may_have_run
+    if done.load is not None:
+        _fill_load(body.init("load"), done.load)
     return message.to_bytes()
 
 
@@ -94,10 +109,17 @@
 
     Examples
     --------
-    >>> unpack(pack_busy(Busy(2)))
-    Busy(statements=2)
+    >>> busy = Busy(2, (Load("g", 0.0, 0.125), Load("h", 1.5, float("inf"))))
+    >>> unpack(pack_busy(busy)) == busy
+    True
     """
-    return SCHEMA.Message.new_message(busy=busy._asdict()).to_bytes()
+    message = SCHEMA.Message.new_message()
+    body = message.init("busy")
+    body.statements = busy.statements
+    loads = body.init("loads", len(busy.loads))
+    for sent, load in zip(loads, busy.loads, strict=True):
+        _fill_load(sent, load)
+    return message.to_bytes()
 
 
 def unpack(body: bytes) -> Work | Done | Busy:
@@ -113,7 +135,8 @@
             if message.which() == "work":
                 return _read_work(message.work)
             if message.which() == "busy":
-                return Busy(message.busy.statements)
+                loads = map(_read_load, message.busy.loads)
+                return Busy(message.busy.statements, tuple(loads))
             return _read_done(message.done)
     except (KjException, UnicodeDecodeError, ValueError, KeyError) as error:
         raise MessageError(str(error)) from error
@@ -182,6 +205,30 @@
     )
 
 
+def _fill_load(body: Any, load: Load) -> None:
+    body.group = load.group
+    body.readWaitMs = _to_wait_ms(load.read_wait_s)
+    body.primaryWaitMs = _to_wait_ms(load.primary_wait_s)
+
+
+def _to_wait_ms(wait_s: float) -> int:
+    if not isfinite(wait_s):
+        return _CANNOT_RUN_MS
+    return min(round(wait_s * 1000), _CANNOT_RUN_MS - 1)
+
+
+def _to_wait_s(wait_ms: int) -> float:
+    return inf if wait_ms == _CANNOT_RUN_MS else wait_ms / 1000.0
+
+
+def _read_load(body: Any) -> Load:
+    return Load(
+        body.group,
+        _to_wait_s(body.readWaitMs),
+        _to_wait_s(body.primaryWaitMs),
+    )
+
+
 def _fill_result(body: Any, result: Answer | MemberFailure | Refusal) -> None:
     if isinstance(result, Answer):
         answer = body.init("answer")
@@ -224,4 +271,5 @@
             body.ranS,
             body.mayHaveRun,
         ),
+        _read_load(body.load) if body.load.group else None,
     )
