Forwarding: statements are placed by what homes report

Cause: a home that reaches no primary, or is full, got its organisations' statements all the same; each waited there for its whole time.

A home that refuses with no-primary, or can't be reached, counts as unable for a second. Where every home is unable the statement is refused before anything is sent: no-primary, or over-capacity with the shortest wait beyond its time. For 0.5 s after the last home became unable statements still wait there, as a planned change of primary takes less. Further homes take the retry budget, also for the first statement of a transaction, which now is tried at another home if the first refused it unrun. The metric redwing_placements_total counts choices; home-passed-over is logged once a second for each group.

A VM that is a home takes part in the order: if it can't run a statement, one after it may. Fleets in which every VM is a home have no order, and nothing changes for them.

--- a/redwingpost/node/forwarding/channel.py
+++ b/redwingpost/node/forwarding/channel.py
@@ -12,6 +12,7 @@
     open_connection,
     wait_for,
 )
+from collections.abc import Callable
 from itertools import count
 
 from redwingpost.adapters.http_client import tune_socket
@@ -21,7 +22,8 @@
     read_frame,
     write_frame,
 )
-from redwingpost.node.forwarding.messages import Busy, Done, Work
+from redwingpost.node.forwarding.load_reports import LoadReports
+from redwingpost.node.forwarding.messages import Busy, Done, Load, Work
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
 from redwingpost.wire.work import MessageError, pack_work, unpack
@@ -51,11 +53,16 @@
     """One connection to a home, shared by concurrent statements."""
 
     def __init__(
-        self, reader: StreamReader, writer: StreamWriter, clock: Clock
+        self,
+        reader: StreamReader,
+        writer: StreamWriter,
+        clock: Clock,
+        note_loads: Callable[[tuple[Load, ...]], None],
     ) -> None:
         self._reader = reader
         self._writer = writer
         self._clock = clock
+        self._note_loads = note_loads
         self._numbers = count(1)
         self._future_by_number: dict[int, Future] = {}
         self.last_received_at = clock.now()
@@ -123,7 +130,9 @@
             while True:
                 message = unpack(await read_frame(self._reader))
                 self.last_received_at = self._clock.now()
-                if not isinstance(message, Busy):
+                if isinstance(message, Busy):
+                    self._note_loads(message.loads)
+                else:
                     self._resolve(message)
         except (OSError, IncompleteReadError):
             # The home is gone. Pending requests fail in close() below.
@@ -136,6 +145,8 @@
     def _resolve(self, done: Work | Done) -> None:
         if not isinstance(done, Done):
             raise MessageError("no outcome")
+        if done.load is not None:
+            self._note_loads((done.load,))
         future = self._future_by_number.pop(done.number, None)
         if future is not None and not future.done():
             future.set_result(done)
@@ -145,6 +156,7 @@
     """Connections to homes, one for each address.
 
     ``connect_timeout_s`` is the timeout for opening one (seconds).
+    ``reports`` are the loads that the homes report.
     """
 
     def __init__(
@@ -152,6 +164,7 @@
     ) -> None:
         self._clock = clock
         self._connect_timeout_s = connect_timeout_s
+        self.reports = LoadReports()
         self._channel_by_ip: dict[tuple[str, int], HomeChannel] = {}
         self._lock_by_ip: dict[tuple[str, int], Lock] = {}
 
@@ -185,4 +198,9 @@
             log_event("home-out-of-reach", home=home.vm, detail=reason)
             raise HomeLost(reason, sent=False) from error
         tune_socket(writer)
-        return HomeChannel(reader, writer, self._clock)
+        return HomeChannel(
+            reader,
+            writer,
+            self._clock,
+            lambda loads: self.reports.note(home.vm, loads, self._clock.now()),
+        )
--- a/redwingpost/node/forwarding/forwarder.py
+++ b/redwingpost/node/forwarding/forwarder.py
@@ -2,15 +2,16 @@
 
 Failures at a home are reported as exactly as failures at a member. A
 statement that a home never received, or refused without running it, is sent
-to the next home. A read whose home doesn't answer is sent to another one;
-it may run twice, which has no effect. A write whose home doesn't answer has
-an unknown outcome. A transaction ends with the connection to its home:
-without COMMIT it is rolled back. A statement that no home takes runs on
-this VM.
+to the next home, within the retry budget. A read whose home doesn't answer
+is sent to another one; it may run twice, which has no effect. A write whose
+home doesn't answer has an unknown outcome. A transaction ends with the
+connection to its home: without COMMIT it is rolled back. A statement that
+all homes report not to run in time is refused; if no home can be reached, it
+runs on this VM.
 """
 
 from asyncio import Future, wait
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from itertools import count
 from typing import NamedTuple
 
@@ -25,7 +26,13 @@
     HomeLost,
 )
 from redwingpost.node.forwarding.homes import HomeView
+from redwingpost.node.forwarding.local_loads import LocalLoads
 from redwingpost.node.forwarding.messages import Action, Done, Work
+from redwingpost.node.forwarding.placer import (
+    HomePlacer,
+    StatementPlace,
+    needs_primary,
+)
 from redwingpost.node.request.attempt import Caller
 from redwingpost.node.request.reads import Result
 from redwingpost.observability.journal import log_event
@@ -71,18 +78,29 @@
     """Sends statements to homes; shared by all sessions of a node."""
 
     def __init__(
-        self, homes: HomeView, channels: Channels, clock: Clock
+        self,
+        homes: HomeView,
+        channels: Channels,
+        clock: Clock,
+        local_loads: LocalLoads,
+        note_placement: Callable[
+            [str, str], None
+        ] = lambda group, choice: None,
     ) -> None:
         self._homes = homes
         self._channels = channels
         self._clock = clock
+        self._placer = HomePlacer(
+            homes, channels.reports, local_loads, clock, note_placement
+        )
         self._budget = RetryBudget()
         self._transactions = count(1)
 
     def has_home_elsewhere(self, group: str, organisation: str) -> bool:
-        """Return whether another VM should run a statement as home."""
+        """Return whether another VM may run a statement as home."""
         now = self._clock.now()
-        return bool(self._homes.homes_to_try(group, organisation, now))
+        ranked = self._homes.ranked_homes(group, organisation, now)
+        return any(address.vm != self._homes.vm for address in ranked)
 
     def next_transaction(self) -> int:
         """Return a new transaction number, unique on this VM."""
@@ -94,12 +112,16 @@
         Returns
         -------
         Result or None
-            None if no home can run it.
+            None if this VM is to run it: as home, or as no home can be
+            reached.
         """
         self._budget.earn()
         is_write = bool(task.caller.state.writes(task.statement))
-        last_refusal: Refusal | None = None
-        async for home, channel in self._channels_for(task):
+        placed = self._place(task, None)
+        last_refusal = placed.refusal
+        async for home, channel in self._channels_for(task, placed):
+            if channel is None:
+                return None
             work = self._work(channel, Action.ALONE, task)
             try:
                 if is_write:
@@ -117,7 +139,7 @@
             self.note_outcome(task.caller, home, done)
             if not may_retry_elsewhere(done):
                 return done.result
-            last_refusal = self._note_refused(home, done)
+            last_refusal = self._note_refused(home, task, placed, done)
         if task.arrived_at + task.route.timeout_s <= self._clock.now():
             return last_refusal or Refusal(Code.TIMED_OUT, "no home answered")
         return last_refusal
@@ -128,21 +150,29 @@
         begin: Statement,
         action: Action,
         number: int,
-    ) -> tuple[HomeChannel, Done] | None:
+    ) -> tuple[HomeChannel, Done] | Refusal | None:
         """Begin a transaction with its first statement at a home.
 
         Returns
         -------
-        tuple or None
-            The home's connection and the statement's outcome; None if no
-            home can take it.
+        tuple, Refusal or None
+            The home's connection and the statement's outcome; the refusal
+            of a statement that no home can run; None if this VM is to run
+            it: as home, or as no home can be reached.
 
         Raises
         ------
         HomeLost
             If a home may have received the statement and didn't answer.
         """
-        async for home, channel in self._channels_for(task):
+        self._budget.earn()
+        placed = self._place(task, begin)
+        if placed.refusal is not None:
+            return placed.refusal
+        last: tuple[HomeChannel, Done] | None = None
+        async for home, channel in self._channels_for(task, placed):
+            if channel is None:
+                return None
             work = self._work(channel, action, task, number, begin)
             try:
                 done = await channel.request(work, self._timeout_s(task))
@@ -156,11 +186,11 @@
                 self.roll_back(channel, task, number)
                 raise
             self.note_outcome(task.caller, home, done)
-            if not may_retry_elsewhere(done):
-                return channel, done
-            if self._note_refused(home, done) is not None:
+            if not may_retry_elsewhere(done) or not done.is_over:
                 return channel, done
-        return None
+            if self._note_refused(home, task, placed, done) is not None:
+                last = channel, done
+        return last
 
     async def continue_transaction(
         self,
@@ -200,29 +230,65 @@
         caller.state.trace.note_remote_run(vm, done.parts)
         caller.state.note_commit(done.written)
 
-    def _note_refused(self, home: VmAddress, done: Done) -> Refusal | None:
+    def _note_refused(
+        self,
+        home: VmAddress,
+        task: ForwardedStatement,
+        placed: StatementPlace,
+        done: Done,
+    ) -> Refusal | None:
         """Return a home's refusal, or None if it concerns that home alone."""
+        now = self._clock.now()
+        if done.result.code.name == Code.NO_PRIMARY.name:
+            self._channels.reports.note_unable(
+                home.vm, task.route.group, placed.needs_primary, now
+            )
         if done.result.code.name not in _REFUSED_BY_HOME:
             return done.result
-        self._homes.mark_suspect(home.vm, self._clock.now())
+        self._homes.mark_suspect(home.vm, now)
         return None
 
-    async def _channels_for(
-        self, task: ForwardedStatement
-    ) -> AsyncIterator[tuple[VmAddress, HomeChannel]]:
-        """Yield connections to the homes to try, the best first."""
-        now = self._clock.now()
-        homes = self._homes.homes_to_try(
-            task.route.group, task.caller.organisation, now
+    def _place(
+        self, task: ForwardedStatement, begin: Statement | None
+    ) -> StatementPlace:
+        is_write = bool(task.caller.state.writes(task.statement))
+        return self._placer.place(
+            task.route,
+            task.caller.organisation,
+            needs_primary(task.route, is_write, begin),
+            task.arrived_at + task.route.timeout_s - self._clock.now(),
         )
-        for home in homes[:MAX_HOMES]:
+
+    async def _channels_for(
+        self, task: ForwardedStatement, placed: StatementPlace
+    ) -> AsyncIterator[tuple[VmAddress, HomeChannel | None]]:
+        """Yield connections to the homes to try, the best first.
+
+        The connection is None for this VM. Each home after the first takes
+        a token of the retry budget.
+        """
+        for position, home in enumerate(placed.homes[:MAX_HOMES]):
+            if position > 0:
+                group = task.route.group
+                if not self._placer.can_run(home, group, placed.needs_primary):
+                    continue
+                if not self._budget.spend():
+                    return
+            if home.vm == self._homes.vm:
+                yield home, None
+                return
             try:
                 channel = await self._channels.get(home)
             except HomeLost:
-                self._homes.mark_suspect(home.vm, self._clock.now())
+                self._note_unreachable(home)
                 continue
             yield home, channel
 
+    def _note_unreachable(self, home: VmAddress) -> None:
+        now = self._clock.now()
+        self._homes.mark_suspect(home.vm, now)
+        self._channels.reports.note_unreachable(home.vm, now)
+
     async def _request_read(
         self, channel: HomeChannel, work: Work, task: ForwardedStatement
     ) -> Done:
@@ -266,10 +332,11 @@
             if future.done():
                 return future.result()
             # An overloaded home also sends nothing. Without the retry
-            # budget each of its reads would be sent several times.
+            # budget each of its reads would be sent several times. The
+            # next home takes the token.
             if (
                 channel.last_received_at < waiting_since
-                and self._budget.spend()
+                and self._budget.tokens >= 1.0
             ):
                 raise HomeLost("silent", sent=True)
 
@@ -291,6 +358,8 @@
         self._homes.mark_suspect(home.vm, now)
         if now - channel.last_received_at >= CHANNEL_SILENCE_S:
             channel.close()
+        if not channel.is_open:
+            self._note_unreachable(home)
 
     def _work(
         self,
--- a/redwingpost/node/forwarding/homes.py
+++ b/redwingpost/node/forwarding/homes.py
@@ -81,7 +81,7 @@
     """
 
     def __init__(self, vm: str, vms: VmTable, directory: Directory) -> None:
-        self._vm = vm
+        self.vm = vm
         self._vms = vms
         self._directory = directory
         self._rules: ServiceRules | None = None
@@ -113,7 +113,7 @@
     def is_home(self, group: str, now: float) -> bool:
         """Return whether this VM is a home of a group."""
         homes = self.homes_of(group, now)
-        return homes.is_all or self._vm in homes.names
+        return homes.is_all or self.vm in homes.names
 
     def rank(self, group: str, now: float) -> int:
         """Return this VM's rank in the order of a group's homes."""
@@ -124,7 +124,7 @@
     def sharers(self, group: str, now: float) -> int:
         """Return how many VMs share the connections of a group's members."""
         homes = self.homes_of(group, now)
-        if homes.is_all or self._vm not in homes.names:
+        if homes.is_all or self.vm not in homes.names:
             return self._vms.count()
         return len(homes.addresses)
 
@@ -140,8 +140,8 @@
             return ()
         ranked = self.ranked_homes(group, organisation, now)
         names = [address.vm for address in ranked]
-        if self._vm in names:
-            ranked = ranked[: names.index(self._vm)]
+        if self.vm in names:
+            ranked = ranked[: names.index(self.vm)]
         return tuple(
             address
             for address in ranked
--- a/redwingpost/node/forwarding/load_reports.py
+++ b/redwingpost/node/forwarding/load_reports.py
@@ -69,7 +69,7 @@
         Infinite if the home can't run it or can't be reached; None if
         nothing is known.
         """
-        if self._unreachable_until.get(vm, now) > now:
+        if self.is_unreachable(vm, now):
             return float("inf")
         if self._unable_until.get((vm, group, needs_primary), now) > now:
             return float("inf")
@@ -78,6 +78,10 @@
             return None
         return received.load.wait_s(needs_primary)
 
+    def is_unreachable(self, vm: str, now: float) -> bool:
+        """Return whether a home couldn't be reached lately."""
+        return self._unreachable_until.get(vm, now) > now
+
     def has_answered(self, vm: str, group: str, now: float) -> bool:
         """Return whether a home itself told of a group's load lately."""
         received = self._received_by_key.get((vm, group))
--- a/redwingpost/node/forwarding/local_loads.py
+++ b/redwingpost/node/forwarding/local_loads.py
@@ -37,6 +37,11 @@
         group = self._group_by_name.get(name)
         return None if group is None else _load(group, self._clock.now())
 
+    def is_evacuated(self, name: str) -> bool:
+        """Return whether all members of a group are to be evacuated."""
+        group = self._group_by_name.get(name)
+        return group is not None and group.is_evacuated
+
 
 def _load(group: GroupClient, now: float) -> Load:
     return Load(
--- a/redwingpost/node/forwarding/transaction.py
+++ b/redwingpost/node/forwarding/transaction.py
@@ -99,6 +99,9 @@
         if opened is None:
             self._local = self._begin_here()
             return await self._run_locally(self._local, task.statement, action)
+        if isinstance(opened, Refusal):
+            self._is_over = True
+            return opened
         self._channel, done = opened
         self._is_over = done.is_over
         return done.result
--- a/redwingpost/node/metrics.py
+++ b/redwingpost/node/metrics.py
@@ -49,6 +49,12 @@
             ("organisation", "group"),
             registry=self._registry,
         )
+        self._placements = Counter(
+            "redwing_placements_total",
+            "Statements placed at homes, by group and why there",
+            ("group", "choice"),
+            registry=self._registry,
+        )
         self.sessions = Gauge(
             "redwing_sessions", "Open sessions", registry=self._registry
         )
@@ -89,6 +95,10 @@
         """Count one operation that was offered."""
         self._operations.labels(organisation, group, outcome).inc()
 
+    def note_placement(self, group: str, choice: str) -> None:
+        """Count one statement that was placed at a home, or refused."""
+        self._placements.labels(group, choice).inc()
+
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return generate_latest(self._registry)
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -37,6 +37,7 @@
 from redwingpost.node.forwarding.channel import Channels
 from redwingpost.node.forwarding.forwarder import Forwarder
 from redwingpost.node.forwarding.homes import HomeView
+from redwingpost.node.forwarding.local_loads import LocalLoads
 from redwingpost.node.forwarding.peer import HomeDependencies
 from redwingpost.node.forwarding.server import HomeServer
 from redwingpost.node.group import DRAIN_WORK_FRACTION, GroupClient
@@ -162,7 +163,13 @@
             WriteRunner(clock),
             self.metrics,
             clock,
-            Forwarder(self._homes, self._channels, clock),
+            Forwarder(
+                self._homes,
+                self._channels,
+                clock,
+                LocalLoads(self.group_by_name, clock),
+                self.metrics.note_placement,
+            ),
         )
         self._readiness_view = ReadinessView(
             self._admission,
--- a/redwingpost/node/tests/test_forwarding.py
+++ b/redwingpost/node/tests/test_forwarding.py
@@ -21,6 +21,7 @@
 from redwingpost.membership.vm_table import VmTable
 from redwingpost.node.forwarding.channel import Channels
 from redwingpost.node.forwarding.forwarder import Forwarder, ForwardedStatement
+from redwingpost.node.forwarding.local_loads import LocalLoads
 from redwingpost.node.forwarding.peer import HomeDependencies, Peer
 from redwingpost.node.forwarding.server import HomeServer
 from redwingpost.node.forwarding.transaction import ForwardedTransaction
@@ -44,11 +45,13 @@
 _COMMIT = Statement("c", StatementKind.COMMIT, "COMMIT")
 
 
-def _read(request: str) -> Statement:
+def read(request: str) -> Statement:
+    """Return a read."""
     return Statement(request, StatementKind.READ, "READ a")
 
 
-def _write(request: str) -> Statement:
+def write(request: str) -> Statement:
+    """Return a write."""
     return Statement(request, StatementKind.WRITE, "WRITE a 1")
 
 
@@ -110,16 +113,23 @@
         self.addresses = addresses
         self.suspected: list[str] = []
 
-    def homes_to_try(self, group, organisation, now) -> tuple[VmAddress, ...]:
-        """Return all homes that are not suspected."""
-        return tuple(a for a in self.addresses if a.vm not in self.suspected)
+    vm = "entry"
+
+    def ranked_homes(self, group, organisation, now) -> tuple[VmAddress, ...]:
+        """Return all homes."""
+        return self.addresses
+
+    def is_suspect(self, vm: str, now: float) -> bool:
+        """Return whether a home was suspected before."""
+        return vm in self.suspected
 
     def mark_suspect(self, vm: str, now: float) -> None:
         """Record a suspected home."""
-        self.suspected.append(vm)
+        if vm not in self.suspected:
+            self.suspected.append(vm)
 
 
-class ForwardingTest(IsolatedAsyncioTestCase):
+class ForwardingCase(IsolatedAsyncioTestCase):
     """Two homes of a group and a VM that forwards statements to them."""
 
     async def asyncSetUp(self) -> None:
@@ -134,9 +144,16 @@
                 for n, server in enumerate(self.servers)
             )
         )
-        channels = Channels(self.clock)
-        self.addCleanup(channels.close)
-        self.forwarder = Forwarder(self.homes, channels, self.clock)
+        self.channels = Channels(self.clock)
+        self.addCleanup(self.channels.close)
+        self.choices: list[str] = []
+        self.forwarder = Forwarder(
+            self.homes,
+            self.channels,
+            self.clock,
+            LocalLoads({}, self.clock),
+            lambda group, choice: self.choices.append(choice),
+        )
         self.state = SessionState()
 
     async def _start_home(self, number: int) -> HomeServer:
@@ -172,13 +189,15 @@
         self.addAsyncCleanup(server.stop)
         return server
 
-    def _task(self, statement: Statement) -> ForwardedStatement:
+    def task(self, statement: Statement) -> ForwardedStatement:
+        """Return a statement to forward."""
         caller = Caller("parish", self.state, 1)
         return ForwardedStatement(
             statement, caller, _ROUTE, 1, self.clock.now()
         )
 
-    def _transaction(self, begin_here=None) -> ForwardedTransaction:
+    def transaction(self, begin_here=None) -> ForwardedTransaction:
+        """Return a transaction that has begun."""
         return ForwardedTransaction(
             _BEGIN,
             Caller("parish", self.state, 1),
@@ -189,15 +208,27 @@
             self.clock,
         )
 
+    async def until(self, condition) -> None:
+        """Wait until a condition is met."""
+        for _ in range(500):
+            if condition():
+                return
+            await sleep(0.01)
+        self.fail("the condition was not met in time")
+
+
+class ForwardingTest(ForwardingCase):
+    """Statements at homes that answer, stop, die or are silent."""
+
     async def test_statements_outside_transactions(self) -> None:
         self.state.prepare("s", Shape(False, "q2"))
         execute = Statement(
             "e", StatementKind.EXECUTE, "EXECUTE s a", "s", "a"
         )
-        cases = ((_read("r"), 0), (_write("w"), 10), (execute, 10))
+        cases = ((read("r"), 0), (write("w"), 10), (execute, 10))
         for statement, written in cases:
             with self.subTest(statement.kind):
-                result = await self.forwarder.run_alone(self._task(statement))
+                result = await self.forwarder.run_alone(self.task(statement))
                 self.assertIsInstance(result, Answer)
                 self.assertEqual(("1",), result.rows)
                 self.assertEqual(written, self.state.written.index)
@@ -206,8 +237,8 @@
         self.assertEqual([Shape(False, "q2")], self.members.shapes)
 
     async def test_a_transaction_stays_at_its_home(self) -> None:
-        transaction = self._transaction()
-        for statement in (_read("1"), _write("2")):
+        transaction = self.transaction()
+        for statement in (read("1"), write("2")):
             self.assertIsInstance(await transaction.run(statement), Answer)
         self.assertFalse(self.servers[0].is_idle)
         self.assertIsInstance(await transaction.commit(_COMMIT), Answer)
@@ -217,10 +248,10 @@
 
     async def test_a_rollback_reaches_the_home(self) -> None:
         """Guards against transactions left open when a caller leaves."""
-        transaction = self._transaction()
-        await transaction.run(_write("1"))
+        transaction = self.transaction()
+        await transaction.run(write("1"))
         await transaction.roll_back()
-        await self._until(lambda: self.servers[0].is_idle)
+        await self.until(lambda: self.servers[0].is_idle)
         self.assertEqual(1, self.members.rolled_back)
 
     async def test_a_failed_handler_rolls_its_transaction_back(self) -> None:
@@ -229,10 +260,10 @@
         Guards against a transaction that is only forgotten: its connection
         stays claimed and the member keeps its locks.
         """
-        transaction = self._transaction()
-        await transaction.run(_write("1"))
+        transaction = self.transaction()
+        await transaction.run(write("1"))
         with patch.object(Transaction, "run", side_effect=ValueError("no")):
-            result = await transaction.run(_read("2"))
+            result = await transaction.run(read("2"))
         self.assertEqual(Code.OUTCOME_UNKNOWN.name, result.code.name)
         self.assertEqual(1, self.members.rolled_back)
         in_use = self.groups[0].member_by_name["m1"].pool.in_use
@@ -240,29 +271,29 @@
 
     async def test_a_stopped_home_is_skipped(self) -> None:
         self.stopping.add(0)
-        result = await self.forwarder.run_alone(self._task(_write("w")))
+        result = await self.forwarder.run_alone(self.task(write("w")))
         self.assertIsInstance(result, Answer)
-        transaction = self._transaction()
-        self.assertIsInstance(await transaction.run(_read("r")), Answer)
+        transaction = self.transaction()
+        self.assertIsInstance(await transaction.run(read("r")), Answer)
         self.assertEqual(["home-0"], self.homes.suspected)
         self.assertEqual(["w", "b", "r"], self.members.ran)
 
     async def test_no_home_answers(self) -> None:
         for server in self.servers:
             await server.stop()
-        result = await self.forwarder.run_alone(self._task(_read("r")))
+        result = await self.forwarder.run_alone(self.task(read("r")))
         self.assertIsNone(result)
         self.assertEqual(["home-0", "home-1"], self.homes.suspected)
 
     async def test_a_read_whose_home_is_lost_runs_at_another(self) -> None:
-        task = self._task(_read("r"))
+        task = self.task(read("r"))
         result = await self._lose_home(self.forwarder.run_alone(task))
         self.assertIsInstance(result, Answer)
         self.assertEqual(["r", "r"], self.members.ran)
 
     async def test_a_write_whose_home_is_lost_may_have_run(self) -> None:
         """Guards against "not run" for what a home may have run."""
-        task = self._task(_write("w"))
+        task = self.task(write("w"))
         result = await self._lose_home(self.forwarder.run_alone(task))
         self.assertEqual(Code.OUTCOME_UNKNOWN.name, result.code.name)
         self.assertEqual(["w"], self.members.ran)
@@ -270,17 +301,17 @@
     async def test_a_transaction_whose_home_is_lost_is_rolled_back(
         self,
     ) -> None:
-        transaction = self._transaction()
-        await transaction.run(_write("1"))
-        result = await self._lose_home(transaction.run(_read("2")))
+        transaction = self.transaction()
+        await transaction.run(write("1"))
+        result = await self._lose_home(transaction.run(read("2")))
         expected = Code.TRANSACTION_ROLLED_BACK.name
         self.assertEqual(expected, result.code.name)
         self.assertTrue(transaction.is_over)
 
     async def test_a_commit_whose_home_is_lost_may_be_kept(self) -> None:
         """Guards against "rolled back" for a commit that may be kept."""
-        transaction = self._transaction()
-        await transaction.run(_write("1"))
+        transaction = self.transaction()
+        await transaction.run(write("1"))
         result = await self._lose_home(transaction.commit(_COMMIT))
         self.assertEqual(Code.COMMIT_UNKNOWN.name, result.code.name)
         self.assertTrue(transaction.is_over)
@@ -288,7 +319,7 @@
     async def test_a_slow_home_is_not_suspected(self) -> None:
         """Guards against reads sent twice while a member is slow."""
         self.members.may_answer.clear()
-        pending = create_task(self.forwarder.run_alone(self._task(_read("r"))))
+        pending = create_task(self.forwarder.run_alone(self.task(read("r"))))
         await sleep(0.7)
         self.members.may_answer.set()
         self.assertIsInstance(await pending, Answer)
@@ -309,12 +340,12 @@
             "parish", {}, None, 1, self.clock.now() + 1.0
         )
         with patch.object(Peer, "_send_busy"):
-            task = self._task(_read("r"))
+            task = self.task(read("r"))
             self.assertIsInstance(await self.forwarder.run_alone(task), Answer)
         self.assertEqual(["home-0"], self.homes.suspected)
         self.assertEqual(["r"], self.members.ran)
         client.release(blocker)
-        await self._until(lambda: self.servers[0].is_idle)
+        await self.until(lambda: self.servers[0].is_idle)
         await sleep(0.2)
         self.assertEqual(["r"], self.members.ran)
 
@@ -323,14 +354,7 @@
         self.members.may_answer.clear()
         ran = len(self.members.ran)
         pending = create_task(request)
-        await self._until(lambda: len(self.members.ran) > ran)
+        await self.until(lambda: len(self.members.ran) > ran)
         await self.servers[0].stop()
         self.members.may_answer.set()
         return await pending
-
-    async def _until(self, condition) -> None:
-        for _ in range(500):
-            if condition():
-                return
-            await sleep(0.01)
-        self.fail("the condition was not met in time")
