Homes: both sides of a partition share a member's connections

Cause: each side chooses its own homes, with whole shares of a member's connections: together up to twice as many as the member accepts.

Change: a home divides the connections as if there were homes / part of them, where part is the largest part of the fleet that it heard within a second; drops shorter than that change nothing. While part is below 1 it opens none beyond its share and closes idle ones, the least recently used first. A VM that hears everything, and fleets in which every VM is a home, have the share they had.

Test, 62 VMs cut into 3 + 59, 20 + 42, 31 + 31, 61 + 1: the homes' shares sum to at most 1 (before: 1 for each side, 2 together).

--- a/redwingpost/node/forwarding/homes.py
+++ b/redwingpost/node/forwarding/homes.py
@@ -1,5 +1,6 @@
 """The homes of each group, chosen from this VM's view of the fleet."""
 
+from math import ceil
 from operator import attrgetter
 from typing import NamedTuple
 
@@ -8,6 +9,7 @@
 from redwingpost.groups.directory import Directory
 from redwingpost.membership.heartbeat import VmAddress
 from redwingpost.membership.vm_table import VmTable
+from redwingpost.node.forwarding.heard_part import HeardPart
 from redwingpost.routing.homes import (
     MAX_VMS_ALL_HOMES,
     choose_homes,
@@ -86,6 +88,7 @@
         self._directory = directory
         self._rules: ServiceRules | None = None
         self._cached_by_group: dict[str, _CachedHomes] = {}
+        self._heard = HeardPart()
         self._ranking_by_key: dict[tuple[str, str], _Ranking] = {}
         self._suspect_until: dict[str, float] = {}
         self._alive: tuple[VmAddress, ...] = ()
@@ -122,11 +125,27 @@
         return self._vms.rank(group, now, among)
 
     def sharers(self, group: str, now: float) -> int:
-        """Return how many VMs share the connections of a group's members."""
+        """Return how many VMs share the connections of a group's members.
+
+        The VMs that aren't heard may have chosen homes among themselves.
+        Those get the rest of the members' connections, in proportion.
+        """
         homes = self.homes_of(group, now)
         if homes.is_all or self.vm not in homes.names:
             return self._vms.count()
-        return len(homes.addresses)
+        return ceil(len(homes.addresses) / self.heard_part(now) - 1e-9)
+
+    def heard_part(self, now: float) -> float:
+        """Return the part of the fleet that is heard (0 to 1).
+
+        Drops shorter than ``DROP_S`` are left out.
+        """
+        return self._heard.note(self._vms.part(now), now)
+
+    def is_cut(self, group: str, now: float) -> bool:
+        """Return whether homes may exist that this one doesn't hear of."""
+        homes = self.homes_of(group, now)
+        return not homes.is_all and self.heard_part(now) < 1.0
 
     def homes_to_try(
         self, group: str, organisation: str, now: float
--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -123,9 +123,16 @@
     # Members -----------------------------------------------------------
 
     def follow_directory(
-        self, max_connections: int, vms: int, idle_s: float = IDLE_S
+        self,
+        max_connections: int,
+        vms: int,
+        idle_s: float = IDLE_S,
+        is_cut: bool = False,
     ) -> None:
-        """Update the members and their connection limits."""
+        """Update the members and their connection limits.
+
+        ``is_cut`` tells that VMs share them that this one doesn't hear.
+        """
         entries = self._directory.members_of(self.name)
         listed = {entry.member: entry for entry in entries}
         for member in tuple(self.member_by_name):
@@ -135,6 +142,7 @@
             self._update(member, entry)
             client = self.member_by_name[member]
             client.budget.set_limits(max_connections, vms, idle_s)
+            client.budget.is_cut = is_cut
             client.work_ends_at = self._directory.evacuations.work_ends_at(
                 entry.data_centre
             )
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -513,6 +513,7 @@
                 limit,
                 self._homes.sharers(name, now),
                 IDLE_S if is_all else HOME_IDLE_S,
+                self._homes.is_cut(name, now),
             )
 
     # Readiness ---------------------------------------------------------
--- a/redwingpost/node/tests/test_homes.py
+++ b/redwingpost/node/tests/test_homes.py
@@ -1,6 +1,7 @@
 """The homes of a group as chosen by the VMs of a fleet."""
 
 from collections.abc import Iterable
+from fractions import Fraction
 from unittest import TestCase
 from unittest.mock import patch
 
@@ -90,6 +91,26 @@
             for table in self.table_by_vm.values():
                 table.note(heartbeat, now)
 
+    def exchange_heartbeats_within(
+        self, sides: tuple[frozenset[str], ...], now: float
+    ) -> None:
+        """Deliver heartbeats between the VMs of the same side only."""
+        for side in sides:
+            for address in self.addresses:
+                if address.vm not in side:
+                    continue
+                heartbeat = Heartbeat(
+                    address.vm, 1, address.ip, 1, {}, 1, None, ()
+                )
+                for vm in side:
+                    self.table_by_vm[vm].note(heartbeat, now)
+
+    def sharers(self, now: float) -> dict[str, int]:
+        """Return with how many VMs each one shares a member's connections."""
+        return {
+            vm: view.sharers("g", now) for vm, view in self.view_by_vm.items()
+        }
+
     def homes(self, now: float) -> frozenset[str]:
         """Return the VMs that consider themselves a home."""
         return frozenset(
@@ -180,6 +201,62 @@
         left = view.homes_to_try("g", "o1", 6.0)
         self.assertNotIn(gone, [address.vm for address in left])
 
+    def test_both_sides_of_a_partition_share_the_connections(self) -> None:
+        """Each side chooses homes of its own.
+
+        With whole shares on both sides, members would get twice as many
+        connections as they accept, and reset or refuse them.
+        """
+        for cut in (3, 20, 31, 61):
+            with self.subTest(cut=cut):
+                fleet = _Fleet(62)
+                sides = (
+                    frozenset(a.vm for a in fleet.addresses[:cut]),
+                    frozenset(a.vm for a in fleet.addresses[cut:]),
+                )
+                for step in range(60):
+                    fleet.exchange_heartbeats_within(sides, step * 0.1)
+                    fleet.sharers(step * 0.1)
+                by_vm = fleet.sharers(6.0)
+                homes = fleet.homes(6.0)
+                self.assertGreater(len(homes), min(cut, _HOMES))
+                shares = [Fraction(1, by_vm[vm]) for vm in homes]
+                self.assertLessEqual(sum(shares), 1)
+                for step in range(60, 100):
+                    fleet.exchange_heartbeats(step * 0.1)
+                    by_vm = fleet.sharers(step * 0.1)
+                homes = fleet.homes(10.0)
+                self.assertEqual({_HOMES}, {by_vm[vm] for vm in homes})
+
+    def test_a_small_fleet_divides_connections_as_before(self) -> None:
+        """All of its VMs are homes, also those that aren't heard."""
+        fleet = _Fleet(MAX_VMS_ALL_HOMES)
+        for step in range(60):
+            fleet.exchange_heartbeats(step * 0.1, frozenset({"vm-1", "vm-2"}))
+            by_vm = fleet.sharers(step * 0.1)
+            self.assertEqual({MAX_VMS_ALL_HOMES}, set(by_vm.values()))
+        for view in fleet.view_by_vm.values():
+            self.assertFalse(view.is_cut("g", 6.0))
+            self.assertEqual((), view.ranked_homes("g", "o1", 6.0))
+
+    def test_a_short_drop_changes_no_share(self) -> None:
+        """Guards against connections closed for a few late heartbeats."""
+        fleet = _Fleet(62)
+        homes = fleet.homes(0.1)
+        far = frozenset(fleet.view_by_vm) - homes
+        for step in range(60):
+            # Heartbeats count for 0.85 s: a drop of 0.85 s.
+            is_late = 20 <= step < 36
+            fleet.exchange_heartbeats(
+                step * 0.1, far if is_late else frozenset()
+            )
+            by_vm = fleet.sharers(step * 0.1)
+            self.assertEqual({_HOMES}, {by_vm[vm] for vm in homes})
+        for step in range(60, 90):
+            fleet.exchange_heartbeats(step * 0.1, far)
+            by_vm = fleet.sharers(step * 0.1)
+        self.assertNotIn(_HOMES, {by_vm[vm] for vm in homes})
+
     def test_a_suspected_home_is_skipped_for_a_while(self) -> None:
         fleet = _Fleet(62)
         vm = next(iter(set(fleet.view_by_vm) - fleet.homes(1.0)))
--- a/redwingpost/pools/pool.py
+++ b/redwingpost/pools/pool.py
@@ -89,6 +89,9 @@
     def __init__(self) -> None:
         self.share = 1
         self.idle_s = IDLE_S
+        #: Whether VMs that aren't heard share the member's connections. They
+        #: use their shares, so nothing is left beyond this VM's.
+        self.is_cut = False
         self._refused_at = float("-inf")
 
     def set_limits(
@@ -117,7 +120,7 @@
 
     def allowed(self, now: float) -> int:
         """Return how many connections may be open at ``now`` (seconds)."""
-        if now - self._refused_at < EQUAL_SHARE_AFTER_REFUSAL_S:
+        if self.is_cut or now - self._refused_at < EQUAL_SHARE_AFTER_REFUSAL_S:
             return self.share
         return max(self.share, int(self.share * OVERSHOOT_FACTOR))
 
@@ -195,6 +198,9 @@
     def close_idle(self, now: float, close_all: bool) -> list[PooledLink]:
         """Remove idle connections that should close; return them.
 
+        In a cut these include those beyond this VM's share, the least
+        recently used first.
+
         Parameters
         ----------
         now : float
@@ -205,7 +211,16 @@
         closing = []
         for pooled in tuple(self._idle):
             is_expired = now - pooled.last_used_at > self._budget.idle_s
-            if close_all or is_expired or not pooled.link.is_open:
+            is_surplus = (
+                self._budget.is_cut
+                and self._in_use + len(self._idle) > self._budget.share
+            )
+            if (
+                close_all
+                or is_expired
+                or is_surplus
+                or not pooled.link.is_open
+            ):
                 del self._idle[pooled]
                 closing.append(pooled)
         return closing
--- a/redwingpost/pools/tests/test_pool.py
+++ b/redwingpost/pools/tests/test_pool.py
@@ -119,6 +119,28 @@
                 closing = pool.close_idle(now, close_all)
                 self.assertEqual(closed, len(closing))
 
+    def test_a_cut_closes_idle_connections_beyond_the_share(self) -> None:
+        """VMs behind a cut open connections to the same member.
+
+        Guards against a member that resets connections, as both sides hold
+        what one side may.
+        """
+        budget = ConnectionBudget()
+        budget.set_limits(max_connections=32, vms=2)
+        pool = MemberPool(budget)
+        connections = _fill(pool, ["a"] * 17, 0.0)
+        for pooled in connections[:12]:
+            pool.give_back(pooled, 0.0)
+        self.assertEqual([], pool.close_idle(0.5, close_all=False))
+        budget.is_cut = True
+        budget.set_limits(max_connections=32, vms=4)
+        self.assertEqual((6, 6), (budget.share, budget.allowed(0.5)))
+        closed = pool.close_idle(0.5, close_all=False)
+        self.assertEqual(connections[:11], closed)
+        self.assertIsInstance(pool.take("b", {}, None, 0.5), Open)
+        budget.is_cut = False
+        self.assertEqual(7, budget.allowed(0.5))
+
     def test_a_refusal_restores_the_equal_share(self) -> None:
         """Six VMs exceed their equal share at once; the member refuses.
 
