Forwarding: a home that reports to be able again gets statements at once

Cause: a home that answered no-primary counted as unable for a second, also where it had learnt the new primary meanwhile: callers would wait for up to a second more after each takeover.

Change: a report that a home became able ends that. What it reports without such a change counts less than its refusal, as before.

--- a/redwingpost/node/forwarding/forwarder.py
+++ b/redwingpost/node/forwarding/forwarder.py
@@ -31,7 +31,7 @@
 from redwingpost.node.forwarding.placer import (
     HomePlacer,
     StatementPlace,
-    needs_primary,
+    requires_primary,
 )
 from redwingpost.node.request.attempt import Caller
 from redwingpost.node.request.reads import Result
@@ -255,7 +255,7 @@
         return self._placer.place(
             task.route,
             task.caller.organisation,
-            needs_primary(task.route, is_write, begin),
+            requires_primary(task.route, is_write, begin),
             task.arrived_at + task.route.timeout_s - self._clock.now(),
         )
 
--- a/redwingpost/node/forwarding/homes.py
+++ b/redwingpost/node/forwarding/homes.py
@@ -31,7 +31,7 @@
 SUSPECT_S = 2.0
 
 #: Orders of homes that are kept, one for each group and organisation with
-#: callers here; 200 bytes each.
+#: callers here.
 MAX_RANKINGS = 4096
 
 
--- a/redwingpost/node/forwarding/load_reports.py
+++ b/redwingpost/node/forwarding/load_reports.py
@@ -1,6 +1,7 @@
 """What homes report of their loads, as known at this VM."""
 
 from collections.abc import Iterable
+from math import inf
 from typing import NamedTuple
 
 from redwingpost.node.forwarding.messages import Load
@@ -44,6 +45,7 @@
         """Record the loads that a home reports."""
         self._unreachable_until.pop(vm, None)
         for load in loads:
+            self._note_able(vm, load)
             received = _Received(load, now + REPORT_VALID_S)
             self._received_by_key[vm, load.group] = received
 
@@ -52,7 +54,9 @@
     ) -> None:
         """Record that a home refused a statement of a kind, unrun.
 
-        This counts more than its reports, which are estimates.
+        This counts more than its reports, which are estimates, until it
+        reports that it became able: after a takeover, statements go there
+        at once.
         """
         key = vm, group, needs_primary
         self._unable_until[key] = now + REPORT_VALID_S
@@ -61,6 +65,16 @@
         """Record that a home can't be reached."""
         self._unreachable_until[vm] = now + REPORT_VALID_S
 
+    def _note_able(self, vm: str, load: Load) -> None:
+        last = self._received_by_key.get((vm, load.group))
+        if last is None:
+            return
+        for needs_primary in (False, True):
+            was_unable = last.load.wait_s(needs_primary) == inf
+            if was_unable and load.wait_s(needs_primary) < inf:
+                key = vm, load.group, needs_primary
+                self._unable_until.pop(key, None)
+
     def wait_s(
         self, vm: str, group: str, needs_primary: bool, now: float
     ) -> float | None:
@@ -70,9 +84,9 @@
         nothing is known.
         """
         if self.is_unreachable(vm, now):
-            return float("inf")
+            return inf
         if self._unable_until.get((vm, group, needs_primary), now) > now:
-            return float("inf")
+            return inf
         received = self._received_by_key.get((vm, group))
         if received is None or received.until <= now:
             return None
--- a/redwingpost/node/forwarding/placer.py
+++ b/redwingpost/node/forwarding/placer.py
@@ -56,7 +56,7 @@
     is_complete: bool
 
 
-def needs_primary(
+def requires_primary(
     route: RouteRule, is_write: bool, begin: Statement | None
 ) -> bool:
     """Return whether only the primary can run a statement.
@@ -114,7 +114,9 @@
             remaining_s,
             route.target_latency_s,
             self._random.random(),
-            known.is_complete and not self._is_evacuated(route.group),
+            # Homes refuse with the code of an evacuation.
+            known.is_complete
+            and not self._local_loads.is_evacuated(route.group),
         )
         order = tuple(known.address_by_vm)
         placement = place(order, known.wait_s_by_vm, need)
@@ -125,7 +127,7 @@
             placement = place(order, known.wait_s_by_vm, need)
         self._note(route.group, placement, now)
         if placement.choice is Choice.REFUSED:
-            refusal = self._refuse(route.group, order, placement, now)
+            refusal = self._refuse(route.group, order, placement)
             return StatementPlace((), needs_primary, refusal)
         homes = tuple(
             known.address_by_vm[vm]
@@ -158,7 +160,7 @@
             address_by_vm[vm] = address
             if wait_s is not None:
                 wait_s_by_vm[vm] = wait_s
-        # If no home can be reached, this VM tries to run statements itself.
+        # Without any answer, as in a cut, this VM runs statements itself.
         return _Known(address_by_vm, wait_s_by_vm, is_complete and has_answer)
 
     def _wait_s(
@@ -174,10 +176,6 @@
             return True
         return self._reports.has_answered(vm, group, now)
 
-    def _is_evacuated(self, group: str) -> bool:
-        """Return whether homes refuse with the code of an evacuation."""
-        return self._local_loads.is_evacuated(group)
-
     def _is_unable_for_long(
         self, group: str, needs_primary: bool, placement: Placement, now: float
     ) -> bool:
@@ -193,8 +191,9 @@
         return now - unable.since >= UNABLE_GRACE_S
 
     def _refuse(
-        self, group: str, order: tuple[str, ...], placed: Placement, now: float
+        self, group: str, order: tuple[str, ...], placed: Placement
     ) -> Refusal:
+        now = self._clock.now()
         reaches_primary = any(
             self._wait_s(vm, group, True, now) != inf for vm in order
         )
--- a/redwingpost/node/tests/test_placement.py
+++ b/redwingpost/node/tests/test_placement.py
@@ -7,7 +7,9 @@
 from redwingpost.core.positions import Position
 from redwingpost.core.requests import Refusal
 from redwingpost.core.statements import Answer
+from redwingpost.node.forwarding.forwarder import Forwarder
 from redwingpost.node.forwarding.load_reports import REPORT_VALID_S
+from redwingpost.node.forwarding.local_loads import LocalLoads
 from redwingpost.node.forwarding.messages import Load
 from redwingpost.node.forwarding.placer import UNABLE_GRACE_S
 from redwingpost.node.tests.test_forwarding import ForwardingCase
@@ -165,6 +167,34 @@
                 refusal = await self.transaction().run(write("t"))
                 self._assert_unrun(refusal, Code.NO_PRIMARY)
 
+    async def test_a_vm_that_is_a_home_takes_part_in_the_order(self) -> None:
+        """Guards against a home that keeps statements it can't run."""
+        self.homes.vm = "home-0"
+        loads = LocalLoads({"g": self.groups[0]}, self.clock)
+        self.forwarder = Forwarder(
+            self.homes, self.channels, self.clock, loads
+        )
+        self.assertIsNone(await self._alone(write("w")))
+        with self._without_primary(0):
+            self.assertIsInstance(await self._alone(write("w")), Answer)
+        self.homes.addresses = self.homes.addresses[::-1]
+        with self._without_primary(1):
+            self.assertIsNone(await self._alone(write("w")))
+            self.assertIsNone(await self._alone(write("w")))
+
+    async def test_a_home_that_became_able_gets_statements_at_once(
+        self,
+    ) -> None:
+        """Guards against a second of refusals after each takeover."""
+        reports = self.channels.reports
+        self._report(0, 0.0, _INF)
+        reports.note_unable("home-0", "g", True, self.clock.now())
+        self._report(0, 0.0, 0.0)
+        self.assertIsInstance(await self._alone(write("w")), Answer)
+        reports.note_unable("home-0", "g", True, self.clock.now())
+        self.assertIsInstance(await self._alone(write("w")), Answer)
+        self.assertEqual(["first", "reach"], self.choices)
+
     async def _alone(self, statement):
         return await self.forwarder.run_alone(self.task(statement))
 
