Placement: a home without a report is tried when the time is over

Cause: a statement whose time had run out counted every home as unable, also those of which nothing is known, and raised a KeyError.

Change: only reported waits make a home unable. The fuzz test of any reports failed before and passes now. Another test covers the metric and the log line home-passed-over.

--- a/redwingpost/node/tests/test_placement.py
+++ b/redwingpost/node/tests/test_placement.py
@@ -11,7 +11,9 @@
 from redwingpost.node.forwarding.load_reports import REPORT_VALID_S
 from redwingpost.node.forwarding.local_loads import LocalLoads
 from redwingpost.node.forwarding.messages import Load
+from redwingpost.node.forwarding import placer
 from redwingpost.node.forwarding.placer import UNABLE_GRACE_S
+from redwingpost.node.metrics import NodeMetrics
 from redwingpost.node.tests.test_forwarding import ForwardingCase
 from redwingpost.node.tests.test_forwarding import read, write
 from redwingpost.retries.budget import RetryBudget
@@ -116,6 +118,31 @@
             self.assertIsInstance(await self._alone(read("r")), Answer)
         self.assertGreaterEqual(self.choices.count("spread"), 10)
 
+    async def test_what_operators_see(self) -> None:
+        """Guards against a log line for each statement of an overload."""
+        metrics = NodeMetrics()
+        forwarder = Forwarder(
+            self.homes,
+            self.channels,
+            self.clock,
+            LocalLoads({}, self.clock),
+            metrics.note_placement,
+        )
+        with patch.object(placer, "log_event") as logged:
+            for _ in range(3):
+                self._report(0, 5.0, 5.0)
+                self._report(1, 0.0, 0.0)
+                await forwarder.run_alone(self.task(read("r")))
+            logged.assert_called_once_with(
+                "home-passed-over",
+                group="g",
+                home="home-0",
+                wait_ms=5000,
+                choice="reach",
+            )
+        expected = 'redwing_placements_total{choice="reach",group="g"} 3.0'
+        self.assertIn(expected, metrics.render().decode())
+
     async def test_all_homes_are_full(self) -> None:
         """Guards against statements that wait only to be refused."""
         cases = (
--- a/redwingpost/routing/placement.py
+++ b/redwingpost/routing/placement.py
@@ -119,7 +119,7 @@
     unable = [
         home
         for home in order
-        if wait_s_by_home.get(home, 0.0) >= need.remaining_s
+        if wait_s_by_home.get(home, -inf) >= need.remaining_s
     ]
     if len(unable) == len(order):
         return _place_nowhere(order, wait_s_by_home, need)
--- a/redwingpost/routing/tests/test_placement.py
+++ b/redwingpost/routing/tests/test_placement.py
@@ -4,6 +4,15 @@
 from statistics import fmean
 from unittest import TestCase
 
+from hypothesis import given, settings
+from hypothesis.strategies import (
+    dictionaries,
+    floats,
+    just,
+    one_of,
+    sampled_from,
+)
+
 from redwingpost.routing.placement import Choice, Need, place
 from redwingpost.routing.tests.placement_play import (
     PlayedLoad,
@@ -95,6 +104,33 @@
                 )
                 self.assertEqual(leaving, left)
 
+    def test_a_home_without_a_report_is_tried_at_the_last_moment(self) -> None:
+        """Guards against an error when the statement's time is over."""
+        need = _NEED._replace(remaining_s=-0.1)
+        self.assertEqual(_ORDER, place(_ORDER, {}, need).homes)
+        placement = place(_ORDER, {"a": 0.0, "b": inf}, need)
+        self.assertEqual(("c",), placement.homes)
+
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(
+        waits=dictionaries(
+            sampled_from("abcd"), one_of(just(inf), floats(0.0, 10.0))
+        ),
+        remaining_s=floats(-1.0, 5.0),
+        draw=floats(0.0, 1.0, exclude_max=True),
+    )
+    def test_any_reports(self, waits, remaining_s, draw) -> None:
+        """Guards against lost homes, and refusals of what can be run."""
+        need = Need(remaining_s, 0.2, draw)
+        placement = place("abcd", waits, need)
+        able = {home for home in "abcd" if waits.get(home, -inf) < remaining_s}
+        self.assertEqual(able, set(placement.homes))
+        self.assertEqual(len(able), len(placement.homes))
+        is_refused = placement.choice is Choice.REFUSED
+        self.assertEqual(not able, is_refused)
+        if is_refused:
+            self.assertGreaterEqual(placement.retry_after_ms, 1)
+
     def test_no_homes(self) -> None:
         self.assertEqual((), place((), {}, _NEED).homes)
 
