--- a/redwingpost/node/forwarding/homes.py
+++ b/redwingpost/node/forwarding/homes.py
@@ -1,5 +1,6 @@
 """The homes of each group, chosen from this VM's view of the fleet."""
 
+from math import ceil
 from operator import attrgetter
 from typing import NamedTuple
 
@@ -8,6 +9,7 @@
 from redwingpost.groups.directory import Directory
 from redwingpost.membership.heartbeat import VmAddress
 from redwingpost.membership.vm_table import VmTable
+from redwingpost.node.forwarding.heard_part import HeardPart
 from redwingpost.routing.homes import (
     MAX_VMS_ALL_HOMES,
     choose_homes,
@@ -28,6 +30,10 @@
 #: Seconds for which a home that didn't answer a statement is skipped.
 SUSPECT_S = 2.0
 
+#: Orders of homes that are kept, one for each group and organisation with
+#: callers here.
+MAX_RANKINGS = 4096
+
 
 class Homes(NamedTuple):
     """The homes of a group and their names; ``is_all`` if every VM is one."""
@@ -56,6 +62,13 @@
     until: float
 
 
+class _Ranking(NamedTuple):
+    """A group's homes, and their order for one organisation."""
+
+    homes: Homes
+    addresses: tuple[VmAddress, ...]
+
+
 class HomeView:
     """Chooses the homes of each group.
 
@@ -70,11 +83,13 @@
     """
 
     def __init__(self, vm: str, vms: VmTable, directory: Directory) -> None:
-        self._vm = vm
+        self.vm = vm
         self._vms = vms
         self._directory = directory
         self._rules: ServiceRules | None = None
         self._cached_by_group: dict[str, _CachedHomes] = {}
+        self._heard = HeardPart()
+        self._ranking_by_key: dict[tuple[str, str], _Ranking] = {}
         self._suspect_until: dict[str, float] = {}
         self._alive: tuple[VmAddress, ...] = ()
         self._alive_until = float("-inf")
@@ -83,6 +98,7 @@
         """Apply the configuration in force."""
         self._rules = rules
         self._cached_by_group.clear()
+        self._ranking_by_key.clear()
 
     def homes_of(self, group: str, now: float) -> Homes:
         """Return a group's homes at ``now`` (seconds)."""
@@ -100,7 +116,7 @@
     def is_home(self, group: str, now: float) -> bool:
         """Return whether this VM is a home of a group."""
         homes = self.homes_of(group, now)
-        return homes.is_all or self._vm in homes.names
+        return homes.is_all or self.vm in homes.names
 
     def rank(self, group: str, now: float) -> int:
         """Return this VM's rank in the order of a group's homes."""
@@ -109,11 +125,27 @@
         return self._vms.rank(group, now, among)
 
     def sharers(self, group: str, now: float) -> int:
-        """Return how many VMs share the connections of a group's members."""
+        """Return how many VMs share the connections of a group's members.
+
+        The VMs that aren't heard may have chosen homes among themselves.
+        Those get the rest of the members' connections, in proportion.
+        """
         homes = self.homes_of(group, now)
-        if homes.is_all or self._vm not in homes.names:
+        if homes.is_all or self.vm not in homes.names:
             return self._vms.count()
-        return len(homes.addresses)
+        return ceil(len(homes.addresses) / self.heard_part(now) - 1e-9)
+
+    def heard_part(self, now: float) -> float:
+        """Return the part of the fleet that is heard (0 to 1).
+
+        Drops shorter than ``DROP_S`` are left out.
+        """
+        return self._heard.note(self._vms.part(now), now)
+
+    def is_cut(self, group: str, now: float) -> bool:
+        """Return whether homes may exist that this one doesn't hear of."""
+        homes = self.homes_of(group, now)
+        return not homes.is_all and self.heard_part(now) < 1.0
 
     def homes_to_try(
         self, group: str, organisation: str, now: float
@@ -125,16 +157,38 @@
         homes = self.homes_of(group, now)
         if homes.is_all:
             return ()
-        ranked = order_homes(group, organisation, homes.addresses)
+        ranked = self.ranked_homes(group, organisation, now)
         names = [address.vm for address in ranked]
-        if self._vm in names:
-            ranked = ranked[: names.index(self._vm)]
+        if self.vm in names:
+            ranked = ranked[: names.index(self.vm)]
         return tuple(
             address
             for address in ranked
-            if self._suspect_until.get(address.vm, 0.0) <= now
+            if not self.is_suspect(address.vm, now)
         )
 
+    def ranked_homes(
+        self, group: str, organisation: str, now: float
+    ) -> tuple[VmAddress, ...]:
+        """Return all homes of a group in an organisation's order.
+
+        This VM and suspected homes are included. The order is kept as long
+        as the group's homes are the same.
+        """
+        homes = self.homes_of(group, now)
+        key = group, organisation
+        kept = self._ranking_by_key.get(key)
+        if kept is None or kept.homes is not homes:
+            if len(self._ranking_by_key) >= MAX_RANKINGS:
+                self._ranking_by_key.clear()
+            ranked = order_homes(group, organisation, homes.addresses)
+            kept = self._ranking_by_key[key] = _Ranking(homes, ranked)
+        return kept.addresses
+
+    def is_suspect(self, vm: str, now: float) -> bool:
+        """Return whether a home is skipped, as it didn't answer."""
+        return self._suspect_until.get(vm, 0.0) > now
+
     def mark_suspect(self, vm: str, now: float) -> None:
         """Skip a home for ``SUSPECT_S``, as it didn't answer or refused."""
         self._suspect_until[vm] = now + SUSPECT_S
--- a/redwingpost/node/forwarding/messages.py
+++ b/redwingpost/node/forwarding/messages.py
@@ -32,7 +32,9 @@
     statement that the statement executes. ``begin`` is sent with the first
     statement of a transaction. ``written`` is the position of the session's
     last acknowledged commit, ``waited_s`` the time since the sender
-    received the statement (seconds).
+    received the statement (seconds). ``withdrawn`` is the number of a read
+    that the sender has given up: the home doesn't send it to a member any
+    more. Such a message orders nothing else.
     """
 
     number: int
@@ -47,18 +49,41 @@
     values_by_name: dict[str, str]
     written: Position
     waited_s: float
+    withdrawn: int = 0
+
+
+class Load(NamedTuple):
+    """How long a new statement of a group would wait at a home (seconds).
+
+    ``read_wait_s`` is for statements that a replica may run,
+    ``primary_wait_s`` for those that need the primary; infinite if the home
+    can't run such a statement.
+    """
+
+    group: str
+    read_wait_s: float
+    primary_wait_s: float
+
+    def wait_s(self, needs_primary: bool) -> float:
+        """Return the wait of statements of one of the two kinds."""
+        return self.primary_wait_s if needs_primary else self.read_wait_s
 
 
 class Busy(NamedTuple):
-    """Sign of life of a home, with its number of running statements."""
+    """Sign of life of a home, with its number of running statements.
+
+    ``loads`` are those of the groups of which it is a home.
+    """
 
     statements: int
+    loads: tuple[Load, ...] = ()
 
 
 class Done(NamedTuple):
     """Outcome of a statement.
 
-    ``is_over`` tells whether its transaction has ended.
+    ``is_over`` tells whether its transaction has ended. ``load`` is that of
+    the statement's group, if the home has one.
     """
 
     number: int
@@ -66,3 +91,4 @@
     written: Position
     is_over: bool
     parts: RunParts
+    load: Load | None = None
--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -123,9 +123,16 @@
     # Members -----------------------------------------------------------
 
     def follow_directory(
-        self, max_connections: int, vms: int, idle_s: float = IDLE_S
+        self,
+        max_connections: int,
+        vms: int,
+        idle_s: float = IDLE_S,
+        is_cut: bool = False,
     ) -> None:
-        """Update the members and their connection limits."""
+        """Update the members and their connection limits.
+
+        ``is_cut`` tells that VMs share them that this one doesn't hear.
+        """
         entries = self._directory.members_of(self.name)
         listed = {entry.member: entry for entry in entries}
         for member in tuple(self.member_by_name):
@@ -135,6 +142,7 @@
             self._update(member, entry)
             client = self.member_by_name[member]
             client.budget.set_limits(max_connections, vms, idle_s)
+            client.budget.is_cut = is_cut
             client.work_ends_at = self._directory.evacuations.work_ends_at(
                 entry.data_centre
             )
@@ -263,6 +271,30 @@
             return self._vms.rank(self.name, now)
         return self._homes.rank(self.name, now)
 
+    def wait_s(self, needs_primary: bool, now: float) -> float:
+        """Return how long a new statement would wait here (seconds).
+
+        Infinite if no member can run it now. Otherwise 0.0: queues at
+        members aren't estimated.
+
+        Parameters
+        ----------
+        needs_primary : bool
+            Whether only the primary can run it.
+        now : float
+            Seconds.
+        """
+        if needs_primary:
+            is_able = self.can_use_primary() and (
+                not self.is_primary_unreachable()
+            )
+        else:
+            is_able = any(
+                self.accepts_work(client) and client.accepts_reads(now)
+                for client in self.member_by_name.values()
+            )
+        return 0.0 if is_able else float("inf")
+
     # Rounds ------------------------------------------------------------
 
     def is_primary_suspect(self) -> bool:
--- a/redwingpost/wire/work.capnp
+++ b/redwingpost/wire/work.capnp
@@ -14,6 +14,15 @@
 struct Busy {
   # The sender is alive, and this many statements are running there.
   statements @0 :UInt32;
+  loads @1 :List(Load);
+}
+
+struct Load {
+  # How long a new statement of the group would wait at the sender, for reads
+  # and for the primary. The maximum value: it can't run such a statement.
+  group @0 :Text;
+  readWaitMs @1 :UInt32;
+  primaryWaitMs @2 :UInt32;
 }
 
 struct Work {
@@ -29,6 +38,10 @@
   values @8 :List(Value);
   written @9 :Position;
   waitedMs @10 :UInt32;
+  withdrawn @11 :UInt64;
+  # Number of a read that the sender has given up, or 0. The message itself
+  # has the action "roll-back" and no transaction: a home that doesn't know
+  # this field has nothing to roll back.
 }
 
 struct Route {
@@ -78,6 +91,8 @@
   tries @8 :UInt16;
   waitedS @9 :Float64;
   ranS @10 :Float64;
+  load @11 :Load;
+  # Of the statement's group; its name is empty if the home doesn't know it.
 }
 
 struct Answer {
