Requests: a statement sent to no member isn't answered timed-out

Cause: the limit on a statement's time lay around the whole attempt, the wait for a connection included, and its end was taken for a member that doesn't answer. So a statement that no member saw was answered with a code that leaves open whether it ran, its member counted as failing, and a write that waited for a connection counted as unanswered at the primary, which makes a busy primary suspect.

Change: the time-out of the answer begins when the statement is sent. At the end of a read's time, whether anything was sent decides the code. An attempt that wasn't sent doesn't hide an earlier one whose answer was lost. Writes are tracked from when they are sent.

Not changed here: Forwarder.run_alone still says timed-out if no home was reached in time.

--- a/redwingpost/node/request/attempt.py
+++ b/redwingpost/node/request/attempt.py
@@ -1,5 +1,6 @@
 """One attempt to run a statement on a pooled connection of one member."""
 
+from asyncio import timeout
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -22,6 +23,10 @@
 from redwingpost.statements.session import SessionState
 from redwingpost.statements.setup import prepare_step, prepared_name
 
+#: Shortest time (seconds) given to an exchange with a member: less than a
+#: round trip would show nothing about the member.
+MIN_EXCHANGE_S = 0.01
+
 
 class Caller(NamedTuple):
     """The caller's organisation, session state and priority."""
@@ -68,7 +73,8 @@
     after : Position or None
         Position that the member must hold before it runs the statement.
     deadline : float
-        When to stop waiting for a connection (seconds).
+        When to stop waiting, for a connection and for the answer
+        (seconds). Once it has passed, the statement isn't sent.
     clock : Clock
         Measures waiting and running times.
     is_wanted : callable, optional
@@ -87,6 +93,9 @@
         if not client.may_be_sent_work:
             client.release(pooled)
             return NotSent("no statements may be sent there")
+        if clock.now() >= deadline:
+            client.release(pooled)
+            return NotSent("no time was left")
         if not is_wanted():
             # The session may already run its next statement with other
             # session values: this statement would run with those.
@@ -95,8 +104,8 @@
         started_at = clock.now()
         trace.note_sent()
         try:
-            outcome = await run_on_connection(
-                client, pooled, statement, after, shape
+            outcome = await run_until(
+                deadline, client, pooled, statement, after, shape, clock
             )
         finally:
             trace.note_run(client.entry.member, clock.now() - started_at)
@@ -143,7 +152,12 @@
         return NotSent(lost.detail)
     finally:
         trace.note_wait(client.entry.member, clock.now() - requested_at)
-    is_ready = await make_ready(client, pooled, caller.state)
+    try:
+        async with timeout(max(deadline - clock.now(), MIN_EXCHANGE_S)):
+            is_ready = await make_ready(client, pooled, caller.state)
+    except TimeoutError:
+        client.failed_at = clock.now()
+        return NotSent("set-up not answered in time")
     return pooled if is_ready else NotSent("set-up failed")
 
 
@@ -162,6 +176,29 @@
         raise
 
 
+async def run_until(
+    deadline: float,
+    client: MemberClient,
+    pooled: PooledLink,
+    statement: Statement,
+    after: Position | None,
+    shape: Shape | None,
+    clock: Clock,
+) -> Reply | NoAnswer:
+    """Run a statement on a claimed connection, until a time (seconds).
+
+    Without an answer by then the connection is discarded.
+    """
+    try:
+        async with timeout(max(deadline - clock.now(), MIN_EXCHANGE_S)):
+            return await run_on_connection(
+                client, pooled, statement, after, shape
+            )
+    except TimeoutError:
+        client.failed_at = clock.now()
+        return NoAnswer("no answer in time")
+
+
 async def run_on_connection(
     client: MemberClient,
     pooled: PooledLink,
--- a/redwingpost/node/request/reads.py
+++ b/redwingpost/node/request/reads.py
@@ -175,16 +175,17 @@
                 running.add(self._start(hedge, read, untried.pop(0), after))
             wait_s = self._hedge_wait_s(read, clients, bool(untried))
             if wait_s <= 0.0:
-                last = NoAnswer("no answer in time")
+                last = _out_of_time(read)
                 break
             done, running = await wait(
                 running, timeout=wait_s, return_when=FIRST_COMPLETED
             )
             for task in done:
-                last = task.result()
-                if isinstance(last, Reply) and is_final(last):
+                outcome = task.result()
+                if isinstance(outcome, Reply) and is_final(outcome):
                     self._leave_running(running)
-                    return last
+                    return outcome
+                last = _more_telling(last, outcome)
             if not done and untried and self._budget.spend():
                 running.add(self._start(hedge, read, untried.pop(0), after))
             elif not done:
@@ -208,7 +209,7 @@
         client: MemberClient,
         after: Position | None,
     ) -> Outcome:
-        attempt = run_standalone(
+        outcome = await run_standalone(
             client,
             read.caller,
             read.statement,
@@ -217,13 +218,6 @@
             self._clock,
             lambda: not hedge.is_over,
         )
-        try:
-            outcome = await wait_for(
-                attempt, max(self._remaining_s(read), 0.01)
-            )
-        except TimeoutError:
-            client.failed_at = self._clock.now()
-            return NoAnswer("no answer in time")
         if isinstance(outcome, Reply) and outcome.failure is not None:
             if outcome.failure.kind is FailureKind.BEHIND:
                 client.lagging_until = self._clock.now() + LAGGING_PAUSE_S
@@ -266,6 +260,24 @@
         return read.deadline - self._clock.now()
 
 
+def _out_of_time(read: ReadRequest) -> NoAnswer | NotSent:
+    """Return the outcome of a read whose time ended without an answer."""
+    if read.caller.state.trace.may_have_run:
+        return NoAnswer("no answer in time")
+    return NotSent("sent to no member in time")
+
+
+def _more_telling(before: Outcome, newest: Outcome) -> Outcome:
+    """Return the outcome of two attempts that the caller must learn.
+
+    An attempt that was not sent doesn't undo an earlier one that may have
+    run.
+    """
+    if isinstance(before, NoAnswer) and isinstance(newest, NotSent):
+        return before
+    return newest
+
+
 def is_final(reply: Reply) -> bool:
     """Return whether no other member could give a better answer."""
     if reply.failure is None:
--- a/redwingpost/node/request/writes.py
+++ b/redwingpost/node/request/writes.py
@@ -1,7 +1,5 @@
 """Runs writes outside transactions, at most once, at the primary."""
 
-from asyncio import wait_for
-
 from redwingpost.core.codes import Code
 from redwingpost.core.requests import Refusal
 from redwingpost.core.statements import Answer
@@ -72,24 +70,31 @@
     async def _attempt(
         self, group: GroupClient, leader: MemberClient, write: ReadRequest
     ) -> Outcome | None:
-        attempt = run_standalone(
-            leader,
-            write.caller,
-            write.statement,
-            None,
-            write.deadline,
-            self._clock,
-        )
-        remaining_s = write.deadline - self._clock.now()
         watch = group.writes
-        write_number = watch.start(self._clock.now())
-        outcome: Outcome = NoAnswer("no answer in time")
+        write_number: int | None = None
+
+        def note_sending() -> bool:
+            # A write that waits for a connection shows nothing about the
+            # primary. Counted as unanswered it would make a busy primary
+            # suspect, and a takeover would begin.
+            nonlocal write_number
+            write_number = watch.start(self._clock.now())
+            return True
+
+        outcome: Outcome = NoAnswer("cancelled")
         try:
-            outcome = await wait_for(attempt, max(remaining_s, 0.01))
-        except TimeoutError:
-            leader.failed_at = self._clock.now()
+            outcome = await run_standalone(
+                leader,
+                write.caller,
+                write.statement,
+                None,
+                write.deadline,
+                self._clock,
+                note_sending,
+            )
         finally:
-            watch.end(write_number, not isinstance(outcome, NoAnswer))
+            if write_number is not None:
+                watch.end(write_number, not isinstance(outcome, NoAnswer))
         return outcome
 
     async def _to_result(
