Node: admission at members, where connections are fewer than organisations

Cause: a statement waited in one heap by priority for a free connection, until its route's time-out, and was refused only then.

Change: MemberClient.acquire first asks the admission controller of the member (node/member_admission.py); release and discard return its ticket. It is active where a group's connections a member are fewer than the organisations, and follows the configuration in force; elsewhere nothing changes. Refusals are 20202 or 20203 with a retry-after time from the backlog; reads try the next member first, as do transactions that may use replicas. Weights are rates; an organisation without a limit gets their mean. A BUSY of the member lowers the limit. Transactions free their slot while they rest and don't wait for it again.

--- a/redwingpost/admission/controller.py
+++ b/redwingpost/admission/controller.py
@@ -163,6 +163,11 @@
         """Statements that wait for a slot."""
         return len(self._waiting_by_ticket)
 
+    @property
+    def pinned(self) -> int:
+        """Connections that transactions have pinned."""
+        return self._pinned
+
     def waiting_arrivals(self) -> tuple[Arrival, ...]:
         """Return the statements that wait for a slot."""
         return tuple(self._waiting_by_ticket.values())
@@ -248,6 +253,10 @@
         wait_s = max(stall_s, self.wait_s(now, arrival.flow))
         return self._spread(queue_full_refusal(wait_s)), wait_s
 
+    def note_answer(self, now: float) -> None:
+        """Record that the member answered anything."""
+        self._answered_at = now
+
     def note_full(self, now: float) -> None:
         """Record that the member refused a statement: its queue is full."""
         self.limit.note_full(now)
@@ -257,6 +266,7 @@
         now: float,
         ticket: int,
         best_in_group_s: Callable[[str], float | None],
+        ran_s: float | None = None,
     ) -> tuple[int, ...]:
         """Record an answer; return the tickets that start now.
 
@@ -269,11 +279,14 @@
         best_in_group_s : callable
             Given a key, returns its smoothed time at the group's best
             member (seconds), or None.
+        ran_s : float, optional
+            Seconds from sending to the answer, if that isn't the whole time
+            in the slot, which may begin with opening a connection.
         """
         running = self._running_by_ticket.pop(ticket, None)
-        self._answered_at = now
+        self.note_answer(now)
         if running is not None and not running.arrival.is_long:
-            self._record_times(now, running, best_in_group_s)
+            self._record_times(now, running, best_in_group_s, ran_s)
         return self._dispatch(now)
 
     def rest(self, now: float, ticket: int) -> tuple[int, ...]:
@@ -287,7 +300,6 @@
         running = self._running_by_ticket.get(ticket)
         if running is None:
             return ()
-        self._answered_at = now
         self._resting_by_ticket[ticket] = running.arrival
         return self.pin(now, ticket)
 
@@ -463,10 +475,16 @@
         now: float,
         running: _Running,
         best_in_group_s: Callable[[str], float | None],
+        ran_s: float | None,
     ) -> None:
         arrival = running.arrival
         seconds = now - running.started_at
-        self.limit.observe(now, arrival.key, seconds, running.was_at_limit)
+        self.limit.observe(
+            now,
+            arrival.key,
+            seconds if ran_s is None else ran_s,
+            running.was_at_limit,
+        )
         self.service_times.observe(seconds, arrival.cost)
         self._drain.record(now, arrival.cost, len(self._short) > 0)
         if self._policy.counts_ahead:
--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -33,6 +33,7 @@
 from redwingpost.pools.pool import IDLE_S
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.database import LinkFactory, MemberEntry
+from redwingpost.scheduling.priorities import OrganisationWeights
 from redwingpost.takeover.stall import StallDetector
 from redwingpost.takeover.write_tracker import WriteTracker
 
@@ -123,9 +124,17 @@
     # Members -----------------------------------------------------------
 
     def follow_directory(
-        self, max_connections: int, vms: int, idle_s: float = IDLE_S
+        self,
+        max_connections: int,
+        vms: int,
+        idle_s: float = IDLE_S,
+        weights: OrganisationWeights | None = None,
     ) -> None:
-        """Update the members and their connection limits."""
+        """Update the members, their connection limits and admission.
+
+        ``weights`` are those of organisations; None if statements only
+        wait for connections.
+        """
         entries = self._directory.members_of(self.name)
         listed = {entry.member: entry for entry in entries}
         for member in tuple(self.member_by_name):
@@ -135,6 +144,7 @@
             self._update(member, entry)
             client = self.member_by_name[member]
             client.budget.set_limits(max_connections, vms, idle_s)
+            client.follow_admission(weights)
             client.work_ends_at = self._directory.evacuations.work_ends_at(
                 entry.data_centre
             )
--- a/redwingpost/node/member.py
+++ b/redwingpost/node/member.py
@@ -11,8 +11,10 @@
 from itertools import count
 
 from redwingpost.core.statements import Shape
+from redwingpost.groups.choice import ASSUMED_SLOTS
 from redwingpost.groups.latency import LatencyTracker
 from redwingpost.membership.centres import MemberHealth
+from redwingpost.node.member_admission import MemberAdmission
 from redwingpost.observability.journal import log_event
 from redwingpost.pools.pool import (
     Busy,
@@ -32,6 +34,7 @@
     Reply,
     StatusReport,
 )
+from redwingpost.scheduling.priorities import OrganisationWeights
 from redwingpost.statements.session import SessionState
 from redwingpost.statements.setup import setup_steps
 
@@ -88,6 +91,7 @@
         self.entry = entry
         self.budget = ConnectionBudget()
         self.pool = MemberPool(self.budget)
+        self.admission = MemberAdmission(clock)
         self.latency = LatencyTracker()
         self.statements_in_flight = 0
         self.lagging_until = float("-inf")
@@ -165,8 +169,20 @@
         """
         return now >= self.lagging_until and not self.is_failing
 
+    def follow_admission(self, weights: OrganisationWeights | None) -> None:
+        """Admit by these weights; None: statements only wait."""
+        self.admission.follow(
+            weights,
+            self.entry.slots or ASSUMED_SLOTS,
+            self.budget.allowed(self._clock.now()),
+        )
+
     def note_answer(self) -> None:
-        """Record that the member has just answered."""
+        """Record that the member has just answered a statement."""
+        self._note_alive()
+        self.admission.note_answer()
+
+    def _note_alive(self) -> None:
         self.answered_at = self._clock.now()
 
     def note_sent(self) -> None:
@@ -204,6 +220,8 @@
 
         Raises
         ------
+        AdmissionRefused
+            If the statement can't be served before the deadline.
         NoConnectionFree
             If none was free before the deadline.
         MemberRefused
@@ -211,6 +229,26 @@
         LinkLost
             If a new connection could not be opened.
         """
+        ticket = await self.admission.enter(organisation, priority, deadline)
+        try:
+            pooled = await self._claim(
+                organisation, values_by_name, shape, priority, deadline
+            )
+        except BaseException:
+            self.admission.leave(ticket, None)
+            raise
+        pooled.ticket = ticket
+        pooled.ran_s = None
+        return pooled
+
+    async def _claim(
+        self,
+        organisation: str,
+        values_by_name: dict[str, str],
+        shape: Shape | None,
+        priority: int,
+        deadline: float,
+    ) -> PooledLink:
         requested_at = self._clock.now()
         while True:
             now = self._clock.now()
@@ -259,6 +297,7 @@
             return
         self.pool.give_back(pooled, self._clock.now())
         self._wake_next()
+        self._return_ticket(pooled)
 
     def discard(self, pooled: PooledLink) -> None:
         """Close a claimed connection whose state is unknown."""
@@ -267,6 +306,19 @@
         pooled.is_dropped = True
         pooled.link.close()
         self._drop_from_pool()
+        self._return_ticket(pooled)
+
+    def rest(self, pooled: PooledLink) -> None:
+        """Free a transaction's slot while its caller pauses."""
+        self.admission.rest(pooled.ticket)
+
+    def resume(self, pooled: PooledLink) -> None:
+        """Take a slot for a transaction's next statement at once."""
+        self.admission.resume(pooled.ticket)
+
+    def _return_ticket(self, pooled: PooledLink) -> None:
+        ticket, pooled.ticket = pooled.ticket, None
+        self.admission.leave(ticket, pooled.ran_s)
 
     async def send_command(
         self, command: str, *arguments: int
@@ -299,6 +351,7 @@
 
     def close(self) -> None:
         """Close all idle connections of a member that was removed."""
+        self.admission.fail_waiting("the member was removed")
         self.close_idle(close_all=True)
         self._close_control()
 
@@ -316,7 +369,7 @@
                     CONTROL_NAME, CONNECT_TIMEOUT_S
                 )
             report = await getattr(self._control, command)(*arguments)
-            self.note_answer()
+            self._note_alive()
             return report
 
     async def _open(
@@ -362,7 +415,7 @@
             if opened.kind is FailureKind.TOO_MANY_CONNECTIONS:
                 # A member at its connection limit is alive. If it counted
                 # as lost, all VMs would probe it over more connections.
-                self.note_answer()
+                self._note_alive()
                 self.budget.note_refused(self._clock.now())
             raise MemberRefused(opened)
         return opened
--- a/redwingpost/node/request/admission.py
+++ b/redwingpost/node/request/admission.py
@@ -15,6 +15,7 @@
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
 from redwingpost.rates.usage import UsageLedger
+from redwingpost.scheduling.priorities import OrganisationWeights
 
 #: Organisation name sent to members for callers of a public route that have
 #: no key.
@@ -42,6 +43,7 @@
 
     def __init__(self, vms: VmTable, ledger: UsageLedger, clock: Clock):
         self.rules: ServiceRules = NO_RULES
+        self._weights = OrganisationWeights({}, 1.0)
         self.on_admitted: Callable[[str], None] | None = None
         self._vms = vms
         self._ledger = ledger
@@ -64,6 +66,12 @@
             organisations=len(rules.organisations_by_name),
         )
         self.rules = rules
+        self._weights = OrganisationWeights.of(
+            {
+                name: rule.rate
+                for name, rule in rules.organisations_by_name.items()
+            }
+        )
         return True
 
     def check(self, database: str, key: str) -> Admitted | Refusal:
@@ -85,6 +93,18 @@
         rule = self.rules.groups_by_name.get(group)
         return 0 if rule is None else rule.sync_replicas
 
+    def organisation_weights(
+        self, max_connections: int
+    ) -> OrganisationWeights | None:
+        """Return the organisations' weights at a group's members.
+
+        None if a member accepts ``max_connections`` and thereby one for
+        each organisation: statements then only wait for connections.
+        """
+        if max_connections >= len(self.rules.organisations_by_name):
+            return None
+        return self._weights
+
     def refund_operation(self, organisation: OrganisationRule) -> None:
         """Undo ``spend`` for an operation that reached no member."""
         self._ledger.refund(organisation.name)
--- a/redwingpost/node/request/attempt.py
+++ b/redwingpost/node/request/attempt.py
@@ -4,13 +4,17 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from redwingpost.core.codes import Code
 from redwingpost.core.positions import Position
+from redwingpost.core.requests import Refusal
 from redwingpost.core.statements import Shape, Statement
 from redwingpost.node.member import (
     MemberClient,
     MemberRefused,
     NoConnectionFree,
 )
+from redwingpost.node.member_admission import AdmissionRefused
+from redwingpost.observability.journal import log_event
 from redwingpost.pools.pool import PooledLink
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.database import (
@@ -28,6 +32,11 @@
 MIN_EXCHANGE_S = 0.01
 
 
+#: Milliseconds after which a caller may come back whose statement found no
+#: connection.
+LOST_RETRY_MS = 100
+
+
 class Caller(NamedTuple):
     """The caller's organisation, session state and priority."""
 
@@ -37,9 +46,20 @@
 
 
 class NotSent(NamedTuple):
-    """The statement was not sent to the member."""
+    """The statement was not sent to the member.
+
+    ``refusal`` is set if admission at ``member`` refused it.
+    """
 
     reason: str
+    refusal: Refusal | None = None
+    member: str = ""
+
+    def as_refusal(self) -> Refusal:
+        """Return what the caller is told."""
+        if self.refusal is not None:
+            return self.refusal
+        return Refusal(Code.TARGET_LOST, self.reason, LOST_RETRY_MS)
 
 
 class NoAnswer(NamedTuple):
@@ -87,7 +107,9 @@
     trace = caller.state.trace
     client.statements_in_flight += 1
     try:
-        pooled = await claim_connection(client, caller, shape, deadline, clock)
+        pooled = await claim_connection(
+            client, caller, shape, deadline, clock, statement.request
+        )
         if isinstance(pooled, NotSent):
             return pooled
         if not client.may_be_sent_work:
@@ -116,9 +138,12 @@
         return outcome
     if outcome.failure is None:
         now = clock.now()
+        pooled.ran_s = now - started_at
         client.latency.observe(now - started_at, now)
     elif outcome.failure.kind in DID_NOT_RUN:
         trace.note_not_run()
+        if outcome.failure.kind is FailureKind.FULL:
+            client.admission.note_full()
     if _is_unusable(outcome):
         client.discard(pooled)
     else:
@@ -132,8 +157,12 @@
     shape: Shape | None,
     deadline: float,
     clock: Clock,
+    request: str,
 ) -> PooledLink | NotSent:
-    """Claim a connection and set the session's values on it."""
+    """Claim a connection and set the session's values on it.
+
+    ``request`` is the statement's id, for the log.
+    """
     trace = caller.state.trace
     requested_at = clock.now()
     try:
@@ -144,6 +173,10 @@
             caller.priority,
             deadline,
         )
+    except AdmissionRefused as refused:
+        _log_refused(client, caller, request, refused)
+        member = client.entry.member
+        return NotSent("refused by admission", refused.refusal, member)
     except NoConnectionFree:
         return NotSent("no connection came free")
     except MemberRefused as refused:
@@ -161,6 +194,28 @@
     return pooled if is_ready else NotSent("set-up failed")
 
 
+def _log_refused(
+    client: MemberClient,
+    caller: Caller,
+    request: str,
+    refused: AdmissionRefused,
+) -> None:
+    inputs = refused.inputs
+    log_event(
+        "admission-refused",
+        request=request,
+        group=client.entry.group,
+        member=client.entry.member,
+        organisation=caller.organisation,
+        code=refused.refusal.code.name,
+        wait_s=round(inputs.wait_s, 4),
+        remaining_s=round(inputs.remaining_s, 4),
+        limit=inputs.limit,
+        waiting=inputs.waiting,
+        retry_after_ms=refused.refusal.retry_after_ms,
+    )
+
+
 async def make_ready(
     client: MemberClient, pooled: PooledLink, state: SessionState
 ) -> bool:
--- a/redwingpost/node/request/reads.py
+++ b/redwingpost/node/request/reads.py
@@ -136,7 +136,7 @@
         if isinstance(outcome, NoAnswer):
             return Refusal(Code.TIMED_OUT, outcome.reason)
         if isinstance(outcome, NotSent):
-            return Refusal(Code.TARGET_LOST, outcome.reason, 100)
+            return outcome.as_refusal()
         if is_proven_success(outcome):
             return Answer(outcome.rows, outcome.proof)
         return self._to_failure_result(outcome.failure)
@@ -175,7 +175,7 @@
                 running.add(self._start(hedge, read, untried.pop(0), after))
             wait_s = self._hedge_wait_s(read, clients, bool(untried))
             if wait_s <= 0.0:
-                last = _out_of_time(read)
+                last = _more_telling(last, _out_of_time(read))
                 break
             done, running = await wait(
                 running, timeout=wait_s, return_when=FIRST_COMPLETED
@@ -186,6 +186,14 @@
                     self._leave_running(running)
                     return outcome
                 last = _more_telling(last, outcome)
+                if isinstance(outcome, NotSent) and outcome.refusal:
+                    # The same member would refuse it again.
+                    refusing = outcome.member
+                    untried = [
+                        client
+                        for client in untried
+                        if client.entry.member != refusing
+                    ]
             if not done and untried and self._budget.spend():
                 running.add(self._start(hedge, read, untried.pop(0), after))
             elif not done:
@@ -242,7 +250,7 @@
         if isinstance(outcome, NoAnswer):
             return Refusal(Code.TIMED_OUT, outcome.reason)
         if isinstance(outcome, NotSent):
-            return Refusal(Code.TARGET_LOST, outcome.reason, 100)
+            return outcome.as_refusal()
         if is_proven_success(outcome):
             return Answer(outcome.rows, outcome.proof)
         if outcome.failure and outcome.failure.kind is FailureKind.NOT_PRIMARY:
@@ -271,11 +279,17 @@
     """Return the outcome of two attempts that the caller must learn.
 
     An attempt that was not sent doesn't undo an earlier one that may have
-    run.
+    run. Of several refusals by admission, the soonest retry counts.
     """
-    if isinstance(before, NoAnswer) and isinstance(newest, NotSent):
+    if not isinstance(newest, NotSent):
+        return newest
+    if isinstance(before, NoAnswer):
         return before
-    return newest
+    if not isinstance(before, NotSent) or before.refusal is None:
+        return newest
+    if newest.refusal is None:
+        return before
+    return min(before, newest, key=lambda one: one.refusal.retry_after_ms)
 
 
 def is_final(reply: Reply) -> bool:
--- a/redwingpost/node/request/transaction.py
+++ b/redwingpost/node/request/transaction.py
@@ -107,6 +107,8 @@
             return self._rolled_back_refusal("lead not proven")
         if self._caller.state.writes(statement):
             self._has_written = True
+        if self._pinned is not None:
+            self._pinned.client.rest(self._pinned.pooled)
         return Answer(outcome.rows, outcome.proof)
 
     async def commit(self, statement: Statement) -> Result:
@@ -172,6 +174,7 @@
             if refused is not None:
                 return refused
         client, pooled = self._pinned
+        client.resume(pooled)
         if not client.may_be_sent_work:
             # Closing the connection rolls back at the member.
             return self._end_lost("no statements may be sent there")
@@ -214,7 +217,9 @@
         result: Result | None = Refusal(Code.TARGET_LOST, "", 100)
         for client in self._group.ranked(self._caller.organisation):
             result = await self._begin_at(client, plan.after, deadline)
-            if result is None or not _is_transient(result):
+            if result is None or not (
+                _is_transient(result) or _is_refused_by_admission(result)
+            ):
                 return result
         return result
 
@@ -252,10 +257,15 @@
         self, client: MemberClient, after: Position | None, deadline: float
     ) -> Result | None:
         pooled = await claim_connection(
-            client, self._caller, None, deadline, self._clock
+            client,
+            self._caller,
+            None,
+            deadline,
+            self._clock,
+            self._begin.request,
         )
         if isinstance(pooled, NotSent):
-            return Refusal(Code.TARGET_LOST, pooled.reason, 100)
+            return pooled.as_refusal()
         if not client.may_be_sent_work:
             client.release(pooled)
             reason = "no statements may be sent there"
@@ -308,9 +318,13 @@
         finally:
             ran_s = self._clock.now() - started_at
             self._caller.state.trace.note_run(client.entry.member, ran_s)
-        if isinstance(outcome, Reply) and outcome.failure is None:
+        if not isinstance(outcome, Reply):
+            return outcome
+        if outcome.failure is None:
             now = self._clock.now()
             client.latency.observe(now - started_at, now)
+        elif outcome.failure.kind is FailureKind.FULL:
+            client.admission.note_full()
         return outcome
 
     async def _is_proven(self, deadline: float) -> bool:
@@ -402,3 +416,11 @@
         isinstance(result, Refusal)
         and result.code.name == Code.TARGET_LOST.name
     )
+
+
+def _is_refused_by_admission(result: Result) -> bool:
+    """Return whether the member has no capacity; another one may have."""
+    return isinstance(result, Refusal) and result.code.name in (
+        Code.OVER_CAPACITY.name,
+        Code.DEADLINE_TOO_SHORT.name,
+    )
--- a/redwingpost/node/request/writes.py
+++ b/redwingpost/node/request/writes.py
@@ -106,7 +106,7 @@
         sync_replicas: int,
     ) -> Result:
         if isinstance(outcome, NotSent):
-            return Refusal(Code.TARGET_LOST, outcome.reason, 100)
+            return outcome.as_refusal()
         if isinstance(outcome, NoAnswer):
             return self._outcome_unknown(group, write, outcome.reason)
         if not is_proven_success(outcome):
--- a/redwingpost/node/tests/test_admission.py
+++ b/redwingpost/node/tests/test_admission.py
@@ -2,7 +2,7 @@
 
 from unittest import TestCase
 
-from redwingpost.configuration.routes import OrganisationRule
+from redwingpost.configuration.routes import NO_RULES, OrganisationRule
 from redwingpost.membership.vm_table import VmTable
 from redwingpost.node.request.admission import Admission
 from redwingpost.ports.clock import VirtualClock
@@ -48,3 +48,38 @@
         for _ in range(admitted + 5):
             self.admission.spend(_RULE, "r1")
         self.assertEqual(admitted, len(reported))
+
+    def test_where_admission_at_members_is_active(self) -> None:
+        """Guards against a change of deployments that it isn't meant for.
+
+        It is active where a member has fewer connections than there are
+        organisations, from the configuration in force on.
+        """
+        names = ("parish", "chapel", "hermitage")
+        rules = NO_RULES._replace(
+            version=1,
+            organisations_by_name={
+                name: _RULE._replace(name=name, rate=rate)
+                for name, rate in zip(
+                    names, (10.0, 30.0, float("inf")), strict=True
+                )
+            },
+        )
+        cases = ((2, True), (3, False), (32, False))
+        for max_connections, expected in cases:
+            with self.subTest(max_connections=max_connections):
+                self.assertIsNone(
+                    self.admission.organisation_weights(max_connections)
+                )
+                self.admission.take_rules(rules)
+                weights = self.admission.organisation_weights(max_connections)
+                self.assertEqual(expected, weights is not None)
+                if weights is not None:
+                    self.assertEqual(
+                        [10.0, 30.0, 20.0, 20.0],
+                        [
+                            weights.of_organisation(name)
+                            for name in (*names, "public")
+                        ],
+                    )
+                self.setUp()
--- a/redwingpost/pools/pool.py
+++ b/redwingpost/pools/pool.py
@@ -50,8 +50,9 @@
     """A connection to a member and its session state.
 
     ``last_used_at`` is in seconds. ``is_dropped`` is set once the pool no
-    longer counts it, so that it isn't subtracted twice. Compared by
-    identity.
+    longer counts it, so that it isn't subtracted twice. ``ticket`` is the
+    admission ticket of the statement that claimed it, ``ran_s`` how long
+    that statement took until its answer (seconds). Compared by identity.
     """
 
     def __init__(self, link: DatabaseLink, organisation: str) -> None:
@@ -60,6 +61,8 @@
         self.contents = LinkContents()
         self.last_used_at = 0.0
         self.is_dropped = False
+        self.ticket: int | None = None
+        self.ran_s: float | None = None
 
 
 class Open(NamedTuple):
@@ -135,6 +138,11 @@
         """Return how many connections are claimed by statements."""
         return self._in_use
 
+    @property
+    def open_connections(self) -> int:
+        """Return how many connections are open or being opened."""
+        return self._in_use + len(self._idle)
+
     def has_idle(self, organisation: str) -> bool:
         """Return whether an organisation has an idle connection."""
         return any(
