Node: load of members and groups, and metrics of admission

Placement between VMs needs the wait of a group's statements at a home, and operators need what runs, waits and was refused.

MemberClient.load and GroupClient.wait_s: the wait of a statement of priority 1, of an organisation of usual weight with nothing queued. The whole backlog would be too much: an organisation within its share doesn't wait for another's flood. The metrics redwing_admission_* and redwing_connections_* are read when the page is asked for; refusals are counted by group, so that they outlive a member's client.

Tests: test_load, six states of a group with and without admission, and the lines of the metrics page.

--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -8,6 +8,7 @@
     shield,
     wait_for,
 )
+from collections import Counter
 
 from redwingpost.core.codes import Code
 from redwingpost.core.positions import Position
@@ -28,6 +29,7 @@
 from redwingpost.node.forwarding.homes import HomeView
 from redwingpost.node.lead_proofs import LeadProofs
 from redwingpost.node.member import MemberClient
+from redwingpost.node.member_admission import RefusalKey
 from redwingpost.node.request.read_ranking import ReadContext, rank_for_read
 from redwingpost.observability.journal import log_event
 from redwingpost.pools.pool import IDLE_S
@@ -93,6 +95,7 @@
         self.evidence = GroupEvidence()
         self.writes = WriteTracker()
         self.member_by_name: dict[str, MemberClient] = {}
+        self.refusals: Counter[RefusalKey] = Counter()
         self._writes_term = 0
         self.stalled_s = 0.0
         self.leaderless_since: float | None = clock.now()
@@ -201,15 +204,41 @@
     def ranked(self, organisation: str) -> list[MemberClient]:
         """Return the members that accept reads, the best first."""
         now = self._clock.now()
-        clients = [
+        context = ReadContext(organisation, self._data_centre, now)
+        return rank_for_read(self._readable(now), self.evidence, context)
+
+    def _readable(self, now: float) -> list[MemberClient]:
+        return [
             client
             for client in self.member_by_name.values()
             if self.accepts_work(client)
             and client.accepts_reads(now)
             and not self._is_evacuated(client)
         ]
-        context = ReadContext(organisation, self._data_centre, now)
-        return rank_for_read(clients, self.evidence, context)
+
+    def wait_s(self, needs_primary: bool, now: float) -> float:
+        """Return how long a new statement would wait for a member.
+
+        Parameters
+        ----------
+        needs_primary : bool
+            Whether only the primary can run it.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        float
+            Seconds; infinite if no member can run it.
+        """
+        if not needs_primary:
+            clients = self._readable(now)
+        elif self.is_primary_unreachable() or not self.can_use_primary():
+            clients = []
+        else:
+            clients = [self.leader()]
+        waits_s = (client.load(now).wait_s for client in clients)
+        return min(waits_s, default=float("inf"))
 
     # Evacuation --------------------------------------------------------
 
@@ -518,7 +547,7 @@
         if client is not None:
             self._remove(member)
         self.member_by_name[member] = MemberClient(
-            entry, self._links, self._clock
+            entry, self._links, self._clock, self.refusals
         )
 
     def _remove(self, member: str) -> None:
--- a/redwingpost/node/member.py
+++ b/redwingpost/node/member.py
@@ -7,6 +7,7 @@
     get_running_loop,
     wait_for,
 )
+from collections import Counter
 from heapq import heappop, heappush
 from itertools import count
 
@@ -14,7 +15,11 @@
 from redwingpost.groups.choice import ASSUMED_SLOTS
 from redwingpost.groups.latency import LatencyTracker
 from redwingpost.membership.centres import MemberHealth
-from redwingpost.node.member_admission import MemberAdmission
+from redwingpost.node.member_admission import (
+    MemberAdmission,
+    MemberLoad,
+    RefusalKey,
+)
 from redwingpost.observability.journal import log_event
 from redwingpost.pools.pool import (
     Busy,
@@ -86,12 +91,18 @@
     """This VM's connections to one member, and the member's health."""
 
     def __init__(
-        self, entry: MemberEntry, links: LinkFactory, clock: Clock
+        self,
+        entry: MemberEntry,
+        links: LinkFactory,
+        clock: Clock,
+        refusals: Counter[RefusalKey] | None = None,
     ) -> None:
         self.entry = entry
         self.budget = ConnectionBudget()
         self.pool = MemberPool(self.budget)
-        self.admission = MemberAdmission(clock)
+        self.admission = MemberAdmission(
+            entry.member, clock, Counter() if refusals is None else refusals
+        )
         self.latency = LatencyTracker()
         self.statements_in_flight = 0
         self.lagging_until = float("-inf")
@@ -177,6 +188,26 @@
             self.budget.allowed(self._clock.now()),
         )
 
+    def load(self, now: float) -> MemberLoad:
+        """Return the member's load at ``now`` (seconds)."""
+        allowed = self.budget.allowed(now)
+        opened = self.pool.open_connections
+        controller = self.admission.controller
+        if controller is not None:
+            return MemberLoad(
+                controller.running,
+                controller.waiting,
+                controller.max_running,
+                opened,
+                allowed,
+                self.admission.wait_s(now),
+            )
+        waiting = sum(not future.done() for _, _, future in self._waiting)
+        wait_s = waiting * self.latency.smoothed_s / max(allowed, 1)
+        return MemberLoad(
+            self.pool.in_use, waiting, allowed, opened, allowed, wait_s
+        )
+
     def note_answer(self) -> None:
         """Record that the member has just answered a statement."""
         self._note_alive()
--- a/redwingpost/node/member_admission.py
+++ b/redwingpost/node/member_admission.py
@@ -26,6 +26,10 @@
 #: stalled: no answer wakes it then.
 STALL_CHECK_S = 0.1
 
+#: Priority whose wait stands for a member's load: the highest one hardly
+#: waits even where others are refused.
+LOAD_PRIORITY = 1
+
 
 class RefusalInputs(NamedTuple):
     """What a refusal was decided from, for its log line.
@@ -40,6 +44,32 @@
     waiting: int
 
 
+class RefusalKey(NamedTuple):
+    """What refusals are counted by; ``reason`` is a result code's name."""
+
+    member: str
+    organisation: str
+    reason: str
+
+
+class MemberLoad(NamedTuple):
+    """Load of a member as this VM sees it.
+
+    ``running``, ``waiting`` and ``limit`` are statements,
+    ``connections_open`` and ``connections_allowed`` this VM's connections
+    for statements. ``wait_s`` is how long a statement of ``LOAD_PRIORITY``
+    would wait, of an organisation of usual weight that has nothing queued
+    (seconds).
+    """
+
+    running: int
+    waiting: int
+    limit: int
+    connections_open: int
+    connections_allowed: int
+    wait_s: float
+
+
 class AdmissionRefused(Exception):
     """The statement can't be served in time; it was not sent."""
 
@@ -60,13 +90,15 @@
 class MemberAdmission:
     """Tickets of the statements that run at, or wait for, one member.
 
-    Inactive until ``follow`` gives it weights: then ``enter`` returns at
-    once, without a ticket.
+    Inactive until ``follow`` gives it weights: until then ``enter`` returns
+    at once, without a ticket. Refusals are counted in ``refusals``.
     """
 
-    def __init__(self, clock: Clock) -> None:
-        self.refused_by_reason: Counter[str] = Counter()
-        self.refused_by_organisation: Counter[tuple[str, str]] = Counter()
+    def __init__(
+        self, member: str, clock: Clock, refusals: Counter[RefusalKey]
+    ) -> None:
+        self._member = member
+        self._refusals = refusals
         self._clock = clock
         self._weights: OrganisationWeights | None = None
         self._controller: AdmissionController | None = None
@@ -217,11 +249,14 @@
             for arrival in self._controller.waiting_arrivals()
         )
 
-    def wait_s(self, organisation: str, priority: int, now: float) -> float:
-        """Return how long a new statement would wait (seconds)."""
+    def wait_s(self, now: float) -> float:
+        """Return how long a usual statement would wait (seconds).
+
+        0 while admission is inactive.
+        """
         if self._controller is None:
             return 0.0
-        flow = self._weights.flow(priority, organisation)
+        flow = self._weights.flow(LOAD_PRIORITY, "")
         return self._controller.wait_s(now, flow)
 
     def _deactivate(self) -> None:
@@ -264,8 +299,7 @@
         deadline: float,
     ) -> AdmissionRefused:
         reason = refusal.code.name
-        self.refused_by_reason[reason] += 1
-        self.refused_by_organisation[organisation, reason] += 1
+        self._refusals[RefusalKey(self._member, organisation, reason)] += 1
         inputs = RefusalInputs(
             wait_s,
             deadline - self._clock.now(),
--- a/redwingpost/node/metrics.py
+++ b/redwingpost/node/metrics.py
@@ -7,6 +7,7 @@
     Histogram,
     generate_latest,
 )
+from prometheus_client.registry import Collector
 
 #: Upper bounds of latency (seconds); the configured latency targets lie
 #: between 0.2 and 0.8 s.
@@ -74,6 +75,10 @@
             registry=self._registry,
         )
 
+    def collect_from(self, collector: Collector) -> None:
+        """Add metrics that are read when the page is asked for."""
+        self._registry.register(collector)
+
     def note(self, kind: str, code: str, seconds: float) -> None:
         """Count one statement."""
         self._statements.labels(kind, code).inc()
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -40,6 +40,7 @@
 from redwingpost.node.forwarding.peer import HomeDependencies
 from redwingpost.node.forwarding.server import HomeServer
 from redwingpost.node.group import DRAIN_WORK_FRACTION, GroupClient
+from redwingpost.node.load_metrics import LoadCollector
 from redwingpost.node.metrics import NodeMetrics
 from redwingpost.node.request.admission import Admission
 from redwingpost.node.request.reads import ReadRunner
@@ -164,6 +165,7 @@
             clock,
             Forwarder(self._homes, self._channels, clock),
         )
+        self.metrics.collect_from(LoadCollector(self.group_by_name, clock))
         self._readiness_view = ReadinessView(
             self._admission,
             self.group_by_name,
