Node: open transactions hold at most half of a home's connections

Cause: a transaction holds its connection while its caller pauses. With up to 171 callers paused at once and a few dozen connections a member, statements of milliseconds wait for callers that think for seconds.

While anything waits, the transaction that has rested longest beyond the configured idle time ends with transaction-rolled-back (log line transaction-evicted); none that has rested for less, and none in use. Closing the connection rolls back.

--- a/redwingpost/admission/controller.py
+++ b/redwingpost/admission/controller.py
@@ -58,6 +58,20 @@
     counts_ahead: bool = False
     draw: Callable[[], float] = lambda: 0.0
 
+    def spread(self, refusal: Refusal) -> Refusal:
+        """Return a refusal whose retry-after time is spread.
+
+        Examples
+        --------
+        >>> policy = AdmissionPolicy(draw=lambda: 1.0)
+        >>> policy.spread(queue_full_refusal(0.1)).retry_after_ms
+        150
+        """
+        jitter = 1.0 + RETRY_JITTER * self.draw()
+        return refusal._replace(
+            retry_after_ms=int(refusal.retry_after_ms * jitter)
+        )
+
 
 class Arrival(NamedTuple):
     """A statement that requests a slot.
@@ -213,7 +227,7 @@
             self._policy.wait_limits,
         )
         if refusal is not None:
-            return Decision(False, self._spread(refusal), wait_s=wait_s)
+            return Decision(False, self._policy.spread(refusal), wait_s=wait_s)
         queue.push(arrival, arrival.flow, arrival.cost)
         self._waiting_by_ticket[arrival.ticket] = arrival
         evicted = self._evict(queue, wait_s)
@@ -251,7 +265,7 @@
             return None
         self.abandon(now, ticket)
         wait_s = max(stall_s, self.wait_s(now, arrival.flow))
-        return self._spread(queue_full_refusal(wait_s)), wait_s
+        return self._policy.spread(queue_full_refusal(wait_s)), wait_s
 
     def note_answer(self, now: float) -> None:
         """Record that the member answered anything."""
@@ -446,12 +460,6 @@
             return 0.0
         return silent_s
 
-    def _spread(self, refusal: Refusal) -> Refusal:
-        jitter = 1.0 + RETRY_JITTER * self._policy.draw()
-        return refusal._replace(
-            retry_after_ms=int(refusal.retry_after_ms * jitter)
-        )
-
     def _drain_rate(self, now: float) -> float:
         measured_rate = self._drain.rate(now)
         if measured_rate is not None:
@@ -468,7 +476,7 @@
         evicted = queue.eviction_candidate()
         queue.remove(evicted, evicted.flow)
         del self._waiting_by_ticket[evicted.ticket]
-        return evicted.ticket, self._spread(queue_full_refusal(wait_s))
+        return evicted.ticket, self._policy.spread(queue_full_refusal(wait_s))
 
     def _record_times(
         self,
--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -29,13 +29,12 @@
 from redwingpost.node.forwarding.homes import HomeView
 from redwingpost.node.lead_proofs import LeadProofs
 from redwingpost.node.member import MemberClient
-from redwingpost.node.member_admission import RefusalKey
+from redwingpost.node.member_admission import MemberRules, RefusalKey
 from redwingpost.node.request.read_ranking import ReadContext, rank_for_read
 from redwingpost.observability.journal import log_event
 from redwingpost.pools.pool import IDLE_S
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.database import LinkFactory, MemberEntry
-from redwingpost.scheduling.priorities import OrganisationWeights
 from redwingpost.takeover.stall import StallDetector
 from redwingpost.takeover.write_tracker import WriteTracker
 
@@ -131,12 +130,12 @@
         max_connections: int,
         vms: int,
         idle_s: float = IDLE_S,
-        weights: OrganisationWeights | None = None,
+        rules: MemberRules | None = None,
     ) -> None:
         """Update the members, their connection limits and admission.
 
-        ``weights`` are those of organisations; None if statements only
-        wait for connections.
+        ``rules`` are those of admission; None if statements only wait for
+        connections.
         """
         entries = self._directory.members_of(self.name)
         listed = {entry.member: entry for entry in entries}
@@ -147,7 +146,7 @@
             self._update(member, entry)
             client = self.member_by_name[member]
             client.budget.set_limits(max_connections, vms, idle_s)
-            client.follow_admission(weights)
+            client.follow_admission(rules)
             client.work_ends_at = self._directory.evacuations.work_ends_at(
                 entry.data_centre
             )
--- a/redwingpost/node/member.py
+++ b/redwingpost/node/member.py
@@ -8,6 +8,7 @@
     wait_for,
 )
 from collections import Counter
+from collections.abc import Callable
 from heapq import heappop, heappush
 from itertools import count
 
@@ -18,6 +19,7 @@
 from redwingpost.node.member_admission import (
     MemberAdmission,
     MemberLoad,
+    MemberRules,
     RefusalKey,
 )
 from redwingpost.observability.journal import log_event
@@ -39,7 +41,6 @@
     Reply,
     StatusReport,
 )
-from redwingpost.scheduling.priorities import OrganisationWeights
 from redwingpost.statements.session import SessionState
 from redwingpost.statements.setup import setup_steps
 
@@ -180,10 +181,10 @@
         """
         return now >= self.lagging_until and not self.is_failing
 
-    def follow_admission(self, weights: OrganisationWeights | None) -> None:
-        """Admit by these weights; None: statements only wait."""
+    def follow_admission(self, rules: MemberRules | None) -> None:
+        """Admit by these rules; None: statements only wait."""
         self.admission.follow(
-            weights,
+            rules,
             self.entry.slots or ASSUMED_SLOTS,
             self.budget.allowed(self._clock.now()),
         )
@@ -196,7 +197,7 @@
         if controller is not None:
             return MemberLoad(
                 controller.running,
-                controller.waiting,
+                controller.waiting + self.admission.places.waiting,
                 controller.max_running,
                 opened,
                 allowed,
@@ -233,6 +234,7 @@
         shape: Shape | None,
         priority: int,
         deadline: float,
+        is_transaction: bool = False,
     ) -> PooledLink:
         """Claim a connection for one organisation.
 
@@ -248,6 +250,8 @@
             Of several waiting statements, the lowest value goes first.
         deadline : float
             When to stop waiting (seconds).
+        is_transaction : bool, optional
+            Whether a transaction will hold the connection.
 
         Raises
         ------
@@ -260,7 +264,9 @@
         LinkLost
             If a new connection could not be opened.
         """
-        ticket = await self.admission.enter(organisation, priority, deadline)
+        ticket = await self.admission.enter(
+            organisation, priority, deadline, is_transaction
+        )
         try:
             pooled = await self._claim(
                 organisation, values_by_name, shape, priority, deadline
@@ -339,9 +345,13 @@
         self._drop_from_pool()
         self._return_ticket(pooled)
 
-    def rest(self, pooled: PooledLink) -> None:
-        """Free a transaction's slot while its caller pauses."""
-        self.admission.rest(pooled.ticket)
+    def rest(self, pooled: PooledLink, evict: Callable[[float], None]) -> None:
+        """Free a transaction's slot while its caller pauses.
+
+        ``evict`` ends the transaction, if it rests too long while others
+        wait; it is given the time rested (seconds).
+        """
+        self.admission.rest(pooled.ticket, evict)
 
     def resume(self, pooled: PooledLink) -> None:
         """Take a slot for a transaction's next statement at once."""
--- a/redwingpost/node/member_admission.py
+++ b/redwingpost/node/member_admission.py
@@ -17,6 +17,7 @@
 
 from redwingpost.admission.controller import AdmissionController, Arrival
 from redwingpost.admission.home_policy import home_policy
+from redwingpost.admission.transactions import TransactionPlaces
 from redwingpost.core.requests import Refusal
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.database import LinkLost
@@ -44,6 +45,17 @@
     waiting: int
 
 
+class MemberRules(NamedTuple):
+    """What the configuration says about admission at a member.
+
+    ``idle_transaction_s`` is how long a transaction may rest while others
+    wait (seconds).
+    """
+
+    weights: OrganisationWeights
+    idle_transaction_s: float
+
+
 class RefusalKey(NamedTuple):
     """What refusals are counted by; ``reason`` is a result code's name."""
 
@@ -80,11 +92,10 @@
 
 
 class _Waiter(NamedTuple):
-    """A statement that waits; ``deadline`` is in seconds."""
+    """A statement that waits; ``future`` ends its wait."""
 
     future: Future
-    organisation: str
-    deadline: float
+    arrival: Arrival
 
 
 class MemberAdmission:
@@ -100,8 +111,10 @@
         self._member = member
         self._refusals = refusals
         self._clock = clock
-        self._weights: OrganisationWeights | None = None
+        self._rules: MemberRules | None = None
         self._controller: AdmissionController | None = None
+        self._places: TransactionPlaces | None = None
+        self._evict_by_ticket: dict[int, Callable[[float], None]] = {}
         self._tickets = count(1)
         self._waiter_by_ticket: dict[int, _Waiter] = {}
 
@@ -110,41 +123,46 @@
         """The controller; None while admission is inactive."""
         return self._controller
 
+    @property
+    def places(self) -> TransactionPlaces | None:
+        """The places of transactions; None while admission is inactive."""
+        return self._places
+
     def follow(
-        self,
-        weights: OrganisationWeights | None,
-        slots: int,
-        connections: int,
+        self, rules: MemberRules | None, slots: int, connections: int
     ) -> None:
         """Take over the configuration in force.
 
         Parameters
         ----------
-        weights : OrganisationWeights or None
-            The organisations' weights; None ends admission, and what waits
-            starts.
+        rules : MemberRules or None
+            The configuration; None ends admission, and what waits starts.
         slots : int
             Statements that the member runs at once.
         connections : int
             Connections that this VM may hold to the member.
         """
-        self._weights = weights
-        if weights is None:
+        self._rules = rules
+        if rules is None:
             self._deactivate()
         elif self._controller is None:
             policy = home_policy(slots, random)
             self._controller = AdmissionController(connections, policy)
+            self._places = TransactionPlaces(connections, policy)
         else:
-            self.set_connections(connections)
-
-    def set_connections(self, connections: int) -> None:
-        """Set how many connections this VM may hold; start what they allow."""
-        if self._controller is not None:
+            now = self._clock.now()
             self._controller.set_connections(connections)
-            self._wake(self._controller.start_waiting(self._clock.now()))
+            self._places.set_connections(connections)
+            self._wake(self._places.start_waiting(now))
+            self._wake(self._controller.start_waiting(now))
+            self._evict_if_pressed()
 
     async def enter(
-        self, organisation: str, priority: int, deadline: float
+        self,
+        organisation: str,
+        priority: int,
+        deadline: float,
+        is_transaction: bool = False,
     ) -> int | None:
         """Wait for a slot; return its ticket, or None if none is needed.
 
@@ -156,6 +174,8 @@
             Of its route; 0 is the highest.
         deadline : float
             When its time ends (seconds).
+        is_transaction : bool, optional
+            Whether it begins a transaction, which needs a place, too.
 
         Raises
         ------
@@ -164,28 +184,23 @@
         LinkLost
             If the member was removed meanwhile.
         """
-        controller = self._controller
-        if controller is None:
+        if self._rules is None:
             return None
-        now = self._clock.now()
         ticket = next(self._tickets)
-        flow = self._weights.flow(priority, organisation)
-        decision = controller.arrive(
-            now,
-            Arrival(ticket, flow, flow.organisation, 1.0, False, deadline),
+        flow = self._rules.weights.flow(priority, organisation)
+        arrival = Arrival(
+            ticket, flow, flow.organisation, 1.0, False, deadline
         )
-        if decision.refusal is not None:
-            raise self._refused(
-                organisation, decision.refusal, decision.wait_s, deadline
-            )
-        if decision.starts:
-            return ticket
-        future = get_running_loop().create_future()
-        waiter = _Waiter(future, organisation, deadline)
-        self._waiter_by_ticket[ticket] = waiter
-        if decision.evicted is not None:
-            self._evict(*decision.evicted, decision.wait_s)
-        await self._await_start(ticket, waiter)
+        try:
+            if is_transaction:
+                await self._pass(self._places, arrival)
+            # Admission may have ended meanwhile.
+            if self._controller is not None:
+                await self._pass(self._controller, arrival)
+        except BaseException:
+            # It may have been started and cancelled at the same time.
+            self.leave(ticket, None)
+            raise
         return ticket
 
     def leave(self, ticket: int | None, ran_s: float | None) -> None:
@@ -203,20 +218,38 @@
         if controller is None or ticket is None:
             return
         now = self._clock.now()
+        self._evict_by_ticket.pop(ticket, None)
+        self._wake(self._places.leave(now, ticket))
         if ran_s is None:
             self._wake(controller.abandon(now, ticket))
         else:
             self._wake(controller.finish(now, ticket, _no_best, ran_s))
 
-    def rest(self, ticket: int | None) -> None:
-        """Free a transaction's slot until its next statement."""
-        if self._controller is not None and ticket is not None:
-            self._wake(self._controller.rest(self._clock.now(), ticket))
+    def rest(self, ticket: int | None, evict: Callable[[float], None]) -> None:
+        """Free a transaction's slot until its next statement.
+
+        Parameters
+        ----------
+        ticket : int or None
+            The transaction's ticket.
+        evict : callable
+            Ends the transaction; called with how long it has rested
+            (seconds).
+        """
+        if self._controller is None or ticket is None:
+            return
+        now = self._clock.now()
+        self._evict_by_ticket[ticket] = evict
+        self._places.rest(now, ticket)
+        self._wake(self._controller.rest(now, ticket))
 
     def resume(self, ticket: int | None) -> None:
         """Take a slot for a transaction's next statement, without waiting."""
-        if self._controller is not None and ticket is not None:
-            self._controller.resume(self._clock.now(), ticket)
+        if self._controller is None or ticket is None:
+            return
+        self._evict_by_ticket.pop(ticket, None)
+        self._places.resume(ticket)
+        self._controller.resume(self._clock.now(), ticket)
 
     def note_answer(self) -> None:
         """Record that the member answered a statement."""
@@ -232,7 +265,7 @@
         """Fail all waiting statements as not sent."""
         if self._controller is None:
             return
-        for ticket in self._controller.clear():
+        for ticket in (*self._places.clear(), *self._controller.clear()):
             self._resolve(
                 ticket,
                 lambda future: future.set_exception(
@@ -246,7 +279,8 @@
             return Counter()
         return Counter(
             arrival.flow.kind
-            for arrival in self._controller.waiting_arrivals()
+            for gate in (self._places, self._controller)
+            for arrival in gate.waiting_arrivals()
         )
 
     def wait_s(self, now: float) -> float:
@@ -256,65 +290,102 @@
         """
         if self._controller is None:
             return 0.0
-        flow = self._weights.flow(LOAD_PRIORITY, "")
+        flow = self._rules.weights.flow(LOAD_PRIORITY, "")
         return self._controller.wait_s(now, flow)
 
     def _deactivate(self) -> None:
         if self._controller is None:
             return
-        tickets = self._controller.clear()
-        self._controller = None
+        tickets = (*self._places.clear(), *self._controller.clear())
+        self._controller = self._places = None
+        self._evict_by_ticket.clear()
         self._wake(tickets)
 
-    async def _await_start(self, ticket: int, waiter: _Waiter) -> None:
-        future = waiter.future
+    async def _pass(
+        self, gate: AdmissionController | TransactionPlaces, arrival: Arrival
+    ) -> None:
+        """Wait until a gate lets a statement start."""
+        decision = gate.arrive(self._clock.now(), arrival)
+        if decision.refusal is not None:
+            raise self._refused(
+                gate, arrival, decision.refusal, decision.wait_s
+            )
+        if decision.starts:
+            return
+        future = get_running_loop().create_future()
+        ticket = arrival.ticket
+        self._waiter_by_ticket[ticket] = _Waiter(future, arrival)
+        if decision.evicted is not None:
+            self._refuse_evicted(gate, *decision.evicted, decision.wait_s)
         try:
-            while not future.done():
-                remaining_s = waiter.deadline - self._clock.now()
-                # Not zero: the timer might fire early again and again.
-                pause_s = min(max(remaining_s, 0.001), STALL_CHECK_S)
-                await wait({future}, timeout=pause_s)
-                if not future.done():
-                    self._refuse_if_late(ticket, waiter)
-            future.result()
-        except BaseException:
-            # It may have been started and cancelled at the same time.
-            self.leave(ticket, None)
-            raise
+            await self._await_start(gate, arrival, future)
         finally:
             del self._waiter_by_ticket[ticket]
 
-    def _refuse_if_late(self, ticket: int, waiter: _Waiter) -> None:
-        if self._controller is None:
+    async def _await_start(
+        self,
+        gate: AdmissionController | TransactionPlaces,
+        arrival: Arrival,
+        future: Future,
+    ) -> None:
+        while not future.done():
+            self._evict_if_pressed()
+            remaining_s = arrival.deadline_at - self._clock.now()
+            # Not zero: the timer might fire early again and again.
+            pause_s = min(max(remaining_s, 0.001), STALL_CHECK_S)
+            await wait({future}, timeout=pause_s)
+            if future.done():
+                break
+            refused = gate.refuse_waiting(self._clock.now(), arrival.ticket)
+            if refused is not None:
+                raise self._refused(gate, arrival, *refused)
+        future.result()
+
+    def _evict_if_pressed(self) -> None:
+        """End the longest resting transaction if others wait for it."""
+        if self._controller is None or self._rules is None:
+            return
+        now = self._clock.now()
+        resting = self._places.to_evict(
+            now,
+            self._rules.idle_transaction_s,
+            is_pressed=self._controller.waiting > 0,
+        )
+        if resting is None:
             return
-        refused = self._controller.refuse_waiting(self._clock.now(), ticket)
-        if refused is not None:
-            raise self._refused(waiter.organisation, *refused, waiter.deadline)
+        evict = self._evict_by_ticket.pop(resting.ticket, None)
+        if evict is not None:
+            evict(now - resting.since)
 
     def _refused(
         self,
-        organisation: str,
+        gate: AdmissionController | TransactionPlaces,
+        arrival: Arrival,
         refusal: Refusal,
         wait_s: float,
-        deadline: float,
     ) -> AdmissionRefused:
-        reason = refusal.code.name
-        self._refusals[RefusalKey(self._member, organisation, reason)] += 1
+        organisation = arrival.flow.kind
+        key = RefusalKey(self._member, organisation, refusal.code.name)
+        self._refusals[key] += 1
         inputs = RefusalInputs(
             wait_s,
-            deadline - self._clock.now(),
-            self._controller.max_running,
-            self._controller.waiting,
+            arrival.deadline_at - self._clock.now(),
+            gate.max_running,
+            gate.waiting,
         )
         return AdmissionRefused(refusal, inputs)
 
-    def _evict(self, ticket: int, refusal: Refusal, wait_s: float) -> None:
+    def _refuse_evicted(
+        self,
+        gate: AdmissionController | TransactionPlaces,
+        ticket: int,
+        refusal: Refusal,
+        wait_s: float,
+    ) -> None:
         waiter = self._waiter_by_ticket.get(ticket)
         if waiter is None:
             return
-        refused = self._refused(
-            waiter.organisation, refusal, wait_s, waiter.deadline
-        )
+        refused = self._refused(gate, waiter.arrival, refusal, wait_s)
         self._resolve(ticket, lambda future: future.set_exception(refused))
 
     def _wake(self, tickets: tuple[int, ...]) -> None:
--- a/redwingpost/node/request/admission.py
+++ b/redwingpost/node/request/admission.py
@@ -12,6 +12,7 @@
 from redwingpost.core.codes import Code
 from redwingpost.core.requests import Refusal
 from redwingpost.membership.vm_table import VmTable
+from redwingpost.node.member_admission import MemberRules
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
 from redwingpost.rates.usage import UsageLedger
@@ -93,17 +94,15 @@
         rule = self.rules.groups_by_name.get(group)
         return 0 if rule is None else rule.sync_replicas
 
-    def organisation_weights(
-        self, max_connections: int
-    ) -> OrganisationWeights | None:
-        """Return the organisations' weights at a group's members.
+    def member_rules(self, max_connections: int) -> MemberRules | None:
+        """Return the rules of admission at a group's members.
 
         None if a member accepts ``max_connections`` and thereby one for
         each organisation: statements then only wait for connections.
         """
         if max_connections >= len(self.rules.organisations_by_name):
             return None
-        return self._weights
+        return MemberRules(self._weights, self.rules.idle_transaction_s)
 
     def refund_operation(self, organisation: OrganisationRule) -> None:
         """Undo ``spend`` for an operation that reached no member."""
--- a/redwingpost/node/request/attempt.py
+++ b/redwingpost/node/request/attempt.py
@@ -158,10 +158,12 @@
     deadline: float,
     clock: Clock,
     request: str,
+    is_transaction: bool = False,
 ) -> PooledLink | NotSent:
     """Claim a connection and set the session's values on it.
 
-    ``request`` is the statement's id, for the log.
+    ``request`` is the statement's id, for the log. ``is_transaction`` says
+    that a transaction will hold the connection.
     """
     trace = caller.state.trace
     requested_at = clock.now()
@@ -172,6 +174,7 @@
             shape,
             caller.priority,
             deadline,
+            is_transaction,
         )
     except AdmissionRefused as refused:
         _log_refused(client, caller, request, refused)
--- a/redwingpost/node/request/transaction.py
+++ b/redwingpost/node/request/transaction.py
@@ -85,6 +85,7 @@
         self._proof: Task | None = None
         self._has_written = False
         self._is_over = False
+        self._was_evicted = False
 
     @property
     def is_over(self) -> bool:
@@ -108,7 +109,8 @@
         if self._caller.state.writes(statement):
             self._has_written = True
         if self._pinned is not None:
-            self._pinned.client.rest(self._pinned.pooled)
+            client, pooled = self._pinned
+            client.rest(pooled, self._evict)
         return Answer(outcome.rows, outcome.proof)
 
     async def commit(self, statement: Statement) -> Result:
@@ -152,6 +154,7 @@
             self._is_over = True
             return
         client, pooled = self._pinned
+        client.resume(pooled)
         try:
             reply = await wait_for(
                 pooled.link.roll_back(), ROLL_BACK_TIMEOUT_S
@@ -169,6 +172,8 @@
         self, statement: Statement, deadline: float
     ) -> Result | None:
         """Begin if needed and set session values; return None on success."""
+        if self._was_evicted:
+            return self._rolled_back_refusal("it rested while others waited")
         if self._pinned is None:
             refused = await self._start(statement, deadline)
             if refused is not None:
@@ -263,6 +268,7 @@
             deadline,
             self._clock,
             self._begin.request,
+            is_transaction=True,
         )
         if isinstance(pooled, NotSent):
             return pooled.as_refusal()
@@ -374,6 +380,22 @@
         )
         return Refusal(Code.COMMIT_UNKNOWN, outcome.reason)
 
+    def _evict(self, rested_s: float) -> None:
+        """End the transaction: others wait, and it has rested for long.
+
+        Closing the connection rolls back at the member.
+        """
+        client = self._pinned.client
+        log_event(
+            "transaction-evicted",
+            group=self._group.name,
+            member=client.entry.member,
+            organisation=self._caller.organisation,
+            rested_s=round(rested_s, 3),
+        )
+        self._was_evicted = True
+        self._discard_connection()
+
     def _end_lost(self, reason: str) -> Refusal:
         if self._pinned is not None:
             self._discard_connection()
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -508,7 +508,7 @@
                 limit,
                 self._homes.sharers(name, now),
                 IDLE_S if is_all else HOME_IDLE_S,
-                self._admission.organisation_weights(limit),
+                self._admission.member_rules(limit),
             )
 
     # Readiness ---------------------------------------------------------
--- a/redwingpost/node/tests/small_group.py
+++ b/redwingpost/node/tests/small_group.py
@@ -73,8 +73,10 @@
         return tuple(Reply(proof="1.p") for _ in steps)
 
     async def roll_back(self) -> Reply:
-        """Roll back."""
-        self._members.sent.append((self._entry.member, "rollback"))
+        """Roll back after the member's time."""
+        name = self._entry.member
+        self._members.sent.append((name, "rollback"))
+        await sleep(self._members.answer_s_by_member.get(name, 0.0))
         return Reply(proof="1.p")
 
     async def status(self) -> StatusReport:
--- a/redwingpost/node/tests/test_admission.py
+++ b/redwingpost/node/tests/test_admission.py
@@ -68,17 +68,15 @@
         cases = ((2, True), (3, False), (32, False))
         for max_connections, expected in cases:
             with self.subTest(max_connections=max_connections):
-                self.assertIsNone(
-                    self.admission.organisation_weights(max_connections)
-                )
+                self.assertIsNone(self.admission.member_rules(max_connections))
                 self.admission.take_rules(rules)
-                weights = self.admission.organisation_weights(max_connections)
-                self.assertEqual(expected, weights is not None)
-                if weights is not None:
+                found = self.admission.member_rules(max_connections)
+                self.assertEqual(expected, found is not None)
+                if found is not None:
                     self.assertEqual(
                         [10.0, 30.0, 20.0, 20.0],
                         [
-                            weights.of_organisation(name)
+                            found.weights.of_organisation(name)
                             for name in (*names, "public")
                         ],
                     )
--- a/redwingpost/node/tests/test_load.py
+++ b/redwingpost/node/tests/test_load.py
@@ -6,6 +6,7 @@
 from redwingpost.adapters.tests.virtual_loop import run_in_virtual_time
 from redwingpost.core.statements import StatementKind
 from redwingpost.node.load_metrics import LoadCollector
+from redwingpost.node.member_admission import MemberRules
 from redwingpost.node.metrics import NodeMetrics
 from redwingpost.node.request.writes import WriteRunner
 from redwingpost.node.tests.small_group import (
@@ -17,7 +18,9 @@
 )
 from redwingpost.scheduling.priorities import OrganisationWeights
 
-_WEIGHTS = OrganisationWeights.of({"parish": 10.0, "chapel": 10.0})
+_RULES = MemberRules(
+    OrganisationWeights.of({"parish": 10.0, "chapel": 10.0}), 2.0
+)
 
 #: A member's connections: two of them for statements of this VM.
 _MAX_CONNECTIONS = 5
@@ -46,9 +49,9 @@
     def test_wait_of_a_group(self) -> None:
         """Guards against statements placed where they wait, or can't run."""
 
-        async def run(weights, full, failing):
+        async def run(rules, full, failing):
             group = await make_group(FakeMembers(), _MAX_CONNECTIONS, slots=4)
-            group.follow_directory(_MAX_CONNECTIONS, 1, weights=weights)
+            group.follow_directory(_MAX_CONNECTIONS, 1, rules=rules)
             tasks = []
             for member in full:
                 tasks += await _queue(group, member, 100)
@@ -73,12 +76,12 @@
             ((), ("m2", "m3"), free, never),
             ((), MEMBERS, never, never),
         )
-        for weights in (None, _WEIGHTS):
+        for rules in (None, _RULES):
             for full, failing, *expected in cases:
                 with self.subTest(
-                    full=full, failing=failing, active=weights is not None
+                    full=full, failing=failing, active=rules is not None
                 ):
-                    waits = run_in_virtual_time(run(weights, full, failing))
+                    waits = run_in_virtual_time(run(rules, full, failing))
                     for wait_s, (least, most) in zip(
                         waits, expected, strict=True
                     ):
@@ -89,7 +92,7 @@
     def test_metrics_of_admission_and_connections(self) -> None:
         async def run():
             group = await make_group(FakeMembers(), _MAX_CONNECTIONS, slots=4)
-            group.follow_directory(_MAX_CONNECTIONS, 1, weights=_WEIGHTS)
+            group.follow_directory(_MAX_CONNECTIONS, 1, rules=_RULES)
             tasks = await _queue(group, "m1", 300)
             metrics = NodeMetrics()
             metrics.collect_from(LoadCollector({"g": group}, LoopClock()))
--- a/redwingpost/node/tests/test_member_admission.py
+++ b/redwingpost/node/tests/test_member_admission.py
@@ -8,6 +8,7 @@
 from redwingpost.core.codes import Code
 from redwingpost.core.requests import Refusal
 from redwingpost.core.statements import Answer, Statement, StatementKind
+from redwingpost.node.member_admission import MemberRules
 from redwingpost.node.request.reads import ReadRunner
 from redwingpost.node.request.transaction import Transaction
 from redwingpost.node.request.writes import WriteRunner
@@ -28,7 +29,9 @@
 )
 from redwingpost.scheduling.priorities import OrganisationWeights
 
-_WEIGHTS = OrganisationWeights.of({"parish": 10.0, "chapel": 10.0})
+_RULES = MemberRules(
+    OrganisationWeights.of({"parish": 10.0, "chapel": 10.0}), 2.0
+)
 
 #: A member's connections: two of them for statements of this VM.
 _MAX_CONNECTIONS = 5
@@ -41,7 +44,7 @@
 
 async def _make(members, max_connections=_MAX_CONNECTIONS):
     group = await make_group(members, max_connections, slots=4)
-    group.follow_directory(max_connections, 1, weights=_WEIGHTS)
+    group.follow_directory(max_connections, 1, rules=_RULES)
     return group
 
 
@@ -68,6 +71,8 @@
             self.assertEqual(0, controller.running, client.entry.member)
             self.assertEqual(0, controller.waiting, client.entry.member)
             self.assertEqual(0, controller.pinned, client.entry.member)
+            places = client.admission.places
+            self.assertEqual(0, places.running + places.waiting)
             self.assertEqual(0, client.pool.in_use, client.entry.member)
 
 
@@ -236,6 +241,27 @@
         self.assertIsInstance(result, Refusal)
         self.assertEqual([], sent)
 
+    def test_a_read_at_the_primary_is_refused_once(self) -> None:
+        """Guards against a second attempt in the queue that refused it."""
+
+        async def run():
+            group = await _make(FakeMembers())
+            _, tasks = await self._fill(group, waiting=400)
+            request = make_request(
+                1,
+                consistency=Consistency.PRIMARY,
+                organisation="chapel",
+            )
+            result = await ReadRunner(LoopClock()).run(group, request)
+            for task in tasks:
+                task.cancel()
+            await gather(*tasks, return_exceptions=True)
+            return result, sum(group.refusals.values())
+
+        result, refused = run_in_virtual_time(run())
+        self.assertEqual(Code.OVER_CAPACITY, result.code)
+        self.assertEqual(1, refused)
+
     def test_the_deadline_passes_in_the_queue(self) -> None:
         """Guards against ``timed-out`` for what no member has seen."""
 
@@ -270,11 +296,14 @@
             ]
             await sleep(1.2)
             done = [task.result() for task in writes if task.done()]
+            started_at = LoopClock().now()
             late = await _write(group, 9, timeout_s=0.4)
+            took_s = LoopClock().now() - started_at
             await gather(*writes)
-            return done, late, members
+            return done, late, took_s, members
 
-        done, late, members = run_in_virtual_time(run())
+        done, late, took_s, members = run_in_virtual_time(run())
+        self.assertEqual(0.0, took_s)
         self.assertEqual(4, len(done))
         for result in (*done, late):
             self.assertIn(
@@ -365,7 +394,7 @@
             client = group.member_by_name["m1"]
             first = await client.acquire("parish", {}, None, 1, 9.0)
             self.assertIsNone(first.ticket)
-            group.follow_directory(_MAX_CONNECTIONS, 1, weights=_WEIGHTS)
+            group.follow_directory(_MAX_CONNECTIONS, 1, rules=_RULES)
             second = await client.acquire("parish", {}, None, 1, 9.0)
             self.assertIsNotNone(second.ticket)
             waiting = create_task(client.acquire("parish", {}, None, 1, 9.0))
@@ -378,7 +407,155 @@
             for task in (waiting, third):
                 client.release(await task)
             self.assertEqual(0, client.pool.in_use)
-            group.follow_directory(_MAX_CONNECTIONS, 1, weights=_WEIGHTS)
+            group.follow_directory(_MAX_CONNECTIONS, 1, rules=_RULES)
             return group
 
         self._assert_returned(run_in_virtual_time(run()))
+
+
+class RestingTest(MemberAdmissionTest):
+    """Seven connections for statements, so three open transactions."""
+
+    _CONNECTIONS = 9
+
+    async def _open(self, group, transactions, timeout_s=9.0):
+        tasks = []
+        for _ in range(transactions):
+            transaction = _begin(group, timeout_s)
+            tasks.append((transaction, create_task(transaction.run(_READ))))
+            await sleep(0.1)
+        return tasks
+
+    def test_transactions_hold_half_of_the_connections(self) -> None:
+        """Guards against statements that wait for callers that pause."""
+
+        async def run():
+            members = FakeMembers()
+            group = await _make(members, self._CONNECTIONS)
+            opened = await self._open(group, 5)
+            begun = [task.done() for _, task in opened]
+            started_at = LoopClock().now()
+            result = await _write(group)
+            took_s = LoopClock().now() - started_at
+            await opened[0][0].commit(_COMMIT)
+            await sleep(0.1)
+            then = [task.done() for _, task in opened]
+            for transaction, task in opened[1:]:
+                await transaction.roll_back()
+                await task
+                await transaction.roll_back()
+            return group, begun, then, result, took_s
+
+        group, begun, then, result, took_s = run_in_virtual_time(run())
+        self.assertEqual([True] * 3 + [False] * 2, begun)
+        self.assertEqual([True] * 4 + [False], then)
+        self.assertIsInstance(result, Answer)
+        self.assertAlmostEqual(0.01, took_s)
+        self._assert_returned(group)
+
+    def test_the_longest_resting_one_is_ended_under_pressure(self) -> None:
+        """Guards against places kept by callers that don't come back.
+
+        A transaction may rest for 2 s; one that rests for less is never
+        ended, nor is any while nothing waits.
+        """
+        cases = (
+            # seconds until a fourth one comes, or None; those ended
+            (1.0, []),
+            (2.2, [0]),
+            (None, []),
+        )
+
+        async def run(pressed_after_s):
+            members = FakeMembers()
+            group = await _make(members, self._CONNECTIONS)
+            opened = await self._open(group, 3)
+            first = opened[0][1].result()
+            if pressed_after_s is None:
+                await sleep(5.0)
+            else:
+                await sleep(pressed_after_s - 0.29)
+                fourth = _begin(group, 0.05)
+                await fourth.run(_READ)
+                await fourth.roll_back()
+            results = [
+                await transaction.run(_READ) for transaction, _ in opened
+            ]
+            commits = [
+                await transaction.commit(_COMMIT) for transaction, _ in opened
+            ]
+            return group, first, results, commits
+
+        for pressed_after_s, expected in cases:
+            with self.subTest(pressed_after_s=pressed_after_s):
+                group, first, results, commits = run_in_virtual_time(
+                    run(pressed_after_s)
+                )
+                self.assertIsInstance(first, Answer)
+                for answers in (results, commits):
+                    ended = [
+                        number
+                        for number, result in enumerate(answers)
+                        if not isinstance(result, Answer)
+                    ]
+                    self.assertEqual(expected, ended)
+                    for number in ended:
+                        self.assertEqual(
+                            Code.TRANSACTION_ROLLED_BACK, answers[number].code
+                        )
+                self._assert_returned(group)
+
+    def test_one_that_is_in_use_is_not_ended(self) -> None:
+        """Guards against the end of a transaction whose caller is back.
+
+        It rested for long, and its next statement or its end takes 0.3 s,
+        in which another transaction comes.
+        """
+
+        async def run(use):
+            members = FakeMembers()
+            group = await _make(members, self._CONNECTIONS)
+            opened = await self._open(group, 3)
+            await sleep(5.0)
+            members.answer_s_by_member["m1"] = 0.3
+            tasks = [
+                create_task(use(transaction)) for transaction, _ in opened
+            ]
+            await sleep(0.1)
+            pressing = _begin(group, 0.1)
+            await pressing.run(_READ)
+            results = await gather(*tasks)
+            for transaction, _ in opened:
+                await transaction.roll_back()
+            return group, members, results
+
+        async def run_statement(transaction):
+            return isinstance(await transaction.run(_READ), Answer)
+
+        async def roll_back(transaction):
+            await transaction.roll_back()
+            return transaction.is_over
+
+        for use in (run_statement, roll_back):
+            with self.subTest(use.__name__):
+                group, members, results = run_in_virtual_time(run(use))
+                self.assertEqual([True] * 3, results)
+                self.assertEqual(0, members.closed)
+                self._assert_returned(group)
+
+    def test_no_place_in_time(self) -> None:
+        """Guards against ``timed-out`` for a transaction that never began."""
+
+        async def run():
+            group = await _make(FakeMembers(), self._CONNECTIONS)
+            opened = await self._open(group, 3)
+            late = _begin(group, 0.4)
+            result = await late.run(_READ)
+            for transaction, _ in opened:
+                await transaction.roll_back()
+            return group, result
+
+        group, result = run_in_virtual_time(run())
+        self.assertEqual(Code.OVER_CAPACITY, result.code)
+        self.assertGreater(result.retry_after_ms, 0)
+        self._assert_returned(group)
--- a/redwingpost/scheduling/fair.py
+++ b/redwingpost/scheduling/fair.py
@@ -24,6 +24,7 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 from heapq import heappop, heappush
 from itertools import count
 from math import ceil
@@ -84,6 +85,16 @@
             return self.start_tag
         return max(virtual_time, self.finish_tag)
 
+    def first_wanted(
+        self, is_wanted: Callable[[T], bool]
+    ) -> _KindQueue[T] | None:
+        """Return the first kind, in order, whose first request is wanted."""
+        waiting = [kind for kind in self.kinds_by_name.values() if kind.items]
+        waiting.sort(key=lambda kind: kind.finish_tag)
+        return next(
+            (kind for kind in waiting if is_wanted(kind.items[0][0])), None
+        )
+
     def cost_ahead(self, flow: Flow) -> float:
         """Return the queued cost that is served before a new request."""
         own = self.kinds_by_name.get(flow.kind)
@@ -260,6 +271,37 @@
             return item
         return None
 
+    def pop_first(self, is_wanted: Callable[[T], bool]) -> T | None:
+        """Remove and return the first request that is wanted.
+
+        Only the first request of each flow is considered, in the order of
+        service. None if none is wanted.
+        """
+        waiting = sorted(
+            (
+                organisation
+                for organisation in self._organisations_by_name.items()
+                if organisation[1].queued
+            ),
+            key=lambda one: one[1].start_tag,
+        )
+        for name, organisation in waiting:
+            kind = organisation.first_wanted(is_wanted)
+            if kind is None:
+                continue
+            self._virtual_time = max(
+                self._virtual_time, organisation.start_tag
+            )
+            item, cost = _pop_kind(organisation, kind)
+            organisation.finish_tag = (
+                organisation.start_tag + cost / organisation.weight
+            )
+            self._subtract(organisation, cost)
+            if organisation.queued:
+                self._activate(name, organisation)
+            return item
+        return None
+
     def remove(self, item: T, flow: Flow) -> bool:
         """Remove a request that is no longer wanted.
 
@@ -319,7 +361,15 @@
     waiting = [
         kind for kind in organisation.kinds_by_name.values() if kind.items
     ]
-    kind = min(waiting, key=lambda one: one.finish_tag)
+    return _pop_kind(
+        organisation, min(waiting, key=lambda one: one.finish_tag)
+    )
+
+
+def _pop_kind(
+    organisation: _OrganisationQueue[T], kind: _KindQueue[T]
+) -> tuple[T, float]:
+    """Pop a kind's first request and return it with its cost."""
     item, cost, weight = kind.items.popleft()
     organisation.virtual_time = kind.finish_tag
     kind.finish_tag += cost / weight
