Node: a statement isn't started too late to be answered; a crowded site

A statement that got its slot a moment before its deadline was sent, and its caller learnt only that it may have run. A waiting statement is refused once less than the usual service time is left, at most 50 ms. What comes after its deadline is refused as deadline-too-short, and a read whose time is over tries no further member.

--- a/redwingpost/admission/controller.py
+++ b/redwingpost/admission/controller.py
@@ -39,6 +39,10 @@
 #: answered nothing counts as stalled.
 STALL_FACTOR = 10.0
 
+#: Longest time (seconds) before its deadline in which a waiting statement
+#: no longer starts; the average service time, if that is shorter.
+MAX_RESERVED_S = 0.05
+
 #: Largest jitter of a retry-after time, as a part of it. Callers that were
 #: refused together would otherwise return together.
 RETRY_JITTER = 0.5
@@ -243,6 +247,15 @@
         arrival = Arrival(0, flow, "", 1.0, False, float("inf"))
         return self._estimate_wait(now, self._short, arrival)
 
+    def latest_start(self, arrival: Arrival) -> float:
+        """Return until when a waiting statement may start (seconds).
+
+        If it started right before its deadline, it would run without an
+        answer in time, and its caller would learn that it may have run.
+        """
+        service_s = self.service_times.average_s * arrival.cost
+        return arrival.deadline_at - min(service_s, MAX_RESERVED_S)
+
     def refuse_waiting(
         self, now: float, ticket: int
     ) -> tuple[Refusal, float] | None:
@@ -261,7 +274,7 @@
             return None
         remaining_s = arrival.deadline_at - now
         stall_s = self._stall_s(now)
-        if remaining_s > 0.0 and stall_s <= remaining_s:
+        if now < self.latest_start(arrival) and stall_s <= remaining_s:
             return None
         self.abandon(now, ticket)
         wait_s = max(stall_s, self.wait_s(now, arrival.flow))
--- a/redwingpost/admission/transactions.py
+++ b/redwingpost/admission/transactions.py
@@ -147,6 +147,10 @@
             started.append(arrival.ticket)
         return tuple(started)
 
+    def latest_start(self, arrival: Arrival) -> float:
+        """Return until when a waiting transaction may begin (seconds)."""
+        return arrival.deadline_at
+
     def refuse_waiting(
         self, now: float, ticket: int
     ) -> tuple[Refusal, float] | None:
--- a/redwingpost/node/member_admission.py
+++ b/redwingpost/node/member_admission.py
@@ -17,7 +17,9 @@
 
 from redwingpost.admission.controller import AdmissionController, Arrival
 from redwingpost.admission.home_policy import home_policy
+from redwingpost.admission.queue import MIN_RETRY_MS
 from redwingpost.admission.transactions import TransactionPlaces
+from redwingpost.core.codes import Code
 from redwingpost.core.requests import Refusal
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.database import LinkLost
@@ -330,7 +332,7 @@
     ) -> None:
         while not future.done():
             self._evict_if_pressed()
-            remaining_s = arrival.deadline_at - self._clock.now()
+            remaining_s = gate.latest_start(arrival) - self._clock.now()
             # Not zero: the timer might fire early again and again.
             pause_s = min(max(remaining_s, 0.001), STALL_CHECK_S)
             await wait({future}, timeout=pause_s)
@@ -364,6 +366,11 @@
         refusal: Refusal,
         wait_s: float,
     ) -> AdmissionRefused:
+        if refusal.code.name == Code.DEADLINE_PASSED.name:
+            # It came too late already; callers may retry like after the
+            # other refusals.
+            retry_ms = max(MIN_RETRY_MS, int(wait_s * 1000))
+            refusal = Refusal(Code.DEADLINE_TOO_SHORT, "", retry_ms)
         organisation = arrival.flow.kind
         key = RefusalKey(self._member, organisation, refusal.code.name)
         self._refusals[key] += 1
--- a/redwingpost/node/request/reads.py
+++ b/redwingpost/node/request/reads.py
@@ -171,12 +171,12 @@
         running: set[Task] = set()
         last: Outcome = NotSent("no member to ask")
         while untried or running:
+            if self._remaining_s(read) <= 0.0:
+                last = _more_telling(last, _out_of_time(read))
+                break
             if not running:
                 running.add(self._start(hedge, read, untried.pop(0), after))
             wait_s = self._hedge_wait_s(read, clients, bool(untried))
-            if wait_s <= 0.0:
-                last = _more_telling(last, _out_of_time(read))
-                break
             done, running = await wait(
                 running, timeout=wait_s, return_when=FIRST_COMPLETED
             )
--- a/redwingpost/node/tests/test_member_admission.py
+++ b/redwingpost/node/tests/test_member_admission.py
@@ -279,6 +279,26 @@
             0, group.member_by_name["m1"].admission.controller.waiting
         )
 
+    def test_a_slot_that_comes_too_late(self) -> None:
+        """Guards against writes sent when no answer can come in time.
+
+        Slots come free 5 ms before the deadline; the member takes 10 ms.
+        """
+
+        async def run():
+            members = FakeMembers()
+            group = await _make(members)
+            held, _ = await self._fill(group)
+            write = create_task(_write(group, timeout_s=0.4))
+            await sleep(0.395)
+            for pooled in held:
+                group.member_by_name["m1"].release(pooled)
+            return await write, members
+
+        result, members = run_in_virtual_time(run())
+        self.assertEqual(Code.OVER_CAPACITY, result.code)
+        self.assertEqual([], members.sent)
+
     def test_a_member_that_stops_answering(self) -> None:
         """Guards against statements kept waiting for a member that is lost.
 
