--- a/redwingpost/node/member.py
+++ b/redwingpost/node/member.py
@@ -7,12 +7,21 @@
     get_running_loop,
     wait_for,
 )
+from collections import Counter
+from collections.abc import Callable
 from heapq import heappop, heappush
 from itertools import count
 
 from redwingpost.core.statements import Shape
+from redwingpost.groups.choice import ASSUMED_SLOTS
 from redwingpost.groups.latency import LatencyTracker
 from redwingpost.membership.centres import MemberHealth
+from redwingpost.node.member_admission import (
+    MemberAdmission,
+    MemberLoad,
+    MemberRules,
+    RefusalKey,
+)
 from redwingpost.observability.journal import log_event
 from redwingpost.pools.pool import (
     Busy,
@@ -83,11 +92,21 @@
     """This VM's connections to one member, and the member's health."""
 
     def __init__(
-        self, entry: MemberEntry, links: LinkFactory, clock: Clock
+        self,
+        entry: MemberEntry,
+        links: LinkFactory,
+        clock: Clock,
+        refusals: Counter[RefusalKey] | None = None,
     ) -> None:
         self.entry = entry
         self.budget = ConnectionBudget()
         self.pool = MemberPool(self.budget)
+        self.admission = MemberAdmission(
+            entry.member,
+            clock,
+            Counter() if refusals is None else refusals,
+            self.pool.has_idle,
+        )
         self.latency = LatencyTracker()
         self.statements_in_flight = 0
         self.lagging_until = float("-inf")
@@ -165,8 +184,40 @@
         """
         return now >= self.lagging_until and not self.is_failing
 
+    def follow_admission(self, rules: MemberRules | None) -> None:
+        """Admit by these rules; None: statements only wait."""
+        self.admission.follow(
+            rules,
+            self.entry.slots or ASSUMED_SLOTS,
+            self.budget.allowed(self._clock.now()),
+        )
+
+    def load(self, now: float) -> MemberLoad:
+        """Return the member's load at ``now`` (seconds)."""
+        allowed = self.budget.allowed(now)
+        opened = self.pool.open_connections
+        controller = self.admission.controller
+        if controller is not None:
+            return MemberLoad(
+                controller.running,
+                controller.waiting + self.admission.places.waiting,
+                controller.max_running,
+                opened,
+                allowed,
+                self.admission.wait_s(now),
+            )
+        waiting = sum(not future.done() for _, _, future in self._waiting)
+        wait_s = waiting * self.latency.smoothed_s / max(allowed, 1)
+        return MemberLoad(
+            self.pool.in_use, waiting, allowed, opened, allowed, wait_s
+        )
+
     def note_answer(self) -> None:
-        """Record that the member has just answered."""
+        """Record that the member has just answered a statement."""
+        self._note_alive()
+        self.admission.note_answer()
+
+    def _note_alive(self) -> None:
         self.answered_at = self._clock.now()
 
     def note_sent(self) -> None:
@@ -186,6 +237,7 @@
         shape: Shape | None,
         priority: int,
         deadline: float,
+        is_transaction: bool = False,
     ) -> PooledLink:
         """Claim a connection for one organisation.
 
@@ -201,9 +253,13 @@
             Of several waiting statements, the lowest value goes first.
         deadline : float
             When to stop waiting (seconds).
+        is_transaction : bool, optional
+            Whether a transaction will hold the connection.
 
         Raises
         ------
+        AdmissionRefused
+            If the statement can't be served before the deadline.
         NoConnectionFree
             If none was free before the deadline.
         MemberRefused
@@ -211,6 +267,28 @@
         LinkLost
             If a new connection could not be opened.
         """
+        ticket = await self.admission.enter(
+            organisation, priority, deadline, is_transaction
+        )
+        try:
+            pooled = await self._claim(
+                organisation, values_by_name, shape, priority, deadline
+            )
+        except BaseException:
+            self.admission.leave(ticket, None)
+            raise
+        pooled.ticket = ticket
+        pooled.ran_s = None
+        return pooled
+
+    async def _claim(
+        self,
+        organisation: str,
+        values_by_name: dict[str, str],
+        shape: Shape | None,
+        priority: int,
+        deadline: float,
+    ) -> PooledLink:
         requested_at = self._clock.now()
         while True:
             now = self._clock.now()
@@ -259,6 +337,7 @@
             return
         self.pool.give_back(pooled, self._clock.now())
         self._wake_next()
+        self._return_ticket(pooled)
 
     def discard(self, pooled: PooledLink) -> None:
         """Close a claimed connection whose state is unknown."""
@@ -267,6 +346,23 @@
         pooled.is_dropped = True
         pooled.link.close()
         self._drop_from_pool()
+        self._return_ticket(pooled)
+
+    def rest(self, pooled: PooledLink, evict: Callable[[float], None]) -> None:
+        """Free a transaction's slot while its caller pauses.
+
+        ``evict`` ends the transaction, if it rests too long while others
+        wait; it is given the time rested (seconds).
+        """
+        self.admission.rest(pooled.ticket, evict)
+
+    def resume(self, pooled: PooledLink) -> None:
+        """Take a slot for a transaction's next statement at once."""
+        self.admission.resume(pooled.ticket)
+
+    def _return_ticket(self, pooled: PooledLink) -> None:
+        ticket, pooled.ticket = pooled.ticket, None
+        self.admission.leave(ticket, pooled.ran_s)
 
     async def send_command(
         self, command: str, *arguments: int
@@ -299,6 +395,7 @@
 
     def close(self) -> None:
         """Close all idle connections of a member that was removed."""
+        self.admission.fail_waiting("the member was removed")
         self.close_idle(close_all=True)
         self._close_control()
 
@@ -316,7 +413,7 @@
                     CONTROL_NAME, CONNECT_TIMEOUT_S
                 )
             report = await getattr(self._control, command)(*arguments)
-            self.note_answer()
+            self._note_alive()
             return report
 
     async def _open(
@@ -362,7 +459,7 @@
             if opened.kind is FailureKind.TOO_MANY_CONNECTIONS:
                 # A member at its connection limit is alive. If it counted
                 # as lost, all VMs would probe it over more connections.
-                self.note_answer()
+                self._note_alive()
                 self.budget.note_refused(self._clock.now())
             raise MemberRefused(opened)
         return opened
--- a/redwingpost/node/request/attempt.py
+++ b/redwingpost/node/request/attempt.py
@@ -1,15 +1,20 @@
 """One attempt to run a statement on a pooled connection of one member."""
 
+from asyncio import timeout
 from collections.abc import Callable
 from typing import NamedTuple
 
+from redwingpost.core.codes import Code
 from redwingpost.core.positions import Position
+from redwingpost.core.requests import Refusal
 from redwingpost.core.statements import Shape, Statement
 from redwingpost.node.member import (
     MemberClient,
     MemberRefused,
     NoConnectionFree,
 )
+from redwingpost.node.member_admission import AdmissionRefused
+from redwingpost.observability.journal import log_event
 from redwingpost.pools.pool import PooledLink
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.database import (
@@ -22,6 +27,15 @@
 from redwingpost.statements.session import SessionState
 from redwingpost.statements.setup import prepare_step, prepared_name
 
+#: Shortest time (seconds) given to an exchange with a member: less than a
+#: round trip would show nothing about the member.
+MIN_EXCHANGE_S = 0.01
+
+
+#: Milliseconds after which a caller may come back whose statement found no
+#: connection.
+LOST_RETRY_MS = 100
+
 
 class Caller(NamedTuple):
     """The caller's organisation, session state and priority."""
@@ -32,9 +46,20 @@
 
 
 class NotSent(NamedTuple):
-    """The statement was not sent to the member."""
+    """The statement was not sent to the member.
+
+    ``refusal`` is set if admission at ``member`` refused it.
+    """
 
     reason: str
+    refusal: Refusal | None = None
+    member: str = ""
+
+    def as_refusal(self) -> Refusal:
+        """Return what the caller is told."""
+        if self.refusal is not None:
+            return self.refusal
+        return Refusal(Code.TARGET_LOST, self.reason, LOST_RETRY_MS)
 
 
 class NoAnswer(NamedTuple):
@@ -68,7 +93,8 @@
     after : Position or None
         Position that the member must hold before it runs the statement.
     deadline : float
-        When to stop waiting for a connection (seconds).
+        When to stop waiting, for a connection and for the answer
+        (seconds). Once it has passed, the statement isn't sent.
     clock : Clock
         Measures waiting and running times.
     is_wanted : callable, optional
@@ -81,12 +107,17 @@
     trace = caller.state.trace
     client.statements_in_flight += 1
     try:
-        pooled = await claim_connection(client, caller, shape, deadline, clock)
+        pooled = await claim_connection(
+            client, caller, shape, deadline, clock, statement.request
+        )
         if isinstance(pooled, NotSent):
             return pooled
         if not client.may_be_sent_work:
             client.release(pooled)
             return NotSent("no statements may be sent there")
+        if clock.now() >= deadline:
+            client.release(pooled)
+            return NotSent("no time was left")
         if not is_wanted():
             # The session may already run its next statement with other
             # session values: this statement would run with those.
@@ -95,8 +126,8 @@
         started_at = clock.now()
         trace.note_sent()
         try:
-            outcome = await run_on_connection(
-                client, pooled, statement, after, shape
+            outcome = await run_until(
+                deadline, client, pooled, statement, after, shape, clock
             )
         finally:
             trace.note_run(client.entry.member, clock.now() - started_at)
@@ -107,9 +138,12 @@
         return outcome
     if outcome.failure is None:
         now = clock.now()
+        pooled.ran_s = now - started_at
         client.latency.observe(now - started_at, now)
     elif outcome.failure.kind in DID_NOT_RUN:
         trace.note_not_run()
+        if outcome.failure.kind is FailureKind.FULL:
+            client.admission.note_full()
     if _is_unusable(outcome):
         client.discard(pooled)
     else:
@@ -123,8 +157,14 @@
     shape: Shape | None,
     deadline: float,
     clock: Clock,
+    request: str,
+    is_transaction: bool = False,
 ) -> PooledLink | NotSent:
-    """Claim a connection and set the session's values on it."""
+    """Claim a connection and set the session's values on it.
+
+    ``request`` is the statement's id, for the log. ``is_transaction`` says
+    that a transaction will hold the connection.
+    """
     trace = caller.state.trace
     requested_at = clock.now()
     try:
@@ -134,7 +174,12 @@
             shape,
             caller.priority,
             deadline,
+            is_transaction,
         )
+    except AdmissionRefused as refused:
+        _log_refused(client, caller, request, refused)
+        member = client.entry.member
+        return NotSent("refused by admission", refused.refusal, member)
     except NoConnectionFree:
         return NotSent("no connection came free")
     except MemberRefused as refused:
@@ -143,10 +188,37 @@
         return NotSent(lost.detail)
     finally:
         trace.note_wait(client.entry.member, clock.now() - requested_at)
-    is_ready = await make_ready(client, pooled, caller.state)
+    try:
+        async with timeout(max(deadline - clock.now(), MIN_EXCHANGE_S)):
+            is_ready = await make_ready(client, pooled, caller.state)
+    except TimeoutError:
+        client.failed_at = clock.now()
+        return NotSent("set-up not answered in time")
     return pooled if is_ready else NotSent("set-up failed")
 
 
+def _log_refused(
+    client: MemberClient,
+    caller: Caller,
+    request: str,
+    refused: AdmissionRefused,
+) -> None:
+    inputs = refused.inputs
+    log_event(
+        "admission-refused",
+        request=request,
+        group=client.entry.group,
+        member=client.entry.member,
+        organisation=caller.organisation,
+        code=refused.refusal.code.name,
+        wait_s=round(inputs.wait_s, 4),
+        remaining_s=round(inputs.remaining_s, 4),
+        limit=inputs.limit,
+        waiting=inputs.waiting,
+        retry_after_ms=refused.refusal.retry_after_ms,
+    )
+
+
 async def make_ready(
     client: MemberClient, pooled: PooledLink, state: SessionState
 ) -> bool:
@@ -162,6 +234,29 @@
         raise
 
 
+async def run_until(
+    deadline: float,
+    client: MemberClient,
+    pooled: PooledLink,
+    statement: Statement,
+    after: Position | None,
+    shape: Shape | None,
+    clock: Clock,
+) -> Reply | NoAnswer:
+    """Run a statement on a claimed connection, until a time (seconds).
+
+    Without an answer by then the connection is discarded.
+    """
+    try:
+        async with timeout(max(deadline - clock.now(), MIN_EXCHANGE_S)):
+            return await run_on_connection(
+                client, pooled, statement, after, shape
+            )
+    except TimeoutError:
+        client.failed_at = clock.now()
+        return NoAnswer("no answer in time")
+
+
 async def run_on_connection(
     client: MemberClient,
     pooled: PooledLink,
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -41,6 +41,7 @@
 from redwingpost.node.forwarding.peer import HomeDependencies
 from redwingpost.node.forwarding.server import HomeServer
 from redwingpost.node.group import DRAIN_WORK_FRACTION, GroupClient
+from redwingpost.node.load_metrics import LoadCollector
 from redwingpost.node.metrics import NodeMetrics
 from redwingpost.node.request.admission import Admission
 from redwingpost.node.request.reads import ReadRunner
@@ -171,6 +172,7 @@
                 self.metrics.note_placement,
             ),
         )
+        self.metrics.collect_from(LoadCollector(self.group_by_name, clock))
         self._readiness_view = ReadinessView(
             self._admission,
             self.group_by_name,
@@ -514,6 +516,7 @@
                 self._homes.sharers(name, now),
                 IDLE_S if is_all else HOME_IDLE_S,
                 self._homes.is_cut(name, now),
+                self._admission.member_rules(limit),
             )
 
     # Readiness ---------------------------------------------------------
--- a/redwingpost/scheduling/tests/test_fair.py
+++ b/redwingpost/scheduling/tests/test_fair.py
@@ -4,7 +4,7 @@
 from random import Random
 from unittest import TestCase
 
-from redwingpost.scheduling.fair import FairQueue, Flow
+from redwingpost.scheduling.fair import FairQueue, Flow, Preference
 from redwingpost.scheduling.long_jobs import JobLengths, shape_of
 
 
@@ -131,3 +131,79 @@
         for _ in range(50):
             lengths.observe(shape, 0.5, typical_s=0.4)
         self.assertFalse(lengths.is_long(shape))
+
+
+class CostAheadTest(TestCase):
+    """The counted cost against the order in which the queue serves."""
+
+    def test_against_the_order_of_service(self) -> None:
+        """Guards against wait estimates that refuse what can be served."""
+        for seed in range(30):
+            with self.subTest(seed=seed):
+                random = Random(seed)
+                flows = [
+                    Flow(f"p{outer}", f"o{inner}", 2.0**outer, inner + 1.0)
+                    for outer in range(3)
+                    for inner in range(4)
+                ]
+                queue = FairQueue()
+                for number in range(random.randrange(200)):
+                    flow = random.choice(flows)
+                    queue.push(number, flow, 1.0)
+                    if random.random() < 0.3:
+                        queue.pop()
+                flow = random.choice(flows)
+                counted = queue.cost_ahead(flow).total_cost
+                queue.push("new", flow, 1.0)
+                position = _pop_all(queue).index("new")
+                # Requests with equal tags may go first or second.
+                self.assertLessEqual(abs(counted - position), 6)
+
+
+class PreferenceTest(TestCase):
+    """Kinds that may be served before their turn, within a bound."""
+
+    def _fill(self, queue, weights, each=100):
+        for number in range(each):
+            for kind, weight in weights.items():
+                queue.push((kind, number), Flow("", kind, 1.0, weight), 1.0)
+
+    def test_batches_are_bounded(self) -> None:
+        """Guards against organisations starved by those with connections."""
+        for ahead in (0.0, 2.0, 8.0):
+            with self.subTest(ahead=ahead):
+                queue = FairQueue()
+                self._fill(queue, {"a": 1.0, "b": 1.0, "c": 1.0})
+                preference = Preference(lambda kind: kind == "a", ahead)
+                names = [queue.pop(preference)[0] for _ in range(90)]
+                first_other = next(
+                    turn for turn, name in enumerate(names) if name != "a"
+                )
+                self.assertLessEqual(first_other, ahead + 1)
+                served = Counter(names)
+                for name in "bc":
+                    self.assertGreaterEqual(served[name], 30 - ahead)
+
+    def test_weights_hold_whoever_is_preferred(self) -> None:
+        weights = {"a": 4.0, "b": 2.0, "c": 1.0}
+        random = Random(4)
+        queue = FairQueue()
+        self._fill(queue, weights, each=500)
+        served = Counter()
+        for _ in range(350):
+            names = random.sample(sorted(weights), 2)
+            preference = Preference(names.__contains__, 8.0)
+            served[queue.pop(preference)[0]] += 1
+        for name, weight in weights.items():
+            self.assertLessEqual(abs(served[name] - 50 * weight), 17, served)
+
+    def test_a_new_kind_does_not_wait_for_a_batch(self) -> None:
+        """Guards against newcomers placed behind what was served early."""
+        queue = FairQueue()
+        self._fill(queue, {"a": 1.0, "b": 1.0})
+        preference = Preference(lambda kind: kind == "a", 8.0)
+        for _ in range(9):
+            queue.pop(preference)
+        queue.push(("new", 0), Flow("", "new"), 1.0)
+        names = [queue.pop()[0] for _ in range(3)]
+        self.assertIn("new", names)
