Rates: usage of a partition is paid from the refill withheld for it

Cause: a VM that hears a part of the fleet refills that part of a rate only. When a partition heals, it charged the others' usage of all those seconds to its bucket, although the refill for it had been withheld, and counted their demand of those seconds as if it came at once. Refills by the part of an organisation's last own operation, and the whole rate for the time of a VM's suspension, added to it.

Change: rates/withheld.py keeps, by organisation, what was withheld (the refill, and the tokens given up as the part falls) and, by VM and organisation, which counters lack usage since when. Late usage that its VM had reported before is paid from what was withheld since; the rest is charged. Late demand is spread over its gap. The ledger learns the VMs that aren't heard by note_hearing, and a pause between two calls counts as a suspension.

A simulated fleet (tests/partitioned_fleet.py) with nine partitions of seven seconds and three seeds checks the organisations below their rates.

Nothing calls note_hearing outside the tests yet.

--- /dev/null
+++ b/redwingpost/rates/tests/test_partitions.py
@@ -0,0 +1,144 @@
+"""Rates of a fleet whose VMs lose contact, and once they hear again."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+from unittest import TestCase
+
+from redwingpost.configuration.routes import OrganisationRule
+from redwingpost.rates.tests.partitioned_fleet import (
+    Organisation,
+    PartitionedFleet,
+)
+
+RATE = 60.0
+BEGIN_S = 6.0
+HEAL_S = 13.0
+END_S = 17.0
+SEEDS = (1, 2, 3)
+
+
+class Partition(NamedTuple):
+    """Which VM's reports are lost on the way to which other."""
+
+    name: str
+    vms: int
+    is_cut: Callable[[int, int, float], bool]
+
+
+def _is_on(now: float) -> bool:
+    return BEGIN_S <= now < HEAL_S
+
+
+def _sides(name: str, vms: int, first: int) -> Partition:
+    """Return a partition of the first VMs from the others."""
+    return Partition(
+        name,
+        vms,
+        lambda sender, receiver, now: _is_on(now)
+        and (sender < first) != (receiver < first),
+    )
+
+
+PARTITIONS = (
+    _sides("halves", 6, 3),
+    _sides("65 to 35", 20, 13),
+    _sides("one VM", 12, 1),
+    Partition("islands", 12, lambda sender, receiver, now: _is_on(now)),
+    Partition(
+        "pairs",
+        12,
+        lambda sender, receiver, now: _is_on(now)
+        and sender // 2 != receiver // 2,
+    ),
+    Partition(
+        "one-way",
+        6,
+        lambda sender, receiver, now: _is_on(now) and sender < 3 <= receiver,
+    ),
+    Partition(
+        "a deaf VM",
+        6,
+        lambda sender, receiver, now: _is_on(now) and not receiver,
+    ),
+    Partition(
+        "flapping",
+        6,
+        lambda sender, receiver, now: _is_on(now)
+        and now % 2.0 < 1.4
+        and (sender < 3) != (receiver < 3),
+    ),
+    Partition(
+        "flapping fast",
+        6,
+        lambda sender, receiver, now: _is_on(now)
+        and now % 1.2 < 0.95
+        and (sender < 3) != (receiver < 3),
+    ),
+)
+
+
+def organisation(
+    name: str, burst: float, sent_per_s: Callable[[int, float], float]
+) -> Organisation:
+    """Return an organisation with the common rate."""
+    rule = OrganisationRule(name, frozenset(), RATE, burst, 1)
+    return Organisation(rule, sent_per_s)
+
+
+def spread(vms: int, fraction: float) -> Callable[[int, float], float]:
+    """Return a load of a fraction of the rate, even over the VMs."""
+    return lambda vm, now: fraction * RATE / vms
+
+
+def at_last(vms: int, fraction: float) -> Callable[[int, float], float]:
+    """Return a load of a fraction of the rate, all at the last VM."""
+    return lambda vm, now: fraction * RATE if vm == vms - 1 else 0.0
+
+
+def flood(vms: int, begin: float, end: float) -> Callable[[int, float], float]:
+    """Return a load of six times the rate for a time, else of 0.8."""
+    return lambda vm, now: (6.0 if begin <= now < end else 0.8) * RATE / vms
+
+
+class HealingTest(TestCase):
+    def test_organisations_below_their_rates_are_served(self) -> None:
+        """A partition of seven seconds heals while one organisation floods.
+
+        Each side withholds the refill that belongs to the other. If the
+        other's usage of those seconds were charged to the bucket once the
+        partition heals, organisations that send less than their rates
+        would be in debt and refused for seconds.
+        """
+        for partition in PARTITIONS:
+            for seed in SEEDS:
+                with self.subTest(partition.name, seed=seed):
+                    self._check(partition, seed)
+
+    def _check(self, partition: Partition, seed: int) -> None:
+        vms = partition.vms
+        below = (
+            organisation("most of the rate", 60.0, spread(vms, 0.8)),
+            organisation("small burst", 30.0, spread(vms, 0.8)),
+            organisation("large burst", 240.0, spread(vms, 0.8)),
+            organisation("on one VM", 60.0, at_last(vms, 0.8)),
+            organisation("little", 60.0, spread(vms, 0.3)),
+        )
+        flooded = organisation(
+            "flood", 60.0, flood(vms, BEGIN_S - 1.0, HEAL_S)
+        )
+        fleet = PartitionedFleet(
+            vms, (*below, flooded), partition.is_cut, seed
+        )
+        fleet.play(0.0, HEAL_S + 2.0)
+        lowest_by_name = {
+            item.rule.name: fleet.lowest_tokens(item.rule.name)
+            for item in below
+        }
+        fleet.play(HEAL_S + 2.0, END_S)
+        for item in below:
+            name = item.rule.name
+            self.assertGreater(
+                lowest_by_name[name], -0.1 * item.rule.burst, name
+            )
+            served = fleet.served(name, HEAL_S + 2.0, END_S)
+            self.assertGreaterEqual(served, 0.98, name)
--- a/redwingpost/rates/usage.py
+++ b/redwingpost/rates/usage.py
@@ -18,7 +18,9 @@
 corresponds to the VMs it has heartbeats from, itself included. Both
 halves of a partitioned fleet together then use no more than the rate,
 and a VM that resumes from a suspension has heartbeats from no other VM
-and falls back to its own part.
+and falls back to its own part. The rest of the rate is withheld, and
+pays for the usage that arrives late once the VMs hear each other again
+(``redwingpost.rates.withheld``).
 
 The rate is exceeded at most by what the other VMs admit while a report
 is in transit: reports are sent at once after
@@ -36,12 +38,20 @@
 those that have been running.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from math import exp
 from typing import NamedTuple
 
 from redwingpost.configuration.routes import OrganisationRule
 from redwingpost.rates.counters import Usage
+from redwingpost.rates.withheld import (
+    BUFFERED_S,
+    KEPT_S,
+    SUSPENDED_AFTER_S,
+    CounterGaps,
+    WithheldRefill,
+    spread_demand,
+)
 
 #: Admissions of one organisation after which a VM reports at once rather
 #: than with the next heartbeat. Until the report arrives, the other VMs
@@ -92,7 +102,8 @@
     ``reported_at`` is the time of its last report (seconds).
     """
 
-    def __init__(self, boot: int) -> None:
+    def __init__(self, vm: str, boot: int) -> None:
+        self.vm = vm
         self.boot = boot
         self.usage_by_organisation: dict[str, Usage] = {}
         self.reported_at = float("-inf")
@@ -147,6 +158,7 @@
         self.tokens = tokens
         self.share_tokens = 0.0
         self.demand = _Demand(now)
+        self.withheld = WithheldRefill()
         self.is_over_rate = False
         self._refilled_at = now
         self._last_refill_terms: tuple[OrganisationRule, float] | None = None
@@ -156,6 +168,16 @@
         if self._last_refill_terms is not None:
             self.refill(*self._last_refill_terms, now)
 
+    def resume(self, part: float, now: float) -> None:
+        """Refill by ``part`` for the whole time since the last call."""
+        if self._last_refill_terms is not None:
+            self.refill(self._last_refill_terms[0], part, now)
+
+    def follow_part(self, part: float, now: float) -> None:
+        """Refill by the last part until now, and by ``part`` from now on."""
+        self.refill_unchanged(now)
+        self.resume(part, now)
+
     def refill(self, rule: OrganisationRule, part: float, now: float) -> None:
         """Add the tokens accrued since the last call.
 
@@ -165,12 +187,15 @@
         terms = (rule, part)
         if now == self._refilled_at and terms == self._last_refill_terms:
             return
+        before = self._last_refill_terms
         self._last_refill_terms = terms
         passed_s = max(0.0, now - self._refilled_at)
         self._refilled_at = now
         self.demand.decay(now)
         refilled = rule.rate * part * passed_s
         capacity = max(1.0, rule.burst * part)
+        if before is not None:
+            self._withhold(rule, before[1], part, passed_s)
         self.tokens = min(self.tokens + refilled, capacity)
         share = self.demand.share
         was_over_rate, self.is_over_rate = (
@@ -187,6 +212,30 @@
             max(1.0, capacity * share),
         )
 
+    def _withhold(
+        self,
+        rule: OrganisationRule,
+        part_before: float,
+        part: float,
+        passed_s: float,
+    ) -> None:
+        """Keep what is left to VMs that aren't heard.
+
+        Besides their part of the refill that is their part of the tokens
+        held when they were last heard: they spend it, too.
+        """
+        if part >= 1.0:
+            return
+        refill = rule.rate * passed_s
+        filled = self.tokens + refill * part
+        level = min(filled, rule.burst * part_before)
+        tokens = max(0.0, level - max(1.0, rule.burst * part))
+        self.withheld.add(
+            refill * (1.0 - part) + tokens,
+            rule.rate * KEPT_S,
+            self._refilled_at,
+        )
+
     def may_admit(self, rule: OrganisationRule) -> bool:
         """Return whether there is a token for one operation."""
         if not self.is_over_rate:
@@ -235,6 +284,75 @@
         self._own_by_organisation: dict[str, Usage] = {}
         self._reported_by_organisation: dict[str, Usage] = {}
         self._reports_by_vm: dict[str, _PeerReports] = {}
+        self._part = 1.0
+        self._gaps = CounterGaps(started_at)
+        self._heard_noted_at: float | None = None
+        self._resumed_at = float("-inf")
+
+    def note_hearing(
+        self, part: float, unheard: Collection[str], now: float
+    ) -> None:
+        """Note which VMs this one hears; to be called ten times a second.
+
+        Parameters
+        ----------
+        part : float
+            Part of the rate that the VMs in contact may use (0 to 1).
+        unheard : collection of str
+            The listed VMs that aren't heard.
+        now : float
+            Seconds on a clock that runs through suspensions.
+        """
+        self._note_suspension(now)
+        self._heard_noted_at = now
+        self._follow_part(part, now)
+        self._note_unheard(unheard, now)
+
+    def _note_unheard(self, unheard: Collection[str], now: float) -> None:
+        if not unheard and not self._gaps.is_any_open:
+            return
+        organisations_by_vm = {
+            vm: reports.usage_by_organisation
+            for vm, reports in self._reports_by_vm.items()
+        }
+        self._gaps.note_unheard(unheard, organisations_by_vm, now)
+        if not unheard:
+            self._expire_withheld()
+
+    def _note_suspension(self, now: float) -> None:
+        """Count all other VMs as unheard while this one was suspended."""
+        noted_at = self._heard_noted_at
+        if noted_at is None or now - noted_at <= SUSPENDED_AFTER_S:
+            return
+        self._heard_noted_at = now
+        self._resumed_at = now
+        peers = self.peers()
+        # Reports may be read from the socket before the part is known.
+        self._part = 1.0 / (1 + len(peers))
+        for bucket in self._bucket_by_organisation.values():
+            bucket.resume(self._part, now)
+        self._note_unheard(peers, now)
+
+    def _follow_part(self, part: float, now: float) -> None:
+        if part == self._part:
+            return
+        self._part = part
+        for bucket in self._bucket_by_organisation.values():
+            bucket.follow_part(part, now)
+
+    def _expire_withheld(self) -> None:
+        """Drop what no late usage can be charged to any more."""
+        awaited = self._gaps.organisations()
+        for organisation, bucket in self._bucket_by_organisation.items():
+            if organisation not in awaited:
+                bucket.withheld.clear()
+
+    def withheld_by_organisation(self) -> dict[str, float]:
+        """Return the tokens that are kept for usage not yet reported."""
+        return {
+            organisation: bucket.withheld.amount
+            for organisation, bucket in self._bucket_by_organisation.items()
+        }
 
     def admit(self, rule: OrganisationRule, part: float, now: float) -> bool:
         """Spend a token for one operation if there is one.
@@ -248,6 +366,8 @@
         now : float
             Seconds on a clock that runs through suspensions.
         """
+        self._note_suspension(now)
+        self._follow_part(part, now)
         bucket = self._bucket(rule, part, now)
         bucket.refill(rule, part, now)
         bucket.demand.own += 1.0
@@ -310,15 +430,25 @@
         tuple of Usage
             The counters that changed.
         """
+        self._note_suspension(now)
         reports = self._reports_by_vm.get(vm)
         if reports is None or reports.boot < boot:
-            reports = self._reports_by_vm[vm] = _PeerReports(boot)
+            reports = self._reports_by_vm[vm] = _PeerReports(vm, boot)
+            self._gaps.forget(vm)
         if reports.boot > boot:
             return ()
         reports.reported_at = now
-        return tuple(
+        changed = tuple(
             usage for usage in usages if self._note_usage(reports, usage, now)
         )
+        if self._gaps.is_any_open and not self._reads_buffered(now):
+            for usage in usages:
+                self._gaps.close(vm, usage.organisation, now)
+        return changed
+
+    def _reads_buffered(self, now: float) -> bool:
+        """Return whether reports may date from this VM's suspension."""
+        return now - self._resumed_at <= BUFFERED_S
 
     def _note_usage(
         self, reports: "_PeerReports", usage: Usage, now: float
@@ -341,11 +471,39 @@
             if previous is None:
                 self._charge_first_usage(bucket, usage, now)
             else:
-                bucket.demand.total += usage.offered - previous.offered
-                bucket.tokens -= usage.used - previous.used
+                self._charge(bucket, reports.vm, previous, usage, now)
             self._blend(bucket, usage, now)
         return is_new
 
+    def _charge(
+        self,
+        bucket: _Bucket,
+        vm: str,
+        previous: Usage,
+        usage: Usage,
+        now: float,
+    ) -> None:
+        """Charge what a peer's counter grew by, late usage first to what
+        was withheld.
+        """
+        used = usage.used - previous.used
+        offered = usage.offered - previous.offered
+        since = self._gaps.since(vm, usage.organisation)
+        if since is None:
+            bucket.demand.total += offered
+            bucket.tokens -= used
+            return
+        is_all_late = self._reads_buffered(now)
+        late = used if is_all_late else used - max(0, usage.newly_used)
+        paid = bucket.withheld.pay(max(0, late), since)
+        bucket.tokens -= used - paid
+        late = offered if is_all_late else offered - usage.newly_offered
+        late = max(0, min(offered, late))
+        bucket.demand.total += offered - late
+        bucket.demand.total += spread_demand(
+            late, now - since, DEMAND_AVERAGE_S
+        )
+
     def _open_bucket(self, organisation: str, now: float) -> _Bucket | None:
         """Return a new bucket for an organisation that a peer reports.
 
@@ -356,8 +514,8 @@
         rule = self.find_rule(organisation)
         if rule is None or not self._is_warmed_up(now):
             return None
-        bucket = self._bucket(rule, 1.0, now)
-        bucket.refill(rule, 1.0, now)
+        bucket = self._bucket(rule, self._part, now)
+        bucket.refill(rule, self._part, now)
         return bucket
 
     def _charge_first_usage(
@@ -384,6 +542,7 @@
     def forget_peer(self, vm: str) -> None:
         """Drop the counters of a VM that left the fleet."""
         self._reports_by_vm.pop(vm, None)
+        self._gaps.forget(vm)
 
     def is_report_due(self, organisation: str) -> bool:
         """Return whether a report must be sent at once."""
@@ -394,6 +553,7 @@
 
     def take_report(self, everything: bool, now: float) -> tuple[Usage, ...]:
         """Return the counters to report: those that changed, or all."""
+        self._note_suspension(now)
         usages = tuple(
             self._with_new_counts(own)
             for name, own in self._own_by_organisation.items()
