Rates: a flood at the start of a partition stays within the bound

Cause: until the heartbeat timeout each side counts the other as heard and uses the whole bucket and rate.

Change: rates/splitting.py divides the tokens as VMs go unheard, by the level that there was when they were last heard, less what was admitted since. From 0.45 s without heartbeats on (OVERDUE_HEARTBEAT_S) a VM already spends only from that part; if the heartbeats come after all, nothing has changed. What no other VM used is taken back one second after all are heard again, within this side's part of the burst.

--- a/redwingpost/membership/vm_table.py
+++ b/redwingpost/membership/vm_table.py
@@ -34,6 +34,10 @@
 #: an incident that has just begun: two lost datagrams in a row.
 RECENT_HEARTBEAT_S = 0.6
 
+#: Seconds without a heartbeat after which one is overdue, in a fleet whose
+#: VMs send heartbeats to each other: a datagram is lost or late.
+OVERDUE_HEARTBEAT_S = 0.45
+
 #: Seconds without a heartbeat after which a VM is removed from the list:
 #: far longer than a restart, so that a restarting VM stays listed.
 REMOVE_AFTER_S = 20.0
@@ -256,9 +260,9 @@
             if number not in alive
         )
 
-    def part(self, now: float) -> float:
+    def part(self, now: float, within_s: float = HEARTBEAT_TIMEOUT_S) -> float:
         """Return the fraction of all VMs that are alive (0 to 1)."""
-        return (1 + len(self.alive_numbers(now))) / self.count()
+        return (1 + len(self.alive_numbers(now, within_s))) / self.count()
 
     def hears_half(
         self, now: float, within_s: float = HEARTBEAT_TIMEOUT_S
--- a/redwingpost/rates/tests/partitioned_fleet.py
+++ b/redwingpost/rates/tests/partitioned_fleet.py
@@ -11,6 +11,7 @@
 from redwingpost.membership.vm_table import (
     HEARTBEAT_INTERVAL_S,
     HEARTBEAT_TIMEOUT_S,
+    OVERDUE_HEARTBEAT_S,
 )
 from redwingpost.rates.counters import Usage
 from redwingpost.rates.usage import UsageLedger
@@ -73,17 +74,19 @@
         self.heard_at = [float("-inf")] * vms
         self.buffered: deque[_Report] = deque()
 
-    def unheard(self, now: float) -> tuple[str, ...]:
+    def unheard(
+        self, now: float, within_s: float = HEARTBEAT_TIMEOUT_S
+    ) -> tuple[str, ...]:
         """Return the names of the VMs that aren't heard."""
         return tuple(
             f"vm-{number}"
             for number, heard_at in enumerate(self.heard_at)
-            if number != self.number and now - heard_at > HEARTBEAT_TIMEOUT_S
+            if number != self.number and now - heard_at > within_s
         )
 
-    def part(self, now: float) -> float:
+    def part(self, now: float, within_s: float = HEARTBEAT_TIMEOUT_S) -> float:
         """Return the part of the VMs that is heard."""
-        return 1.0 - len(self.unheard(now)) / len(self.heard_at)
+        return 1.0 - len(self.unheard(now, within_s)) / len(self.heard_at)
 
 
 class PartitionedFleet:
@@ -132,18 +135,19 @@
         for step in range(round(begin / STEP_S), round(end / STEP_S)):
             now = step * STEP_S
             self._deliver(now)
-            for vm in tuple(self.vms):
-                if not self._is_suspended(vm, now):
+            for item in self._suspensions:
+                if item.is_restart and item.end <= now < item.end + STEP_S:
+                    boot = self.vms[item.vm].boot + 1
+                    self._restart(item.vm, boot, now)
+            for vm in self.vms:
+                if self._suspension(vm, now) is None:
                     self._run(vm, step, now)
 
-    def _is_suspended(self, vm: _Vm, now: float) -> bool:
+    def _suspension(self, vm: _Vm, now: float) -> Suspension | None:
         for item in self._suspensions:
-            if item.vm != vm.number or not item.begin <= now < item.end:
-                continue
-            if item.is_restart and vm.boot < 2 + item.begin:
-                self._restart(vm.number, 2 + int(item.begin), item.end)
-            return True
-        return False
+            if item.vm == vm.number and item.begin <= now < item.end:
+                return item
+        return None
 
     def _restart(self, number: int, boot: int, now: float) -> None:
         vm = self.vms[number] = _Vm(number, len(self.vms), boot, now)
@@ -152,22 +156,26 @@
     def _run(self, vm: _Vm, step: int, now: float) -> None:
         while vm.buffered:
             self._receive(vm, vm.buffered.popleft(), now)
-        part = vm.part(now)
+        parts = vm.part(now), vm.part(now, OVERDUE_HEARTBEAT_S)
         if step % STEPS_PER_CHECK == 0:
-            vm.ledger.note_hearing(part, vm.unheard(now), now)
+            vm.ledger.note_hearing(parts[0], vm.unheard(now), now, parts[1])
         for organisation in self.organisations:
             per_s = organisation.sent_per_s(vm.number, now)
             for _ in range(int(per_s * STEP_S + self._random.random())):
-                self._offer(vm, organisation.rule, part, now)
+                self._offer(vm, organisation.rule, parts, now)
         if step % STEPS_PER_HEARTBEAT == self._phases[vm.number]:
             beat = step // STEPS_PER_HEARTBEAT
             is_full = beat % HEARTBEATS_PER_FULL_REPORT == 0
             self._report(vm, is_full, now)
 
     def _offer(
-        self, vm: _Vm, rule: OrganisationRule, part: float, now: float
+        self,
+        vm: _Vm,
+        rule: OrganisationRule,
+        parts: tuple[float, float],
+        now: float,
     ) -> None:
-        is_admitted = vm.ledger.admit(rule, part, now)
+        is_admitted = vm.ledger.admit(rule, parts[0], now, parts[1])
         self.operations_by_organisation[rule.name].append(
             Operation(now, vm.number, is_admitted)
         )
@@ -219,10 +227,11 @@
         while self._reports and self._reports[0].arrives_at <= now:
             report = heappop(self._reports)
             receiver = self.vms[report.receiver]
-            if self._is_suspended(receiver, now):
-                receiver.buffered.append(report)
-            else:
+            suspension = self._suspension(receiver, now)
+            if suspension is None:
                 self._receive(receiver, report, now)
+            elif not suspension.is_restart:
+                receiver.buffered.append(report)
 
     def _receive(self, vm: _Vm, report: _Report, now: float) -> None:
         if report.is_heartbeat:
--- a/redwingpost/rates/tests/test_partitions.py
+++ b/redwingpost/rates/tests/test_partitions.py
@@ -142,3 +142,87 @@
             )
             served = fleet.served(name, HEAL_S + 2.0, END_S)
             self.assertGreaterEqual(served, 0.98, name)
+
+
+def _allowed(rule: OrganisationRule) -> float:
+    """Return the operations allowed in any five seconds."""
+    return (rule.rate * 5.0 + rule.burst) * 1.1 + 20.0
+
+
+class BoundTest(TestCase):
+    """What the whole fleet admits of an organisation in five seconds."""
+
+    def test_floods_before_in_and_after_a_partition(self) -> None:
+        """An organisation sends six times its rate around a partition.
+
+        If a flood begins when the partition does, each side spends the
+        whole bucket until it notices that it doesn't hear the other. If
+        one goes on when the partition heals, each side might admit what
+        the other has admitted already.
+        """
+        for partition in PARTITIONS:
+            for seed in SEEDS:
+                with self.subTest(partition.name, seed=seed):
+                    self._check_floods(partition, seed)
+
+    def _check_floods(self, partition: Partition, seed: int) -> None:
+        vms = partition.vms
+        times = (
+            ("before", BEGIN_S - 1.0, HEAL_S),
+            ("at once", BEGIN_S + 0.1, END_S),
+            ("within", BEGIN_S + 3.0, END_S),
+            ("while healing", HEAL_S - 0.3, END_S),
+            ("healed", HEAL_S + 0.2, END_S),
+        )
+        organisations = tuple(
+            organisation(f"{name} {burst}", burst, flood(vms, begin, end))
+            for name, begin, end in times
+            for burst in (60.0, 240.0)
+        )
+        fleet = PartitionedFleet(vms, organisations, partition.is_cut, seed)
+        fleet.play(0.0, END_S)
+        self._check_bound(fleet)
+
+    def _check_bound(self, fleet: PartitionedFleet) -> None:
+        for item in fleet.organisations:
+            name = item.rule.name
+            most = fleet.most_in_a_window(name)
+            self.assertLessEqual(most, _allowed(item.rule), name)
+
+    def test_a_rate_that_changes_in_a_partition(self) -> None:
+        """An operator changes an organisation's rate during a partition.
+
+        What was withheld of a high rate must not pay for the usage of a
+        low one for long.
+        """
+        for before, after in ((120.0, 40.0), (40.0, 120.0)):
+            for seed in SEEDS:
+                with self.subTest(before=before, after=after, seed=seed):
+                    self._check_change(before, after, seed)
+
+    def _check_change(self, before: float, after: float, seed: int) -> None:
+        partition = PARTITIONS[0]
+        load = flood(partition.vms, BEGIN_S + 2.0, END_S)
+        rules = [
+            OrganisationRule("org", frozenset(), rate, rate, 1)
+            for rate in (before, after)
+        ]
+        fleet = PartitionedFleet(
+            partition.vms,
+            (Organisation(rules[0], load),),
+            partition.is_cut,
+            seed,
+        )
+        fleet.play(0.0, BEGIN_S + 4.0)
+        fleet.take_rules((Organisation(rules[1], load),))
+        fleet.play(BEGIN_S + 4.0, END_S)
+        highest = max(rules, key=lambda rule: rule.rate)
+        most = fleet.most_in_a_window("org")
+        self.assertLessEqual(most, _allowed(highest))
+        settled_s = BEGIN_S + 4.0 + 1.0
+        late = [
+            item
+            for item in fleet.operations_by_organisation["org"]
+            if item.is_admitted and settled_s <= item.at < settled_s + 5.0
+        ]
+        self.assertLessEqual(len(late), _allowed(rules[1]))
--- a/redwingpost/rates/usage.py
+++ b/redwingpost/rates/usage.py
@@ -43,10 +43,17 @@
 from typing import NamedTuple
 
 from redwingpost.configuration.routes import OrganisationRule
+from redwingpost.membership.vm_table import HEARTBEAT_INTERVAL_S
 from redwingpost.rates.counters import Usage
+from redwingpost.rates.splitting import (
+    OVERDUE_RATIO,
+    RecentUsage,
+    split_tokens,
+)
 from redwingpost.rates.withheld import (
     BUFFERED_S,
     KEPT_S,
+    SETTLED_S,
     SUSPENDED_AFTER_S,
     CounterGaps,
     WithheldRefill,
@@ -159,6 +166,8 @@
         self.share_tokens = 0.0
         self.demand = _Demand(now)
         self.withheld = WithheldRefill()
+        self._recent = RecentUsage()
+        self._is_held_back = False
         self.is_over_rate = False
         self._refilled_at = now
         self._last_refill_terms: tuple[OrganisationRule, float] | None = None
@@ -194,9 +203,11 @@
         self.demand.decay(now)
         refilled = rule.rate * part * passed_s
         capacity = max(1.0, rule.burst * part)
-        if before is not None:
-            self._withhold(rule, before[1], part, passed_s)
-        self.tokens = min(self.tokens + refilled, capacity)
+        self._withhold(rule, rule.rate * (1.0 - part) * passed_s, now)
+        self.tokens += refilled
+        if before is not None and part < before[1]:
+            self._split(rule, before[1], part, now)
+        self.tokens = min(self.tokens, capacity)
         share = self.demand.share
         was_over_rate, self.is_over_rate = (
             self.is_over_rate,
@@ -212,29 +223,45 @@
             max(1.0, capacity * share),
         )
 
-    def _withhold(
+    def _split(
         self,
         rule: OrganisationRule,
         part_before: float,
         part: float,
-        passed_s: float,
+        now: float,
+    ) -> None:
+        """Leave their part of the tokens to VMs that aren't heard now."""
+        level = min(self.tokens, max(1.0, rule.burst * part_before))
+        recent = self._recent.total(now)
+        self.tokens = split_tokens(level, recent, part / part_before)
+        self._withhold(rule, level - self.tokens, now)
+
+    def _withhold(
+        self, rule: OrganisationRule, tokens: float, now: float
     ) -> None:
-        """Keep what is left to VMs that aren't heard.
+        self.withheld.add(tokens, rule.rate * KEPT_S, now)
 
-        Besides their part of the refill that is their part of the tokens
-        held when they were last heard: they spend it, too.
+    def restore(self, part: float) -> None:
+        """Take back what no other VM has used, up to ``part`` of the burst.
+
+        ``part`` is the lowest part since VMs weren't heard: a VM that uses
+        its part never gets more than that. Nor does it get more than the
+        others' part of the burst, which they have not spent. Without this,
+        an organisation whose callers are on one side would stay in the
+        debt that ``_split`` leaves.
         """
-        if part >= 1.0:
-            return
-        refill = rule.rate * passed_s
-        filled = self.tokens + refill * part
-        level = min(filled, rule.burst * part_before)
-        tokens = max(0.0, level - max(1.0, rule.burst * part))
-        self.withheld.add(
-            refill * (1.0 - part) + tokens,
-            rule.rate * KEPT_S,
-            self._refilled_at,
-        )
+        if self._last_refill_terms is not None:
+            burst = self._last_refill_terms[0].burst
+            lacking = max(0.0, burst * part - self.tokens)
+            self.tokens += min(
+                lacking, burst * (1.0 - part), self.withheld.amount
+            )
+        self.withheld.clear()
+
+    def charge(self, used: float, now: float) -> None:
+        """Subtract operations admitted by this VM or by one that is heard."""
+        self.tokens -= used
+        self._recent.add(used, now)
 
     def may_admit(self, rule: OrganisationRule) -> bool:
         """Return whether there is a token for one operation."""
@@ -242,6 +269,17 @@
             return self.tokens >= 1.0
         return self.tokens >= _min_tokens(rule) and self.share_tokens >= 1.0
 
+    def has_part(self, ratio: float, now: float) -> bool:
+        """Return whether there is a token if overdue VMs aren't heard again.
+
+        ``ratio`` is the part of the VMs in contact that isn't overdue.
+        """
+        self._is_held_back = (
+            ratio < OVERDUE_RATIO
+            and split_tokens(self.tokens, self._recent.total(now), ratio) < 1.0
+        )
+        return not self._is_held_back
+
     def wait_s(self, rule: OrganisationRule, refill: float) -> float:
         """Return the seconds until there is a token for one operation.
 
@@ -249,6 +287,9 @@
         bucket may hold tokens: computed from it, callers would retry at
         once, be refused again, and add to the load.
         """
+        if self._is_held_back:
+            # The next heartbeats show whether the overdue VMs are heard.
+            return max(HEARTBEAT_INTERVAL_S, (1.0 - self.tokens) / refill)
         if not self.is_over_rate:
             return max(0.0, 1.0 - self.tokens) / refill
         share_refill = refill * max(self.demand.share, MIN_DEMAND_SHARE)
@@ -285,12 +326,19 @@
         self._reported_by_organisation: dict[str, Usage] = {}
         self._reports_by_vm: dict[str, _PeerReports] = {}
         self._part = 1.0
+        self._recent_part = 1.0
+        self._lowest_part = 1.0
+        self._is_settled = True
         self._gaps = CounterGaps(started_at)
         self._heard_noted_at: float | None = None
         self._resumed_at = float("-inf")
 
     def note_hearing(
-        self, part: float, unheard: Collection[str], now: float
+        self,
+        part: float,
+        unheard: Collection[str],
+        now: float,
+        recent_part: float = 1.0,
     ) -> None:
         """Note which VMs this one hears; to be called ten times a second.
 
@@ -302,22 +350,26 @@
             The listed VMs that aren't heard.
         now : float
             Seconds on a clock that runs through suspensions.
+        recent_part : float
+            Part of the VMs whose last heartbeat isn't overdue (0 to 1).
         """
         self._note_suspension(now)
+        self._recent_part = recent_part
         self._heard_noted_at = now
         self._follow_part(part, now)
         self._note_unheard(unheard, now)
 
     def _note_unheard(self, unheard: Collection[str], now: float) -> None:
-        if not unheard and not self._gaps.is_any_open:
+        if self._part >= 1.0 and not unheard and self._is_settled:
             return
+        self._is_settled = False
         organisations_by_vm = {
             vm: reports.usage_by_organisation
             for vm, reports in self._reports_by_vm.items()
         }
         self._gaps.note_unheard(unheard, organisations_by_vm, now)
-        if not unheard:
-            self._expire_withheld()
+        if self._part >= 1.0 and self._gaps.heard_all_s(now) >= SETTLED_S:
+            self._settle()
 
     def _note_suspension(self, now: float) -> None:
         """Count all other VMs as unheard while this one was suspended."""
@@ -328,7 +380,8 @@
         self._resumed_at = now
         peers = self.peers()
         # Reports may be read from the socket before the part is known.
-        self._part = 1.0 / (1 + len(peers))
+        self._part = self._recent_part = 1.0 / (1 + len(peers))
+        self._lowest_part = min(self._lowest_part, self._part)
         for bucket in self._bucket_by_organisation.values():
             bucket.resume(self._part, now)
         self._note_unheard(peers, now)
@@ -337,15 +390,19 @@
         if part == self._part:
             return
         self._part = part
+        self._lowest_part = min(self._lowest_part, part)
         for bucket in self._bucket_by_organisation.values():
             bucket.follow_part(part, now)
 
-    def _expire_withheld(self) -> None:
-        """Drop what no late usage can be charged to any more."""
+    def _settle(self) -> None:
+        """End the account of organisations of which no usage is awaited."""
         awaited = self._gaps.organisations()
         for organisation, bucket in self._bucket_by_organisation.items():
-            if organisation not in awaited:
-                bucket.withheld.clear()
+            if organisation not in awaited and bucket.withheld.amount > 0.0:
+                bucket.restore(self._lowest_part)
+        if not self._gaps.is_any_open:
+            self._is_settled = True
+            self._lowest_part = 1.0
 
     def withheld_by_organisation(self) -> dict[str, float]:
         """Return the tokens that are kept for usage not yet reported."""
@@ -354,7 +411,13 @@
             for organisation, bucket in self._bucket_by_organisation.items()
         }
 
-    def admit(self, rule: OrganisationRule, part: float, now: float) -> bool:
+    def admit(
+        self,
+        rule: OrganisationRule,
+        part: float,
+        now: float,
+        recent_part: float = 1.0,
+    ) -> bool:
         """Spend a token for one operation if there is one.
 
         Parameters
@@ -365,16 +428,21 @@
             Part of the rate that the VMs in contact may use (0 to 1).
         now : float
             Seconds on a clock that runs through suspensions.
+        recent_part : float
+            Part of the VMs whose last heartbeat isn't overdue (0 to 1).
         """
         self._note_suspension(now)
+        self._recent_part = recent_part
         self._follow_part(part, now)
         bucket = self._bucket(rule, part, now)
         bucket.refill(rule, part, now)
         bucket.demand.own += 1.0
         bucket.demand.total += 1.0
-        admitted = bucket.may_admit(rule)
+        admitted = bucket.may_admit(rule) and bucket.has_part(
+            recent_part / part, now
+        )
         if admitted:
-            bucket.tokens -= 1.0
+            bucket.charge(1.0, now)
             bucket.share_tokens -= 1.0
         own = self._own(rule.name)
         self._own_by_organisation[rule.name] = own._replace(
@@ -469,7 +537,7 @@
         if bucket is not None:
             bucket.refill_unchanged(now)
             if previous is None:
-                self._charge_first_usage(bucket, usage, now)
+                self._charge_first_usage(bucket, reports.vm, usage, now)
             else:
                 self._charge(bucket, reports.vm, previous, usage, now)
             self._blend(bucket, usage, now)
@@ -491,12 +559,13 @@
         since = self._gaps.since(vm, usage.organisation)
         if since is None:
             bucket.demand.total += offered
-            bucket.tokens -= used
+            bucket.charge(used, now)
             return
         is_all_late = self._reads_buffered(now)
         late = used if is_all_late else used - max(0, usage.newly_used)
-        paid = bucket.withheld.pay(max(0, late), since)
-        bucket.tokens -= used - paid
+        late = max(0, late)
+        bucket.tokens -= late - bucket.withheld.pay(late, since)
+        bucket.charge(used - late, now)
         late = offered if is_all_late else offered - usage.newly_offered
         late = max(0, min(offered, late))
         bucket.demand.total += offered - late
@@ -519,7 +588,7 @@
         return bucket
 
     def _charge_first_usage(
-        self, bucket: _Bucket, usage: Usage, now: float
+        self, bucket: _Bucket, vm: str, usage: Usage, now: float
     ) -> None:
         """Charge a peer's first counters of an organisation.
 
@@ -527,13 +596,17 @@
         the initial level of the bucket is a low guess, and with both,
         callers that reconnect within their rates would be refused. With
         many peers the first operations of each add up to more than the
-        guess leaves out.
+        guess leaves out. Of a peer that wasn't heard, the earlier
+        admissions use up what was withheld.
         """
+        since = self._gaps.since_of_vm(vm)
+        if since is not None:
+            bucket.withheld.pay(max(0, usage.used - usage.newly_used), since)
         is_guess = not self._is_warmed_up(now)
         if is_guess and len(self._reports_by_vm) <= FEW_PEERS:
             return
         bucket.demand.total += usage.newly_offered
-        bucket.tokens -= usage.newly_used
+        bucket.charge(usage.newly_used, now)
 
     def peers(self) -> tuple[str, ...]:
         """Return the names of the VMs whose counters are kept."""
--- a/redwingpost/rates/withheld.py
+++ b/redwingpost/rates/withheld.py
@@ -52,6 +52,10 @@
 #: report that of a quarter of a second.
 BUFFERED_S = HEARTBEAT_INTERVAL_S
 
+#: Seconds after which every VM that is heard again has reported what it
+#: used: three heartbeats, by way of two gatherers.
+SETTLED_S = 1.0
+
 
 class WithheldRefill:
     """Tokens withheld from one organisation, by when.
@@ -141,6 +145,10 @@
         self._unheard_at = now
         self._since_by_organisation_by_vm: dict[str, dict[str, float]] = {}
 
+    def heard_all_s(self, now: float) -> float:
+        """Return for how long every VM has been heard (seconds)."""
+        return now - self._unheard_at
+
     @property
     def is_any_open(self) -> bool:
         """Whether late usage may still come."""
@@ -168,7 +176,7 @@
             for vm in unheard:
                 if vm not in self.unheard:
                     self._open(vm, organisations_by_vm.get(vm, ()))
-        elif now - self._unheard_at > KEPT_S:
+        elif self.heard_all_s(now) > KEPT_S:
             self._since_by_organisation_by_vm.clear()
         self.unheard = frozenset(unheard)
         self._noted_at = now
@@ -187,6 +195,11 @@
         """Return since when a counter lacks usage, None if it doesn't."""
         return self._since_by_organisation_by_vm.get(vm, {}).get(organisation)
 
+    def since_of_vm(self, vm: str) -> float | None:
+        """Return since when any counter of a VM lacks usage."""
+        since_by_organisation = self._since_by_organisation_by_vm.get(vm, {})
+        return min(since_by_organisation.values(), default=None)
+
     def close(self, vm: str, organisation: str, now: float) -> None:
         """Note that a counter arrived; of an unheard VM it lacks more."""
         since_by_organisation = self._since_by_organisation_by_vm.get(vm)
