Rates: a VM that misses others reports no estimate of a bucket

Cause: estimates are blended. That of a deaf VM lacks the usage of those it doesn't hear, while they hear it and moved theirs towards it: their buckets regained tokens that were spent. In a fleet of four with one deaf VM the flooded organisation got 80 a second at a rate of 60.

Change: a VM that has heartbeats from less than 0.8 of the fleet reports its counters without an estimate. One of six VMs may be down.

--- a/redwingpost/rates/tests/test_partitions.py
+++ b/redwingpost/rates/tests/test_partitions.py
@@ -1,6 +1,7 @@
 """Rates of a fleet whose VMs lose contact, and once they hear again."""
 
 from collections.abc import Callable
+from random import Random
 from typing import NamedTuple
 from unittest import TestCase
 
@@ -8,6 +9,7 @@
 from redwingpost.rates.tests.partitioned_fleet import (
     Organisation,
     PartitionedFleet,
+    Suspension,
 )
 
 RATE = 60.0
@@ -189,6 +191,19 @@
             most = fleet.most_in_a_window(name)
             self.assertLessEqual(most, _allowed(item.rule), name)
 
+    def test_random_partitions_suspensions_and_restarts(self) -> None:
+        """Links fail one by one and in groups, for any time, in either way.
+
+        VMs are suspended for up to eight seconds or restart meanwhile,
+        and organisations flood at any time. What was withheld in one
+        partition must not pay for another, nor for VMs that are heard.
+        """
+        for seed in range(24):
+            with self.subTest(seed=seed):
+                fleet = _random_fleet(seed)
+                fleet.play(0.0, 24.0)
+                self._check_bound(fleet)
+
     def test_a_rate_that_changes_in_a_partition(self) -> None:
         """An operator changes an organisation's rate during a partition.
 
@@ -226,3 +241,66 @@
             if item.is_admitted and settled_s <= item.at < settled_s + 5.0
         ]
         self.assertLessEqual(len(late), _allowed(rules[1]))
+
+
+def _random_fleet(seed: int) -> PartitionedFleet:
+    """Return a fleet with random cuts, floods, suspensions and restarts."""
+    random = Random(seed)
+    vms = random.choice((4, 6, 9))
+    cuts = [_random_cut(random, vms) for _ in range(random.randint(1, 5))]
+    organisations = tuple(
+        _random_organisation(random, number, vms) for number in range(4)
+    )
+    suspensions = []
+    for vm in random.sample(range(vms), 2):
+        begin = random.uniform(4.0, 16.0)
+        end = begin + random.uniform(0.3, 8.0)
+        is_restart = random.random() < 0.4
+        suspensions.append(Suspension(vm, begin, end, is_restart))
+    return PartitionedFleet(
+        vms,
+        organisations,
+        lambda sender, receiver, now: any(
+            cut(sender, receiver, now) for cut in cuts
+        ),
+        seed,
+        tuple(suspensions),
+    )
+
+
+def _random_cut(random: Random, vms: int) -> Callable[[int, int, float], bool]:
+    """Return a cut between sides, one-way or not, that may flap."""
+    begin = random.uniform(4.0, 16.0)
+    end = begin + random.uniform(0.2, 8.0)
+    sides = random.randint(2, vms)
+    side_by_vm = [random.randrange(sides) for _ in range(vms)]
+    is_one_way = random.random() < 0.4
+    period_s = random.uniform(0.6, 3.0)
+    on_fraction = random.choice((1.0, random.uniform(0.3, 1.0)))
+
+    def is_cut(sender: int, receiver: int, now: float) -> bool:
+        if not begin <= now < end:
+            return False
+        if (now - begin) % period_s > on_fraction * period_s:
+            return False
+        one, other = side_by_vm[sender], side_by_vm[receiver]
+        return one < other if is_one_way else one != other
+
+    return is_cut
+
+
+def _random_organisation(
+    random: Random, number: int, vms: int
+) -> Organisation:
+    """Return an organisation that sends up to six times its rate."""
+    weights = [random.random() ** 2 for _ in range(vms)]
+    begin = random.uniform(4.0, 18.0)
+    end = begin + random.uniform(1.0, 8.0)
+    usual = random.uniform(0.2, 0.9)
+
+    def sent_per_s(vm: int, now: float) -> float:
+        times = 6.0 if begin <= now < end else usual
+        return times * RATE * weights[vm] / sum(weights)
+
+    burst = random.choice((30.0, 60.0, 120.0))
+    return organisation(f"organisation {number}", burst, sent_per_s)
--- a/redwingpost/rates/usage.py
+++ b/redwingpost/rates/usage.py
@@ -35,7 +35,9 @@
 sender's estimate, and a receiver moves its own towards it
 (``BLEND_WEIGHT``): the estimates converge to their mean, which is as
 good as any of them. A VM that has just started adopts the estimate of
-those that have been running.
+those that have been running. A VM that doesn't hear many of the others
+reports no estimate: it lacks their usage, and a VM that hears it would
+regain tokens which they have spent.
 """
 
 from collections.abc import Callable, Collection, Iterable
@@ -98,6 +100,10 @@
 OVERDRAFT_FRACTION = 0.04
 
 
+#: Part of the VMs without an overdue heartbeat below which a VM reports no
+#: estimate: one VM of six may be down, but not two.
+MIN_REPORTED_PART = 0.8
+
 #: Lower limit of the demand share that a caller's retry delay is computed
 #: from: without it, a VM with its first caller would return minutes.
 MIN_DEMAND_SHARE = 0.01
@@ -635,7 +641,10 @@
         for usage in usages:
             own = self._own_by_organisation[usage.organisation]
             self._reported_by_organisation[usage.organisation] = own
-        if not self._is_warmed_up(now):
+        if (
+            not self._is_warmed_up(now)
+            or self._recent_part < MIN_REPORTED_PART
+        ):
             return usages
         return tuple(self._with_estimate(usage, now) for usage in usages)
 
