Rates: withheld refill is dated in every bucket, also without callers

Cause: a bucket without operations was refilled only when a report came. What a whole partition had withheld then had the date of the next partition's beginning, and could pay for its first second.

--- a/redwingpost/node/metrics.py
+++ b/redwingpost/node/metrics.py
@@ -67,6 +67,12 @@
             "Whether this VM gathers heartbeats for others (0 or 1)",
             registry=self._registry,
         )
+        self._rate_withheld = Gauge(
+            "redwing_rate_withheld",
+            "Operations withheld for VMs that weren't heard, by organisation",
+            ("organisation",),
+            registry=self._registry,
+        )
         self.takeovers = Counter(
             "redwing_takeovers_total",
             "Takeovers conducted, by reason and outcome",
@@ -89,6 +95,15 @@
         """Count one operation that was offered."""
         self._operations.labels(organisation, group, outcome).inc()
 
+    def note_withheld(
+        self, withheld_by_organisation: dict[str, float]
+    ) -> None:
+        """Show what is withheld of each organisation's rate."""
+        self._rate_withheld.clear()
+        for organisation, withheld in withheld_by_organisation.items():
+            if withheld > 0.0:
+                self._rate_withheld.labels(organisation).set(withheld)
+
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return generate_latest(self._registry)
--- a/redwingpost/node/request/admission.py
+++ b/redwingpost/node/request/admission.py
@@ -11,7 +11,7 @@
 )
 from redwingpost.core.codes import Code
 from redwingpost.core.requests import Refusal
-from redwingpost.membership.vm_table import VmTable
+from redwingpost.membership.vm_table import OVERDUE_HEARTBEAT_S, VmTable
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
 from redwingpost.rates.usage import UsageLedger
@@ -46,6 +46,8 @@
         self._vms = vms
         self._ledger = ledger
         self._clock = clock
+        self._lowest_part = 1.0
+        self._withheld_by_organisation: dict[str, float] = {}
 
     @property
     def has_rules(self) -> bool:
@@ -66,6 +68,35 @@
         self.rules = rules
         return True
 
+    def follow_fleet(self) -> None:
+        """Tell the ledger which VMs are heard; log when a partition ends."""
+        now = self._clock.now()
+        part = self._vms.part(now)
+        unheard = self._vms.missing(now) if part < 1.0 else ()
+        recent_part = self._vms.part(now, OVERDUE_HEARTBEAT_S)
+        self._ledger.note_hearing(part, unheard, now, recent_part)
+        if part < 1.0:
+            self._lowest_part = min(self._lowest_part, part)
+            self._withheld_by_organisation = self.withheld_by_organisation()
+        elif self._lowest_part < 1.0:
+            self._log_withheld()
+
+    def withheld_by_organisation(self) -> dict[str, float]:
+        """Return the operations withheld for VMs that weren't heard."""
+        return self._ledger.withheld_by_organisation()
+
+    def _log_withheld(self) -> None:
+        for organisation, withheld in self._withheld_by_organisation.items():
+            if withheld >= 1.0:
+                log_event(
+                    "rate-withheld",
+                    organisation=organisation,
+                    part=round(self._lowest_part, 3),
+                    withheld=round(withheld, 1),
+                )
+        self._lowest_part = 1.0
+        self._withheld_by_organisation = {}
+
     def check(self, database: str, key: str) -> Admitted | Refusal:
         """Check key and route against the rules in force."""
         if not self.has_rules:
@@ -105,7 +136,8 @@
             return None
         now = self._clock.now()
         part = self._vms.part(now)
-        if self._ledger.admit(organisation, part, now):
+        recent_part = self._vms.part(now, OVERDUE_HEARTBEAT_S)
+        if self._ledger.admit(organisation, part, now, recent_part):
             if self.on_admitted is not None:
                 self.on_admitted(organisation.name)
             return None
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -447,6 +447,7 @@
     def _update_tables(self) -> None:
         now = self._clock.now()
         self._vms.note_hears_half(now)
+        self._admission.follow_fleet()
         if self._member_watcher.is_lost:
             self.directory.note_outage(now)
         if self._rules_watcher.is_lost:
@@ -461,6 +462,7 @@
         self.metrics.version.set(self._admission.rules.version)
         self.metrics.part.set(self._vms.part(now))
         self.metrics.gathers.set(self._vms.gathers)
+        self.metrics.note_withheld(self._admission.withheld_by_organisation())
 
     def _on_rules(self) -> None:
         self._copies.configuration = self._rules_reader.row
--- a/redwingpost/rates/usage.py
+++ b/redwingpost/rates/usage.py
@@ -363,6 +363,9 @@
         self._recent_part = recent_part
         self._heard_noted_at = now
         self._follow_part(part, now)
+        if part < 1.0:
+            for bucket in self._bucket_by_organisation.values():
+                bucket.refill_unchanged(now)
         self._note_unheard(unheard, now)
 
     def _note_unheard(self, unheard: Collection[str], now: float) -> None:
@@ -393,6 +396,11 @@
         self._note_unheard(peers, now)
 
     def _follow_part(self, part: float, now: float) -> None:
+        """Apply a part to every bucket.
+
+        Also those without callers: what is withheld is dated by it, and
+        their level would be wrong once callers come.
+        """
         if part == self._part:
             return
         self._part = part
