--- a/redwingpost/node/tests/test_admission.py
+++ b/redwingpost/node/tests/test_admission.py
@@ -1,9 +1,12 @@
 """Admission reports admitted operations to the other VMs."""
 
 from unittest import TestCase
+from unittest.mock import patch
 
 from redwingpost.configuration.routes import OrganisationRule
+from redwingpost.membership.heartbeat import Heartbeat, VmAddress
 from redwingpost.membership.vm_table import VmTable
+from redwingpost.node.metrics import NodeMetrics
 from redwingpost.node.request.admission import Admission
 from redwingpost.ports.clock import VirtualClock
 from redwingpost.rates.usage import (
@@ -48,3 +51,52 @@
         for _ in range(admitted + 5):
             self.admission.spend(_RULE, "r1")
         self.assertEqual(admitted, len(reported))
+
+
+class PartitionTest(TestCase):
+    """What an operator sees of a partition."""
+
+    def setUp(self) -> None:
+        self.clock = VirtualClock()
+        self.ledger = UsageLedger(self.clock.now())
+        self.vms = VmTable("vm-1", self.clock.now())
+        self.vms.set_listed(
+            (VmAddress("vm-1", "ip1", 1), VmAddress("vm-2", "ip2", 1))
+        )
+        self.admission = Admission(self.vms, self.ledger, self.clock)
+        self.metrics = NodeMetrics()
+
+    def _run(self, seconds: float, is_heard: bool) -> None:
+        for _ in range(round(seconds / 0.1)):
+            now = self.clock.now()
+            if is_heard:
+                heartbeat = Heartbeat("vm-2", 1, "ip2", 7, {}, 5, None, ())
+                self.vms.note(heartbeat, now)
+            self.admission.follow_fleet()
+            self.metrics.note_withheld(
+                self.admission.withheld_by_organisation()
+            )
+            self.clock.advance(0.1)
+
+    def test_what_is_withheld_is_shown_and_logged(self) -> None:
+        """Callers are refused in a partition, and an operator asks why.
+
+        Without the metric and the line nobody sees that half of the rate
+        was kept for the other VM.
+        """
+        rule = _RULE._replace(rate=20.0, burst=40.0)
+        self._run(4.0, is_heard=True)
+        self.admission.spend(rule, "r1")
+        self._run(6.0, is_heard=False)
+        line = b'redwing_rate_withheld{organisation="parish"}'
+        self.assertIn(line, self.metrics.render())
+        with patch("redwingpost.node.request.admission.log_event") as log:
+            self._run(3.0, is_heard=True)
+        self.assertEqual(1, log.call_count)
+        self.assertEqual(("rate-withheld",), log.call_args.args)
+        fields = log.call_args.kwargs
+        self.assertEqual("parish", fields["organisation"])
+        self.assertEqual(0.5, fields["part"])
+        # Half of the refill of five seconds, after the timeout.
+        self.assertGreaterEqual(fields["withheld"], 50.0)
+        self.assertNotIn(line, self.metrics.render())
