--- a/redwingpost/rates/usage.py
+++ b/redwingpost/rates/usage.py
@@ -18,7 +18,9 @@
 corresponds to the VMs it has heartbeats from, itself included. Both
 halves of a partitioned fleet together then use no more than the rate,
 and a VM that resumes from a suspension has heartbeats from no other VM
-and falls back to its own part.
+and falls back to its own part. The rest of the rate is withheld, and
+pays for the usage that arrives late once the VMs hear each other again
+(``redwingpost.rates.withheld``).
 
 The rate is exceeded at most by what the other VMs admit while a report
 is in transit: reports are sent at once after
@@ -33,15 +35,32 @@
 sender's estimate, and a receiver moves its own towards it
 (``BLEND_WEIGHT``): the estimates converge to their mean, which is as
 good as any of them. A VM that has just started adopts the estimate of
-those that have been running.
+those that have been running. A VM that doesn't hear many of the others
+reports no estimate: it lacks their usage, and a VM that hears it would
+regain tokens which they have spent.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from math import exp
 from typing import NamedTuple
 
 from redwingpost.configuration.routes import OrganisationRule
+from redwingpost.membership.vm_table import HEARTBEAT_INTERVAL_S
 from redwingpost.rates.counters import Usage
+from redwingpost.rates.splitting import (
+    OVERDUE_RATIO,
+    RecentUsage,
+    split_tokens,
+)
+from redwingpost.rates.withheld import (
+    BUFFERED_S,
+    KEPT_S,
+    SETTLED_S,
+    SUSPENDED_AFTER_S,
+    CounterGaps,
+    WithheldRefill,
+    spread_demand,
+)
 
 #: Admissions of one organisation after which a VM reports at once rather
 #: than with the next heartbeat. Until the report arrives, the other VMs
@@ -81,6 +100,10 @@
 OVERDRAFT_FRACTION = 0.04
 
 
+#: Part of the VMs without an overdue heartbeat below which a VM reports no
+#: estimate: one VM of six may be down, but not two.
+MIN_REPORTED_PART = 0.8
+
 #: Lower limit of the demand share that a caller's retry delay is computed
 #: from: without it, a VM with its first caller would return minutes.
 MIN_DEMAND_SHARE = 0.01
@@ -92,7 +115,8 @@
     ``reported_at`` is the time of its last report (seconds).
     """
 
-    def __init__(self, boot: int) -> None:
+    def __init__(self, vm: str, boot: int) -> None:
+        self.vm = vm
         self.boot = boot
         self.usage_by_organisation: dict[str, Usage] = {}
         self.reported_at = float("-inf")
@@ -147,6 +171,9 @@
         self.tokens = tokens
         self.share_tokens = 0.0
         self.demand = _Demand(now)
+        self.withheld = WithheldRefill()
+        self._recent = RecentUsage()
+        self._is_held_back = False
         self.is_over_rate = False
         self._refilled_at = now
         self._last_refill_terms: tuple[OrganisationRule, float] | None = None
@@ -156,6 +183,16 @@
         if self._last_refill_terms is not None:
             self.refill(*self._last_refill_terms, now)
 
+    def resume(self, part: float, now: float) -> None:
+        """Refill by ``part`` for the whole time since the last call."""
+        if self._last_refill_terms is not None:
+            self.refill(self._last_refill_terms[0], part, now)
+
+    def follow_part(self, part: float, now: float) -> None:
+        """Refill by the last part until now, and by ``part`` from now on."""
+        self.refill_unchanged(now)
+        self.resume(part, now)
+
     def refill(self, rule: OrganisationRule, part: float, now: float) -> None:
         """Add the tokens accrued since the last call.
 
@@ -165,13 +202,18 @@
         terms = (rule, part)
         if now == self._refilled_at and terms == self._last_refill_terms:
             return
+        before = self._last_refill_terms
         self._last_refill_terms = terms
         passed_s = max(0.0, now - self._refilled_at)
         self._refilled_at = now
         self.demand.decay(now)
         refilled = rule.rate * part * passed_s
         capacity = max(1.0, rule.burst * part)
-        self.tokens = min(self.tokens + refilled, capacity)
+        self._withhold(rule, rule.rate * (1.0 - part) * passed_s, now)
+        self.tokens += refilled
+        if before is not None and part < before[1]:
+            self._split(rule, before[1], part, now)
+        self.tokens = min(self.tokens, capacity)
         share = self.demand.share
         was_over_rate, self.is_over_rate = (
             self.is_over_rate,
@@ -187,12 +229,63 @@
             max(1.0, capacity * share),
         )
 
+    def _split(
+        self,
+        rule: OrganisationRule,
+        part_before: float,
+        part: float,
+        now: float,
+    ) -> None:
+        """Leave their part of the tokens to VMs that aren't heard now."""
+        level = min(self.tokens, max(1.0, rule.burst * part_before))
+        recent = self._recent.total(now)
+        self.tokens = split_tokens(level, recent, part / part_before)
+        self._withhold(rule, level - self.tokens, now)
+
+    def _withhold(
+        self, rule: OrganisationRule, tokens: float, now: float
+    ) -> None:
+        self.withheld.add(tokens, rule.rate * KEPT_S, now)
+
+    def restore(self, part: float) -> None:
+        """Take back what no other VM has used, up to ``part`` of the burst.
+
+        ``part`` is the lowest part since VMs weren't heard: a VM that uses
+        its part never gets more than that. Nor does it get more than the
+        others' part of the burst, which they have not spent. Without this,
+        an organisation whose callers are on one side would stay in the
+        debt that ``_split`` leaves.
+        """
+        if self._last_refill_terms is not None:
+            burst = self._last_refill_terms[0].burst
+            lacking = max(0.0, burst * part - self.tokens)
+            self.tokens += min(
+                lacking, burst * (1.0 - part), self.withheld.amount
+            )
+        self.withheld.clear()
+
+    def charge(self, used: float, now: float) -> None:
+        """Subtract operations admitted by this VM or by one that is heard."""
+        self.tokens -= used
+        self._recent.add(used, now)
+
     def may_admit(self, rule: OrganisationRule) -> bool:
         """Return whether there is a token for one operation."""
         if not self.is_over_rate:
             return self.tokens >= 1.0
         return self.tokens >= _min_tokens(rule) and self.share_tokens >= 1.0
 
+    def has_part(self, ratio: float, now: float) -> bool:
+        """Return whether there is a token if overdue VMs aren't heard again.
+
+        ``ratio`` is the part of the VMs in contact that isn't overdue.
+        """
+        self._is_held_back = (
+            ratio < OVERDUE_RATIO
+            and split_tokens(self.tokens, self._recent.total(now), ratio) < 1.0
+        )
+        return not self._is_held_back
+
     def wait_s(self, rule: OrganisationRule, refill: float) -> float:
         """Return the seconds until there is a token for one operation.
 
@@ -200,6 +293,9 @@
         bucket may hold tokens: computed from it, callers would retry at
         once, be refused again, and add to the load.
         """
+        if self._is_held_back:
+            # The next heartbeats show whether the overdue VMs are heard.
+            return max(HEARTBEAT_INTERVAL_S, (1.0 - self.tokens) / refill)
         if not self.is_over_rate:
             return max(0.0, 1.0 - self.tokens) / refill
         share_refill = refill * max(self.demand.share, MIN_DEMAND_SHARE)
@@ -235,8 +331,107 @@
         self._own_by_organisation: dict[str, Usage] = {}
         self._reported_by_organisation: dict[str, Usage] = {}
         self._reports_by_vm: dict[str, _PeerReports] = {}
+        self._part = 1.0
+        self._recent_part = 1.0
+        self._lowest_part = 1.0
+        self._is_settled = True
+        self._gaps = CounterGaps(started_at)
+        self._heard_noted_at: float | None = None
+        self._resumed_at = float("-inf")
+
+    def note_hearing(
+        self,
+        part: float,
+        unheard: Collection[str],
+        now: float,
+        recent_part: float = 1.0,
+    ) -> None:
+        """Note which VMs this one hears; to be called ten times a second.
 
-    def admit(self, rule: OrganisationRule, part: float, now: float) -> bool:
+        Parameters
+        ----------
+        part : float
+            Part of the rate that the VMs in contact may use (0 to 1).
+        unheard : collection of str
+            The listed VMs that aren't heard.
+        now : float
+            Seconds on a clock that runs through suspensions.
+        recent_part : float
+            Part of the VMs whose last heartbeat isn't overdue (0 to 1).
+        """
+        self._note_suspension(now)
+        self._recent_part = recent_part
+        self._heard_noted_at = now
+        self._follow_part(part, now)
+        if part < 1.0:
+            for bucket in self._bucket_by_organisation.values():
+                bucket.refill_unchanged(now)
+        self._note_unheard(unheard, now)
+
+    def _note_unheard(self, unheard: Collection[str], now: float) -> None:
+        if self._part >= 1.0 and not unheard and self._is_settled:
+            return
+        self._is_settled = False
+        organisations_by_vm = {
+            vm: reports.usage_by_organisation
+            for vm, reports in self._reports_by_vm.items()
+        }
+        self._gaps.note_unheard(unheard, organisations_by_vm, now)
+        if self._part >= 1.0 and self._gaps.heard_all_s(now) >= SETTLED_S:
+            self._settle()
+
+    def _note_suspension(self, now: float) -> None:
+        """Count all other VMs as unheard while this one was suspended."""
+        noted_at = self._heard_noted_at
+        if noted_at is None or now - noted_at <= SUSPENDED_AFTER_S:
+            return
+        self._heard_noted_at = now
+        self._resumed_at = now
+        peers = self.peers()
+        # Reports may be read from the socket before the part is known.
+        self._part = self._recent_part = 1.0 / (1 + len(peers))
+        self._lowest_part = min(self._lowest_part, self._part)
+        for bucket in self._bucket_by_organisation.values():
+            bucket.resume(self._part, now)
+        self._note_unheard(peers, now)
+
+    def _follow_part(self, part: float, now: float) -> None:
+        """Apply a part to every bucket.
+
+        Also those without callers: what is withheld is dated by it, and
+        their level would be wrong once callers come.
+        """
+        if part == self._part:
+            return
+        self._part = part
+        self._lowest_part = min(self._lowest_part, part)
+        for bucket in self._bucket_by_organisation.values():
+            bucket.follow_part(part, now)
+
+    def _settle(self) -> None:
+        """End the account of organisations of which no usage is awaited."""
+        awaited = self._gaps.organisations()
+        for organisation, bucket in self._bucket_by_organisation.items():
+            if organisation not in awaited and bucket.withheld.amount > 0.0:
+                bucket.restore(self._lowest_part)
+        if not self._gaps.is_any_open:
+            self._is_settled = True
+            self._lowest_part = 1.0
+
+    def withheld_by_organisation(self) -> dict[str, float]:
+        """Return the tokens that are kept for usage not yet reported."""
+        return {
+            organisation: bucket.withheld.amount
+            for organisation, bucket in self._bucket_by_organisation.items()
+        }
+
+    def admit(
+        self,
+        rule: OrganisationRule,
+        part: float,
+        now: float,
+        recent_part: float = 1.0,
+    ) -> bool:
         """Spend a token for one operation if there is one.
 
         Parameters
@@ -247,14 +442,21 @@
             Part of the rate that the VMs in contact may use (0 to 1).
         now : float
             Seconds on a clock that runs through suspensions.
+        recent_part : float
+            Part of the VMs whose last heartbeat isn't overdue (0 to 1).
         """
+        self._note_suspension(now)
+        self._recent_part = recent_part
+        self._follow_part(part, now)
         bucket = self._bucket(rule, part, now)
         bucket.refill(rule, part, now)
         bucket.demand.own += 1.0
         bucket.demand.total += 1.0
-        admitted = bucket.may_admit(rule)
+        admitted = bucket.may_admit(rule) and bucket.has_part(
+            recent_part / part, now
+        )
         if admitted:
-            bucket.tokens -= 1.0
+            bucket.charge(1.0, now)
             bucket.share_tokens -= 1.0
         own = self._own(rule.name)
         self._own_by_organisation[rule.name] = own._replace(
@@ -310,15 +512,25 @@
         tuple of Usage
             The counters that changed.
         """
+        self._note_suspension(now)
         reports = self._reports_by_vm.get(vm)
         if reports is None or reports.boot < boot:
-            reports = self._reports_by_vm[vm] = _PeerReports(boot)
+            reports = self._reports_by_vm[vm] = _PeerReports(vm, boot)
+            self._gaps.forget(vm)
         if reports.boot > boot:
             return ()
         reports.reported_at = now
-        return tuple(
+        changed = tuple(
             usage for usage in usages if self._note_usage(reports, usage, now)
         )
+        if self._gaps.is_any_open and not self._reads_buffered(now):
+            for usage in usages:
+                self._gaps.close(vm, usage.organisation, now)
+        return changed
+
+    def _reads_buffered(self, now: float) -> bool:
+        """Return whether reports may date from this VM's suspension."""
+        return now - self._resumed_at <= BUFFERED_S
 
     def _note_usage(
         self, reports: "_PeerReports", usage: Usage, now: float
@@ -339,13 +551,42 @@
         if bucket is not None:
             bucket.refill_unchanged(now)
             if previous is None:
-                self._charge_first_usage(bucket, usage, now)
+                self._charge_first_usage(bucket, reports.vm, usage, now)
             else:
-                bucket.demand.total += usage.offered - previous.offered
-                bucket.tokens -= usage.used - previous.used
+                self._charge(bucket, reports.vm, previous, usage, now)
             self._blend(bucket, usage, now)
         return is_new
 
+    def _charge(
+        self,
+        bucket: _Bucket,
+        vm: str,
+        previous: Usage,
+        usage: Usage,
+        now: float,
+    ) -> None:
+        """Charge what a peer's counter grew by, late usage first to what
+        was withheld.
+        """
+        used = usage.used - previous.used
+        offered = usage.offered - previous.offered
+        since = self._gaps.since(vm, usage.organisation)
+        if since is None:
+            bucket.demand.total += offered
+            bucket.charge(used, now)
+            return
+        is_all_late = self._reads_buffered(now)
+        late = used if is_all_late else used - max(0, usage.newly_used)
+        late = max(0, late)
+        bucket.tokens -= late - bucket.withheld.pay(late, since)
+        bucket.charge(used - late, now)
+        late = offered if is_all_late else offered - usage.newly_offered
+        late = max(0, min(offered, late))
+        bucket.demand.total += offered - late
+        bucket.demand.total += spread_demand(
+            late, now - since, DEMAND_AVERAGE_S
+        )
+
     def _open_bucket(self, organisation: str, now: float) -> _Bucket | None:
         """Return a new bucket for an organisation that a peer reports.
 
@@ -356,12 +597,12 @@
         rule = self.find_rule(organisation)
         if rule is None or not self._is_warmed_up(now):
             return None
-        bucket = self._bucket(rule, 1.0, now)
-        bucket.refill(rule, 1.0, now)
+        bucket = self._bucket(rule, self._part, now)
+        bucket.refill(rule, self._part, now)
         return bucket
 
     def _charge_first_usage(
-        self, bucket: _Bucket, usage: Usage, now: float
+        self, bucket: _Bucket, vm: str, usage: Usage, now: float
     ) -> None:
         """Charge a peer's first counters of an organisation.
 
@@ -369,13 +610,17 @@
         the initial level of the bucket is a low guess, and with both,
         callers that reconnect within their rates would be refused. With
         many peers the first operations of each add up to more than the
-        guess leaves out.
+        guess leaves out. Of a peer that wasn't heard, the earlier
+        admissions use up what was withheld.
         """
+        since = self._gaps.since_of_vm(vm)
+        if since is not None:
+            bucket.withheld.pay(max(0, usage.used - usage.newly_used), since)
         is_guess = not self._is_warmed_up(now)
         if is_guess and len(self._reports_by_vm) <= FEW_PEERS:
             return
         bucket.demand.total += usage.newly_offered
-        bucket.tokens -= usage.newly_used
+        bucket.charge(usage.newly_used, now)
 
     def peers(self) -> tuple[str, ...]:
         """Return the names of the VMs whose counters are kept."""
@@ -384,6 +629,7 @@
     def forget_peer(self, vm: str) -> None:
         """Drop the counters of a VM that left the fleet."""
         self._reports_by_vm.pop(vm, None)
+        self._gaps.forget(vm)
 
     def is_report_due(self, organisation: str) -> bool:
         """Return whether a report must be sent at once."""
@@ -394,6 +640,7 @@
 
     def take_report(self, everything: bool, now: float) -> tuple[Usage, ...]:
         """Return the counters to report: those that changed, or all."""
+        self._note_suspension(now)
         usages = tuple(
             self._with_new_counts(own)
             for name, own in self._own_by_organisation.items()
@@ -402,7 +649,10 @@
         for usage in usages:
             own = self._own_by_organisation[usage.organisation]
             self._reported_by_organisation[usage.organisation] = own
-        if not self._is_warmed_up(now):
+        if (
+            not self._is_warmed_up(now)
+            or self._recent_part < MIN_REPORTED_PART
+        ):
             return usages
         return tuple(self._with_estimate(usage, now) for usage in usages)
 
