Fleet tables: a row that only shows life is neither decoded nor passed on

Cause: each member changes its row every 1.2 s to show that it is alive. Each change was kept in the gatherers' batches, woke all VMs of the cell, was decoded there and updated all groups.

Change: RegistryFormat.member_essence returns what of a row matters. A copy of the table drops changes that leave it equal. Readers get an empty answer after 0.9 s at the latest. Each answer states how long ago the sender's copy was known to be current, and the drain time counts from that: neither an answer of a gatherer whose own feed hangs nor the first part of a larger answer makes the list current.

--- a/redwingpost/bench/rest_cost.py
+++ b/redwingpost/bench/rest_cost.py
@@ -39,7 +39,11 @@
 from redwingpost.node.fleet.heartbeats import Heartbeats, LocalVm, new_boot
 from redwingpost.node.fleet.relayed_store import RelayedStore
 from redwingpost.node.fleet.table_copy import TableCopy
-from redwingpost.node.fleet.table_pages import TABLE_PATH, TablePages
+from redwingpost.node.fleet.table_pages import (
+    CURRENT_WAIT_S,
+    TABLE_PATH,
+    TablePages,
+)
 from redwingpost.node.fleet.vm_list import (
     FLEET_TABLE,
     VM_PREFIX,
@@ -298,13 +302,28 @@
         FLEET_TABLE: FleetReader(vms, gathering, heartbeats.announce),
     }
     watcher_by_table = {
-        table: TableWatcher(store, table, reader, clock)
+        table: TableWatcher(
+            store,
+            table,
+            reader,
+            clock,
+            essence=(
+                entries.FORMAT.member_essence
+                if table == entries.FORMAT.member_table
+                else None
+            ),
+        )
         for table, reader in reader_by_table.items()
     }
     copies: dict[str, TableCopy] = {
         table: watcher.copy for table, watcher in watcher_by_table.items()
     }
-    pages = TablePages(copies, lambda table: watcher_by_table[table].is_lost)
+    pages = TablePages(
+        copies,
+        lambda table: watcher_by_table[table].is_lost,
+        lambda table: watcher_by_table[table].age_s,
+        {entries.FORMAT.member_table: CURRENT_WAIT_S},
+    )
     server = PageServer(address.ip, metrics_port, {}, {TABLE_PATH: pages.page})
     entry = FleetEntry(
         store, vms, gathering, address, clock, heartbeats.forget
--- a/redwingpost/node/fleet/registry.py
+++ b/redwingpost/node/fleet/registry.py
@@ -168,13 +168,11 @@
         present = tuple(entry for entry in entries if entry is not None)
         now = self._clock.now()
         self._directory.replace(present, now, self._answers)
-        self._directory.note_current(now)
         self._on_change()
 
     def on_rows(self, rows: tuple[Row, ...]) -> None:
         """Apply entries that changed."""
         self._apply(rows)
-        self._directory.note_current(self._clock.now())
         self._on_change()
 
     def take_copy(self, rows: tuple[Row, ...]) -> None:
--- a/redwingpost/node/fleet/table_copy.py
+++ b/redwingpost/node/fleet/table_copy.py
@@ -1,8 +1,15 @@
-"""A VM's copy of a table and its recent changes, for other VMs."""
+"""A VM's copy of a table and its recent changes, for other VMs.
+
+Load pattern: each member changes its row every 1.2 s to show that it is
+alive. With 120 members these are 100 changes a second. If they were passed
+on, each would wake all VMs of a cell, which would decode a row that says
+nothing new. So a change that leaves a row's essence as it was is dropped.
+"""
 
 from asyncio import Event, wait_for
 from collections import deque
-from typing import NamedTuple
+from collections.abc import Callable
+from typing import Any, NamedTuple
 
 from redwingpost.ports.fleet_store import Changes, RowChange, Snapshot
 from redwingpost.ports.platform import Row
@@ -24,6 +31,12 @@
     copy, and back, as all of them use the store's versions. It may then
     get a change twice, followed by all later changes of the same row.
 
+    Parameters
+    ----------
+    essence : callable, optional
+        Returns what of a row matters; a change that leaves it equal is
+        neither kept nor does it wake readers. By default all changes matter.
+
     Examples
     --------
     >>> copy = TableCopy()
@@ -34,7 +47,8 @@
     True
     """
 
-    def __init__(self) -> None:
+    def __init__(self, essence: Callable[[Row], Any] | None = None) -> None:
+        self._essence = essence
         self.version: int | None = None
         self.row_by_key: dict[str, Row] = {}
         self._batches: deque[_Batch] = deque(maxlen=KEPT_BATCHES)
@@ -46,16 +60,21 @@
         self._batches.clear()
         self.row_by_key = {row.key: row for row in snapshot.rows}
         self._from_version = snapshot.version
-        self._advance(snapshot.version)
-
-    def note_changes(self, changes: Changes) -> None:
-        """Apply changes since the last call."""
-        if changes.changes:
+        self.version = snapshot.version
+        self._wake()
+
+    def note_changes(self, changes: Changes) -> tuple[RowChange, ...]:
+        """Apply changes since the last call; return those that matter."""
+        # Each change is compared with the row as the one before left it: a
+        # member that goes and comes back with an equal row is two changes.
+        relevant = tuple(filter(self._apply, changes.changes))
+        self.version = max(changes.version, self.version or 0)
+        if relevant:
             if len(self._batches) == KEPT_BATCHES:
                 self._from_version = self._batches[0].version
-            self._batches.append(_Batch(changes.changes, changes.version))
-            self._apply(changes.changes)
-        self._advance(max(changes.version, self.version or 0))
+            self._batches.append(_Batch(relevant, changes.version))
+            self._wake()
+        return relevant
 
     def since(self, after: int) -> Changes:
         """Return what changed after a version."""
@@ -81,14 +100,18 @@
             return found
         return self.since(after)
 
-    def _apply(self, changes: tuple[RowChange, ...]) -> None:
-        for change in changes:
-            if change.is_removed:
-                self.row_by_key.pop(change.row.key, None)
-            else:
-                self.row_by_key[change.row.key] = change.row
-
-    def _advance(self, version: int) -> None:
-        self.version = version
+    def _apply(self, change: RowChange) -> bool:
+        """Apply a change; return whether it matters to readers."""
+        row = change.row
+        if change.is_removed:
+            self.row_by_key.pop(row.key, None)
+            return True
+        known = self.row_by_key.get(row.key)
+        self.row_by_key[row.key] = row
+        if known is None or self._essence is None:
+            return True
+        return self._essence(known) != self._essence(row)
+
+    def _wake(self) -> None:
         self._changed.set()
         self._changed = Event()
--- a/redwingpost/node/fleet/table_pages.py
+++ b/redwingpost/node/fleet/table_pages.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Callable
+from math import ceil
 from typing import Any
 from urllib.parse import parse_qsl, urlencode
 
@@ -31,6 +32,14 @@
 #: Seconds that a request may wait for a change, at most.
 _MAX_WAIT_S = 30.0
 
+#: The same for a reader that must know how current its copy is: it gets an
+#: answer at least once a second, an empty one if nothing has changed.
+CURRENT_WAIT_S = 0.9
+
+#: Ages are rounded up to this many seconds, so that readers woken by the
+#: same change get the same page.
+_AGE_STEP_S = 0.05
+
 
 def table_request_path(table: str, after: int, wait_s: float) -> str:
     """Return the path and query of a request for changes."""
@@ -48,15 +57,24 @@
     is_lost : callable
         Returns whether the last call of the store for a table failed.
         Then this VM refuses requests, so that others use another source.
+    age_s : callable, optional
+        Returns the time (seconds) since a copy was known to be current.
+    max_wait_s_by_table : dict of str to float, optional
+        Longest wait (seconds) of a request for a table, if it is shorter
+        than that of the others.
     """
 
     def __init__(
         self,
         copy_by_table: dict[str, TableCopy],
         is_lost: Callable[[str], bool],
+        age_s: Callable[[str], float] = lambda table: 0.0,
+        max_wait_s_by_table: dict[str, float] | None = None,
     ) -> None:
         self._copy_by_table = copy_by_table
         self._is_lost = is_lost
+        self._age_s = age_s
+        self._max_wait_s_by_table = max_wait_s_by_table or {}
         self._last_page_by_table: dict[str, tuple[Changes, Page]] = {}
 
     async def page(self, query: str) -> Page:
@@ -66,7 +84,8 @@
             table = fields["table"]
             copy = self._copy_by_table[table]
             after = int(fields["after"])
-            wait_s = min(int(fields["wait_ms"]) / 1000.0, _MAX_WAIT_S)
+            max_wait_s = self._max_wait_s_by_table.get(table, _MAX_WAIT_S)
+            wait_s = min(int(fields["wait_ms"]) / 1000.0, max_wait_s)
         except (KeyError, ValueError):
             return Page(400)
         if copy.version is None or self._is_lost(table):
@@ -74,7 +93,8 @@
         changes = await copy.wait(after, wait_s)
         if self._is_lost(table) and not changes.changes:
             return Page(503)
-        return self._render(table, changes)
+        steps = ceil(self._age_s(table) / _AGE_STEP_S)
+        return self._render(table, changes._replace(age_s=steps * _AGE_STEP_S))
 
     def _render(self, table: str, changes: Changes) -> Page:
         """Return the page of some changes, packed once for all readers."""
@@ -104,6 +124,7 @@
         ],
         "version": changes.version,
         "history_lost": changes.history_lost,
+        "age_ms": round(changes.age_s * 1000),
     }
 
 
@@ -111,4 +132,9 @@
     changes = tuple(
         RowChange(Row(*item[:-1]), item[-1]) for item in body["changes"]
     )
-    return Changes(changes, body["version"], body["history_lost"])
+    return Changes(
+        changes,
+        body["version"],
+        body["history_lost"],
+        body.get("age_ms", 0) / 1000.0,
+    )
--- a/redwingpost/node/fleet/watcher.py
+++ b/redwingpost/node/fleet/watcher.py
@@ -59,6 +59,14 @@
         Source of the times of answers and changes.
     on_regained : callable, optional
         Called when the store answers again after a failed call.
+    on_current : callable, optional
+        Called after each answer has been applied, an empty one too, with
+        the time (seconds) at which the table was known to be current. That
+        of an answer from another VM is when that VM's copy was current: a
+        VM whose own feed hangs still answers.
+    essence : callable, optional
+        Returns what of a row matters. Changes that leave it equal are not
+        passed to the reader, nor to other VMs.
     """
 
     def __init__(
@@ -68,10 +76,14 @@
         reader: TableReader,
         clock: Clock,
         on_regained: Callable[[], None] | None = None,
+        on_current: Callable[[float], None] | None = None,
+        essence: Callable[[Row], Any] | None = None,
         **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
         self._on_regained = on_regained
+        self._on_current = on_current
+        self._current_at = float("-inf")
         self._store = store
         self.table = table
         self._reader = reader
@@ -80,7 +92,7 @@
         self._answered_at = float("-inf")
         self._changed_at = float("-inf")
         self._was_lost = False
-        self.copy = TableCopy()
+        self.copy = TableCopy(essence)
 
     @property
     def is_lost(self) -> bool:
@@ -92,6 +104,11 @@
         """Whether the table was read at least once."""
         return self._answered_at > float("-inf")
 
+    @property
+    def age_s(self) -> float:
+        """Return the time since the copy was known to be current (s)."""
+        return self._clock.now() - self._current_at
+
     async def read_now(self) -> bool:
         """Read the whole table; return False if the store didn't answer."""
         got = await self._store.snapshot(self.table)
@@ -102,6 +119,7 @@
         self._version = got.ok.version
         self.copy.note_snapshot(got.ok)
         self._reader.on_snapshot(got.ok)
+        self._note_current(0.0)
         return True
 
     @Service.task
@@ -130,16 +148,19 @@
             self._version = None
             return True
         self._version = max(self._version, changes.version)
-        self.copy.note_changes(changes)
+        relevant = self.copy.note_changes(changes)
         for is_removed, consecutive in groupby(
-            changes.changes, key=attrgetter("is_removed")
+            relevant, key=attrgetter("is_removed")
         ):
             rows = tuple(change.row for change in consecutive)
             if is_removed:
                 self._reader.on_removed(tuple(row.key for row in rows))
             else:
                 self._reader.on_rows(rows)
-        await self._delay_in_burst()
+        # Only now: a change in this answer may be as old as the last one.
+        self._note_current(changes.age_s)
+        if changes.changes:
+            await self._delay_in_burst()
         return True
 
     async def _delay_in_burst(self) -> None:
@@ -150,6 +171,14 @@
         if is_burst:
             await self.sleep(BATCH_DELAY_S)
 
+    def _note_current(self, age_s: float) -> None:
+        current_at = self._clock.now() - age_s
+        if current_at <= self._current_at:
+            return
+        self._current_at = current_at
+        if self._on_current is not None:
+            self._on_current(current_at)
+
     def _note_answer(self) -> None:
         self._answered_at = self._clock.now()
         if self._was_lost:
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -31,7 +31,11 @@
     RulesReader,
 )
 from redwingpost.node.fleet.relayed_store import RelayedStore
-from redwingpost.node.fleet.table_pages import TABLE_PATH, TablePages
+from redwingpost.node.fleet.table_pages import (
+    CURRENT_WAIT_S,
+    TABLE_PATH,
+    TablePages,
+)
 from redwingpost.node.fleet.vm_list import FLEET_TABLE, FleetEntry, FleetReader
 from redwingpost.node.fleet.watcher import TableWatcher
 from redwingpost.node.forwarding.channel import Channels
@@ -263,6 +267,8 @@
             self._member_reader,
             self._clock,
             self._try_takeovers,
+            self.directory.note_current,
+            ports.format.member_essence,
         )
         self._fleet_watcher = TableWatcher(
             store,
@@ -389,6 +395,8 @@
         return TablePages(
             {name: item.copy for name, item in watcher_by_table.items()},
             lambda table: watcher_by_table[table].is_lost,
+            lambda table: watcher_by_table[table].age_s,
+            {self._member_watcher.table: CURRENT_WAIT_S},
         )
 
     def on_init_dependencies(self) -> list[Service]:
--- a/redwingpost/platform/entries.py
+++ b/redwingpost/platform/entries.py
@@ -24,6 +24,9 @@
 }
 _DEFAULT_TX_IDLE_MS = 3000
 
+#: Field of a member's row that changes while nothing else does.
+_LIFE_COUNTER = "seq"
+
 
 def decode_member(row: Row) -> MemberEntry:
     """Return a member's entry.
@@ -59,6 +62,22 @@
     )
 
 
+def member_essence(row: Row) -> Any:
+    """Return a member's row without its counter of life.
+
+    A member increases the counter every 1.2 s and changes nothing else.
+
+    Examples
+    --------
+    >>> member_essence(Row("servers", "m1", 4, {"state": "ready", "seq": 9}))
+    {'state': 'ready'}
+    """
+    value = row.value
+    if not isinstance(value, dict):
+        return value
+    return {name: value[name] for name in value if name != _LIFE_COUNTER}
+
+
 def decode_configuration(row: Row) -> ServiceRules:
     """Return the operator's configuration.
 
@@ -146,4 +165,5 @@
     decode_configuration=decode_configuration,
     decode_member=decode_member,
     evacuation_prefix="evacuate/",
+    member_essence=member_essence,
 )
--- a/redwingpost/ports/fleet_store.py
+++ b/redwingpost/ports/fleet_store.py
@@ -41,12 +41,15 @@
 
     The order matters: a member that was removed and then written again
     exists. ``history_lost``: the store no longer has all changes since
-    that version, and the whole table must be read again.
+    that version, and the whole table must be read again. ``age_s`` is the
+    time (seconds) since the sender was known to have all changes; 0 for the
+    store itself.
     """
 
     changes: tuple[RowChange, ...]
     version: int
     history_lost: bool = False
+    age_s: float = 0.0
 
 
 class FleetStore(Protocol):
--- a/redwingpost/ports/registry.py
+++ b/redwingpost/ports/registry.py
@@ -1,7 +1,8 @@
 """Tables that a node reads from the fleet store, and their decoders."""
 
 from collections.abc import Callable
-from typing import NamedTuple
+from operator import attrgetter
+from typing import Any, NamedTuple
 
 from redwingpost.configuration.routes import ServiceRules
 from redwingpost.ports.database import MemberEntry
@@ -18,6 +19,8 @@
     The decoders raise EntryError for an invalid row. A row of the
     configuration's table whose key begins with ``evacuation_prefix`` orders
     the evacuation of the data centre that the rest of the key names.
+    Two rows of a member with equal ``member_essence`` differ only in what
+    the member changes periodically to show that it is alive.
     """
 
     configuration_table: str
@@ -26,3 +29,4 @@
     decode_configuration: Callable[[Row], ServiceRules]
     decode_member: Callable[[Row], MemberEntry]
     evacuation_prefix: str = "evacuate/"
+    member_essence: Callable[[Row], Any] = attrgetter("value")
