VM table: a heartbeat of an alive VM costs no new sets

Cause: each datagram discarded the cached sets of alive VMs, so a gatherer merged all cells' reports for each of the 150 datagrams a second that it receives. Each active group searched all heartbeats for stuck writes ten times a second, and each member for the primary's last answer elsewhere.

Change: only a datagram from a VM that is missing in a cached set discards it. The reports are searched for stuck writes only if one received so far has any. The last answer elsewhere is looked up for primaries alone.

--- a/redwingpost/membership/digests.py
+++ b/redwingpost/membership/digests.py
@@ -149,6 +149,11 @@
                     received.digest.health_by_primary,
                 )
 
+    def all_health(self) -> Iterator[dict[str, MergedHealth]]:
+        """Yield the reports on primaries of all digests, however old."""
+        for received in self._received_by_vm.values():
+            yield received.digest.health_by_primary
+
     def forget(self, now: float, after_s: float) -> None:
         """Drop gatherers that sent nothing for ``after_s`` seconds."""
         for vm, received in tuple(self._received_by_vm.items()):
--- a/redwingpost/membership/vm_table.py
+++ b/redwingpost/membership/vm_table.py
@@ -9,6 +9,7 @@
 directly or through a gatherer's digest.
 """
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from redwingpost.membership.digests import DigestTable
@@ -18,6 +19,7 @@
     Echo,
     Heartbeat,
     MergedHealth,
+    PrimaryHealth,
     VmAddress,
     vm_number,
 )
@@ -78,6 +80,8 @@
         self._digests = DigestTable()
         self._seen_at_by_number: dict[int, float] = {}
         self._alive_cache: dict[float, tuple[float, frozenset[int]]] = {}
+        #: Whether any report received so far, fresh or not, has a stuck write.
+        self._may_be_stuck = False
         self._count_cache: int | None = None
         self._has_list = False
         self._lacked_half_at = now
@@ -113,21 +117,34 @@
         if heartbeat.is_brief and previous is not None:
             health = previous.heartbeat.health_by_primary
             heartbeat = heartbeat._replace(health_by_primary=health)
+        self._may_be_stuck |= _has_stuck(heartbeat.health_by_primary)
         self._received_by_vm[heartbeat.vm] = _ReceivedHeartbeat(heartbeat, now)
-        self._alive_cache.clear()
+        self._note_alive(frozenset((vm_number(heartbeat.vm),)))
 
     def note_digest(self, digest: Digest, now: float) -> None:
         """Store a gatherer's digest of the fleet or of its cell."""
         if not digest.cells:
             return
         digest = self._digests.note(digest, now)
+        self._may_be_stuck |= _has_stuck(digest.health_by_primary)
         count_before = len(self._seen_at_by_number)
         for report in digest.cells:
             seen_at = now - report.age_ms / 1000.0
             self._seen_at_by_number.update(dict.fromkeys(report.vms, seen_at))
         if len(self._seen_at_by_number) > count_before:
             self._count_cache = None
-        self._alive_cache.clear()
+        for report in digest.cells:
+            self._note_alive(report.vms)
+
+    def _note_alive(self, numbers: frozenset[int]) -> None:
+        """Discard the cached sets of alive VMs that lack one of these.
+
+        The others stay valid: nearly all datagrams come from VMs that are
+        alive already, and a gatherer receives hundreds a second.
+        """
+        for within_s, (_, alive) in tuple(self._alive_cache.items()):
+            if not numbers - {self._number} <= alive:
+                del self._alive_cache[within_s]
 
     def echo_for(self, vm: str, now: float) -> Echo | None:
         """Return a VM's clock as last received from it."""
@@ -158,17 +175,29 @@
 
     def is_any_write_stuck(self, now: float) -> bool:
         """Return whether an alive VM reports an unanswered write."""
+        if not self._may_be_stuck:
+            return False
+        if self._is_any_fresh_stuck(now):
+            return True
+        self._may_be_stuck = any(
+            map(_has_stuck, self._digests.all_health())
+        ) or any(
+            _has_stuck(received.heartbeat.health_by_primary)
+            for received in self._received_by_vm.values()
+        )
+        return False
+
+    def _is_any_fresh_stuck(self, now: float) -> bool:
         reports = [
-            health
+            heartbeat.health_by_primary
             for heartbeat in self.fresh_heartbeats(now)
-            for health in heartbeat.health_by_primary.values()
         ]
         for is_fleet in (True, False):
             for _, health_by_primary in self._digests.health_reports(
                 now, HEARTBEAT_TIMEOUT_S, is_fleet
             ):
-                reports.extend(health_by_primary.values())
-        return any(report.stuck_ms for report in reports)
+                reports.append(health_by_primary)
+        return any(map(_has_stuck, reports))
 
     def fresh_heartbeats(
         self, now: float, within_s: float = HEARTBEAT_TIMEOUT_S
@@ -392,3 +421,10 @@
         return (
             seen_at if received is None else max(seen_at, received.received_at)
         )
+
+
+def _has_stuck(
+    health_by_primary: Mapping[str, PrimaryHealth | MergedHealth],
+) -> bool:
+    """Return whether a report has an unanswered write."""
+    return any(health.stuck_ms for health in health_by_primary.values())
--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -309,17 +309,23 @@
     def _is_probe_due(
         self, member: str, client: MemberClient, now: float
     ) -> bool:
+        # Only whether an idle primary is probed depends on the other VMs.
+        is_leader = member == self.evidence.leader
         silence = MemberSilence(
             now - client.answered_at,
             now - client.command_sent_at,
-            self._vms.reached_elsewhere_s(member, now),
+            (
+                self._vms.reached_elsewhere_s(member, now)
+                if is_leader
+                else float("inf")
+            ),
             client.waiting_s,
         )
         if is_overdue(silence):
             return True
         if self._centres.is_suspect(client.entry.data_centre):
             return may_probe(silence)
-        if member != self.evidence.leader:
+        if not is_leader:
             return False
         return is_primary_probe_due(silence, self.rank(now))
 
