Node: steps go through the groups that this VM is a home of or uses

Cause: each VM updated, probed, checked for takeovers and described all groups every 0.1 to 0.5 s, chose their homes again from all alive VMs each 0.2 s, and a lost probe of a group of other homes kept the checks at 20 a second for good.

Change: GroupActivity keeps the groups that this VM is a home of, those that it has used and those with open connections; the steps go through these. The directory names the groups whose members changed, and only these are updated.

--- a/redwingpost/bench/rest_cost.py
+++ b/redwingpost/bench/rest_cost.py
@@ -208,7 +208,9 @@
         if self._phases:
             setitimer(ITIMER_REAL, self._phases[0][1] - until_s)
             return
-        self._target.write_text(dumps(self._results))
+        unfinished = self._target.with_suffix(".part")
+        unfinished.write_text(dumps(self._results))
+        unfinished.rename(self._target)
 
     def _write_profile(self, phase: str) -> None:
         self._profile.disable()
@@ -418,7 +420,7 @@
             first_s = await gather(
                 *(self._start_measured(n, profile) for n in names)
             )
-            await sleep(_REST_TO_S + 1.5)
+            await self._wait_for_results()
             return {
                 f"vm-{number}": {
                     "first answer s": round(first_s[number], 2),
@@ -435,6 +437,13 @@
             await self._site.stop()
             echo(f"profiles and logs: {self._folder}", err=True)
 
+    async def _wait_for_results(self) -> None:
+        """Wait until all measured VMs have written theirs."""
+        targets = [self._target(number) for number in range(self._measured)]
+        await sleep(_REST_TO_S)
+        while not all(target.exists() for target in targets):
+            await sleep(0.5)
+
     async def _renew_rows(self) -> None:
         members = tuple(self._site.server_by_member)
         while True:
--- a/redwingpost/groups/directory.py
+++ b/redwingpost/groups/directory.py
@@ -96,6 +96,16 @@
         self._drop_at_by_member: dict[str, float] = {}
         self._outage_at = float("-inf")
         self._current_at: float | None = None
+        self._changed_groups: set[str] = set()
+        self._known_groups: set[str] = set()
+        #: Increases with each change of a group's members.
+        self.version = 0
+
+    def take_changed_groups(self) -> frozenset[str]:
+        """Return the groups whose members changed since the last call."""
+        changed = frozenset(self._changed_groups)
+        self._changed_groups.clear()
+        return changed
 
     def note_current(self, now: float) -> None:
         """Record that the list held all that the registry had until now."""
@@ -114,6 +124,8 @@
         self._listed_by_member[entry.member] = listed
         entries = self._entries_by_group.setdefault(entry.group, {})
         entries[entry.member] = entry
+        if previous is None or previous.entry != entry:
+            self._note_change(entry.group)
         self._drop_at_by_member.pop(entry.member, None)
         self._removed_by_member.pop(entry.member, None)
 
@@ -197,6 +209,10 @@
         """Return the groups that have members."""
         return frozenset(self._entries_by_group)
 
+    def known_groups(self) -> frozenset[str]:
+        """Return the groups that have, or had, members."""
+        return frozenset(self._known_groups)
+
     def _restarted_at(
         self, previous: ListedMember | None, entry: MemberEntry, now: float
     ) -> float:
@@ -223,7 +239,13 @@
             return float("-inf")
         return now if self._current_at is None else self._current_at
 
+    def _note_change(self, group: str) -> None:
+        self._changed_groups.add(group)
+        self._known_groups.add(group)
+        self.version += 1
+
     def _drop_from_group(self, entry: MemberEntry) -> None:
+        self._note_change(entry.group)
         entries = self._entries_by_group[entry.group]
         del entries[entry.member]
         if not entries:
--- a/redwingpost/membership/vm_table.py
+++ b/redwingpost/membership/vm_table.py
@@ -84,6 +84,8 @@
         self._may_be_stuck = False
         self._count_cache: int | None = None
         self._has_list = False
+        #: Increases each time the list of VMs is applied.
+        self.list_version = 0
         self._lacked_half_at = now
         #: Whether this VM gathers. If so, reports on primaries come from
         #: heartbeats and other cells' digests, else from a fleet digest.
@@ -95,6 +97,7 @@
         self._sorted_vms = sorted(self.known_vms())
         self._number_by_vm = {vm: vm_number(vm) for vm in self._sorted_vms}
         self._has_list = True
+        self.list_version += 1
         self._alive_cache.clear()
         self._count_cache = None
 
@@ -254,6 +257,10 @@
             if vm == self._vm or now - self._last_seen_at(vm) <= within_s
         )
 
+    def listed_addresses(self) -> tuple[VmAddress, ...]:
+        """Return the listed VMs."""
+        return tuple(self._listed_by_vm.values())
+
     def is_alive(self, vm: str, now: float) -> bool:
         """Return whether a VM is alive."""
         return vm_number(vm) in self.alive_numbers(now)
--- a/redwingpost/node/fleet/heartbeat_writer.py
+++ b/redwingpost/node/fleet/heartbeat_writer.py
@@ -8,6 +8,7 @@
 )
 from redwingpost.node.fleet.heartbeats import new_boot
 from redwingpost.node.group import GroupClient
+from redwingpost.node.group_activity import GroupActivity
 from redwingpost.node.request.admission import Admission
 from redwingpost.ports.clock import Clock
 
@@ -23,6 +24,7 @@
         vm: str,
         ip: str,
         group_by_name: dict[str, GroupClient],
+        activity: GroupActivity,
         directory: Directory,
         admission: Admission,
         clock: Clock,
@@ -31,7 +33,9 @@
         self._ip = ip
         self.boot = new_boot()
         self._group_by_name = group_by_name
+        self._activity = activity
         self._directory = directory
+        self._sampled_by_group: dict[str, GroupClient] = {}
         self._admission = admission
         self._clock = clock
 
@@ -60,20 +64,12 @@
     def _is_any_group_alert(self) -> bool:
         now = self._clock.now()
         return any(
-            group.is_primary_suspect() for group in self._active_groups(now)
+            group.is_primary_suspect() for group in self._activity.active(now)
         )
 
-    def _active_groups(self, now: float) -> list[GroupClient]:
-        """Return the groups whose members this VM contacts itself."""
-        return [
-            group
-            for group in self._group_by_name.values()
-            if group.is_active(now)
-        ]
-
     def _health(self, now: float) -> dict[str, PrimaryHealth]:
         health_by_primary = {}
-        for group in self._active_groups(now):
+        for group in self._activity.active(now):
             leader = group.member_by_name.get(group.evidence.leader or "")
             if leader is not None:
                 health_by_primary[leader.entry.member] = PrimaryHealth(
@@ -107,17 +103,21 @@
             if group is not None:
                 taken_at = earliest_sent_at - sample.age_ms / 1000.0
                 group.note_shared(sample.member, sample.position, taken_at)
+                self._sampled_by_group[group.name] = group
 
     def _shared_samples(self, now: float) -> tuple[SharedSample, ...]:
         """Return the newest sample of each group, for other VMs."""
         shared = []
-        for group in self._group_by_name.values():
+        for group in self._activity.active(now):
+            self._sampled_by_group[group.name] = group
+        for name, group in tuple(self._sampled_by_group.items()):
             sample = group.evidence.newest_sample()
             leader = group.evidence.leader
-            # During a takeover a sample belongs to no primary.
-            if sample is None or leader is None:
+            if sample is None or now - sample.taken_at > _MAX_SAMPLE_AGE_S:
+                del self._sampled_by_group[name]
                 continue
-            if now - sample.taken_at > _MAX_SAMPLE_AGE_S:
+            # During a takeover a sample belongs to no primary.
+            if leader is None:
                 continue
             # Rounded up: a sample must not count as younger than it is.
             age_ms = int((now - sample.taken_at) * 1000) + 1
--- a/redwingpost/node/fleet/readiness_inputs.py
+++ b/redwingpost/node/fleet/readiness_inputs.py
@@ -5,6 +5,7 @@
 from redwingpost.membership.readiness import ReadinessInputs
 from redwingpost.membership.vm_table import RECENT_HEARTBEAT_S, VmTable
 from redwingpost.node.group import GroupClient
+from redwingpost.node.group_activity import GroupActivity
 from redwingpost.node.request.admission import Admission
 
 #: Milliseconds for which a primary may fail or leave a write unanswered at
@@ -20,22 +21,24 @@
         self,
         admission: Admission,
         group_by_name: dict[str, GroupClient],
+        activity: GroupActivity,
         vms: VmTable,
         centres: CentreWatch,
     ) -> None:
         self._admission = admission
         self._group_by_name = group_by_name
+        self._activity = activity
         self._vms = vms
         self._centres = centres
 
     def describe(self, is_stopping: bool, now: float) -> ReadinessInputs:
         """Return the inputs at ``now`` (seconds)."""
-        groups = self._group_by_name.values()
-        reached = sum(self._is_served(group, now) for group in groups)
+        groups = len(self._group_by_name)
+        reached = self._count_served(groups, now)
         return ReadinessInputs(
             has_rules=self._admission.has_rules,
             is_stopping=is_stopping,
-            groups=len(groups),
+            groups=groups,
             reached=reached,
             hears_half=self._vms.hears_half(now),
             others_reach_more=most_reached(self._vms, now) > reached,
@@ -43,15 +46,19 @@
             hears_half_lately=self._vms.hears_half(now, RECENT_HEARTBEAT_S),
         )
 
-    def _is_served(self, group: GroupClient, now: float) -> bool:
-        """Return whether callers of a group can be served by this VM.
+    def _count_served(self, groups: int, now: float) -> int:
+        """Return of how many groups callers can be served by this VM.
 
-        If the group's home is another VM, that VM serves them, unless
-        this VM is cut off from the others.
+        If a group's home is another VM, that VM serves them, unless this
+        VM is cut off from the others.
         """
-        if group.is_home(now):
-            return group.can_use_primary()
-        return self._vms.hears_half(now, RECENT_HEARTBEAT_S)
+        own = [
+            group for group in self._activity.active(now) if group.is_home(now)
+        ]
+        served = sum(group.can_use_primary() for group in own)
+        if self._vms.hears_half(now, RECENT_HEARTBEAT_S):
+            served += groups - len(own)
+        return served
 
 
 def most_reached(vms: VmTable, now: float) -> int:
--- a/redwingpost/node/forwarding/homes.py
+++ b/redwingpost/node/forwarding/homes.py
@@ -1,4 +1,10 @@
-"""The homes of each group, chosen from this VM's view of the fleet."""
+"""The homes of each group, chosen from this VM's view of the fleet.
+
+Load pattern: 300 VMs and 40 groups, at rest. If each VM chose the homes of
+each group several times a second, this would be most of its work. So they are
+chosen again only after the alive VMs, the list, the members or the
+configuration have changed; VMs are ranked for a group once for each list.
+"""
 
 from operator import attrgetter
 from typing import NamedTuple
@@ -10,14 +16,13 @@
 from redwingpost.membership.vm_table import VmTable
 from redwingpost.routing.homes import (
     MAX_VMS_ALL_HOMES,
-    choose_homes,
+    choose_ranked_homes,
     count_homes,
     order_homes,
+    rank_for_homes,
 )
 
-#: Seconds for which a group's homes are cached: they are needed for each
-#: operation, and change only with the fleet's list and the VMs whose
-#: heartbeats arrive.
+#: Seconds after which a change of the alive VMs is applied, at most.
 CACHE_S = 0.2
 
 #: Seconds without a heartbeat after which another VM replaces a home. Longer
@@ -40,20 +45,12 @@
 ALL_VMS = Homes((), is_all=True, names=frozenset())
 
 
-class _Choice(NamedTuple):
-    """The inputs for choosing a group's homes."""
-
-    alive: tuple[VmAddress, ...]
-    data_centres: frozenset[str]
-    slots: int
-
+class _Versions(NamedTuple):
+    """Versions of the inputs from which homes are chosen."""
 
-class _CachedHomes(NamedTuple):
-    """Homes, the inputs of their choice, and when the cache expires."""
-
-    homes: Homes
-    choice: _Choice
-    until: float
+    alive: int
+    listed: int
+    members: int
 
 
 class HomeView:
@@ -74,28 +71,42 @@
         self._vms = vms
         self._directory = directory
         self._rules: ServiceRules | None = None
-        self._cached_by_group: dict[str, _CachedHomes] = {}
+        self._homes_by_group: dict[str, Homes] = {}
+        self._own_groups: frozenset[str] | None = None
+        self._versions = _Versions(0, 0, 0)
+        self._ranked_by_group: dict[str, tuple[VmAddress, ...]] = {}
         self._suspect_until: dict[str, float] = {}
         self._alive: tuple[VmAddress, ...] = ()
+        self._alive_names: frozenset[str] = frozenset()
+        self._alive_version = 0
         self._alive_until = float("-inf")
 
     def take_rules(self, rules: ServiceRules) -> None:
         """Apply the configuration in force."""
         self._rules = rules
-        self._cached_by_group.clear()
+        self._forget_homes()
 
     def homes_of(self, group: str, now: float) -> Homes:
         """Return a group's homes at ``now`` (seconds)."""
-        cached = self._cached_by_group.get(group)
-        if cached is None or now >= cached.until:
-            choice = self._choice_for(group, now)
-            if cached is not None and cached.choice == choice:
-                homes = cached.homes
-            else:
-                homes = self._choose(group, choice)
-            cached = _CachedHomes(homes, choice, now + CACHE_S)
-            self._cached_by_group[group] = cached
-        return cached.homes
+        self._apply_changes(now)
+        homes = self._homes_by_group.get(group)
+        if homes is None:
+            homes = self._homes_by_group[group] = self._choose(group)
+        return homes
+
+    def own_groups(self, now: float) -> frozenset[str]:
+        """Return the known groups that this VM is a home of.
+
+        It is the same object until something has changed.
+        """
+        self._apply_changes(now)
+        if self._own_groups is None:
+            self._own_groups = frozenset(
+                group
+                for group in self._directory.known_groups()
+                if self.is_home(group, now)
+            )
+        return self._own_groups
 
     def is_home(self, group: str, now: float) -> bool:
         """Return whether this VM is a home of a group."""
@@ -139,36 +150,61 @@
         """Skip a home for ``SUSPECT_S``, as it didn't answer or refused."""
         self._suspect_until[vm] = now + SUSPECT_S
 
-    def _choice_for(self, group: str, now: float) -> _Choice:
-        members = self._directory.members_of(group)
-        slots = (entry.slots or ASSUMED_SLOTS for entry in members)
-        return _Choice(
-            self._alive_vms(now),
-            frozenset(entry.data_centre for entry in members),
-            min(slots, default=ASSUMED_SLOTS),
+    def _apply_changes(self, now: float) -> None:
+        """Forget the homes if an input of their choice has changed."""
+        list_version = self._vms.list_version
+        is_new_list = list_version != self._versions.listed
+        if now >= self._alive_until or is_new_list:
+            self._update_alive(now)
+        versions = _Versions(
+            self._alive_version, list_version, self._directory.version
         )
-
-    def _alive_vms(self, now: float) -> tuple[VmAddress, ...]:
-        """Return the VMs that may be homes, the same for all groups."""
-        if now >= self._alive_until:
-            self._alive = self._vms.alive_addresses(now, HOME_TIMEOUT_S)
-            self._alive_until = now + CACHE_S / 2.0
-        return self._alive
-
-    def _choose(self, group: str, choice: _Choice) -> Homes:
+        if versions == self._versions:
+            return
+        self._versions = versions
+        self._forget_homes()
+        if is_new_list:
+            self._ranked_by_group.clear()
+
+    def _update_alive(self, now: float) -> None:
+        """Update the VMs that may be homes, the same for all groups."""
+        self._alive_until = now + CACHE_S
+        alive = self._vms.alive_addresses(now, HOME_TIMEOUT_S)
+        if alive != self._alive:
+            self._alive = alive
+            self._alive_names = frozenset(address.vm for address in alive)
+            self._alive_version += 1
+
+    def _forget_homes(self) -> None:
+        self._homes_by_group.clear()
+        self._own_groups = None
+
+    def _rank(self, group: str) -> tuple[VmAddress, ...]:
+        """Return all listed VMs in the order of preference for a group."""
+        ranked = self._ranked_by_group.get(group)
+        if ranked is None:
+            listed = self._vms.listed_addresses()
+            ranked = rank_for_homes(group, listed, attrgetter("capacity"))
+            self._ranked_by_group[group] = ranked
+        return ranked
+
+    def _choose(self, group: str) -> Homes:
         rule = self._rules and self._rules.groups_by_name.get(group)
         if rule is None:
             return ALL_VMS
+        members = self._directory.members_of(group)
+        slots = min(
+            (entry.slots or ASSUMED_SLOTS for entry in members),
+            default=ASSUMED_SLOTS,
+        )
         organisations = len(self._rules.organisations_by_name)
-        wanted = count_homes(rule.max_connections, choice.slots, organisations)
+        wanted = count_homes(rule.max_connections, slots, organisations)
         if len(self._vms.known_vms()) <= max(wanted, MAX_VMS_ALL_HOMES):
             return ALL_VMS
-        homes = choose_homes(
-            group,
-            choice.data_centres,
-            choice.alive,
+        homes = choose_ranked_homes(
+            (vm for vm in self._rank(group) if vm.vm in self._alive_names),
+            {entry.data_centre for entry in members},
             wanted,
-            attrgetter("capacity"),
         )
         names = frozenset(address.vm for address in homes)
         return Homes(homes, is_all=False, names=names)
--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -8,6 +8,7 @@
     shield,
     wait_for,
 )
+from collections.abc import Callable
 
 from redwingpost.core.codes import Code
 from redwingpost.core.positions import Position
@@ -87,8 +88,10 @@
         vms: VmTable,
         centres: CentreWatch,
         homes: HomeView | None = None,
+        on_contact: Callable[["GroupClient"], None] = lambda group: None,
     ) -> None:
         self.name = name
+        self._on_contact = on_contact
         self.evidence = GroupEvidence()
         self.writes = WriteTracker()
         self.member_by_name: dict[str, MemberClient] = {}
@@ -247,7 +250,26 @@
 
     def note_use(self) -> None:
         """Record that this VM runs a statement of the group."""
-        self._used_at = self._clock.now()
+        now = self._clock.now()
+        if not self.is_active(now):
+            self.note_activated(now)
+        self._used_at = now
+        self._on_contact(self)
+
+    def note_activated(self, now: float) -> None:
+        """Record that this VM begins to probe the group's members itself.
+
+        While it didn't, it has not looked for a primary.
+        """
+        if self.leaderless_since is not None:
+            self.leaderless_since = now
+
+    @property
+    def has_connections(self) -> bool:
+        """Whether a connection to a member is open."""
+        return any(
+            client.has_connections for client in self.member_by_name.values()
+        )
 
     def is_home(self, now: float) -> bool:
         """Return whether this VM is a home of the group."""
@@ -285,9 +307,7 @@
         """Start the probes that are due, without waiting for them."""
         now = self._clock.now()
         if not self.is_active(now):
-            if self.leaderless_since is not None:
-                # While inactive, this VM has not looked for a primary.
-                self.leaderless_since = now
+            self.note_activated(now)
             return
         if now - self.round_at >= self._round_interval_s(now):
             create_task(self.run_round())
@@ -417,6 +437,7 @@
         return await self.proofs.prove()
 
     async def _probe_all_members(self) -> None:
+        self._on_contact(self)
         requested_at = self.round_at = self._clock.now()
         clients = tuple(self.member_by_name.values())
         await gather(
--- a/redwingpost/node/member.py
+++ b/redwingpost/node/member.py
@@ -105,6 +105,11 @@
         self._waiting: list[tuple[int, int, Future]] = []
         self._sequence = count()
 
+    @property
+    def has_connections(self) -> bool:
+        """Whether a connection to the member is open."""
+        return self._control is not None or self.pool.has_links
+
     @property
     def is_failing(self) -> bool:
         """Whether anything has failed there since its last answer."""
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -44,6 +44,7 @@
 from redwingpost.node.forwarding.peer import HomeDependencies
 from redwingpost.node.forwarding.server import HomeServer
 from redwingpost.node.group import DRAIN_WORK_FRACTION, GroupClient
+from redwingpost.node.group_activity import GroupActivity
 from redwingpost.node.metrics import NodeMetrics
 from redwingpost.node.request.admission import Admission
 from redwingpost.node.request.reads import ReadRunner
@@ -158,6 +159,9 @@
         self._steps = 0
         self.callers: CallerConnections | None = None
         self._homes = HomeView(settings.vm, self._vms, self.directory)
+        self._activity = GroupActivity(
+            self.group_by_name, self._homes, self._sync_group
+        )
         self._channels = Channels(clock)
         self._services = Services(
             self._admission,
@@ -171,6 +175,7 @@
         self._readiness_view = ReadinessView(
             self._admission,
             self.group_by_name,
+            self._activity,
             self._vms,
             self._centres,
         )
@@ -301,6 +306,7 @@
             settings.vm,
             settings.ip,
             self.group_by_name,
+            self._activity,
             self.directory,
             self._admission,
             self._clock,
@@ -335,7 +341,7 @@
         )
         self._admission.on_admitted = self._heartbeats.report_if_due
         self._takeovers = TakeoverKeeper(
-            self.group_by_name,
+            self._activity,
             DutyKeeper(ports.store, settings.vm, self._clock),
             self._admission,
             self._vms,
@@ -427,19 +433,18 @@
     def _probe_check_pause_s(self) -> float:
         is_waiting = any(
             client.has_unanswered
-            for group in self.group_by_name.values()
+            for group in self._activity.active(self._clock.now())
             for client in group.member_by_name.values()
         )
         return PROBE_CHECK_S if is_waiting else IDLE_PROBE_CHECK_S
 
     async def _probe_members(self) -> None:
         now = self._clock.now()
-        groups = tuple(self.group_by_name.values())
+        groups = self._activity.active(now)
         self._centres.update(
             tuple(
                 client.health()
                 for group in groups
-                if group.is_active(now)
                 for client in group.member_by_name.values()
             )
         )
@@ -463,7 +468,9 @@
         self._steps += 1
         if self._steps % SYNC_EVERY_STEPS:
             return
-        self._sync_groups()
+        self._sync_changed_groups()
+        for group in self._activity.attended(now):
+            self._sync_group(group)
         if self.callers is not None:
             self.metrics.sessions.set(self.callers.open_connections)
         self.metrics.version.set(self._admission.rules.version)
@@ -487,12 +494,18 @@
         )
 
     def _on_members(self) -> None:
-        self._sync_groups()
+        self._sync_changed_groups()
         self._rosters.check_now()
 
     def _sync_groups(self) -> None:
-        """Update the groups from the directory and the rules."""
-        for name in self.directory.groups():
+        """Update all groups from the directory and the rules."""
+        self._sync_changed_groups()
+        for group in self.group_by_name.values():
+            self._sync_group(group)
+
+    def _sync_changed_groups(self) -> None:
+        """Update the groups whose members have changed."""
+        for name in self.directory.take_changed_groups():
             if name not in self.group_by_name:
                 self.group_by_name[name] = GroupClient(
                     name,
@@ -504,17 +517,20 @@
                     self._vms,
                     self._centres,
                     self._homes,
+                    self._activity.note_contact,
                 )
+            self._sync_group(self.group_by_name[name])
+
+    def _sync_group(self, group: GroupClient) -> None:
         now = self._clock.now()
-        for name, group in self.group_by_name.items():
-            rule = self._admission.rules.groups_by_name.get(name)
-            limit = rule.max_connections if rule else _DEFAULT_CONNECTIONS
-            is_all = self._homes.homes_of(name, now).is_all
-            group.follow_directory(
-                limit,
-                self._homes.sharers(name, now),
-                IDLE_S if is_all else HOME_IDLE_S,
-            )
+        rule = self._admission.rules.groups_by_name.get(group.name)
+        limit = rule.max_connections if rule else _DEFAULT_CONNECTIONS
+        is_all = self._homes.homes_of(group.name, now).is_all
+        group.follow_directory(
+            limit,
+            self._homes.sharers(group.name, now),
+            IDLE_S if is_all else HOME_IDLE_S,
+        )
 
     # Readiness ---------------------------------------------------------
 
--- a/redwingpost/node/takeover/keeper.py
+++ b/redwingpost/node/takeover/keeper.py
@@ -7,6 +7,7 @@
 
 from redwingpost.membership.vm_table import VmTable
 from redwingpost.node.group import GroupClient
+from redwingpost.node.group_activity import GroupActivity
 from redwingpost.node.metrics import NodeMetrics
 from redwingpost.node.request.admission import Admission
 from redwingpost.node.takeover.coordinator import (
@@ -29,14 +30,14 @@
 
 
 class TakeoverKeeper(Service):
-    """Checks all groups and starts a takeover where one is needed.
+    """Checks the active groups and starts takeovers where needed.
 
     ``dependencies`` is passed on to each takeover.
     """
 
     def __init__(
         self,
-        group_by_name: dict[str, GroupClient],
+        activity: GroupActivity,
         duty: DutyKeeper,
         admission: Admission,
         vms: VmTable,
@@ -46,7 +47,7 @@
         **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
-        self._group_by_name = group_by_name
+        self._activity = activity
         self._duty = duty
         self._admission = admission
         self._vms = vms
@@ -58,13 +59,22 @@
         self._task_by_group: dict[str, Task] = {}
 
     def check_all(self) -> None:
-        """Check each group's primary; start the takeovers that are due."""
-        for group in tuple(self._group_by_name.values()):
+        """Check the active groups' primaries; start what is due."""
+        groups = self._activity.active(self._clock.now())
+        if self._due_by_group:
+            active = {group.name for group in groups}
+            for name in self._due_by_group.keys() - active:
+                if not self._is_running(name):
+                    del self._due_by_group[name]
+        for group in groups:
             self._check(group)
 
+    def _is_running(self, group: str) -> bool:
+        running = self._task_by_group.get(group)
+        return running is not None and not running.done()
+
     def _check(self, group: GroupClient) -> None:
-        running = self._task_by_group.get(group.name)
-        if running is not None and not running.done():
+        if self._is_running(group.name):
             return
         now = self._clock.now()
         reason = None
--- a/redwingpost/pools/pool.py
+++ b/redwingpost/pools/pool.py
@@ -135,6 +135,11 @@
         """Return how many connections are claimed by statements."""
         return self._in_use
 
+    @property
+    def has_links(self) -> bool:
+        """Whether a connection is idle or claimed."""
+        return bool(self._in_use or self._idle)
+
     def has_idle(self, organisation: str) -> bool:
         """Return whether an organisation has an idle connection."""
         return any(
--- a/redwingpost/routing/homes.py
+++ b/redwingpost/routing/homes.py
@@ -166,14 +166,33 @@
     >>> sorted(vm.data_centre for vm in homes)
     ['dc-0', 'dc-0', 'dc-1', 'dc-1']
     """
-    preferred = frozenset(data_centres)
-    count_by_data_centre: dict[str, int] = {}
-    ranked = []
+    ranked = rank_for_homes(group, vms, capacity)
+    return choose_ranked_homes(ranked, data_centres, limit)
+
+
+def rank_for_homes(
+    group: str, vms: Iterable[VmT], capacity: Callable[[VmT], float]
+) -> tuple[VmT, ...]:
+    """Return VMs in the order in which they are preferred as homes.
+
+    The order of any two doesn't depend on the others, so that a subset may
+    be taken from it.
+    """
 
     def preference(vm: VmT) -> tuple[int, int, str]:
         return -capacity_tier(capacity(vm)), -_score(group, vm), vm.vm
 
-    for vm in sorted(vms, key=preference):
+    return tuple(sorted(vms, key=preference))
+
+
+def choose_ranked_homes(
+    vms: Iterable[VmT], data_centres: Iterable[str], limit: int
+) -> tuple[VmT, ...]:
+    """Return the homes among VMs that ``rank_for_homes`` has ordered."""
+    preferred = frozenset(data_centres)
+    count_by_data_centre: dict[str, int] = {}
+    ranked = []
+    for vm in vms:
         count = count_by_data_centre.get(vm.data_centre, 0)
         count_by_data_centre[vm.data_centre] = count + 1
         ranked.append(
