--- a/redwingpost/membership/digests.py
+++ b/redwingpost/membership/digests.py
@@ -1,6 +1,7 @@
 """The latest digests from gatherers, merged while they are fresh."""
 
 from collections.abc import Iterator
+from functools import lru_cache
 from typing import NamedTuple
 
 from redwingpost.membership.heartbeat import (
@@ -14,6 +15,9 @@
 #: or leave at slightly different times, so that their sets differ.
 MAX_SETS_PER_CELL = 16
 
+#: Merged sets that are kept: two or three for each cell of a large fleet.
+_MERGED_SETS = 64
+
 
 class _ReceivedDigest(NamedTuple):
     digest: Digest
@@ -177,5 +181,17 @@
     )
     if all(item.vms_number == youngest.vms_number for item in reports):
         return merged
-    vms = frozenset().union(*(report.vms for report in reports))
-    return merged._replace(vms=vms, vms_number=vm_set_number(vms))
+    vms, number = _merge_sets(frozenset(report.vms for report in reports))
+    return merged._replace(vms=vms, vms_number=number)
+
+
+@lru_cache(maxsize=_MERGED_SETS)
+def _merge_sets(
+    sets: frozenset[frozenset[int]],
+) -> tuple[frozenset[int], int]:
+    """Return the union of sets of VMs, and its number.
+
+    Reports are merged dozens of times a second, and the sets rarely change.
+    """
+    vms = frozenset().union(*sets)
+    return vms, vm_set_number(vms)
--- a/redwingpost/membership/vm_table.py
+++ b/redwingpost/membership/vm_table.py
@@ -106,6 +106,10 @@
         """Whether the list of VMs has been read."""
         return self._has_list
 
+    def age_s(self, now: float) -> float:
+        """Return the time since this VM's start (seconds)."""
+        return now - self._started_at
+
     def is_listed(self, address: VmAddress) -> bool:
         """Return whether a VM is on the list with exactly this address."""
         return self._listed_by_vm.get(address.vm) == address
--- a/redwingpost/node/fleet/readiness_inputs.py
+++ b/redwingpost/node/fleet/readiness_inputs.py
@@ -30,6 +30,7 @@
         self._activity = activity
         self._vms = vms
         self._centres = centres
+        self._reached_counts = ReachedCounts(vms)
 
     def describe(self, is_stopping: bool, now: float) -> ReadinessInputs:
         """Return the inputs at ``now`` (seconds)."""
@@ -41,7 +42,7 @@
             groups=groups,
             reached=reached,
             hears_half=self._vms.hears_half(now),
-            others_reach_more=most_reached(self._vms, now) > reached,
+            others_reach_more=self._reached_counts.most(now) > reached,
             cut_off_s=self._centres.cut_off_s(),
             hears_half_lately=self._vms.hears_half(now, RECENT_HEARTBEAT_S),
         )
@@ -61,13 +62,30 @@
         return served
 
 
-def most_reached(vms: VmTable, now: float) -> int:
-    """Return the highest number of primaries that another VM reaches."""
-    counts = [report.reached for report in vms.cells(now)]
-    counts.extend(
-        count_reached(heartbeat) for heartbeat in vms.fresh_heartbeats(now)
-    )
-    return max(counts, default=0)
+class ReachedCounts:
+    """How many primaries the other VMs reach.
+
+    A gatherer receives the health of primaries from each VM twice a second
+    and needs the counts ten times a second: each is counted once.
+    """
+
+    def __init__(self, vms: VmTable) -> None:
+        self._vms = vms
+        self._count_by_vm: dict[str, tuple[dict, int]] = {}
+
+    def most(self, now: float) -> int:
+        """Return the highest number that another VM reaches."""
+        counts = [report.reached for report in self._vms.cells(now)]
+        counts.extend(map(self._count, self._vms.fresh_heartbeats(now)))
+        return max(counts, default=0)
+
+    def _count(self, heartbeat: Heartbeat) -> int:
+        health = heartbeat.health_by_primary
+        counted = self._count_by_vm.get(heartbeat.vm)
+        if counted is None or counted[0] is not health:
+            counted = (health, count_reached(heartbeat))
+            self._count_by_vm[heartbeat.vm] = counted
+        return counted[1]
 
 
 def count_reached(heartbeat: Heartbeat) -> int:
--- a/redwingpost/node/forwarding/homes.py
+++ b/redwingpost/node/forwarding/homes.py
@@ -30,6 +30,11 @@
 #: connections. A home that doesn't answer is skipped sooner.
 HOME_TIMEOUT_S = 3.0
 
+#: Seconds from its start for which a VM waits for the list of VMs before it
+#: takes itself for one of a small fleet. If all VMs of a large fleet did so
+#: at once, each would open a connection to each member when it starts.
+LIST_WAIT_S = 0.5
+
 #: Seconds for which a home that didn't answer a statement is skipped.
 SUSPECT_S = 2.0
 
@@ -43,6 +48,7 @@
 
 
 ALL_VMS = Homes((), is_all=True, names=frozenset())
+NO_VM = Homes((), is_all=False, names=frozenset())
 
 
 class _Versions(NamedTuple):
@@ -51,6 +57,7 @@
     alive: int
     listed: int
     members: int
+    awaits_list: bool
 
 
 class HomeView:
@@ -73,7 +80,7 @@
         self._rules: ServiceRules | None = None
         self._homes_by_group: dict[str, Homes] = {}
         self._own_groups: frozenset[str] | None = None
-        self._versions = _Versions(0, 0, 0)
+        self._versions = _Versions(0, 0, 0, False)
         self._ranked_by_group: dict[str, tuple[VmAddress, ...]] = {}
         self._suspect_until: dict[str, float] = {}
         self._alive: tuple[VmAddress, ...] = ()
@@ -157,7 +164,10 @@
         if now >= self._alive_until or is_new_list:
             self._update_alive(now)
         versions = _Versions(
-            self._alive_version, list_version, self._directory.version
+            self._alive_version,
+            list_version,
+            self._directory.version,
+            self._awaits_list(now),
         )
         if versions == self._versions:
             return
@@ -166,6 +176,9 @@
         if is_new_list:
             self._ranked_by_group.clear()
 
+    def _awaits_list(self, now: float) -> bool:
+        return not self._vms.has_list and self._vms.age_s(now) < LIST_WAIT_S
+
     def _update_alive(self, now: float) -> None:
         """Update the VMs that may be homes, the same for all groups."""
         self._alive_until = now + CACHE_S
@@ -189,7 +202,9 @@
         return ranked
 
     def _choose(self, group: str) -> Homes:
-        rule = self._rules and self._rules.groups_by_name.get(group)
+        if self._rules is None or self._versions.awaits_list:
+            return NO_VM
+        rule = self._rules.groups_by_name.get(group)
         if rule is None:
             return ALL_VMS
         members = self._directory.members_of(group)
--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -329,24 +329,24 @@
     def _is_probe_due(
         self, member: str, client: MemberClient, now: float
     ) -> bool:
-        # Only whether an idle primary is probed depends on the other VMs.
-        is_leader = member == self.evidence.leader
         silence = MemberSilence(
             now - client.answered_at,
             now - client.command_sent_at,
-            (
-                self._vms.reached_elsewhere_s(member, now)
-                if is_leader
-                else float("inf")
-            ),
+            float("inf"),
             client.waiting_s,
         )
         if is_overdue(silence):
             return True
         if self._centres.is_suspect(client.entry.data_centre):
             return may_probe(silence)
-        if not is_leader:
+        if member != self.evidence.leader:
             return False
+        # What the other VMs report only matters after a silence here.
+        if not is_primary_probe_due(silence, 0):
+            return False
+        silence = silence._replace(
+            elsewhere_s=self._vms.reached_elsewhere_s(member, now)
+        )
         return is_primary_probe_due(silence, self.rank(now))
 
     def note_shared(
--- a/redwingpost/node/group_activity.py
+++ b/redwingpost/node/group_activity.py
@@ -91,4 +91,5 @@
             if name not in before:
                 group.note_activated(now)
                 self._on_attended(group)
+                group.probe_if_due()
         return self._own
--- a/redwingpost/node/tests/test_work_at_rest.py
+++ b/redwingpost/node/tests/test_work_at_rest.py
@@ -1,5 +1,6 @@
 """The work of a VM without callers in a fleet with many groups."""
 
+from asyncio import sleep
 from collections import Counter
 from contextlib import ExitStack
 from typing import Any
@@ -11,14 +12,27 @@
     GroupRule,
     OrganisationRule,
 )
-from redwingpost.membership.heartbeat import Heartbeat, VmAddress
+from redwingpost.core.positions import Position
+from redwingpost.groups.probing import IDLE_PROBE_S
+from redwingpost.membership.heartbeat import (
+    Heartbeat,
+    PrimaryHealth,
+    VmAddress,
+)
+from redwingpost.membership.vm_table import VmTable
+from redwingpost.node.fleet import readiness_inputs
+from redwingpost.node.forwarding.homes import LIST_WAIT_S
 from redwingpost.node.group import GroupClient
 from redwingpost.node.member import MemberClient
 from redwingpost.node.service import SYNC_EVERY_STEPS, Node, NodePorts
 from redwingpost.node.settings import Endpoint, NodeSettings
 from redwingpost.platform.entries import FORMAT
 from redwingpost.ports.clock import VirtualClock
-from redwingpost.ports.database import LinkLost, MemberEntry
+from redwingpost.ports.database import (
+    LinkLost,
+    MemberEntry,
+    StatusReport,
+)
 from redwingpost.routing import homes as routing_homes
 
 _NOWHERE = Endpoint("127.0.0.1", 1)
@@ -28,10 +42,14 @@
 
 
 class _NoLinks:
-    """Opens no connection."""
+    """Opens no connection, and counts the attempts."""
+
+    def __init__(self) -> None:
+        self.attempts = 0
 
     async def open(self, *arguments: Any) -> None:
         """Fail to open one."""
+        self.attempts += 1
         raise LinkLost("no member runs", False)
 
 
@@ -69,20 +87,33 @@
     return entry._replace(**changes)
 
 
-def make_node(clock: VirtualClock, vm: str = "vm-0") -> Node:
+def _make_node(clock: VirtualClock) -> Node:
     """Return a node that knows its fleet, its members and its rules."""
-    node = Node(
-        _settings(vm), NodePorts(None, _NoLinks(), None, FORMAT, clock)
-    )
-    node._vms.set_listed(
-        tuple(
-            VmAddress(f"vm-{n}", "ip", 1, _CENTRES[n % 3]) for n in range(_VMS)
-        )
-    )
+    node = _make_started_node(clock, _NoLinks())
+    _read_list(node)
+    _read_rules(node)
+    return node
+
+
+def _make_started_node(clock: VirtualClock, links: _NoLinks) -> Node:
+    """Return a node that has only read its members."""
+    node = Node(_settings("vm-0"), NodePorts(None, links, None, FORMAT, clock))
     for group in _GROUPS:
         for number in range(3):
             node.directory.put(_entry(group, number), clock.now())
     node._on_members()
+    return node
+
+
+def _read_list(node: Node, vms: int = _VMS) -> None:
+    node._vms.set_listed(
+        tuple(
+            VmAddress(f"vm-{n}", "ip", 1, _CENTRES[n % 3]) for n in range(vms)
+        )
+    )
+
+
+def _read_rules(node: Node) -> None:
     node._admission.take_rules(
         NO_RULES._replace(
             version=1,
@@ -94,13 +125,12 @@
         )
     )
     node._on_rules()
-    return node
 
 
 class WorkTest(IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.clock = VirtualClock(100.0)
-        self.node = make_node(self.clock)
+        self.node = _make_node(self.clock)
         self.counts: Counter[str] = Counter()
         self._patches = ExitStack()
         self.addCleanup(self._patches.close)
@@ -222,3 +252,87 @@
         group = self.node.group_by_name[name]
         self.assertEqual({}, group.member_by_name)
         self.assertIn(group, self.node._activity.active(self.clock.now()))
+
+    async def test_other_vms_are_asked_about_only_after_a_silence(
+        self,
+    ) -> None:
+        """Guards against searching all heartbeats for each member."""
+        await self._run_steps()
+        name = sorted(self.own)[0]
+        group = self.node.group_by_name[name]
+        for number in range(3):
+            member = f"{name}-m{number}"
+            report = StatusReport(number == 0, 1, Position(1, 9), 0, 0, 0, 1)
+            now = self.clock.now()
+            group.evidence.note_report(member, report, now)
+            group.member_by_name[member].answered_at = now
+        group.round_at = self.clock.now()
+        self._count(VmTable, "reached_elsewhere_s")
+        group.probe_if_due()
+        self.assertEqual(0, self.counts["reached_elsewhere_s"])
+        self.clock.advance(IDLE_PROBE_S + 0.01)
+        group.probe_if_due()
+        self.assertEqual(1, self.counts["reached_elsewhere_s"])
+
+    async def test_other_vms_primaries_are_counted_once(self) -> None:
+        """Guards against counting each VM's primaries ten times a second."""
+        health = {"p": PrimaryHealth(5, 0, 5, 0)}
+        heartbeat = Heartbeat("vm-1", 1, "ip", 1, health, 1, None, ())
+        brief = heartbeat._replace(health_by_primary={}, is_brief=True)
+        await self._run_steps()
+        self.node._update_readiness()
+        self._count(readiness_inputs, "count_reached")
+        for message in (heartbeat, brief, brief):
+            self.node._vms.note(message, self.clock.now())
+            self.node._update_readiness()
+        self.assertEqual(1, self.counts["count_reached"])
+
+
+class StartTest(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.clock = VirtualClock(100.0)
+        self.links = _NoLinks()
+        self.node = _make_started_node(self.clock, self.links)
+
+    async def _probe(self) -> int:
+        """Return how many connections a check opens."""
+        before = self.links.attempts
+        await self.node._run_checks()
+        await self.node._probe_members()
+        await sleep(0)
+        for _ in range(10):
+            await sleep(0)
+        return self.links.attempts - before
+
+    async def test_a_vm_that_starts_in_a_large_fleet(self) -> None:
+        """A VM has read its members, but not the rules or the list yet.
+
+        If it took itself for a home of all groups, each VM of a fleet that
+        starts would connect to each member: 100 VMs to members that accept
+        32 connections.
+        """
+        self.assertEqual(0, await self._probe())
+        _read_rules(self.node)
+        self.assertEqual(0, await self._probe())
+        _read_list(self.node)
+        own = [
+            name
+            for name in _GROUPS
+            if self.node._homes.is_home(name, self.clock.now())
+        ]
+        self.assertLess(len(own), 10)
+        self.assertEqual(3 * len(own), await self._probe())
+
+    async def test_a_vm_of_a_small_fleet_probes_at_once(self) -> None:
+        _read_rules(self.node)
+        _read_list(self.node, 6)
+        self.assertEqual(3 * len(_GROUPS), await self._probe())
+
+    async def test_a_vm_whose_list_does_not_arrive(self) -> None:
+        """The store is unavailable, and the rules came from another VM.
+
+        Callers of this VM must still be served.
+        """
+        _read_rules(self.node)
+        self.clock.advance(LIST_WAIT_S)
+        self.assertEqual(3 * len(_GROUPS), await self._probe())
