Node: fewer wake-ups of a VM at rest

A VM of a small fleet described itself anew for each VM that it announced itself to.

Change: a VM that doesn't write the rosters checks every 0.5 s, as is the gatherer of a pending request. An announcement is built once.

--- a/redwingpost/node/fleet/heartbeats.py
+++ b/redwingpost/node/fleet/heartbeats.py
@@ -180,9 +180,10 @@
             self._report(is_full=True, may_be_brief=False)
             return
         now = self._clock.now()
+        heartbeat = self._writer.describe(False)
         for address in self._targets():
             if not self._vms.is_alive(address.vm, now):
-                self._announce_to(address)
+                self._send_heartbeat(address, heartbeat, ())
 
     def forget(self, vm: str) -> None:
         """Drop the state of a VM that has left the fleet for good."""
--- a/redwingpost/node/fleet/relayed_store.py
+++ b/redwingpost/node/fleet/relayed_store.py
@@ -22,7 +22,7 @@
 
 #: Seconds between checks whether the gatherer is still one of this VM's: a
 #: gatherer that is cut off would delay changes for as long as the wait.
-_RECHECK_S = 0.25
+_RECHECK_S = 0.5
 
 #: Seconds that a VM which has just started waits for the list of VMs, from
 #: which it selects its gatherers.
--- a/redwingpost/node/takeover/rosters.py
+++ b/redwingpost/node/takeover/rosters.py
@@ -34,6 +34,10 @@
 #: is read that the other members must hold, then whether they do.
 _STEP_INTERVAL_S = 0.1
 
+#: The same at a VM that doesn't write the rosters: it only has to notice
+#: that it has become the one that does.
+_IDLE_STEP_INTERVAL_S = 0.5
+
 #: Seconds after a VM's start before it writes: by then heartbeats arrive,
 #: and it can tell whether it is the VM that writes.
 _START_DELAY_S = 1.0
@@ -116,13 +120,20 @@
         self._clock = clock
         self._stored_by_group: dict[str, StoredRoster] | None = None
         self._check_at = float("-inf")
+        self._writes = True
         self._missing_since: dict[str, float] = {}
         self._pending_by_group: dict[str, _Pending] = {}
 
     @Service.task
     async def _run_checks(self) -> None:
         await self.sleep(_START_DELAY_S)
-        await repeat(self, self._check_if_due, _STEP_INTERVAL_S)
+        await repeat(
+            self,
+            self._check_if_due,
+            lambda: (
+                _STEP_INTERVAL_S if self._writes else _IDLE_STEP_INTERVAL_S
+            ),
+        )
 
     def check_now(self) -> None:
         """Make the next check due now, as a member was added or removed.
@@ -149,7 +160,8 @@
         # itself for the first in the order.
         if self._is_registry_lost() or not self._vms.hears_half(now):
             return
-        if self._vms.rank(_SUBJECT, now) != 0:
+        self._writes = self._vms.rank(_SUBJECT, now) == 0
+        if not self._writes:
             return
         if self._stored_by_group is None:
             self._stored_by_group = await self._read()
