--- a/redwingpost/node/forwarding/homes.py
+++ b/redwingpost/node/forwarding/homes.py
@@ -1,4 +1,10 @@
-"""The homes of each group, chosen from this VM's view of the fleet."""
+"""The homes of each group, chosen from this VM's view of the fleet.
+
+Load pattern: 300 VMs and 40 groups, at rest. If each VM chose the homes of
+each group several times a second, this would be most of its work. So they are
+chosen again only after the alive VMs, the list, the members or the
+configuration have changed; VMs are ranked for a group once for each list.
+"""
 
 from math import ceil
 from operator import attrgetter
@@ -12,14 +18,13 @@
 from redwingpost.node.forwarding.heard_part import HeardPart
 from redwingpost.routing.homes import (
     MAX_VMS_ALL_HOMES,
-    choose_homes,
+    choose_ranked_homes,
     count_homes,
     order_homes,
+    rank_for_homes,
 )
 
-#: Seconds for which a group's homes are cached: they are needed for each
-#: operation, and change only with the fleet's list and the VMs whose
-#: heartbeats arrive.
+#: Seconds after which a change of the alive VMs is applied, at most.
 CACHE_S = 0.2
 
 #: Seconds without a heartbeat after which another VM replaces a home. Longer
@@ -27,6 +32,11 @@
 #: connections. A home that doesn't answer is skipped sooner.
 HOME_TIMEOUT_S = 3.0
 
+#: Seconds from its start for which a VM waits for the list of VMs before it
+#: takes itself for one of a small fleet. If all VMs of a large fleet did so
+#: at once, each would open a connection to each member when it starts.
+LIST_WAIT_S = 0.5
+
 #: Seconds for which a home that didn't answer a statement is skipped.
 SUSPECT_S = 2.0
 
@@ -44,22 +54,16 @@
 
 
 ALL_VMS = Homes((), is_all=True, names=frozenset())
+NO_VM = Homes((), is_all=False, names=frozenset())
 
 
-class _Choice(NamedTuple):
-    """The inputs for choosing a group's homes."""
+class _Versions(NamedTuple):
+    """Versions of the inputs from which homes are chosen."""
 
-    alive: tuple[VmAddress, ...]
-    data_centres: frozenset[str]
-    slots: int
-
-
-class _CachedHomes(NamedTuple):
-    """Homes, the inputs of their choice, and when the cache expires."""
-
-    homes: Homes
-    choice: _Choice
-    until: float
+    alive: int
+    listed: int
+    members: int
+    awaits_list: bool
 
 
 class _Ranking(NamedTuple):
@@ -87,31 +91,45 @@
         self._vms = vms
         self._directory = directory
         self._rules: ServiceRules | None = None
-        self._cached_by_group: dict[str, _CachedHomes] = {}
         self._heard = HeardPart()
         self._ranking_by_key: dict[tuple[str, str], _Ranking] = {}
+        self._homes_by_group: dict[str, Homes] = {}
+        self._own_groups: frozenset[str] | None = None
+        self._versions = _Versions(0, 0, 0, False)
+        self._ranked_by_group: dict[str, tuple[VmAddress, ...]] = {}
         self._suspect_until: dict[str, float] = {}
         self._alive: tuple[VmAddress, ...] = ()
+        self._alive_names: frozenset[str] = frozenset()
+        self._alive_version = 0
         self._alive_until = float("-inf")
 
     def take_rules(self, rules: ServiceRules) -> None:
         """Apply the configuration in force."""
         self._rules = rules
-        self._cached_by_group.clear()
+        self._forget_homes()
         self._ranking_by_key.clear()
 
     def homes_of(self, group: str, now: float) -> Homes:
         """Return a group's homes at ``now`` (seconds)."""
-        cached = self._cached_by_group.get(group)
-        if cached is None or now >= cached.until:
-            choice = self._choice_for(group, now)
-            if cached is not None and cached.choice == choice:
-                homes = cached.homes
-            else:
-                homes = self._choose(group, choice)
-            cached = _CachedHomes(homes, choice, now + CACHE_S)
-            self._cached_by_group[group] = cached
-        return cached.homes
+        self._apply_changes(now)
+        homes = self._homes_by_group.get(group)
+        if homes is None:
+            homes = self._homes_by_group[group] = self._choose(group)
+        return homes
+
+    def own_groups(self, now: float) -> frozenset[str]:
+        """Return the known groups that this VM is a home of.
+
+        It is the same object until something has changed.
+        """
+        self._apply_changes(now)
+        if self._own_groups is None:
+            self._own_groups = frozenset(
+                group
+                for group in self._directory.known_groups()
+                if self.is_home(group, now)
+            )
+        return self._own_groups
 
     def is_home(self, group: str, now: float) -> bool:
         """Return whether this VM is a home of a group."""
@@ -193,36 +211,69 @@
         """Skip a home for ``SUSPECT_S``, as it didn't answer or refused."""
         self._suspect_until[vm] = now + SUSPECT_S
 
-    def _choice_for(self, group: str, now: float) -> _Choice:
-        members = self._directory.members_of(group)
-        slots = (entry.slots or ASSUMED_SLOTS for entry in members)
-        return _Choice(
-            self._alive_vms(now),
-            frozenset(entry.data_centre for entry in members),
-            min(slots, default=ASSUMED_SLOTS),
+    def _apply_changes(self, now: float) -> None:
+        """Forget the homes if an input of their choice has changed."""
+        list_version = self._vms.list_version
+        is_new_list = list_version != self._versions.listed
+        if now >= self._alive_until or is_new_list:
+            self._update_alive(now)
+        versions = _Versions(
+            self._alive_version,
+            list_version,
+            self._directory.version,
+            self._awaits_list(now),
         )
-
-    def _alive_vms(self, now: float) -> tuple[VmAddress, ...]:
-        """Return the VMs that may be homes, the same for all groups."""
-        if now >= self._alive_until:
-            self._alive = self._vms.alive_addresses(now, HOME_TIMEOUT_S)
-            self._alive_until = now + CACHE_S / 2.0
-        return self._alive
-
-    def _choose(self, group: str, choice: _Choice) -> Homes:
-        rule = self._rules and self._rules.groups_by_name.get(group)
+        if versions == self._versions:
+            return
+        self._versions = versions
+        self._forget_homes()
+        if is_new_list:
+            self._ranked_by_group.clear()
+
+    def _awaits_list(self, now: float) -> bool:
+        return not self._vms.has_list and self._vms.age_s(now) < LIST_WAIT_S
+
+    def _update_alive(self, now: float) -> None:
+        """Update the VMs that may be homes, the same for all groups."""
+        self._alive_until = now + CACHE_S
+        alive = self._vms.alive_addresses(now, HOME_TIMEOUT_S)
+        if alive != self._alive:
+            self._alive = alive
+            self._alive_names = frozenset(address.vm for address in alive)
+            self._alive_version += 1
+
+    def _forget_homes(self) -> None:
+        self._homes_by_group.clear()
+        self._own_groups = None
+
+    def _rank(self, group: str) -> tuple[VmAddress, ...]:
+        """Return all listed VMs in the order of preference for a group."""
+        ranked = self._ranked_by_group.get(group)
+        if ranked is None:
+            listed = self._vms.listed_addresses()
+            ranked = rank_for_homes(group, listed, attrgetter("capacity"))
+            self._ranked_by_group[group] = ranked
+        return ranked
+
+    def _choose(self, group: str) -> Homes:
+        if self._rules is None or self._versions.awaits_list:
+            return NO_VM
+        rule = self._rules.groups_by_name.get(group)
         if rule is None:
             return ALL_VMS
+        members = self._directory.members_of(group)
+        slots = min(
+            (entry.slots or ASSUMED_SLOTS for entry in members),
+            default=ASSUMED_SLOTS,
+        )
         organisations = len(self._rules.organisations_by_name)
-        wanted = count_homes(rule.max_connections, choice.slots, organisations)
+        wanted = count_homes(rule.max_connections, slots, organisations)
         if len(self._vms.known_vms()) <= max(wanted, MAX_VMS_ALL_HOMES):
             return ALL_VMS
-        homes = choose_homes(
-            group,
-            choice.data_centres,
-            choice.alive,
+        homes = choose_ranked_homes(
+            (vm for vm in self._rank(group) if vm.vm in self._alive_names),
+            {entry.data_centre for entry in members},
             wanted,
-            attrgetter("capacity"),
         )
         names = frozenset(address.vm for address in homes)
         return Homes(homes, is_all=False, names=names)
--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -9,6 +9,7 @@
     wait_for,
 )
 from collections import Counter
+from collections.abc import Callable
 
 from redwingpost.core.codes import Code
 from redwingpost.core.positions import Position
@@ -89,8 +90,10 @@
         vms: VmTable,
         centres: CentreWatch,
         homes: HomeView | None = None,
+        on_contact: Callable[["GroupClient"], None] = lambda group: None,
     ) -> None:
         self.name = name
+        self._on_contact = on_contact
         self.evidence = GroupEvidence()
         self.writes = WriteTracker()
         self.member_by_name: dict[str, MemberClient] = {}
@@ -288,7 +291,26 @@
 
     def note_use(self) -> None:
         """Record that this VM runs a statement of the group."""
-        self._used_at = self._clock.now()
+        now = self._clock.now()
+        if not self.is_active(now):
+            self.note_activated(now)
+        self._used_at = now
+        self._on_contact(self)
+
+    def note_activated(self, now: float) -> None:
+        """Record that this VM begins to probe the group's members itself.
+
+        While it didn't, it has not looked for a primary.
+        """
+        if self.leaderless_since is not None:
+            self.leaderless_since = now
+
+    @property
+    def has_connections(self) -> bool:
+        """Whether a connection to a member is open."""
+        return any(
+            client.has_connections for client in self.member_by_name.values()
+        )
 
     def is_home(self, now: float) -> bool:
         """Return whether this VM is a home of the group."""
@@ -326,9 +348,7 @@
         """Start the probes that are due, without waiting for them."""
         now = self._clock.now()
         if not self.is_active(now):
-            if self.leaderless_since is not None:
-                # While inactive, this VM has not looked for a primary.
-                self.leaderless_since = now
+            self.note_activated(now)
             return
         if now - self.round_at >= self._round_interval_s(now):
             create_task(self.run_round())
@@ -353,7 +373,7 @@
         silence = MemberSilence(
             now - client.answered_at,
             now - client.command_sent_at,
-            self._vms.reached_elsewhere_s(member, now),
+            float("inf"),
             client.waiting_s,
         )
         if is_overdue(silence):
@@ -362,6 +382,12 @@
             return may_probe(silence)
         if member != self.evidence.leader:
             return False
+        # What the other VMs report only matters after a silence here.
+        if not is_primary_probe_due(silence, 0):
+            return False
+        silence = silence._replace(
+            elsewhere_s=self._vms.reached_elsewhere_s(member, now)
+        )
         return is_primary_probe_due(silence, self.rank(now))
 
     def note_shared(
@@ -452,6 +478,7 @@
         return await self.proofs.prove()
 
     async def _probe_all_members(self) -> None:
+        self._on_contact(self)
         requested_at = self.round_at = self._clock.now()
         clients = tuple(self.member_by_name.values())
         await gather(
--- a/redwingpost/pools/pool.py
+++ b/redwingpost/pools/pool.py
@@ -146,6 +146,11 @@
         """Return how many connections are open or being opened."""
         return self._in_use + len(self._idle)
 
+    @property
+    def has_links(self) -> bool:
+        """Whether a connection is idle or claimed."""
+        return self.open_connections > 0
+
     def has_idle(self, organisation: str) -> bool:
         """Return whether an organisation has an idle connection."""
         return any(
