Places: decisions on cold members and allowed regions

A member that has just started is slow, and every VM tries it first; and a group's members may stand in regions where a route or an organisation must not be served.

Result code 20313 no-member-in-region. Nothing uses them yet.

--- a/redwingpost/configuration/routes.py
+++ b/redwingpost/configuration/routes.py
@@ -28,6 +28,7 @@
 
     ``priority`` 0 is the highest. ``timeout_s`` limits one statement;
     ``target_latency_s`` is the intended duration of a whole operation.
+    Statements go only to members and homes in ``regions``; None allows all.
     """
 
     database: str
@@ -38,6 +39,7 @@
     priority: int
     max_staleness_s: float
     is_public: bool
+    regions: frozenset[str] | None = None
 
 
 class GroupRule(NamedTuple):
@@ -45,22 +47,31 @@
 
     ``max_connections`` limits the connections of all callers to each
     member. A commit is acknowledged once ``sync_replicas`` replicas have
-    it.
+    it. All VMs together send a cold member at most ``cold_rate`` statements
+    per second (None: no limit). A member that doesn't state how long it
+    remains cold is cold for ``cold_s`` seconds after a restart.
     """
 
     group: str
     max_connections: int
     sync_replicas: int
+    cold_rate: float | None = None
+    cold_s: float = 0.0
 
 
 class OrganisationRule(NamedTuple):
-    """One organisation; ``rate`` is operations/s, ``burst`` operations."""
+    """One organisation; ``rate`` is operations/s, ``burst`` operations.
+
+    ``regions`` restricts its statements as that of a route does; if both
+    restrict, a member's region must be in both.
+    """
 
     name: str
     keys: frozenset[str]
     rate: float
     burst: float
     priority: int
+    regions: frozenset[str] | None = None
 
 
 class ServiceRules(NamedTuple):
--- a/redwingpost/core/codes.py
+++ b/redwingpost/core/codes.py
@@ -151,6 +151,12 @@
         _NOT_RUN,
         "the only member that can run it is in an evacuated data centre",
     )
+    NO_MEMBER_IN_REGION = ResultCode(
+        20313,
+        "no-member-in-region",
+        _NOT_RUN,
+        "no member in the regions allowed to the caller can run it",
+    )
     BAD_MARK = ResultCode(
         20401, "bad-mark", _NOT_RUN, "a request mark can't be read"
     )
