Places: read the contract's fields from configuration, rows and settings

The platform's fields (coldLeftMs, coldPerS, coldS, coldOverage, coldSlack, allowedRegions, zones, region, contracts) are decoded in platform/ only; the boundary test names them now, too. They are read only where the settings list the contract: the decoders are chosen at the start, so without it no value of theirs, not even one of a wrong type, changes anything (tests compare the decoded rules).

A route, organisation or group with a value of a wrong type is refused alone with one line, a member's row as any unreadable one, a setting is left out with one line: a VM that doesn't start for it would serve nobody.

test_decoding's two exact comparisons of a member's entry have one field more.

--- a/redwingpost/cli/node.py
+++ b/redwingpost/cli/node.py
@@ -9,7 +9,7 @@
 from redwingpost.node.service import Node, NodePorts
 from redwingpost.observability.journal import configure_journal, log_event
 from redwingpost.platform.caller_server import CallerServer
-from redwingpost.platform.entries import FORMAT
+from redwingpost.platform.entries import FORMAT, PLACES_FORMAT
 from redwingpost.platform.member_link import LineLinkFactory
 from redwingpost.platform.orders import HttpPromotionOrders
 from redwingpost.platform.settings import PATH_VARIABLE, load_node_settings
@@ -51,7 +51,7 @@
         RowStore(settings.store.ip, settings.store.port, clock),
         LineLinkFactory(),
         HttpPromotionOrders(settings.orders.ip, settings.orders.port, clock),
-        FORMAT,
+        PLACES_FORMAT if settings.has_places else FORMAT,
         clock,
     )
     node = Node(settings, node_ports)
@@ -64,6 +64,8 @@
     loop.add_signal_handler(SIGHUP, _reload, settings, path)
     await callers.start()
     await node.start()
+    for detail in settings.unreadable:
+        log_event("setting-unreadable", detail=detail)
     log_event("started", vm=settings.vm, data_centre=settings.data_centre)
     await stop.wait()
     await node.drain()
--- a/redwingpost/node/settings.py
+++ b/redwingpost/node/settings.py
@@ -2,6 +2,9 @@
 
 from typing import NamedTuple
 
+from redwingpost.groups.cold_members import ColdBounds
+from redwingpost.groups.regions import ALL_REGIONS, RegionMap
+
 
 class Endpoint(NamedTuple):
     """An IP address and a port."""
@@ -18,7 +21,10 @@
     may still be sent statements, ``evacuate_s`` the same for the members
     of a data centre from the order to evacuate it, ``grace_s`` how long
     the process may take to stop. ``capacity`` is what the VM can carry,
-    in VMs of half a core and 10 Mbit/s.
+    in VMs of half a core and 10 Mbit/s. ``has_places`` tells whether
+    the configuration's rules on cold members and regions apply;
+    ``cold_bounds`` and ``regions`` are their inputs. ``unreadable`` has one
+    text for each optional value of the file that was refused.
     """
 
     vm: str
@@ -35,3 +41,7 @@
     grace_s: float = 6.0
     evacuate_s: float = 5.0
     capacity: float = 1.0
+    has_places: bool = False
+    cold_bounds: ColdBounds = ColdBounds()
+    regions: RegionMap = ALL_REGIONS
+    unreadable: tuple[str, ...] = ()
--- a/redwingpost/platform/entries.py
+++ b/redwingpost/platform/entries.py
@@ -4,7 +4,9 @@
 another type. Such a row raises an error by itself; the others stay valid.
 """
 
-from typing import Any
+from collections.abc import Callable
+from functools import partial
+from typing import Any, TypeVar
 
 from redwingpost.configuration.routes import (
     Consistency,
@@ -13,6 +15,7 @@
     RouteRule,
     ServiceRules,
 )
+from redwingpost.observability.journal import log_event
 from redwingpost.ports.database import MemberEntry
 from redwingpost.ports.platform import Row
 from redwingpost.ports.registry import EntryError, RegistryFormat
@@ -24,13 +27,22 @@
 }
 _DEFAULT_TX_IDLE_MS = 3000
 
+RuleT = TypeVar("RuleT")
 
-def decode_member(row: Row) -> MemberEntry:
+
+def decode_member(row: Row, has_places: bool = False) -> MemberEntry:
     """Return a member's entry.
 
     The entry's ``configVersion`` is ignored: it is the version of the
     member's own software.
 
+    Parameters
+    ----------
+    row : Row
+        The member's row.
+    has_places : bool, optional
+        Whether to read the fields of the contract ``places``.
+
     Raises
     ------
     EntryError
@@ -56,27 +68,43 @@
         role == "primary",
         _require_field(value, "born", int) if "born" in value else 0,
         _require_field(value, "slots", int) if "slots" in value else 0,
+        _seconds_left(value) if has_places else None,
     )
 
 
-def decode_configuration(row: Row) -> ServiceRules:
+def decode_configuration(row: Row, has_places: bool = False) -> ServiceRules:
     """Return the operator's configuration.
 
+    Parameters
+    ----------
+    row : Row
+        The configuration's row.
+    has_places : bool, optional
+        Whether to read the fields of the contract ``places``. A route,
+        group or organisation in which one of them has another type is left
+        out, with a log line.
+
     Raises
     ------
     EntryError
         If a required field is missing or has another type.
     """
     value = _require_object(row)
-    routes = [
-        _decode_route(item) for item in _require_field(value, "routes", list)
-    ]
-    groups = [
-        _decode_group(item) for item in _require_field(value, "services", list)
-    ]
-    organisations = [
-        _decode_organisation(item) for item in value.get("tenants", [])
-    ]
+    routes = _with_places(
+        _require_field(value, "routes", list),
+        _decode_route,
+        _restrict if has_places else None,
+    )
+    groups = _with_places(
+        _require_field(value, "services", list),
+        _decode_group,
+        _limit_cold if has_places else None,
+    )
+    organisations = _with_places(
+        value.get("tenants", []),
+        _decode_organisation,
+        _restrict if has_places else None,
+    )
     limits = value.get("limits", {})
     idle_ms = limits.get("txIdleMs", _DEFAULT_TX_IDLE_MS)
     return ServiceRules(
@@ -126,6 +154,63 @@
     )
 
 
+def _with_places(
+    items: list[Any],
+    decode: Callable[[dict[str, Any]], RuleT],
+    add_places: Callable[[RuleT, dict[str, Any]], RuleT] | None,
+) -> list[RuleT]:
+    """Return the rules of entries, without those that are refused."""
+    rules = []
+    for item in items:
+        rule = decode(item)
+        if add_places is not None:
+            try:
+                rule = add_places(rule, item)
+            except EntryError as error:
+                log_event("entry-unreadable", entry=rule[0], detail=str(error))
+                continue
+        rules.append(rule)
+    return rules
+
+
+def _restrict(rule: RuleT, value: dict[str, Any]) -> RuleT:
+    """Add the regions of a route or an organisation.
+
+    An empty list restricts nothing, as a missing one.
+    """
+    regions = value.get("allowedRegions")
+    if regions is None:
+        return rule
+    if not isinstance(regions, list) or not all(
+        isinstance(item, str) for item in regions
+    ):
+        raise EntryError(f"allowedRegions: {regions!r}; allowed: list of str")
+    return rule._replace(regions=frozenset(regions) or None)
+
+
+def _limit_cold(rule: GroupRule, value: dict[str, Any]) -> GroupRule:
+    """Add a group's limit for cold members."""
+    rate = _optional_number(value, "coldPerS")
+    cold_s = _optional_number(value, "coldS")
+    return rule._replace(cold_rate=rate, cold_s=cold_s or 0.0)
+
+
+def _seconds_left(value: dict[str, Any]) -> float | None:
+    left_ms = _optional_number(value, "coldLeftMs")
+    return None if left_ms is None else left_ms / 1000.0
+
+
+def _optional_number(value: dict[str, Any], name: str) -> float | None:
+    """Return a field that may be absent, as a number of at least 0."""
+    field = value.get(name)
+    if field is None:
+        return None
+    is_number = isinstance(field, int | float) and not isinstance(field, bool)
+    if not is_number or not 0.0 <= field < float("inf"):
+        raise EntryError(f"{name}: {field!r}; allowed: a number of 0 or more")
+    return float(field)
+
+
 def _require_object(row: Row) -> dict[str, Any]:
     if not isinstance(row.value, dict):
         raise EntryError(f"{row.key}: not a table")
@@ -147,3 +232,9 @@
     decode_member=decode_member,
     evacuation_prefix="evacuate/",
 )
+
+#: The same tables, with the fields of the contract ``places``.
+PLACES_FORMAT = FORMAT._replace(
+    decode_configuration=partial(decode_configuration, has_places=True),
+    decode_member=partial(decode_member, has_places=True),
+)
--- a/redwingpost/platform/settings.py
+++ b/redwingpost/platform/settings.py
@@ -9,6 +9,8 @@
 
 from redwingpost.core.codes import Code
 from redwingpost.core.requests import Refusal
+from redwingpost.groups.cold_members import ColdBounds
+from redwingpost.groups.regions import RegionMap
 from redwingpost.node.settings import Endpoint, NodeSettings
 
 #: Environment variable that holds the path of the settings file.
@@ -18,6 +20,9 @@
 _DEFAULT_GRACE_S = 6.0
 _DEFAULT_EVACUATE_MS = 5000
 
+#: Name of the contract under which cold members and regions are observed.
+_PLACES = "places"
+
 #: Cores and link (Mbit/s) of a VM whose capacity counts as 1.
 _UNIT_CORES = 0.5
 _UNIT_LINK_MBPS = 10.0
@@ -47,9 +52,11 @@
     if len(ports) != 2 or ports[1] - ports[0] < 1:
         raise _SettingsError(f"innerPorts: {ports!r}; allowed: two or more")
     seeds = value.get("seeds") or []
+    data_centre = _require_field(value, "zone", str)
+    places = _Places(value, bounds, data_centre)
     return NodeSettings(
         vm=_require_field(value, "node", str),
-        data_centre=_require_field(value, "zone", str),
+        data_centre=data_centre,
         ip=_require_field(value, "ip", str),
         callers=_endpoint(value, "listen", "front"),
         readiness=_endpoint(value, "listen", "ready"),
@@ -62,9 +69,66 @@
         grace_s=float(bounds.get("graceS", _DEFAULT_GRACE_S)),
         evacuate_s=bounds.get("evacuateMs", _DEFAULT_EVACUATE_MS) / 1000.0,
         capacity=_capacity(value.get("limits") or {}),
+        has_places=places.is_listed,
+        cold_bounds=places.cold_bounds,
+        regions=places.regions,
+        unreadable=tuple(places.unreadable),
     )
 
 
+class _Places:
+    """The settings of the contract ``places``; none of them is required.
+
+    ``unreadable`` has one text for each value of a wrong type. Such a value
+    is left out: a VM that doesn't start for it would serve nobody.
+    """
+
+    def __init__(
+        self, value: dict[str, Any], bounds: dict[str, Any], data_centre: str
+    ) -> None:
+        self.unreadable: list[str] = []
+        contracts = self._take(value, "contracts", list, [])
+        self.is_listed = _PLACES in contracts
+        if not self.is_listed:
+            self.cold_bounds, self.regions = ColdBounds(), RegionMap({})
+            return
+        standard = ColdBounds()
+        self.cold_bounds = ColdBounds(
+            self._number(bounds, "coldOverage", standard.overage),
+            self._number(bounds, "coldSlack", standard.slack),
+        )
+        zones = self._take(value, "zones", dict, {})
+        region_by_data_centre = {}
+        own = self._take(value, "region", str, "")
+        if own:
+            region_by_data_centre[data_centre] = own
+        for zone in zones:
+            region = self._take(zones, zone, str, "")
+            if region:
+                region_by_data_centre[zone] = region
+        self.regions = RegionMap(region_by_data_centre)
+
+    def _take(
+        self, value: dict[str, Any], name: str, field_type: type, default: Any
+    ) -> Any:
+        field = value.get(name)
+        if field is None:
+            return default
+        if isinstance(field, field_type) and not isinstance(field, bool):
+            return field
+        self.unreadable.append(f"{name}: {field!r}")
+        return default
+
+    def _number(
+        self, value: dict[str, Any], name: str, default: float
+    ) -> float:
+        field = self._take(value, name, int | float, default)
+        if field >= 0:
+            return float(field)
+        self.unreadable.append(f"{name}: {field!r}")
+        return default
+
+
 def _capacity(limits: dict[str, Any]) -> float:
     """Return what a VM can carry; its scarcer resource decides.
 
--- a/redwingpost/platform/tests/test_boundary.py
+++ b/redwingpost/platform/tests/test_boundary.py
@@ -12,6 +12,7 @@
 _NAMES = re_compile(
     r"X-Redwingpost|rows-(?:tx|get|feed)|blob-(?:put|get)|expectedRev"
     r"|putRows|deleteRows|coldLeftMs|ratePerS|apiKeys|routeType"
+    r"|coldPerS|coldS\b|coldOverage|coldSlack|allowedRegions"
     r"|maxStalenessMs|targetLatencyMs|txIdleMs|dbRole|syncReplicas"
     r"|innerPorts|cloudApi|drainMs|REDWINGPOST_NODE_FILE"
     r"|\b(?:WAITLSN|STEPDOWN|DATAROW|STARTUP|INDOUBT|AUTHFAIL|NODB"
--- a/redwingpost/platform/tests/test_decoding.py
+++ b/redwingpost/platform/tests/test_decoding.py
@@ -3,12 +3,19 @@
 from json import dumps
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from typing import Any
 from unittest import IsolatedAsyncioTestCase, TestCase
+from unittest.mock import patch
 
 from redwingpost.configuration.routes import Consistency
 from redwingpost.core.codes import Code
 from redwingpost.node.tests.line_site import configuration
-from redwingpost.platform.entries import decode_configuration, decode_member
+from redwingpost.platform.entries import (
+    FORMAT,
+    PLACES_FORMAT,
+    decode_configuration,
+    decode_member,
+)
 from redwingpost.platform.settings import load_node_settings
 from redwingpost.platform.store import RowStore
 from redwingpost.ports.clock import MonotonicClock
@@ -72,6 +79,70 @@
                 )
                 self.assertIn(expected, loaded.error.detail)
 
+    def test_places(self) -> None:
+        """A value of a wrong type is left out and named, the rest is kept."""
+        good = {
+            "contracts": ["evacuation", "places"],
+            "zones": {"b": "south"},
+            "region": "north",
+        }
+        both = {"a": "north", "b": "south"}
+        south = {"b": "south"}
+        cases = (
+            ("all", {}, True, (2.0, 7.0), both, ()),
+            ("not listed", {"contracts": ["x"]}, False, (1.5, 5.0), {}, ()),
+            ("no contracts", {"contracts": None}, False, (1.5, 5.0), {}, ()),
+            (
+                "contracts",
+                {"contracts": "places"},
+                False,
+                (1.5, 5.0),
+                {},
+                ("contracts: 'places'",),
+            ),
+            (
+                "region",
+                {"region": 7},
+                True,
+                (2.0, 7.0),
+                south,
+                ("region: 7",),
+            ),
+            (
+                "one data centre",
+                {"zones": {"b": "south", "c": 7}},
+                True,
+                (2.0, 7.0),
+                both,
+                ("c: 7",),
+            ),
+            (
+                "zones",
+                {"zones": ["b"]},
+                True,
+                (2.0, 7.0),
+                {"a": "north"},
+                ("zones: ['b']",),
+            ),
+            (
+                "bounds",
+                {"bounds": {"coldOverage": "much", "coldSlack": -1}},
+                True,
+                (1.5, 5.0),
+                both,
+                ("coldOverage: 'much'", "coldSlack: -1"),
+            ),
+        )
+        bounds = {"coldOverage": 2, "coldSlack": 7}
+        for name, changes, has_places, cold, regions, unreadable in cases:
+            with self.subTest(name):
+                value = {**SETTINGS, "bounds": bounds, **good, **changes}
+                read = self._load(value).ok
+                self.assertEqual(has_places, read.has_places)
+                self.assertEqual(cold, tuple(read.cold_bounds))
+                self.assertEqual(regions, read.regions.region_by_data_centre)
+                self.assertEqual(unreadable, read.unreadable)
+
     def test_no_file(self) -> None:
         loaded = load_node_settings(self.path)
         self.assertIn("local.json", loaded.error.detail)
@@ -81,9 +152,9 @@
     def test_a_member(self) -> None:
         entry = decode_member(Row("t", "m1", 1, MEMBER))
         self.assertEqual(("m1", "g1", "10.2.0.3", 8080), entry[:4])
-        self.assertEqual((False, False, 17, 0), entry[5:])
+        self.assertEqual((False, False, 17, 0, None), entry[5:])
         entry = decode_member(Row("t", "m1", 1, {**MEMBER, "slots": 6}))
-        self.assertEqual((False, False, 17, 6), entry[5:])
+        self.assertEqual((False, False, 17, 6, None), entry[5:])
 
     def test_entries_of_another_writer(self) -> None:
         """Another writer's row among the entries is taken for a member.
@@ -126,6 +197,117 @@
                 decode_configuration(Row("op", "c", 1, value))
 
 
+def _changed(section: str, **fields: Any) -> dict[str, Any]:
+    """Return a configuration with fields added to a section's first entry."""
+    good = configuration(7)
+    first, *others = good[section]
+    return {**good, section: [{**first, **fields}, *others]}
+
+
+class PlacesTest(TestCase):
+    """The fields of the contract ``places``, with and without it."""
+
+    def test_a_member_that_is_cold(self) -> None:
+        cases = (
+            ("not stated", {}, None),
+            ("warm", {"coldLeftMs": 0}, 0.0),
+            ("cold", {"coldLeftMs": 2500}, 2.5),
+            ("a fraction", {"coldLeftMs": 0.5}, 0.0005),
+        )
+        for name, fields, expected in cases:
+            with self.subTest(name):
+                row = Row("t", "m1", 1, {**MEMBER, **fields})
+                entry = PLACES_FORMAT.decode_member(row)
+                self.assertEqual(expected, entry.cold_left_s)
+                self.assertIsNone(FORMAT.decode_member(row).cold_left_s)
+
+    def test_members_with_another_type(self) -> None:
+        """Guards against a member that counts as warm by mistake."""
+        for value in ("soon", True, -1, [3]):
+            with self.subTest(value=value):
+                row = Row("t", "m1", 1, {**MEMBER, "coldLeftMs": value})
+                with self.assertRaises(EntryError):
+                    PLACES_FORMAT.decode_member(row)
+                # Without the contract, nothing depends on the field.
+                self.assertIsNone(FORMAT.decode_member(row).cold_left_s)
+
+    def test_a_configuration(self) -> None:
+        route = _changed("routes", allowedRegions=["n", "s"])
+        tenant = _changed("tenants", allowedRegions=["n"])
+        service = _changed("services", coldPerS=12, coldS=30.5)
+        cases = (
+            ("a route", route, frozenset({"n", "s"}), None, None, 0.0),
+            ("an organisation", tenant, None, frozenset({"n"}), None, 0.0),
+            ("a group", service, None, None, 12.0, 30.5),
+            (
+                "an empty list",
+                _changed("routes", allowedRegions=[]),
+                None,
+                None,
+                None,
+                0.0,
+            ),
+        )
+        for name, value, of_route, of_organisation, rate, cold_s in cases:
+            with self.subTest(name):
+                row = Row("op", "c", 1, value)
+                rules = PLACES_FORMAT.decode_configuration(row)
+                group = rules.groups_by_name["g1"]
+                organisation = rules.organisations_by_name["parish"]
+                self.assertEqual(
+                    of_route, rules.routes_by_database["strict"].regions
+                )
+                self.assertEqual(of_organisation, organisation.regions)
+                self.assertEqual(
+                    (rate, cold_s), (group.cold_rate, group.cold_s)
+                )
+                self.assertEqual(
+                    FORMAT.decode_configuration(
+                        Row("op", "c", 1, configuration(7))
+                    ),
+                    FORMAT.decode_configuration(row),
+                )
+
+    def test_an_entry_with_another_type_is_refused(self) -> None:
+        """Guards against a restriction that is lost with its type.
+
+        That entry alone is left out, and one line names it.
+        """
+        cases = (
+            ("routes", "strict", {"allowedRegions": "north"}),
+            ("routes", "strict", {"allowedRegions": [1]}),
+            ("tenants", "parish", {"allowedRegions": {"north": 1}}),
+            ("services", "g1", {"coldPerS": "12"}),
+            ("services", "g1", {"coldS": True}),
+            ("services", "g1", {"coldPerS": -2}),
+        )
+        for section, entry, fields in cases:
+            with self.subTest(fields=fields):
+                row = Row("op", "c", 1, _changed(section, **fields))
+                with patch(
+                    "redwingpost.platform.entries.log_event"
+                ) as log_event:
+                    rules = PLACES_FORMAT.decode_configuration(row)
+                kept = {
+                    "routes": rules.routes_by_database,
+                    "tenants": rules.organisations_by_name,
+                    "services": rules.groups_by_name,
+                }
+                self.assertNotIn(entry, kept[section])
+                others = len(configuration(7)[section]) - 1
+                self.assertEqual(others, len(kept[section]))
+                log_event.assert_called_once()
+                self.assertEqual(entry, log_event.call_args.kwargs["entry"])
+
+    def test_a_configuration_without_these_fields(self) -> None:
+        """Guards against a change where nothing is configured."""
+        row = Row("op", "c", 1, configuration(7))
+        self.assertEqual(
+            FORMAT.decode_configuration(row),
+            PLACES_FORMAT.decode_configuration(row),
+        )
+
+
 class StoreTest(IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.stand_in = StandInStore()
--- a/redwingpost/platform/tests/test_lines.py
+++ b/redwingpost/platform/tests/test_lines.py
@@ -139,6 +139,8 @@
             (Code.COMMIT_UNKNOWN, "INDOUBT"),
             (Code.TRANSACTION_ROLLED_BACK, "ABORTED"),
             (Code.TIMED_OUT, "TIMEOUT"),
+            (Code.EVACUATED, "BUSY"),
+            (Code.NO_MEMBER_IN_REGION, "BUSY"),
             (Code.TOO_LARGE, "TOOLARGE"),
         )
         for code, keyword in cases:
--- a/redwingpost/ports/database.py
+++ b/redwingpost/ports/database.py
@@ -150,7 +150,8 @@
     ``started_ms`` distinguishes the incarnations of a member under one
     name; it is only compared for equality. ``slots`` is the number of
     statements that the member runs concurrently; 0 if the registry
-    doesn't state it.
+    doesn't state it. ``cold_left_s`` is for how much longer the member
+    remains slow after its start (seconds); None if it isn't stated.
     """
 
     member: str
@@ -162,6 +163,7 @@
     claims_primary: bool
     started_ms: int = 0
     slots: int = 0
+    cold_left_s: float | None = None
 
 
 class LinkFactory(Protocol):
