Takeovers: keep a primary in the allowed regions, choose warm replicas

A takeover chose the replica that was furthest ahead, wherever it stood and however cold it was: a restricted route could be left without a primary that may serve it, and writes could be limited by a cold one.

Candidates are ordered by: draining, routes that would lose their primary, pairs of route and restricted organisation that would, cold, furthest ahead. One that no route could use is left out.

Entries that a takeover compares don't contain the time for which a member remains cold: it changes with each row, and the order would be given up.

--- a/redwingpost/groups/directory.py
+++ b/redwingpost/groups/directory.py
@@ -44,12 +44,15 @@
     announcement was delayed would get new work until it exits.
     ``restarted_at`` is when the
     member was first seen with another start time than before; minus infinity
-    if that has never changed.
+    if that has never changed. ``cold_until`` is when it stops being cold by
+    its own statement, which is counted from its arrival; minus infinity if
+    it states nothing.
     """
 
     entry: MemberEntry
     draining_since: float | None
     restarted_at: float
+    cold_until: float = float("-inf")
 
 
 class RemovedMember(NamedTuple):
@@ -110,7 +113,10 @@
         restarted_at = self._restarted_at(previous, entry, now)
         if previous is not None and previous.entry.group != entry.group:
             self._drop_from_group(previous.entry)
-        listed = ListedMember(entry, since, restarted_at)
+        cold_until = float("-inf")
+        if entry.cold_left_s is not None:
+            cold_until = now + entry.cold_left_s
+        listed = ListedMember(entry, since, restarted_at, cold_until)
         self._listed_by_member[entry.member] = listed
         entries = self._entries_by_group.setdefault(entry.group, {})
         entries[entry.member] = entry
--- a/redwingpost/node/takeover/coordinator.py
+++ b/redwingpost/node/takeover/coordinator.py
@@ -12,12 +12,14 @@
 from redwingpost.leases.duty import HeldDuty
 from redwingpost.node.group import GroupClient
 from redwingpost.node.member import MemberClient
+from redwingpost.node.places import Places
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.database import (
     LinkFactory,
     MemberEntry,
     PromotionOrders,
+    StatusReport,
 )
 from redwingpost.takeover.plan import (
     Survey,
@@ -57,7 +59,8 @@
 class TakeoverDependencies(NamedTuple):
     """What a takeover uses besides the group.
 
-    ``vm`` is this VM's name.
+    ``vm`` is this VM's name; ``places`` is None where neither cold members
+    nor regions are observed.
     """
 
     directory: Directory
@@ -65,6 +68,7 @@
     orders: PromotionOrders
     clock: Clock
     vm: str
+    places: Places | None = None
 
 
 class Coordinator:
@@ -100,6 +104,7 @@
         self._orders = dependencies.orders
         self._clock = dependencies.clock
         self._vm = dependencies.vm
+        self._places = dependencies.places
         self._links = dependencies.links
         self._roster = roster.with_listed(
             self._directory.members_of(group.name)
@@ -164,7 +169,7 @@
 
         async def send(client: MemberClient) -> MemberStatus:
             report = await client.send_command(command, *arguments)
-            return MemberStatus(self._entry_of(client), report)
+            return self._status(self._entry_of(client), report)
 
         statuses = await gather(*(send(item) for item in clients.values()))
         return tuple(
@@ -243,7 +248,7 @@
         """Add rostered members without an answer, as silent ones."""
         answered = {item.entry.member for item in answers}
         silent = tuple(
-            MemberStatus(entry, None)
+            self._status(entry, None)
             for name, entry in self._roster.member_by_name.items()
             if name not in answered
         )
@@ -363,14 +368,30 @@
     async def _request_status(self, member: str) -> MemberStatus:
         client = self.clients[member]
         report = await client.send_command("status")
-        return MemberStatus(self._entry_of(client), report)
+        return self._status(self._entry_of(client), report)
+
+    def _status(
+        self, entry: MemberEntry, report: StatusReport | None
+    ) -> MemberStatus:
+        """Return a member's status with what its place means."""
+        if self._places is None:
+            return MemberStatus(entry, report)
+        group = self._group.name
+        return MemberStatus(
+            entry,
+            report,
+            self._places.losses(group, entry.data_centre),
+            self._places.is_cold(group, self._directory.get(entry.member)),
+        )
 
     def _entry_of(self, client: MemberClient) -> MemberEntry:
         """Return a member's entry; one to be evacuated counts as draining.
 
         Like a draining one it is chosen only if no other member may lead.
+        The time for which a member remains cold is left out: entries are
+        compared, and it changes with each of the member's reports.
         """
-        entry = client.entry
+        entry = client.entry._replace(cold_left_s=None)
         if self._directory.evacuations.is_ordered(entry.data_centre):
             return entry._replace(is_draining=True)
         return entry
--- a/redwingpost/node/tests/test_coordinator.py
+++ b/redwingpost/node/tests/test_coordinator.py
@@ -3,10 +3,18 @@
 from collections.abc import Callable
 from unittest import IsolatedAsyncioTestCase
 
+from redwingpost.configuration.routes import (
+    NO_RULES,
+    Consistency,
+    GroupRule,
+    RouteRule,
+)
 from redwingpost.core.positions import Position
 from redwingpost.groups.directory import Directory
 from redwingpost.groups.evidence import GroupEvidence
+from redwingpost.groups.regions import RegionMap
 from redwingpost.leases.duty import HeldDuty
+from redwingpost.node.places import Places
 from redwingpost.node.takeover.coordinator import (
     Coordinator,
     TakeoverDependencies,
@@ -91,14 +99,17 @@
 
 class TakeoverTest(IsolatedAsyncioTestCase):
     def _coordinator(
-        self, group: FakeGroup, roster: str = "pab"
+        self,
+        group: FakeGroup,
+        roster: str = "pab",
+        places: Places | None = None,
     ) -> Coordinator:
         clock = MonotonicClock()
         directory = Directory()
         for member in group.member_by_name.values():
             directory.put(member.entry, clock.now())
         dependencies = TakeoverDependencies(
-            directory, None, group, clock, "vm-1"
+            directory, None, group, clock, "vm-1", places
         )
         entries = tuple(_entry(name) for name in roster)
         duty = HeldDuty(1, clock.now() + 60.0)
@@ -194,3 +205,76 @@
         outcome = await self._coordinator(group).run(Reason.LEAVING)
         self.assertEqual("not safe yet", outcome)
         self.assertEqual([], group.promoted)
+
+    async def test_a_takeover_keeps_a_primary_in_the_regions(self) -> None:
+        """Guards against a route that is left without a primary.
+
+        Without its restriction the replica b would be chosen, the last of
+        two that are equally far ahead. Its data centre is in another region,
+        or it is cold.
+        """
+        north = frozenset({"north"})
+        cases = (
+            ("no restriction", [None], "north", None, ["b"]),
+            ("another region", [north, None], "south", None, ["a"]),
+            ("an unknown region", [north, None], "", None, ["a"]),
+            ("a cold member", [None], "north", 60.0, ["a"]),
+            ("a cold member in the region", [north], "south", 60.0, ["a"]),
+        )
+        for reason in (Reason.LEAVING, Reason.SILENT):
+            for name, routes, region, left_s, expected in cases:
+                with self.subTest(name, reason=reason):
+                    group = FakeGroup()
+                    if reason is Reason.SILENT:
+                        group.all_by_name["p"].is_silent = True
+                    cold = group.all_by_name["b"]
+                    cold.entry = cold.entry._replace(
+                        data_centre="b", cold_left_s=left_s
+                    )
+                    places = _places(routes, {"a": "north", "b": region})
+                    coordinator = self._coordinator(group, places=places)
+                    await coordinator.run(reason)
+                    self.assertEqual(expected, group.promoted)
+
+    async def test_no_route_could_use_the_only_replica(self) -> None:
+        """Guards against a primary that serves nobody."""
+        group = FakeGroup()
+        group.all_by_name["p"].is_silent = True
+        places = _places([frozenset({"west"})], {"a": "north"})
+        coordinator = self._coordinator(group, places=places)
+        outcome = await coordinator.run(Reason.SILENT)
+        self.assertEqual("no replica answers", outcome)
+        self.assertEqual([], group.promoted)
+
+
+def _places(
+    routes: list[frozenset[str] | None], regions: dict[str, str]
+) -> Places:
+    """Return places whose configuration has routes with restrictions."""
+    places = Places(
+        "vm-1",
+        lambda group, now: (),
+        lambda group, member: None,
+        MonotonicClock(),
+        RegionMap(regions),
+    )
+    places.take_rules(
+        NO_RULES._replace(
+            groups_by_name={_GROUP: GroupRule(_GROUP, 32, 1)},
+            routes_by_database={
+                f"d{number}": RouteRule(
+                    f"d{number}",
+                    _GROUP,
+                    Consistency.PRIMARY,
+                    1.0,
+                    0.4,
+                    1,
+                    0.0,
+                    False,
+                    allowed,
+                )
+                for number, allowed in enumerate(routes)
+            },
+        )
+    )
+    return places
--- a/redwingpost/takeover/plan.py
+++ b/redwingpost/takeover/plan.py
@@ -28,6 +28,7 @@
 from typing import NamedTuple
 
 from redwingpost.core.positions import Position
+from redwingpost.groups.regions import Losses
 from redwingpost.takeover.status import MemberStatus
 
 #: Members that may be silent where no primary was stopped: only the primary
@@ -94,7 +95,10 @@
 
     A draining member comes after all others, as it would have to be replaced
     again. It is included because it may be the only one that holds every
-    acknowledged commit.
+    acknowledged commit. Before that, a member comes first in whose region
+    the fewest routes are left without a primary, and among equals a cold
+    one last. A member that no route of the group could use is left out:
+    as a primary it would serve nobody, and keep those away that could.
     """
     replicas = [
         item
@@ -102,16 +106,21 @@
         if item.entry.member != leader and not item.is_silent
         # Still reports as primary, although it was replaced. Its log is
         # taken into account all the same.
-        and not item.report.is_primary
+        and not item.report.is_primary and not item.losses.is_all
     ]
     replicas.sort(key=lambda s: (s.received, s.entry.member), reverse=True)
-    return tuple(sorted(replicas, key=lambda s: s.entry.is_draining))
+    return tuple(sorted(replicas, key=_reluctance))
+
+
+def _reluctance(status: MemberStatus) -> tuple[bool, Losses, bool]:
+    """Return a key by which the members to be preferred come first."""
+    return status.entry.is_draining, status.losses, status.is_cold
 
 
 def choose_replica(
     statuses: tuple[MemberStatus, ...], leader: str | None
 ) -> Choice | None:
-    """Choose the replica that is furthest ahead, draining ones last.
+    """Choose the first of the candidates.
 
     Returns
     -------
--- a/redwingpost/takeover/status.py
+++ b/redwingpost/takeover/status.py
@@ -3,14 +3,21 @@
 from typing import NamedTuple
 
 from redwingpost.core.positions import ZERO_POSITION, Position
+from redwingpost.groups.regions import NO_LOSSES, Losses
 from redwingpost.ports.database import MemberEntry, StatusReport
 
 
 class MemberStatus(NamedTuple):
-    """A member and its report, None if it didn't answer."""
+    """A member and its report, None if it didn't answer.
+
+    ``losses`` is what could not use the member as a primary because of its
+    region; ``is_cold`` tells whether it is still slow after its start.
+    """
 
     entry: MemberEntry
     report: StatusReport | None
+    losses: Losses = NO_LOSSES
+    is_cold: bool = False
 
     @property
     def received(self) -> Position:
--- a/redwingpost/takeover/tests/test_plan.py
+++ b/redwingpost/takeover/tests/test_plan.py
@@ -4,11 +4,13 @@
 from unittest import TestCase
 
 from redwingpost.core.positions import ZERO_POSITION, Position
+from redwingpost.groups.regions import NO_LOSSES, Losses
 from redwingpost.ports.database import MemberEntry, StatusReport
 from redwingpost.takeover.plan import (
     MemberStatus,
     Survey,
     candidates,
+    choose_replica,
     is_worth_stopping,
     may_promote,
 )
@@ -168,3 +170,64 @@
         )
         names = [item.entry.member for item in candidates(statuses, None)]
         self.assertEqual(["ahead", "behind", "draining"], names)
+
+    def test_members_that_leave_routes_without_a_primary(self) -> None:
+        """Guards against a primary where the callers may not be served.
+
+        Each case has the losses and the coldness of members that are the
+        further ahead the later they come, and the order in which they are
+        tried.
+        """
+        some, more = Losses(1, 0, False), Losses(2, 0, False)
+        of_organisations = Losses(0, 3, False)
+        cases = (
+            (
+                "equal",
+                {"a": (NO_LOSSES, False), "b": (NO_LOSSES, False)},
+                "ba",
+            ),
+            ("one loses", {"a": (NO_LOSSES, False), "b": (some, False)}, "ab"),
+            ("one loses more", {"a": (some, False), "b": (more, False)}, "ab"),
+            (
+                "routes before organisations",
+                {"a": (of_organisations, False), "b": (some, False)},
+                "ab",
+            ),
+            ("cold", {"a": (NO_LOSSES, False), "b": (NO_LOSSES, True)}, "ab"),
+            (
+                "a region before warmth",
+                {"a": (NO_LOSSES, True), "b": (some, False)},
+                "ab",
+            ),
+            (
+                "nobody could use it",
+                {"a": (some, True), "b": (Losses(2, 0, True), False)},
+                "a",
+            ),
+        )
+        for name, places, expected in cases:
+            with self.subTest(name):
+                statuses = tuple(
+                    _status(member, Answer(index))._replace(
+                        losses=losses, is_cold=is_cold
+                    )
+                    for index, (member, (losses, is_cold)) in enumerate(
+                        places.items()
+                    )
+                )
+                found = candidates(statuses, None)
+                order = "".join(item.entry.member for item in found)
+                self.assertEqual(expected, order)
+                chosen = choose_replica(statuses, None).chosen
+                self.assertEqual(expected[0], chosen.entry.member)
+
+    def test_a_draining_member_in_the_region(self) -> None:
+        """It comes last all the same: it would be replaced again at once."""
+        draining = _status("draining", Answer(9))
+        entry = draining.entry._replace(is_draining=True)
+        elsewhere = _status("elsewhere", Answer(6))._replace(
+            losses=Losses(1, 0, False)
+        )
+        statuses = (draining._replace(entry=entry), elsewhere)
+        names = [item.entry.member for item in candidates(statuses, None)]
+        self.assertEqual(["elsewhere", "draining"], names)
