Places: cold members and regions on the data path

Admission combines the regions of route and organisation into the route that all later steps get; a forwarded statement carries them. Members and homes outside are no candidates. Where no member inside can run a statement, 20313 is returned at once.

What a cold member gets is checked and counted immediately before a statement is written to its connection, one place for first tries, retries, hedged reads, transactions and forwarded statements. A refusal is 20202, not run, with the time until the next statement may be sent; a transaction that may not go on is rolled back by closing its connection. Members that may get nothing now are passed over for reads. Metric: redwing_cold_refused_total.

Who sends is derived from the homes, or from all VMs while a listed one isn't heard or an unlisted one is.

--- a/redwingpost/node/forwarding/forwarder.py
+++ b/redwingpost/node/forwarding/forwarder.py
@@ -79,10 +79,13 @@
         self._budget = RetryBudget()
         self._transactions = count(1)
 
-    def has_home_elsewhere(self, group: str, organisation: str) -> bool:
+    def has_home_elsewhere(self, route: RouteRule, organisation: str) -> bool:
         """Return whether another VM should run a statement as home."""
         now = self._clock.now()
-        return bool(self._homes.homes_to_try(group, organisation, now))
+        homes = self._homes.homes_to_try(
+            route.group, organisation, now, route.regions
+        )
+        return bool(homes)
 
     def next_transaction(self) -> int:
         """Return a new transaction number, unique on this VM."""
@@ -213,7 +216,7 @@
         """Yield connections to the homes to try, the best first."""
         now = self._clock.now()
         homes = self._homes.homes_to_try(
-            task.route.group, task.caller.organisation, now
+            task.route.group, task.caller.organisation, now, task.route.regions
         )
         for home in homes[:MAX_HOMES]:
             try:
--- a/redwingpost/node/forwarding/homes.py
+++ b/redwingpost/node/forwarding/homes.py
@@ -6,6 +6,7 @@
 from redwingpost.configuration.routes import ServiceRules
 from redwingpost.groups.choice import ASSUMED_SLOTS
 from redwingpost.groups.directory import Directory
+from redwingpost.groups.regions import ALL_REGIONS, RegionMap, Regions
 from redwingpost.membership.heartbeat import VmAddress
 from redwingpost.membership.vm_table import VmTable
 from redwingpost.routing.homes import (
@@ -67,12 +68,21 @@
         The fleet's VMs.
     directory : Directory
         The groups' members.
+    regions : RegionMap, optional
+        The regions of the data centres.
     """
 
-    def __init__(self, vm: str, vms: VmTable, directory: Directory) -> None:
+    def __init__(
+        self,
+        vm: str,
+        vms: VmTable,
+        directory: Directory,
+        regions: RegionMap = ALL_REGIONS,
+    ) -> None:
         self._vm = vm
         self._vms = vms
         self._directory = directory
+        self._regions = regions
         self._rules: ServiceRules | None = None
         self._cached_by_group: dict[str, _CachedHomes] = {}
         self._suspect_until: dict[str, float] = {}
@@ -115,12 +125,44 @@
             return self._vms.count()
         return len(homes.addresses)
 
+    def senders(self, group: str, now: float) -> tuple[str, ...]:
+        """Return the VMs that may send statements to a group's cold members.
+
+        These are the group's homes. While a listed VM isn't heard, or an
+        unlisted one is, other VMs may have chosen other homes: then all VMs
+        count, in an order that doesn't depend on which of them are heard;
+        unlisted ones have no name. Empty if this VM isn't a home, or doesn't
+        know the other VMs yet.
+        """
+        if not self._vms.has_list or not self.is_home(group, now):
+            return ()
+        homes = self.homes_of(group, now)
+        listed = self._vms.alive_addresses(now, float("inf"))
+        unlisted = max(0, self._vms.count() - len(listed))
+        if not homes.is_all and not unlisted and not self._vms.missing(now):
+            return tuple(address.vm for address in homes.addresses)
+        choice = self._choice_for(group, now)
+        ordered = choose_homes(
+            group,
+            choice.data_centres,
+            listed,
+            len(listed),
+            attrgetter("capacity"),
+        )
+        names = tuple(address.vm for address in ordered)
+        return names + ("",) * unlisted
+
     def homes_to_try(
-        self, group: str, organisation: str, now: float
+        self,
+        group: str,
+        organisation: str,
+        now: float,
+        regions: Regions = None,
     ) -> tuple[VmAddress, ...]:
         """Return the homes to try for an organisation, the best first.
 
-        Empty if this VM runs the statement itself.
+        Those outside ``regions`` are left out. Empty if this VM runs the
+        statement itself.
         """
         homes = self.homes_of(group, now)
         if homes.is_all:
@@ -133,6 +175,7 @@
             address
             for address in ranked
             if self._suspect_until.get(address.vm, 0.0) <= now
+            and self._regions.allows(regions, address.data_centre)
         )
 
     def mark_suspect(self, vm: str, now: float) -> None:
--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -8,6 +8,7 @@
     shield,
     wait_for,
 )
+from operator import itemgetter
 
 from redwingpost.core.codes import Code
 from redwingpost.core.positions import Position
@@ -23,11 +24,13 @@
     is_primary_probe_due,
     may_probe,
 )
+from redwingpost.groups.regions import ALL_REGIONS, Regions
 from redwingpost.membership.centres import CentreWatch
 from redwingpost.membership.vm_table import VmTable
 from redwingpost.node.forwarding.homes import HomeView
 from redwingpost.node.lead_proofs import LeadProofs
 from redwingpost.node.member import MemberClient
+from redwingpost.node.places import Places
 from redwingpost.node.request.read_ranking import ReadContext, rank_for_read
 from redwingpost.observability.journal import log_event
 from redwingpost.pools.pool import IDLE_S
@@ -72,6 +75,10 @@
 #: elsewhere may become able to lead.
 EVACUATED_RETRY_MS = 1000
 
+#: Refusal of what no member in its regions can run. The caller may come back
+#: after about the time of a takeover.
+_NOT_IN_REGION = Refusal(Code.NO_MEMBER_IN_REGION, "", 1000)
+
 
 class GroupClient:
     """The members of one group, and what is proven about them."""
@@ -87,6 +94,7 @@
         vms: VmTable,
         centres: CentreWatch,
         homes: HomeView | None = None,
+        places: Places | None = None,
     ) -> None:
         self.name = name
         self.evidence = GroupEvidence()
@@ -105,6 +113,7 @@
         self._vms = vms
         self._centres = centres
         self._homes = homes
+        self._places = places
         self._used_at = float("-inf")
         self._stall = StallDetector()
         self._round: Task | None = None
@@ -138,6 +147,10 @@
             client.work_ends_at = self._directory.evacuations.work_ends_at(
                 entry.data_centre
             )
+            if self._places is not None:
+                client.cold_guard = self._places.guard_for(
+                    self.name, self._directory.get(member)
+                )
         for client in self.member_by_name.values():
             client.close_idle(not self.accepts_work(client))
 
@@ -188,19 +201,93 @@
         lost_s = self._centres.lost_s(client.entry.data_centre)
         return max(client.failing_s, lost_s) > UNREACHABLE_AFTER_S
 
-    def ranked(self, organisation: str) -> list[MemberClient]:
-        """Return the members that accept reads, the best first."""
+    def ranked(
+        self,
+        organisation: str,
+        regions: Regions = None,
+        statements: int = 1,
+    ) -> list[MemberClient]:
+        """Return the members that accept reads, the best first.
+
+        Parameters
+        ----------
+        organisation : str
+            The organisation of the read.
+        regions : frozenset of str, optional
+            Regions to which the read is restricted.
+        statements : int, optional
+            How many statements a cold member must be able to get now.
+        """
         now = self._clock.now()
         clients = [
             client
-            for client in self.member_by_name.values()
-            if self.accepts_work(client)
-            and client.accepts_reads(now)
-            and not self._is_evacuated(client)
+            for client in self._usable_in(regions)
+            if client.accepts_reads(now)
+            and client.cold_wait_s(statements) <= 0.0
         ]
         context = ReadContext(organisation, self._data_centre, now)
         return rank_for_read(clients, self.evidence, context)
 
+    # Places ------------------------------------------------------------
+
+    def refuse_reads(
+        self, regions: Regions, statements: int = 1
+    ) -> Refusal | None:
+        """Refuse a read for which no member was found, if that can't change.
+
+        That is, where no member in its regions may get statements, or all
+        that may are cold. None if one of them only failed to answer.
+        """
+        usable = self._usable_in(regions)
+        if not usable:
+            return None if regions is None else _NOT_IN_REGION
+        waits = [
+            (client.cold_wait_s(statements), client)
+            for client in usable
+            if client.accepts_reads(self._clock.now())
+        ]
+        if not waits or min(wait_s for wait_s, _ in waits) <= 0.0:
+            return None
+        return min(waits, key=itemgetter(0))[1].refuse_cold(statements)
+
+    def refuse_primary(
+        self, regions: Regions, statements: int = 1
+    ) -> Refusal | None:
+        """Refuse what only the primary can run and may not be sent there.
+
+        Because it is in another region, or cold. Also if the primary isn't
+        known and no member is in the regions.
+        """
+        client = self.member_by_name.get(self.evidence.leader or "")
+        if client is None:
+            if regions is None or self._members_in(regions):
+                return None
+            return _NOT_IN_REGION
+        if not self._allows(regions, client):
+            return _NOT_IN_REGION
+        return client.refuse_cold(statements)
+
+    def _usable_in(self, regions: Regions) -> list[MemberClient]:
+        """Return the members in regions that may get reads."""
+        return [
+            client
+            for client in self._members_in(regions)
+            if self.accepts_work(client) and not self._is_evacuated(client)
+        ]
+
+    def _members_in(self, regions: Regions) -> list[MemberClient]:
+        return [
+            client
+            for client in self.member_by_name.values()
+            if self._allows(regions, client)
+        ]
+
+    def _allows(self, regions: Regions, client: MemberClient) -> bool:
+        if regions is None:
+            return True
+        known = ALL_REGIONS if self._places is None else self._places.regions
+        return known.allows(regions, client.entry.data_centre)
+
     # Evacuation --------------------------------------------------------
 
     @property
@@ -513,6 +600,8 @@
 
     def _remove(self, member: str) -> None:
         self.member_by_name.pop(member).close()
+        if self._places is not None and self._directory.get(member) is None:
+            self._places.forget(self.name, member)
         self.evidence.forget(member)
         self._update_leader_state()
 
--- a/redwingpost/node/member.py
+++ b/redwingpost/node/member.py
@@ -9,10 +9,14 @@
 )
 from heapq import heappop, heappush
 from itertools import count
+from math import ceil
 
+from redwingpost.core.codes import Code
+from redwingpost.core.requests import Refusal
 from redwingpost.core.statements import Shape
 from redwingpost.groups.latency import LatencyTracker
 from redwingpost.membership.centres import MemberHealth
+from redwingpost.node.places import ColdGuard
 from redwingpost.observability.journal import log_event
 from redwingpost.pools.pool import (
     Busy,
@@ -93,6 +97,8 @@
         self.lagging_until = float("-inf")
         #: When statements may no longer be sent there (seconds).
         self.work_ends_at = float("inf")
+        #: Limits statements while the member is cold; None: no limit.
+        self.cold_guard: ColdGuard | None = None
         self.answered_at = clock.now()
         self.failed_at = float("-inf")
         self.command_sent_at = float("-inf")
@@ -169,8 +175,25 @@
         """Record that the member has just answered."""
         self.answered_at = self._clock.now()
 
+    def cold_wait_s(self, statements: int = 1) -> float:
+        """Return how long the member may get no statement (seconds)."""
+        if self.cold_guard is None:
+            return 0.0
+        return self.cold_guard.wait_s(statements)
+
+    def refuse_cold(self, statements: int = 1) -> Refusal | None:
+        """Refuse statements that a cold member may not get now."""
+        wait_s = self.cold_wait_s(statements)
+        if wait_s <= 0.0:
+            return None
+        self.cold_guard.note_refused()
+        detail = f"{self.entry.member} is cold"
+        return Refusal(Code.OVER_CAPACITY, detail, ceil(wait_s * 1000))
+
     def note_sent(self) -> None:
         """Record that a statement was sent to the member."""
+        if self.cold_guard is not None:
+            self.cold_guard.note_sent()
         if self._unanswered == 0:
             self._sent_at = self._clock.now()
         self._unanswered += 1
--- a/redwingpost/node/metrics.py
+++ b/redwingpost/node/metrics.py
@@ -73,6 +73,12 @@
             ("reason", "outcome"),
             registry=self._registry,
         )
+        self._cold_refused = Counter(
+            "redwing_cold_refused_total",
+            "Statements not sent to a member because it is cold",
+            ("group", "member"),
+            registry=self._registry,
+        )
 
     def note(self, kind: str, code: str, seconds: float) -> None:
         """Count one statement."""
@@ -83,6 +89,10 @@
         """Count a granted operation that no member ran."""
         self._given_back.labels(organisation, group).inc()
 
+    def note_cold_refused(self, group: str, member: str) -> None:
+        """Count a statement that a cold member may not get."""
+        self._cold_refused.labels(group, member).inc()
+
     def note_operation(
         self, organisation: str, group: str, outcome: str
     ) -> None:
--- a/redwingpost/node/request/admission.py
+++ b/redwingpost/node/request/admission.py
@@ -11,6 +11,7 @@
 )
 from redwingpost.core.codes import Code
 from redwingpost.core.requests import Refusal
+from redwingpost.groups.regions import combine
 from redwingpost.membership.vm_table import VmTable
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
@@ -26,7 +27,10 @@
 
 
 class Admitted(NamedTuple):
-    """An operation that passed the checks of one configuration version."""
+    """An operation that passed the checks of one configuration version.
+
+    ``route`` has the restriction to regions of both route and organisation.
+    """
 
     route: RouteRule
     organisation: OrganisationRule
@@ -78,6 +82,9 @@
             if not route.is_public:
                 return Refusal(Code.WRONG_KEY)
             organisation = _NO_LIMIT
+        if organisation.regions is not None:
+            both = combine(route.regions, organisation.regions)
+            route = route._replace(regions=both)
         return Admitted(route, organisation, self.sync_replicas(route.group))
 
     def sync_replicas(self, group: str) -> int:
--- a/redwingpost/node/request/attempt.py
+++ b/redwingpost/node/request/attempt.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from redwingpost.core.codes import Code
 from redwingpost.core.positions import Position
+from redwingpost.core.requests import Refusal
 from redwingpost.core.statements import Shape, Statement
 from redwingpost.node.member import (
     MemberClient,
@@ -32,9 +34,17 @@
 
 
 class NotSent(NamedTuple):
-    """The statement was not sent to the member."""
+    """The statement was not sent to the member.
+
+    ``refusal`` is given if no other attempt at that member would help now.
+    """
 
     reason: str
+    refusal: Refusal | None = None
+
+    def refuse(self) -> Refusal:
+        """Return the refusal of a statement that isn't sent elsewhere."""
+        return self.refusal or Refusal(Code.TARGET_LOST, self.reason, 100)
 
 
 class NoAnswer(NamedTuple):
@@ -105,6 +115,10 @@
     if isinstance(outcome, NoAnswer):
         client.discard(pooled)
         return outcome
+    if isinstance(outcome, NotSent):
+        trace.note_not_run()
+        client.release(pooled)
+        return outcome
     if outcome.failure is None:
         now = clock.now()
         client.latency.observe(now - started_at, now)
@@ -168,15 +182,20 @@
     statement: Statement,
     after: Position | None,
     shape: Shape | None,
-) -> Reply | NoAnswer:
+) -> Outcome:
     """Run a statement on a claimed connection that is set up.
 
+    It is not sent if the member is cold and may get no statement now.
+
     The connection stays claimed, unless the call is cancelled: then it is
     discarded, as the late answer would be read as that of the next
     statement.
     """
     prepared_as = prepared_name(shape) if shape is not None else ""
     missing = prepare_step(pooled.contents, shape)
+    refused = client.refuse_cold()
+    if refused is not None:
+        return NotSent(refused.detail, refused)
     client.note_sent()
     try:
         reply = await pooled.link.run(statement, after, prepared_as, missing)
--- a/redwingpost/node/request/reads.py
+++ b/redwingpost/node/request/reads.py
@@ -100,6 +100,9 @@
     ) -> Result | None:
         """Run at the primary; return None if its lead wasn't proven."""
         leader = await await_leader(group, read.deadline, self._clock)
+        refused = group.refuse_primary(read.route.regions)
+        if refused is not None:
+            return refused
         if leader is None:
             return group.refuse_without_primary()
         refused = group.refuse_unprovable(self._remaining_s(read))
@@ -126,9 +129,13 @@
         self, group: GroupClient, read: ReadRequest, plan: ReadPlan
     ) -> Result | None:
         """Run at the best member; return None if there is none at present."""
-        ranked = group.ranked(read.caller.organisation)
+        regions = read.route.regions
+        ranked = group.ranked(read.caller.organisation, regions)
         if not ranked and group.is_evacuated:
             return Refusal(Code.EVACUATED, "", EVACUATED_RETRY_MS)
+        refused = None if ranked else group.refuse_reads(regions)
+        if refused is not None:
+            return refused
         if not ranked:
             await group.wait_for_change(min(0.2, self._remaining_s(read)))
             return None
@@ -136,7 +143,7 @@
         if isinstance(outcome, NoAnswer):
             return Refusal(Code.TIMED_OUT, outcome.reason)
         if isinstance(outcome, NotSent):
-            return Refusal(Code.TARGET_LOST, outcome.reason, 100)
+            return outcome.refuse()
         if is_proven_success(outcome):
             return Answer(outcome.rows, outcome.proof)
         return self._to_failure_result(outcome.failure)
@@ -248,7 +255,7 @@
         if isinstance(outcome, NoAnswer):
             return Refusal(Code.TIMED_OUT, outcome.reason)
         if isinstance(outcome, NotSent):
-            return Refusal(Code.TARGET_LOST, outcome.reason, 100)
+            return outcome.refuse()
         if is_proven_success(outcome):
             return Answer(outcome.rows, outcome.proof)
         if outcome.failure and outcome.failure.kind is FailureKind.NOT_PRIMARY:
--- a/redwingpost/node/request/session.py
+++ b/redwingpost/node/request/session.py
@@ -56,7 +56,7 @@
         """Return whether another VM should run an operation."""
         return self.forwarder is not None and (
             self.forwarder.has_home_elsewhere(
-                admitted.route.group, admitted.organisation.name
+                admitted.route, admitted.organisation.name
             )
         )
 
--- a/redwingpost/node/request/transaction.py
+++ b/redwingpost/node/request/transaction.py
@@ -21,6 +21,7 @@
     Caller,
     NoAnswer,
     NotSent,
+    Outcome,
     claim_connection,
     make_ready,
     run_on_connection,
@@ -54,6 +55,11 @@
 #: doesn't answer it in this time has stopped answering.
 BEGIN_TIMEOUT_S = 0.4
 
+#: Statements that a cold member must be able to get before a transaction
+#: begins there: BEGIN, one statement and COMMIT. With fewer it would be
+#: rolled back by the limit.
+SHORTEST_TRANSACTION = 3
+
 
 class PinnedConnection(NamedTuple):
     """The member and the connection that a transaction runs on."""
@@ -98,6 +104,8 @@
         if refused is not None:
             return refused
         outcome = await self._send(statement, deadline)
+        if isinstance(outcome, NotSent):
+            return self._end_unsent(outcome)
         if not isinstance(outcome, Reply):
             return self._end_lost(outcome.reason)
         if not is_proven_success(outcome):
@@ -120,8 +128,10 @@
         watch = self._group.writes
         number = watch.start(sent_at)
         outcome = await self._send(statement, deadline)
-        is_answered = isinstance(outcome, Reply)
+        is_answered = not isinstance(outcome, NoAnswer)
         watch.end(number, is_answered)
+        if isinstance(outcome, NotSent):
+            return self._end_unsent(outcome)
         if not isinstance(outcome, Reply):
             return self._commit_unanswered(statement, outcome)
         if not is_proven_success(outcome):
@@ -211,8 +221,15 @@
         plan = await plan_with_sample(self._group, read)
         if plan.needs_proof:
             return await self._begin_at_primary(deadline)
+        regions = self._route.regions
+        ranked = self._group.ranked(
+            self._caller.organisation, regions, SHORTEST_TRANSACTION
+        )
         result: Result | None = Refusal(Code.TARGET_LOST, "", 100)
-        for client in self._group.ranked(self._caller.organisation):
+        if not ranked:
+            refused = self._group.refuse_reads(regions, SHORTEST_TRANSACTION)
+            result = refused or result
+        for client in ranked:
             result = await self._begin_at(client, plan.after, deadline)
             if result is None or not _is_transient(result):
                 return result
@@ -220,6 +237,11 @@
 
     async def _begin_at_primary(self, deadline: float) -> Result | None:
         leader = await await_leader(self._group, deadline, self._clock)
+        refused = self._group.refuse_primary(
+            self._route.regions, SHORTEST_TRANSACTION
+        )
+        if refused is not None:
+            return refused
         if leader is None:
             return self._group.refuse_without_primary()
         refused = self._refuse_if_unconfirmable(deadline - self._clock.now())
@@ -255,7 +277,7 @@
             client, self._caller, None, deadline, self._clock
         )
         if isinstance(pooled, NotSent):
-            return Refusal(Code.TARGET_LOST, pooled.reason, 100)
+            return pooled.refuse()
         if not client.may_be_sent_work:
             client.release(pooled)
             reason = "no statements may be sent there"
@@ -273,6 +295,9 @@
         if isinstance(outcome, NoAnswer):
             client.discard(pooled)
             return Refusal(Code.TARGET_LOST, outcome.reason, 100)
+        if isinstance(outcome, NotSent):
+            client.release(pooled)
+            return outcome.refuse()
         if outcome.failure is None:
             self._pinned = PinnedConnection(client, pooled)
             client.statements_in_flight += 1
@@ -287,9 +312,7 @@
 
     # Statements --------------------------------------------------------
 
-    async def _send(
-        self, statement: Statement, deadline: float
-    ) -> Reply | NoAnswer:
+    async def _send(self, statement: Statement, deadline: float) -> Outcome:
         client, pooled = self._pinned
         shape = self._caller.state.shape_of(statement.name)
         remaining_s = max(deadline - self._clock.now(), 0.01)
@@ -365,6 +388,14 @@
             self._discard_connection()
         return self._rolled_back_refusal(reason)
 
+    def _end_unsent(self, outcome: NotSent) -> Refusal:
+        """End a transaction whose statement a cold member may not get.
+
+        Closing the connection rolls back there without another statement.
+        """
+        ended = self._end_lost(outcome.reason)
+        return ended._replace(retry_after_ms=outcome.refuse().retry_after_ms)
+
     def _rolled_back_refusal(self, reason: str) -> Refusal:
         return Refusal(Code.TRANSACTION_ROLLED_BACK, reason, 50)
 
--- a/redwingpost/node/request/writes.py
+++ b/redwingpost/node/request/writes.py
@@ -49,6 +49,9 @@
         result: Result | None = None
         for _ in range(MAX_TRIES):
             leader = await await_leader(group, write.deadline, self._clock)
+            refused = group.refuse_primary(write.route.regions)
+            if refused is not None:
+                return refused
             if leader is None:
                 return result or group.refuse_without_primary()
             remaining_s = write.deadline - self._clock.now()
@@ -101,7 +104,7 @@
         sync_replicas: int,
     ) -> Result:
         if isinstance(outcome, NotSent):
-            return Refusal(Code.TARGET_LOST, outcome.reason, 100)
+            return outcome.refuse()
         if isinstance(outcome, NoAnswer):
             return self._outcome_unknown(group, write, outcome.reason)
         if not is_proven_success(outcome):
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -41,6 +41,7 @@
 from redwingpost.node.forwarding.server import HomeServer
 from redwingpost.node.group import DRAIN_WORK_FRACTION, GroupClient
 from redwingpost.node.metrics import NodeMetrics
+from redwingpost.node.places import Places
 from redwingpost.node.request.admission import Admission
 from redwingpost.node.request.reads import ReadRunner
 from redwingpost.node.request.session import NodeSession, Services
@@ -153,7 +154,19 @@
         self._unready_since: float | None = None
         self._steps = 0
         self.callers: CallerConnections | None = None
-        self._homes = HomeView(settings.vm, self._vms, self.directory)
+        self._homes = HomeView(
+            settings.vm, self._vms, self.directory, settings.regions
+        )
+        self._places: Places | None = None
+        if settings.has_places:
+            self._places = Places(
+                settings.vm,
+                self._homes.senders,
+                self.metrics.note_cold_refused,
+                clock,
+                settings.regions,
+                settings.cold_bounds,
+            )
         self._channels = Channels(clock)
         self._services = Services(
             self._admission,
@@ -341,6 +354,7 @@
                 ports.orders,
                 self._clock,
                 settings.vm,
+                self._places,
             ),
         )
         self._rosters = RosterKeeper(
@@ -465,6 +479,8 @@
     def _on_rules(self) -> None:
         self._copies.configuration = self._rules_reader.row
         self._homes.take_rules(self._admission.rules)
+        if self._places is not None:
+            self._places.take_rules(self._admission.rules)
         self._start_gate.open()
         self._sync_groups()
 
@@ -496,6 +512,7 @@
                     self._vms,
                     self._centres,
                     self._homes,
+                    self._places,
                 )
         now = self._clock.now()
         for name, group in self.group_by_name.items():
--- a/redwingpost/node/tests/test_attempt.py
+++ b/redwingpost/node/tests/test_attempt.py
@@ -4,6 +4,8 @@
 from types import SimpleNamespace
 from unittest import IsolatedAsyncioTestCase
 
+from redwingpost.core.codes import Code
+from redwingpost.core.requests import Refusal
 from redwingpost.core.statements import Statement, StatementKind
 from redwingpost.node.request.attempt import Caller, NotSent, run_standalone
 from redwingpost.observability.trace import StatementTrace
@@ -38,6 +40,9 @@
         await self.answers.wait()
         return Reply(proof="1.p")
 
+    def refuse_cold(self) -> None:
+        """Refuse nothing: the member is warm."""
+
     def note_sent(self) -> None:
         """Do nothing."""
 
@@ -141,3 +146,22 @@
         member.has_free_connection.set()
         self.assertIsInstance(await attempt, NotSent)
         self.assertEqual((0, 1), (member.runs, member.released))
+
+    async def test_a_member_that_turned_cold(self) -> None:
+        """Guards against statements above the limit of a cold member.
+
+        The member may get no more while the statement waits for a
+        connection. It isn't sent, the connection stays open, and nothing is
+        said to have run.
+        """
+        member = WaitingMember()
+        refusal = Refusal(Code.OVER_CAPACITY, "m1 is cold", 400)
+        member.refuse_cold = lambda: refusal
+        member.has_free_connection.set()
+        caller = Caller("parish", SessionState(), 1)
+        outcome = await run_standalone(
+            member, caller, _READ, None, 9.0, VirtualClock()
+        )
+        self.assertEqual(refusal, outcome.refuse())
+        self.assertEqual((0, 1), (member.runs, member.released))
+        self.assertFalse(caller.state.trace.may_have_run)
--- a/redwingpost/node/tests/test_forwarding.py
+++ b/redwingpost/node/tests/test_forwarding.py
@@ -108,7 +108,9 @@
         self.addresses = addresses
         self.suspected: list[str] = []
 
-    def homes_to_try(self, group, organisation, now) -> tuple[VmAddress, ...]:
+    def homes_to_try(
+        self, group, organisation, now, regions=None
+    ) -> tuple[VmAddress, ...]:
         """Return all homes that are not suspected."""
         return tuple(a for a in self.addresses if a.vm not in self.suspected)
 
@@ -124,6 +126,7 @@
         self.clock = MonotonicClock()
         self.members = GroupOfThree()
         self.stopping: set[int] = set()
+        self.groups: list[GroupClient] = []
         self.servers = [await self._start_home(n) for n in range(2)]
         self.homes = _Homes(
             tuple(
@@ -156,6 +159,7 @@
         )
         group.follow_directory(32, 1)
         await group.run_round()
+        self.groups.append(group)
         dependencies = HomeDependencies(
             {"g": group},
             ReadRunner(self.clock),
@@ -266,6 +270,36 @@
         self.assertEqual(Code.COMMIT_UNKNOWN.name, result.code.name)
         self.assertTrue(transaction.is_over)
 
+    async def test_a_restriction_travels_with_a_statement(self) -> None:
+        """Guards against a home that runs what its regions don't allow."""
+        task = self._task(_read("r"))
+        route = _ROUTE._replace(regions=frozenset({"south"}))
+        result = await self.forwarder.run_alone(task._replace(route=route))
+        self.assertEqual(Code.NO_MEMBER_IN_REGION.name, result.code.name)
+        transaction = ForwardedTransaction(
+            _BEGIN, task.caller, route, 1, self.forwarder, None, self.clock
+        )
+        result = await transaction.run(_write("w"))
+        self.assertEqual(Code.NO_MEMBER_IN_REGION.name, result.code.name)
+        self.assertEqual([], self.members.ran)
+        self.assertFalse(self.state.trace.may_have_run)
+
+    async def test_a_member_that_is_cold_at_its_home(self) -> None:
+        """Guards against forwarded statements above a cold member's limit."""
+        for group in self.groups:
+            for client in group.member_by_name.values():
+                client.cold_guard = SimpleNamespace(
+                    wait_s=lambda statements: 0.4, note_refused=lambda: None
+                )
+        for statement in (_read("r"), _write("w")):
+            result = await self.forwarder.run_alone(self._task(statement))
+            self.assertEqual(Code.OVER_CAPACITY.name, result.code.name)
+            self.assertEqual(400, result.retry_after_ms)
+        result = await self._transaction().run(_write("w"))
+        self.assertEqual(Code.OVER_CAPACITY.name, result.code.name)
+        self.assertEqual([], self.members.ran)
+        self.assertFalse(self.state.trace.may_have_run)
+
     async def test_a_slow_home_is_not_suspected(self) -> None:
         """Guards against reads sent twice while a member is slow."""
         self.members.may_answer.clear()
--- a/redwingpost/node/tests/test_group.py
+++ b/redwingpost/node/tests/test_group.py
@@ -3,9 +3,12 @@
 from types import SimpleNamespace
 from unittest import IsolatedAsyncioTestCase
 
+from redwingpost.configuration.routes import NO_RULES, GroupRule
+from redwingpost.core.codes import Code, Outcome
 from redwingpost.core.positions import Position
 from redwingpost.groups.confirmation import HELD_UP_S, SETTLED_S
 from redwingpost.groups.directory import Directory
+from redwingpost.groups.regions import RegionMap, Regions
 from redwingpost.membership.centres import CentreWatch
 from redwingpost.membership.heartbeat import (
     Heartbeat,
@@ -14,6 +17,7 @@
 )
 from redwingpost.membership.vm_table import VmTable
 from redwingpost.node.group import GroupClient
+from redwingpost.node.places import Places
 from redwingpost.node.request.commits import AcknowledgedCommit, confirm_commit
 from redwingpost.ports.clock import VirtualClock
 from redwingpost.ports.database import MemberEntry, StatusReport
@@ -223,3 +227,154 @@
         self.assertTrue(await self.group.prove())
         self._change("m1", is_primary=False)
         self.assertFalse(await self.group.prove())
+
+
+class PlacesTest(GroupTest):
+    """Members in three data centres; "a" and "c" are in the region north.
+
+    m1, the primary, is in "a", m2 in "b" and m3 in "c".
+    """
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.refused: list[tuple[str, str]] = []
+        self.places = Places(
+            "vm-1",
+            lambda group, now: ("vm-1",),
+            lambda *refused: self.refused.append(refused),
+            self.clock,
+            RegionMap({"a": "north", "b": "south", "c": "north"}),
+        )
+        self.group._places = self.places
+        for member, data_centre in zip(("m1", "m2", "m3"), "abc"):
+            self._list(member, data_centre)
+        await self._learn("m1", 1)
+
+    def _list(
+        self, member: str, data_centre: str, left_s: float | None = None
+    ) -> None:
+        entry = _entry(member)._replace(
+            data_centre=data_centre, cold_left_s=left_s
+        )
+        self.directory.put(entry, self.clock.now())
+        self.group.follow_directory(32, 1)
+
+    def _limit(self, rate: float | None) -> None:
+        """Apply a rate for cold members, and wait until shares apply."""
+        rule = GroupRule("g", 32, 1, rate, 30.0)
+        self.places.take_rules(NO_RULES._replace(groups_by_name={"g": rule}))
+        for _ in range(6):
+            self.group.follow_directory(32, 1)
+            self.clock.advance(0.5)
+
+    def _ranked(self, regions: Regions) -> str:
+        clients = self.group.ranked("parish", regions)
+        return "".join(sorted(item.entry.member[1] for item in clients))
+
+    async def test_members_in_the_regions(self) -> None:
+        """Guards against statements outside a caller's regions."""
+        north, south, west = (
+            frozenset({name}) for name in ("north", "south", "west")
+        )
+        refused = Code.NO_MEMBER_IN_REGION.name
+        cases = (
+            ("unrestricted", None, "123", None, None),
+            ("the primary's region", north, "13", None, None),
+            ("another region", south, "2", None, refused),
+            ("both regions", north | south, "123", None, None),
+            ("a region without members", west, "", refused, refused),
+            ("nowhere", frozenset(), "", refused, refused),
+        )
+        for name, regions, ranked, read, primary in cases:
+            with self.subTest(name):
+                self.assertEqual(ranked, self._ranked(regions))
+                reads = self.group.refuse_reads(regions)
+                self.assertEqual(read, reads and reads.code.name)
+                writes = self.group.refuse_primary(regions)
+                self.assertEqual(primary, writes and writes.code.name)
+                for refusal in filter(None, (reads, writes)):
+                    self.assertIs(Outcome.NOT_RUN, refusal.code.outcome)
+                    self.assertGreater(refusal.retry_after_ms, 0)
+
+    async def test_all_members_of_a_region_are_evacuated(self) -> None:
+        self.directory.evacuations.put("b", self.clock.now())
+        south = frozenset({"south"})
+        self.assertEqual("", self._ranked(south))
+        refused = self.group.refuse_reads(south)
+        self.assertEqual(Code.NO_MEMBER_IN_REGION.name, refused.code.name)
+        self.assertEqual("13", self._ranked(None))
+
+    async def test_a_member_that_only_failed_is_waited_for(self) -> None:
+        """Guards against a refusal where the next probe may succeed."""
+        south = frozenset({"south"})
+        client = self.group.member_by_name["m2"]
+        self.clock.advance(0.1)
+        client.failed_at = self.clock.now()
+        self.assertEqual("", self._ranked(south))
+        self.assertIsNone(self.group.refuse_reads(south))
+
+    async def test_a_primary_that_is_not_known(self) -> None:
+        self.group.evidence.forget("m1")
+        self.assertIsNone(self.group.refuse_primary(frozenset({"south"})))
+        refused = self.group.refuse_primary(frozenset({"west"}))
+        self.assertEqual(Code.NO_MEMBER_IN_REGION.name, refused.code.name)
+
+    async def test_a_cold_replica(self) -> None:
+        """Guards against a read at a member that may get no more."""
+        self._limit(2.0)
+        self._list("m2", "b", 10.0)
+        for _ in range(2):
+            self.assertEqual("123", self._ranked(None))
+            self.group.member_by_name["m2"].note_sent()
+        self.assertEqual("13", self._ranked(None))
+        refused = self.group.refuse_reads(frozenset({"south"}))
+        self.assertEqual(Code.OVER_CAPACITY.name, refused.code.name)
+        self.assertEqual([("g", "m2")], self.refused)
+        self.clock.advance(refused.retry_after_ms / 1000.0)
+        self.assertEqual("123", self._ranked(None))
+
+    async def test_a_cold_primary(self) -> None:
+        """Guards against more statements than a cold primary may get."""
+        self._limit(4.0)
+        self._list("m1", "a", 10.0)
+        self.assertIsNone(self.group.refuse_primary(None, 3))
+        for _ in range(2):
+            self.group.member_by_name["m1"].note_sent()
+        self.assertIsNone(self.group.refuse_primary(None))
+        refused = self.group.refuse_primary(None, 3)
+        self.assertEqual(Code.OVER_CAPACITY.name, refused.code.name)
+        self.assertIs(Outcome.NOT_RUN, refused.code.outcome)
+
+    async def test_when_a_member_is_cold(self) -> None:
+        """Guards against a restart, or an old row, that hides coldness."""
+        self._limit(0.0)
+        cases = (
+            ("not stated", None, 0, 0.0, False),
+            ("stated", 10.0, 0, 9.0, True),
+            ("stated, and over", 10.0, 0, 11.0, False),
+            ("stated as warm", 0.0, 0, 0.0, False),
+            ("restarted, not stated", None, 7, 29.0, True),
+            ("restarted long ago", None, 8, 31.0, False),
+            ("restarted, stated as warm", 0.0, 9, 0.0, False),
+        )
+        for name, left_s, started_ms, later_s, expected in cases:
+            with self.subTest(name):
+                entry = _entry("m2", started_ms)._replace(
+                    data_centre="b", cold_left_s=left_s
+                )
+                self.directory.put(entry, self.clock.now())
+                self.group.follow_directory(32, 1)
+                self.clock.advance(later_s)
+                client = self.group.member_by_name["m2"]
+                self.assertEqual(expected, client.cold_wait_s() > 0.0)
+                listed = self.directory.get("m2")
+                self.assertEqual(expected, self.places.is_cold("g", listed))
+
+    async def test_without_a_rate(self) -> None:
+        """Guards against a limit that no configuration names."""
+        self._limit(None)
+        self._list("m1", "a", 10.0)
+        for _ in range(500):
+            self.group.member_by_name["m1"].note_sent()
+        self.assertIsNone(self.group.refuse_primary(None))
+        self.assertIsNone(self.group.member_by_name["m1"].cold_guard)
--- a/redwingpost/node/tests/test_homes.py
+++ b/redwingpost/node/tests/test_homes.py
@@ -9,6 +9,7 @@
     OrganisationRule,
 )
 from redwingpost.groups.directory import Directory
+from redwingpost.groups.regions import RegionMap
 from redwingpost.membership.heartbeat import Heartbeat, VmAddress
 from redwingpost.membership.vm_table import VmTable
 from redwingpost.node.forwarding.homes import (
@@ -165,3 +166,59 @@
         self.assertEqual(
             first, view.homes_to_try("g", "o1", 1.0 + SUSPECT_S)[0]
         )
+
+
+class RegionTest(TestCase):
+    """Homes that a restricted route may use, and who sends to cold members."""
+
+    def setUp(self) -> None:
+        self.fleet = _Fleet(40)
+        self.fleet.exchange_heartbeats(1.0)
+        self.view = self.fleet.view_by_vm["vm-0"]
+        self.view._regions = RegionMap({"a": "north", "b": "south"})
+
+    def test_homes_in_the_regions(self) -> None:
+        """Guards against statements forwarded out of their regions."""
+        cases = (
+            ("unrestricted", None, {"a", "b", "c"}),
+            ("one region", frozenset({"south"}), {"b"}),
+            ("two regions", frozenset({"north", "south"}), {"a", "b"}),
+            ("a region without VMs", frozenset({"west"}), set()),
+            ("no region", frozenset(), set()),
+        )
+        for name, regions, expected in cases:
+            with self.subTest(name):
+                found = {
+                    home.data_centre
+                    for number in range(20)
+                    for home in self.view.homes_to_try(
+                        "g", f"o{number}", 1.0, regions
+                    )
+                }
+                self.assertEqual(expected, found)
+
+    def test_who_sends_to_cold_members(self) -> None:
+        """Guards against shares that add up to more than the rate."""
+        homes = self.fleet.homes(1.0)
+        home = self.fleet.view_by_vm[min(homes)]
+        other = next(vm for vm in self.fleet.view_by_vm if vm not in homes)
+        self.assertEqual(homes, frozenset(home.senders("g", 1.0)))
+        view = self.fleet.view_by_vm[other]
+        self.assertEqual((), view.senders("g", 1.0))
+        self.fleet.exchange_heartbeats(3.0, silent=frozenset({other}))
+        self.assertEqual(40, len(home.senders("g", 3.0)))
+        self.assertEqual(
+            home.senders("g", 3.0),
+            self.fleet.view_by_vm[max(homes)].senders("g", 3.0),
+        )
+
+    def test_an_unlisted_vm_counts_as_a_sender(self) -> None:
+        home = self.fleet.view_by_vm[min(self.fleet.homes(1.0))]
+        table = self.fleet.table_by_vm[min(self.fleet.homes(1.0))]
+        table.note(Heartbeat("vm-new", 1, "ip", 1, {}, 1, None, ()), 1.0)
+        self.assertEqual(41, len(home.senders("g", 1.0)))
+
+    def test_a_vm_that_has_not_read_the_list(self) -> None:
+        table = VmTable("vm-0", 0.0)
+        view = HomeView("vm-0", table, Directory())
+        self.assertEqual((), view.senders("g", 1.0))
--- a/redwingpost/wire/work.capnp
+++ b/redwingpost/wire/work.capnp
@@ -40,6 +40,9 @@
   priority @5 :Int32;
   maxStalenessS @6 :Float64;
   isPublic @7 :Bool;
+  regions @8 :List(Text);
+  # Regions to which the statement is restricted, valid if isRestricted.
+  isRestricted @9 :Bool;
 }
 
 struct Statement {
--- a/redwingpost/wire/work.py
+++ b/redwingpost/wire/work.py
@@ -38,6 +38,9 @@
     ... )
     >>> unpack(pack_work(work)) == work
     True
+    >>> work = work._replace(route=route._replace(regions=frozenset({"n"})))
+    >>> unpack(pack_work(work)).route.regions
+    frozenset({'n'})
     """
     message = SCHEMA.Message.new_message()
     body = message.init("work")
@@ -127,6 +130,9 @@
     body.priority = route.priority
     body.maxStalenessS = route.max_staleness_s
     body.isPublic = route.is_public
+    if route.regions is not None:
+        body.isRestricted = True
+        body.regions = sorted(route.regions)
 
 
 def _read_route(body: Any) -> RouteRule:
@@ -139,6 +145,7 @@
         body.priority,
         body.maxStalenessS,
         body.isPublic,
+        frozenset(body.regions) if body.isRestricted else None,
     )
 
 
