--- a/redwingpost/node/tests/line_site.py
+++ b/redwingpost/node/tests/line_site.py
@@ -129,9 +129,13 @@
 
 
 class NodeSite:
-    """The stand-ins and node processes of one test."""
+    """The stand-ins and node processes of one test.
+
+    ``settings`` are added to the settings of nodes that start from then on.
+    """
 
     def __init__(self) -> None:
+        self.settings: dict[str, Any] = {}
         number = next(_SITES)
         # Each site has its own addresses: nodes share one inner port, and
         # tests may run in parallel.
@@ -159,7 +163,7 @@
                 await node.end(SIGKILL)
         await self.standins.stop()
 
-    async def add_node(self) -> NodeProcess:
+    async def add_node(self, data_centre: str = "dc-a") -> NodeProcess:
         """Start one more node."""
         number = len(self.nodes) + 1
         ip = f"{self._prefix}.{number}"
@@ -169,7 +173,9 @@
             "metrics": self._inner_ports[-1],
         }
         path = self._folder / f"node-{number}.json"
-        path.write_text(dumps(self._settings(f"vm-{number}", ip, ports)))
+        settings = self._settings(f"vm-{number}", ip, ports)
+        settings.update({"zone": data_centre, **self.settings})
+        path.write_text(dumps(settings))
         log = path.with_suffix(".log")
         with log.open("wb") as stdout:
             process = await create_subprocess_exec(
--- a/redwingpost/standin/lines/group.py
+++ b/redwingpost/standin/lines/group.py
@@ -24,7 +24,9 @@
     next ``lose_answers`` answers are not sent. An unresponsive member
     answers nothing and takes no part in replication; one that is cut off
     answers, but does not replicate; one that lags does not apply the
-    entries that it receives.
+    entries that it receives. A cold member is slow until ``cold_until``
+    (seconds of ``time.monotonic``). ``arrived_at`` has the times at which
+    callers' statements arrived, on the same clock.
     """
 
     def __init__(self, name: str, is_primary: bool) -> None:
@@ -39,6 +41,8 @@
         self.lags = False
         self.lose_answers = 0
         self.runs: list[tuple[str, str]] = []
+        self.cold_until = float("-inf")
+        self.arrived_at: list[float] = []
 
     @property
     def head(self) -> Position:
@@ -60,6 +64,13 @@
             entry.position == position for entry in self.log[: self.applied]
         )
 
+    def log_values(self) -> dict[str, str]:
+        """Return the last logged value of each item."""
+        values: dict[str, str] = {}
+        for entry in self.log:
+            values.update(entry.writes)
+        return values
+
     def read(self, item: str) -> str | None:
         """Return the last applied value of an item, or None."""
         for entry in reversed(self.log[: self.applied]):
--- a/redwingpost/standin/lines/member_server.py
+++ b/redwingpost/standin/lines/member_server.py
@@ -11,6 +11,7 @@
     start_server,
 )
 from hashlib import blake2b
+from time import monotonic
 
 from redwingpost.core.positions import Position
 from redwingpost.standin.lines.group import LineGroup, LineMember
@@ -22,6 +23,12 @@
 #: Seconds that a read, a write or a commit holds a slot.
 STATEMENT_TIME_S = 0.002
 
+#: How many times longer a statement takes at a cold member.
+COLD_FACTOR = 5
+
+#: Request id of the proxy's own statements.
+OWN_REQUEST = "-"
+
 
 class _ErrorReply(Exception):
     """An error that is sent as an ``ERROR`` line: code and text."""
@@ -119,6 +126,8 @@
             await self._answer(request, text)
 
     async def _answer(self, request: str, text: str) -> None:
+        if request != OWN_REQUEST:
+            self._member.arrived_at.append(monotonic())
         await self._server.wait_while_unresponsive()
         try:
             rows, proof = await self._execute(request, text)
@@ -128,7 +137,7 @@
             lines = [f"ERROR {reply}"]
             if self._state == "T":
                 self._state = "E"
-        if self._member.lose_answers > 0 and request != "-":
+        if self._member.lose_answers > 0 and request != OWN_REQUEST:
             self._member.lose_answers -= 1
             return
         self._send("\r\n".join([*lines, self._ready_line()]))
@@ -237,7 +246,8 @@
     async def _hold_slot(self, request: str, text: str) -> None:
         """Hold a slot for the statement time, then record the statement."""
         async with self._server.slots:
-            await sleep(STATEMENT_TIME_S)
+            is_cold = monotonic() < self._member.cold_until
+            await sleep(STATEMENT_TIME_S * (COLD_FACTOR if is_cold else 1))
         self._member.runs.append((request, text))
 
     def _execution_proof(self, request: str) -> str:
--- a/redwingpost/standin/lines/site.py
+++ b/redwingpost/standin/lines/site.py
@@ -1,7 +1,7 @@
 """A complete platform in one process: store, groups and promotions."""
 
 from asyncio import create_task, sleep
-from time import time
+from time import monotonic, time
 from typing import Any
 
 from aiohttp.web import (
@@ -78,6 +78,18 @@
         entry["seq"] += 1
         self.store.put("servers", member, entry)
 
+    def restart_cold(self, member: str, cold_s: float) -> None:
+        """Write the entry of a member that has just started.
+
+        It is cold for ``cold_s`` seconds. Its state and its address remain.
+        """
+        self.find(member).cold_until = monotonic() + cold_s
+        self.register(
+            member,
+            coldLeftMs=int(cold_s * 1000),
+            born=int(time() * 1000),
+        )
+
     def remove_entry(self, member: str) -> None:
         """Remove a member's entry, as if its heartbeats had stopped."""
         self.store.remove("servers", member)
