--- a/redwingpost/cli/tests/test_docs.py
+++ b/redwingpost/cli/tests/test_docs.py
@@ -39,8 +39,8 @@
 
 
 class PromisesTest(TestCase):
-    def test_thirteen_promises(self):
-        self.assertEqual(len(promise_rows()), 13)
+    def test_fifteen_promises(self):
+        self.assertEqual(len(promise_rows()), 15)
 
     def test_code_exists(self):
         for promise, code, _, _ in promise_rows():
