Places: a member whose process ended is cold until its new row arrives

A member that ends and starts again within seconds is listed all the time, and its old row says that it is warm. In the time that the new row takes, every VM sent the cold member all that its callers wanted.

Where a connection was refused (nothing listens at the address, other than in a partition, where it times out), the member counts as cold until 2 s after its next answer, or until the row of the new process arrives. Links tell a refused connection from other losses (LinkLost.is_refused).

Stand-ins end and start a member's process at its address.

--- a/redwingpost/node/member.py
+++ b/redwingpost/node/member.py
@@ -173,6 +173,8 @@
 
     def note_answer(self) -> None:
         """Record that the member has just answered."""
+        if self.cold_guard is not None:
+            self.cold_guard.note_answer()
         self.answered_at = self._clock.now()
 
     def cold_wait_s(self, statements: int = 1) -> float:
@@ -368,6 +370,8 @@
             )
         except LinkLost as lost:
             self.failed_at = self._clock.now()
+            if lost.is_refused and self.cold_guard is not None:
+                self.cold_guard.note_ended()
             log_event(
                 "connection-failed",
                 member=self.entry.member,
--- a/redwingpost/node/places.py
+++ b/redwingpost/node/places.py
@@ -23,6 +23,11 @@
 )
 from redwingpost.ports.clock import Clock
 
+#: Seconds after the first answer of a member whose process had ended, in
+#: which its new row may still be on its way. Until then the old row would
+#: let every VM send a cold member whatever its callers want.
+RESTART_NEWS_S = 2.0
+
 #: Seconds between derivations of a share while statements are sent: a
 #: smaller share must apply well before ``cold_members.HOLD_S`` has passed at
 #: the VMs whose shares grow, and a derivation sorts the list of VMs.
@@ -32,6 +37,8 @@
 class ColdGuard:
     """Limits what this VM sends to one member while the member is cold.
 
+    A member whose process has ended counts as cold until
+    ``RESTART_NEWS_S`` after its next answer, or until its new row arrives.
     ``find_share`` returns the share that applies on this VM now.
     """
 
@@ -45,10 +52,32 @@
         self._find_share = find_share
         self._clock = clock
         self.note_refused = on_refused
-
-    def set_cold_until(self, cold_until: float) -> None:
-        """Note when the member stops being cold (seconds)."""
-        self._allowance.cold_until = cold_until
+        self._stated_until = float("-inf")
+        self._ended_at: float | None = None
+        self._unsure_until = float("-inf")
+
+    def set_cold_until(self, cold_until: float, restarted_at: float) -> None:
+        """Note when the member stops being cold by its row (seconds).
+
+        ``restarted_at`` is when the row of its present process arrived.
+        """
+        self._stated_until = cold_until
+        if self._ended_at is not None and restarted_at >= self._ended_at:
+            self._ended_at = None
+            self._unsure_until = float("-inf")
+        self._update()
+
+    def note_ended(self) -> None:
+        """Record that nothing listens at the member's address."""
+        self._ended_at = self._clock.now()
+        self._unsure_until = float("inf")
+        self._update()
+
+    def note_answer(self) -> None:
+        """Record that the member has just answered."""
+        if self._unsure_until == float("inf"):
+            self._unsure_until = self._clock.now() + RESTART_NEWS_S
+            self._update()
 
     def wait_s(self, statements: int) -> float:
         """Return how long statements have to wait (seconds), 0 for now."""
@@ -62,6 +91,10 @@
         """Count a statement that is sent now."""
         self._allowance.note_sent(self._clock.now())
 
+    def _update(self) -> None:
+        until = max(self._stated_until, self._unsure_until)
+        self._allowance.cold_until = until
+
 
 class _GroupShare:
     """This VM's share of the rate of a group's cold members."""
@@ -136,7 +169,7 @@
         guard = self._guard_by_member.get(key)
         if guard is None:
             guard = self._guard_by_member[key] = self._make_guard(*key)
-        guard.set_cold_until(_cold_until(listed, rule))
+        guard.set_cold_until(_cold_until(listed, rule), listed.restarted_at)
         self._find_share(group)
         return guard
 
--- a/redwingpost/node/tests/test_group.py
+++ b/redwingpost/node/tests/test_group.py
@@ -17,10 +17,11 @@
 )
 from redwingpost.membership.vm_table import VmTable
 from redwingpost.node.group import GroupClient
+from redwingpost.node.member import CONTROL_IDLE_S
 from redwingpost.node.places import Places
 from redwingpost.node.request.commits import AcknowledgedCommit, confirm_commit
 from redwingpost.ports.clock import VirtualClock
-from redwingpost.ports.database import MemberEntry, StatusReport
+from redwingpost.ports.database import LinkLost, MemberEntry, StatusReport
 
 
 def _entry(member: str, started_ms: int = 0) -> MemberEntry:
@@ -370,6 +371,64 @@
                 listed = self.directory.get("m2")
                 self.assertEqual(expected, self.places.is_cold("g", listed))
 
+    async def test_a_member_that_may_have_restarted(self) -> None:
+        """Guards against a flood before the row of a new process arrives.
+
+        Nothing listens at the member's address, then it answers again. Its
+        row still states that it is warm.
+        """
+        self.clock.advance(CONTROL_IDLE_S)
+        self._limit(2.0)
+        self._list("m2", "b", 0.0)
+        client = self.group.member_by_name["m2"]
+
+        async def refuse(*arguments) -> None:
+            raise LinkLost("ConnectionRefusedError", False, is_refused=True)
+
+        client.close()
+        open_link, self.members.open = self.members.open, refuse
+        await client.send_command("status")
+        self.members.open = open_link
+        await client.send_command("status")
+        for expected in (False, False, True):
+            self.assertEqual(expected, client.cold_wait_s() > 0.0)
+            client.note_sent()
+        cases = (
+            ("the old row again", 0, 0.0, 1.9, True),
+            ("the new row, cold", 7, 9.0, 0.0, True),
+            ("the new row, warm", 8, 0.0, 0.0, False),
+        )
+        for name, started_ms, left_s, later_s, expected in cases:
+            with self.subTest(name):
+                entry = _entry("m2", started_ms)._replace(
+                    data_centre="b", cold_left_s=left_s
+                )
+                self.clock.advance(later_s)
+                self.directory.put(entry, self.clock.now())
+                self.group.follow_directory(32, 1)
+                client = self.group.member_by_name["m2"]
+                for _ in range(3):
+                    client.note_sent()
+                self.assertEqual(expected, client.cold_wait_s() > 0.0)
+
+    async def test_a_member_that_answers_again_without_a_new_row(
+        self,
+    ) -> None:
+        self._limit(1.0)
+        client = self.group.member_by_name["m2"]
+        client.cold_guard.note_ended()
+        client.note_sent()
+        self.clock.advance(5.0)
+        self.group.follow_directory(32, 1)
+        client.note_sent()
+        self.assertGreater(client.cold_wait_s(), 0.0)
+        client.note_answer()
+        self.clock.advance(1.9)
+        client.note_sent()
+        self.assertGreater(client.cold_wait_s(), 0.0)
+        self.clock.advance(0.2)
+        self.assertEqual(0.0, client.cold_wait_s())
+
     async def test_without_a_rate(self) -> None:
         """Guards against a limit that no configuration names."""
         self._limit(None)
--- a/redwingpost/platform/member_link.py
+++ b/redwingpost/platform/member_link.py
@@ -155,7 +155,10 @@
         try:
             return await wait_for(self._open(entry, organisation), timeout_s)
         except (OSError, IncompleteReadError, TimeoutError) as error:
-            raise LinkLost(type(error).__name__, sent=False) from error
+            is_refused = isinstance(error, ConnectionRefusedError)
+            raise LinkLost(
+                type(error).__name__, sent=False, is_refused=is_refused
+            ) from error
 
     async def _open(
         self, entry: MemberEntry, organisation: str
--- a/redwingpost/ports/database.py
+++ b/redwingpost/ports/database.py
@@ -91,12 +91,17 @@
     ----------
     sent : bool
         Whether the statement may have reached the member.
+    is_refused : bool, optional
+        Whether nothing listens at the member's address.
     """
 
-    def __init__(self, detail: str, sent: bool) -> None:
+    def __init__(
+        self, detail: str, sent: bool, is_refused: bool = False
+    ) -> None:
         super().__init__(detail)
         self.detail = detail
         self.sent = sent
+        self.is_refused = is_refused
 
 
 class DatabaseLink(Protocol):
--- a/redwingpost/standin/lines/site.py
+++ b/redwingpost/standin/lines/site.py
@@ -78,6 +78,16 @@
         entry["seq"] += 1
         self.store.put("servers", member, entry)
 
+    async def end_process(self, member: str) -> None:
+        """End a member's process; its entry stays as it is."""
+        await self.server_by_member[member].stop()
+
+    async def start_process(self, member: str) -> None:
+        """Start a member's process at its address, without a new entry."""
+        address = self._entry_by_member[member]["address"]
+        port = int(address.rpartition(":")[2])
+        await self.server_by_member[member].start(self.ip, port)
+
     def restart_cold(self, member: str, cold_s: float) -> None:
         """Write the entry of a member that has just started.
 
