--- a/redwingpost/node/forwarding/forwarder.py
+++ b/redwingpost/node/forwarding/forwarder.py
@@ -96,10 +96,12 @@
         self._budget = RetryBudget()
         self._transactions = count(1)
 
-    def has_home_elsewhere(self, group: str, organisation: str) -> bool:
+    def has_home_elsewhere(self, route: RouteRule, organisation: str) -> bool:
         """Return whether another VM may run a statement as home."""
         now = self._clock.now()
-        ranked = self._homes.ranked_homes(group, organisation, now)
+        ranked = self._homes.ranked_homes(
+            route.group, organisation, now, route.regions
+        )
         return any(address.vm != self._homes.vm for address in ranked)
 
     def next_transaction(self) -> int:
--- a/redwingpost/node/forwarding/homes.py
+++ b/redwingpost/node/forwarding/homes.py
@@ -13,6 +13,7 @@
 from redwingpost.configuration.routes import ServiceRules
 from redwingpost.groups.choice import ASSUMED_SLOTS
 from redwingpost.groups.directory import Directory
+from redwingpost.groups.regions import ALL_REGIONS, RegionMap, Regions
 from redwingpost.membership.heartbeat import VmAddress
 from redwingpost.membership.vm_table import VmTable
 from redwingpost.node.forwarding.heard_part import HeardPart
@@ -84,12 +85,21 @@
         The fleet's VMs.
     directory : Directory
         The groups' members.
+    regions : RegionMap, optional
+        The regions of the data centres.
     """
 
-    def __init__(self, vm: str, vms: VmTable, directory: Directory) -> None:
+    def __init__(
+        self,
+        vm: str,
+        vms: VmTable,
+        directory: Directory,
+        regions: RegionMap = ALL_REGIONS,
+    ) -> None:
         self.vm = vm
         self._vms = vms
         self._directory = directory
+        self._regions = regions
         self._rules: ServiceRules | None = None
         self._heard = HeardPart()
         self._ranking_by_key: dict[tuple[str, str], _Ranking] = {}
@@ -165,17 +175,47 @@
         homes = self.homes_of(group, now)
         return not homes.is_all and self.heard_part(now) < 1.0
 
+    def senders(self, group: str, now: float) -> tuple[str, ...]:
+        """Return the VMs that may send statements to a group's cold members.
+
+        These are the group's homes. While a listed VM isn't heard, or an
+        unlisted one is, other VMs may have chosen other homes: then all VMs
+        count, in an order that doesn't depend on which of them are heard;
+        unlisted ones have no name. Empty if this VM isn't a home, or doesn't
+        know the other VMs yet.
+        """
+        if not self._vms.has_list or not self.is_home(group, now):
+            return ()
+        homes = self.homes_of(group, now)
+        listed = self._vms.alive_addresses(now, float("inf"))
+        unlisted = max(0, self._vms.count() - len(listed))
+        if not homes.is_all and not unlisted and not self._vms.missing(now):
+            return tuple(address.vm for address in homes.addresses)
+        members = self._directory.members_of(group)
+        ordered = choose_ranked_homes(
+            self._rank(group),
+            {entry.data_centre for entry in members},
+            len(listed),
+        )
+        names = tuple(address.vm for address in ordered)
+        return names + ("",) * unlisted
+
     def homes_to_try(
-        self, group: str, organisation: str, now: float
+        self,
+        group: str,
+        organisation: str,
+        now: float,
+        regions: Regions = None,
     ) -> tuple[VmAddress, ...]:
         """Return the homes to try for an organisation, the best first.
 
-        Empty if this VM runs the statement itself.
+        Those outside ``regions`` are left out. Empty if this VM runs the
+        statement itself.
         """
         homes = self.homes_of(group, now)
         if homes.is_all:
             return ()
-        ranked = self.ranked_homes(group, organisation, now)
+        ranked = self.ranked_homes(group, organisation, now, regions)
         names = [address.vm for address in ranked]
         if self.vm in names:
             ranked = ranked[: names.index(self.vm)]
@@ -186,9 +226,13 @@
         )
 
     def ranked_homes(
-        self, group: str, organisation: str, now: float
+        self,
+        group: str,
+        organisation: str,
+        now: float,
+        regions: Regions = None,
     ) -> tuple[VmAddress, ...]:
-        """Return all homes of a group in an organisation's order.
+        """Return a group's homes in ``regions`` in an organisation's order.
 
         This VM and suspected homes are included. The order is kept as long
         as the group's homes are the same.
@@ -201,7 +245,13 @@
                 self._ranking_by_key.clear()
             ranked = order_homes(group, organisation, homes.addresses)
             kept = self._ranking_by_key[key] = _Ranking(homes, ranked)
-        return kept.addresses
+        if regions is None:
+            return kept.addresses
+        return tuple(
+            address
+            for address in kept.addresses
+            if self._regions.allows(regions, address.data_centre)
+        )
 
     def is_suspect(self, vm: str, now: float) -> bool:
         """Return whether a home is skipped, as it didn't answer."""
--- a/redwingpost/node/forwarding/placer.py
+++ b/redwingpost/node/forwarding/placer.py
@@ -107,7 +107,7 @@
     ) -> StatementPlace:
         """Return the homes to try for a statement, the best first."""
         now = self._clock.now()
-        known = self._known(route.group, organisation, needs_primary, now)
+        known = self._known(route, organisation, needs_primary, now)
         if not known.address_by_vm:
             return StatementPlace((), needs_primary)
         need = Need(
@@ -144,13 +144,20 @@
         return self._wait_s(home.vm, group, needs_primary, now) != inf
 
     def _known(
-        self, group: str, organisation: str, needs_primary: bool, now: float
+        self,
+        route: RouteRule,
+        organisation: str,
+        needs_primary: bool,
+        now: float,
     ) -> _Known:
+        group = route.group
         address_by_vm: dict[str, VmAddress] = {}
         wait_s_by_vm: dict[str, float] = {}
         has_answer = False
         is_complete = True
-        for address in self._homes.ranked_homes(group, organisation, now):
+        for address in self._homes.ranked_homes(
+            group, organisation, now, route.regions
+        ):
             vm = address.vm
             wait_s = self._wait_s(vm, group, needs_primary, now)
             has_answer = has_answer or self._has_answered(vm, group, now)
--- a/redwingpost/node/member.py
+++ b/redwingpost/node/member.py
@@ -11,7 +11,10 @@
 from collections.abc import Callable
 from heapq import heappop, heappush
 from itertools import count
+from math import ceil
 
+from redwingpost.core.codes import Code
+from redwingpost.core.requests import Refusal
 from redwingpost.core.statements import Shape
 from redwingpost.groups.choice import ASSUMED_SLOTS
 from redwingpost.groups.latency import LatencyTracker
@@ -22,6 +25,7 @@
     MemberRules,
     RefusalKey,
 )
+from redwingpost.node.places import ColdGuard
 from redwingpost.observability.journal import log_event
 from redwingpost.pools.pool import (
     Busy,
@@ -112,6 +116,8 @@
         self.lagging_until = float("-inf")
         #: When statements may no longer be sent there (seconds).
         self.work_ends_at = float("inf")
+        #: Limits statements while the member is cold; None: no limit.
+        self.cold_guard: ColdGuard | None = None
         self.answered_at = clock.now()
         self.failed_at = float("-inf")
         self.command_sent_at = float("-inf")
@@ -223,10 +229,29 @@
         self.admission.note_answer()
 
     def _note_alive(self) -> None:
+        if self.cold_guard is not None:
+            self.cold_guard.note_answer()
         self.answered_at = self._clock.now()
 
+    def cold_wait_s(self, statements: int = 1) -> float:
+        """Return how long the member may get no statement (seconds)."""
+        if self.cold_guard is None:
+            return 0.0
+        return self.cold_guard.wait_s(statements)
+
+    def refuse_cold(self, statements: int = 1) -> Refusal | None:
+        """Refuse statements that a cold member may not get now."""
+        wait_s = self.cold_wait_s(statements)
+        if wait_s <= 0.0:
+            return None
+        self.cold_guard.note_refused()
+        detail = f"{self.entry.member} is cold"
+        return Refusal(Code.OVER_CAPACITY, detail, ceil(wait_s * 1000))
+
     def note_sent(self) -> None:
         """Record that a statement was sent to the member."""
+        if self.cold_guard is not None:
+            self.cold_guard.note_sent()
         if self._unanswered == 0:
             self._sent_at = self._clock.now()
         self._unanswered += 1
@@ -447,6 +472,8 @@
             )
         except LinkLost as lost:
             self.failed_at = self._clock.now()
+            if lost.is_refused and self.cold_guard is not None:
+                self.cold_guard.note_ended()
             log_event(
                 "connection-failed",
                 member=self.entry.member,
--- a/redwingpost/node/metrics.py
+++ b/redwingpost/node/metrics.py
@@ -86,6 +86,12 @@
             ("reason", "outcome"),
             registry=self._registry,
         )
+        self._cold_refused = Counter(
+            "redwing_cold_refused_total",
+            "Statements not sent to a member because it is cold",
+            ("group", "member"),
+            registry=self._registry,
+        )
 
     def collect_from(self, collector: Collector) -> None:
         """Add metrics that are read when the page is asked for."""
@@ -100,6 +106,10 @@
         """Count a granted operation that no member ran."""
         self._given_back.labels(organisation, group).inc()
 
+    def note_cold_refused(self, group: str, member: str) -> None:
+        """Count a statement that a cold member may not get."""
+        self._cold_refused.labels(group, member).inc()
+
     def note_operation(
         self, organisation: str, group: str, outcome: str
     ) -> None:
--- a/redwingpost/node/request/attempt.py
+++ b/redwingpost/node/request/attempt.py
@@ -48,7 +48,8 @@
 class NotSent(NamedTuple):
     """The statement was not sent to the member.
 
-    ``refusal`` is set if admission at ``member`` refused it.
+    ``refusal`` is set if no other attempt at ``member`` would help now:
+    admission refused it, or the member is cold.
     """
 
     reason: str
@@ -136,6 +137,10 @@
     if isinstance(outcome, NoAnswer):
         client.discard(pooled)
         return outcome
+    if isinstance(outcome, NotSent):
+        trace.note_not_run()
+        client.release(pooled)
+        return outcome
     if outcome.failure is None:
         now = clock.now()
         pooled.ran_s = now - started_at
@@ -263,15 +268,20 @@
     statement: Statement,
     after: Position | None,
     shape: Shape | None,
-) -> Reply | NoAnswer:
+) -> Outcome:
     """Run a statement on a claimed connection that is set up.
 
+    It is not sent if the member is cold and may get no statement now.
+
     The connection stays claimed, unless the call is cancelled: then it is
     discarded, as the late answer would be read as that of the next
     statement.
     """
     prepared_as = prepared_name(shape) if shape is not None else ""
     missing = prepare_step(pooled.contents, shape)
+    refused = client.refuse_cold()
+    if refused is not None:
+        return NotSent(refused.detail, refused, client.entry.member)
     client.note_sent()
     try:
         reply = await pooled.link.run(statement, after, prepared_as, missing)
--- a/redwingpost/node/request/writes.py
+++ b/redwingpost/node/request/writes.py
@@ -47,6 +47,9 @@
         result: Result | None = None
         for _ in range(MAX_TRIES):
             leader = await await_leader(group, write.deadline, self._clock)
+            refused = group.refuse_primary(write.route.regions)
+            if refused is not None:
+                return refused
             if leader is None:
                 return result or group.refuse_without_primary()
             remaining_s = write.deadline - self._clock.now()
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -48,6 +48,7 @@
 from redwingpost.node.group_activity import GroupActivity
 from redwingpost.node.load_metrics import LoadCollector
 from redwingpost.node.metrics import NodeMetrics
+from redwingpost.node.places import Places
 from redwingpost.node.request.admission import Admission
 from redwingpost.node.request.reads import ReadRunner
 from redwingpost.node.request.session import NodeSession, Services
@@ -160,7 +161,19 @@
         self._unready_since: float | None = None
         self._steps = 0
         self.callers: CallerConnections | None = None
-        self._homes = HomeView(settings.vm, self._vms, self.directory)
+        self._homes = HomeView(
+            settings.vm, self._vms, self.directory, settings.regions
+        )
+        self._places: Places | None = None
+        if settings.has_places:
+            self._places = Places(
+                settings.vm,
+                self._homes.senders,
+                self.metrics.note_cold_refused,
+                clock,
+                settings.regions,
+                settings.cold_bounds,
+            )
         self._activity = GroupActivity(
             self.group_by_name, self._homes, self._sync_group
         )
@@ -362,6 +375,7 @@
                 ports.orders,
                 self._clock,
                 settings.vm,
+                self._places,
             ),
         )
         self._rosters = RosterKeeper(
@@ -491,6 +505,8 @@
     def _on_rules(self) -> None:
         self._copies.configuration = self._rules_reader.row
         self._homes.take_rules(self._admission.rules)
+        if self._places is not None:
+            self._places.take_rules(self._admission.rules)
         self._start_gate.open()
         self._sync_groups()
 
@@ -529,6 +545,7 @@
                     self._centres,
                     self._homes,
                     self._activity.note_contact,
+                    self._places,
                 )
             self._sync_group(self.group_by_name[name])
 
--- a/redwingpost/node/tests/test_forwarding.py
+++ b/redwingpost/node/tests/test_forwarding.py
@@ -115,7 +115,9 @@
 
     vm = "entry"
 
-    def ranked_homes(self, group, organisation, now) -> tuple[VmAddress, ...]:
+    def ranked_homes(
+        self, group, organisation, now, regions=None
+    ) -> tuple[VmAddress, ...]:
         """Return all homes."""
         return self.addresses
 
@@ -316,6 +318,38 @@
         self.assertEqual(Code.COMMIT_UNKNOWN.name, result.code.name)
         self.assertTrue(transaction.is_over)
 
+    async def test_a_restriction_travels_with_a_statement(self) -> None:
+        """Guards against a home that runs what its regions don't allow."""
+        task = self.task(read("r"))
+        route = _ROUTE._replace(regions=frozenset({"south"}))
+        result = await self.forwarder.run_alone(task._replace(route=route))
+        self.assertEqual(Code.NO_MEMBER_IN_REGION.name, result.code.name)
+        transaction = ForwardedTransaction(
+            _BEGIN, task.caller, route, 1, self.forwarder, None, self.clock
+        )
+        result = await transaction.run(write("w"))
+        self.assertEqual(Code.NO_MEMBER_IN_REGION.name, result.code.name)
+        self.assertEqual([], self.members.ran)
+        self.assertFalse(self.state.trace.may_have_run)
+
+    async def test_a_member_that_is_cold_at_its_home(self) -> None:
+        """Guards against forwarded statements above a cold member's limit."""
+        for group in self.groups:
+            for client in group.member_by_name.values():
+                client.cold_guard = SimpleNamespace(
+                    wait_s=lambda statements: 0.4,
+                    note_refused=lambda: None,
+                    note_answer=lambda: None,
+                )
+        for statement in (read("r"), write("w")):
+            result = await self.forwarder.run_alone(self.task(statement))
+            self.assertEqual(Code.OVER_CAPACITY.name, result.code.name)
+            self.assertEqual(400, result.retry_after_ms)
+        result = await self.transaction().run(write("w"))
+        self.assertEqual(Code.OVER_CAPACITY.name, result.code.name)
+        self.assertEqual([], self.members.ran)
+        self.assertFalse(self.state.trace.may_have_run)
+
     async def test_a_slow_home_is_not_suspected(self) -> None:
         """Guards against reads sent twice while a member is slow."""
         self.members.may_answer.clear()
--- a/redwingpost/ports/database.py
+++ b/redwingpost/ports/database.py
@@ -91,12 +91,17 @@
     ----------
     sent : bool
         Whether the statement may have reached the member.
+    is_refused : bool, optional
+        Whether nothing listens at the member's address.
     """
 
-    def __init__(self, detail: str, sent: bool) -> None:
+    def __init__(
+        self, detail: str, sent: bool, is_refused: bool = False
+    ) -> None:
         super().__init__(detail)
         self.detail = detail
         self.sent = sent
+        self.is_refused = is_refused
 
 
 class DatabaseLink(Protocol):
@@ -150,7 +155,8 @@
     ``started_ms`` distinguishes the incarnations of a member under one
     name; it is only compared for equality. ``slots`` is the number of
     statements that the member runs concurrently; 0 if the registry
-    doesn't state it.
+    doesn't state it. ``cold_left_s`` is for how much longer the member
+    remains slow after its start (seconds); None if it isn't stated.
     """
 
     member: str
@@ -162,6 +168,7 @@
     claims_primary: bool
     started_ms: int = 0
     slots: int = 0
+    cold_left_s: float | None = None
 
 
 class LinkFactory(Protocol):
