Node: the admission modules are loaded where admission is active

Callers of a fleet that restarts are refused until the programs have loaded.

The modules are used now, but only where a member has fewer connections than there are organisations.

--- a/redwingpost/node/member_admission.py
+++ b/redwingpost/node/member_admission.py
@@ -6,25 +6,29 @@
 
 The decisions are those of ``redwingpost.admission.controller``; this module
 wakes the statements that it starts, and refuses those that it refuses.
+
+The decision modules are imported where a configuration makes admission
+active: elsewhere a node starts sooner without them.
 """
 
+from __future__ import annotations
+
 from asyncio import Future, get_running_loop, wait
 from collections import Counter
 from collections.abc import Callable
 from itertools import count
 from random import random
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
-from redwingpost.admission.controller import AdmissionController, Arrival
-from redwingpost.admission.home_policy import home_policy
-from redwingpost.admission.queue import MIN_RETRY_MS
-from redwingpost.admission.transactions import TransactionPlaces
 from redwingpost.core.codes import Code
 from redwingpost.core.requests import Refusal
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.database import LinkLost
-from redwingpost.scheduling.fair import Preference
-from redwingpost.scheduling.priorities import OrganisationWeights
+
+if TYPE_CHECKING:
+    from redwingpost.admission.controller import AdmissionController, Arrival
+    from redwingpost.admission.transactions import TransactionPlaces
+    from redwingpost.scheduling.priorities import OrganisationWeights
 
 #: Seconds after which a waiting statement checks whether its member has
 #: stalled: no answer wakes it then.
@@ -159,6 +163,11 @@
         if rules is None:
             self._deactivate()
         elif self._controller is None:
+            from redwingpost.admission.controller import AdmissionController
+            from redwingpost.admission.home_policy import home_policy
+            from redwingpost.admission.transactions import TransactionPlaces
+            from redwingpost.scheduling.fair import Preference
+
             policy = home_policy(slots, random)
             self._controller = AdmissionController(
                 connections,
@@ -203,6 +212,8 @@
         """
         if self._rules is None:
             return None
+        from redwingpost.admission.controller import Arrival
+
         ticket = next(self._tickets)
         flow = self._rules.weights.flow(priority, organisation)
         arrival = Arrival(
@@ -382,6 +393,8 @@
         wait_s: float,
     ) -> AdmissionRefused:
         if refusal.code.name == Code.DEADLINE_PASSED.name:
+            from redwingpost.admission.queue import MIN_RETRY_MS
+
             # It came too late already; callers may retry like after the
             # other refusals.
             retry_ms = max(MIN_RETRY_MS, int(wait_s * 1000))
--- a/redwingpost/node/request/admission.py
+++ b/redwingpost/node/request/admission.py
@@ -16,7 +16,6 @@
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
 from redwingpost.rates.usage import UsageLedger
-from redwingpost.scheduling.priorities import OrganisationWeights
 
 #: Organisation name sent to members for callers of a public route that have
 #: no key.
@@ -44,7 +43,7 @@
 
     def __init__(self, vms: VmTable, ledger: UsageLedger, clock: Clock):
         self.rules: ServiceRules = NO_RULES
-        self._weights = OrganisationWeights({}, 1.0)
+        self._member_rules: MemberRules | None = None
         self.on_admitted: Callable[[str], None] | None = None
         self._vms = vms
         self._ledger = ledger
@@ -67,12 +66,7 @@
             organisations=len(rules.organisations_by_name),
         )
         self.rules = rules
-        self._weights = OrganisationWeights.of(
-            {
-                name: rule.rate
-                for name, rule in rules.organisations_by_name.items()
-            }
-        )
+        self._member_rules = None
         return True
 
     def check(self, database: str, key: str) -> Admitted | Refusal:
@@ -102,7 +96,19 @@
         """
         if max_connections >= len(self.rules.organisations_by_name):
             return None
-        return MemberRules(self._weights, self.rules.idle_transaction_s)
+        if self._member_rules is None:
+            # Imported here, as nodes whose members have connections enough
+            # start sooner without it.
+            from redwingpost.scheduling.priorities import OrganisationWeights
+
+            rates = {
+                name: rule.rate
+                for name, rule in self.rules.organisations_by_name.items()
+            }
+            self._member_rules = MemberRules(
+                OrganisationWeights.of(rates), self.rules.idle_transaction_s
+            )
+        return self._member_rules
 
     def refund_operation(self, organisation: OrganisationRule) -> None:
         """Undo ``spend`` for an operation that reached no member."""
