--- a/redwingpost/node/fleet/table_copy.py
+++ b/redwingpost/node/fleet/table_copy.py
@@ -42,7 +42,7 @@
     >>> copy = TableCopy()
     >>> copy.note_snapshot(Snapshot((), 5, 0))
     >>> copy.since(5)
-    Changes(changes=(), version=5, history_lost=False)
+    Changes(changes=(), version=5, history_lost=False, age_s=0.0)
     >>> copy.since(4).history_lost
     True
     """
