--- a/redwingpost/bench/rest_cost.py
+++ b/redwingpost/bench/rest_cost.py
@@ -61,6 +61,11 @@
 from redwingpost.ports.clock import MonotonicClock
 from redwingpost.rates.usage import UsageLedger
 from redwingpost.routing.homes import choose_homes
+from redwingpost.standin.lines.files import (
+    NodePlace,
+    configuration_of,
+    node_settings,
+)
 from redwingpost.standin.lines.site import LineSite
 
 app = Typer(add_completion=False)
@@ -72,6 +77,9 @@
 _DATA_CENTRES = ("dc-a", "dc-b", "dc-c")
 _HOMES = 4
 
+#: Organisations of the configuration.
+_ORGANISATIONS = 20
+
 #: Seconds between two changes of a member's row.
 _ROW_INTERVAL_S = 1.2
 
@@ -402,7 +410,7 @@
             Seconds for which the others run before the measured ones start.
         """
         await self._site.start(self._groups)
-        self._site.configure(self._configuration())
+        self._site.configure(configuration_of(self._groups, _ORGANISATIONS))
         for number in range(self._vms if is_listed else 0):
             address = vm_address(number, self._measured, self._port)
             value = {
@@ -453,36 +461,6 @@
                 due_at = started_at + number * _ROW_INTERVAL_S / len(members)
                 await sleep(max(0.0, due_at - monotonic()))
 
-    def _configuration(self) -> dict[str, Any]:
-        return {
-            "configVersion": 1,
-            "routes": [
-                {
-                    "name": f"r-{group}",
-                    "host": group,
-                    "routeType": "primary",
-                    "timeoutMs": 1000,
-                    "targetLatencyMs": 400,
-                    "priority": 1,
-                    "service": group,
-                }
-                for group in self._groups
-            ],
-            "services": [
-                {"name": group, "maxConns": 32, "syncReplicas": 1}
-                for group in self._groups
-            ],
-            "tenants": [
-                {
-                    "name": f"t{number}",
-                    "apiKeys": [f"key-{number}"],
-                    "ratePerS": 500,
-                    "burst": 500,
-                }
-                for number in range(20)
-            ],
-        }
-
     async def _start_others(self, processes: int) -> None:
         count = self._vms - self._measured
         for number in range(processes):
@@ -504,25 +482,20 @@
         path = self._folder / f"{address.vm}.json"
         callers, ready = self._metrics_port + 1, self._metrics_port + 2
         site = self._site
-        settings = {
-            "node": address.vm,
-            "zone": address.data_centre,
-            "ip": address.ip,
-            "listen": {
-                "front": f"{address.ip}:{callers}",
-                "ready": f"{address.ip}:{ready}",
-            },
-            "innerPorts": [self._port, self._metrics_port],
-            "seeds": [],
-            "bounds": {"drainMs": 7000, "graceS": 6},
-            "limits": {
-                "cpuShare": 0.5 * address.capacity,
-                "cores": 1,
-                "linkMbps": 10 * address.capacity,
-            },
-            "platform": {"address": f"{site.ip}:{site.store_port}"},
-            "cloudApi": {"address": f"{site.ip}:{site.orders_port}"},
-        }
+        settings = node_settings(
+            NodePlace(
+                vm=address.vm,
+                data_centre=address.data_centre,
+                ip=address.ip,
+                callers=f"{address.ip}:{callers}",
+                ready=f"{address.ip}:{ready}",
+                inner_ports=(self._port, self._metrics_port),
+                store=f"{site.ip}:{site.store_port}",
+                orders=f"{site.ip}:{site.orders_port}",
+                cores=0.5 * address.capacity,
+                link_mbps=10.0 * address.capacity,
+            )
+        )
         path.write_text(dumps(settings))
         started_at = monotonic()
         options = ("--profile",) if profile else ()
