Heartbeats: a gatherer passes on samples of groups that it isn't a home of

Cause: samples reach other homes through the gatherers' own samples, and a gatherer passed on only those whose primary it knew. Since VMs no longer probe all groups when they start, a gatherer that is no home knows none: homes would not get each other's samples, nor hear of a newer primary.

Change: a gatherer keeps the newest received sample of each member and passes it on for 2 s with its age. Receivers check the member and the term, as before. Plain VMs pass on none.

Conclusion: samples no longer depend on what a gatherer probed at its start.

--- a/redwingpost/node/fleet/heartbeat_writer.py
+++ b/redwingpost/node/fleet/heartbeat_writer.py
@@ -1,5 +1,8 @@
 """Builds this VM's heartbeats and applies samples of other VMs."""
 
+from collections.abc import Callable
+from typing import NamedTuple
+
 from redwingpost.groups.directory import Directory
 from redwingpost.membership.heartbeat import (
     Heartbeat,
@@ -16,8 +19,20 @@
 _MAX_SAMPLE_AGE_S = 2.0
 
 
+class _ReceivedSample(NamedTuple):
+    """A sample of another VM, and when it was taken at the latest (s)."""
+
+    sample: SharedSample
+    taken_at: float
+
+
 class HeartbeatWriter:
-    """Builds heartbeats, and passes received samples to their groups."""
+    """Builds heartbeats, and passes received samples to their groups.
+
+    ``gathers`` returns whether this VM gathers. If so, it passes on the
+    samples of groups whose members it doesn't contact: it knows no primary
+    of theirs, and the homes that receive them check the term themselves.
+    """
 
     def __init__(
         self,
@@ -28,6 +43,7 @@
         directory: Directory,
         admission: Admission,
         clock: Clock,
+        gathers: Callable[[], bool] = lambda: False,
     ) -> None:
         self._vm = vm
         self._ip = ip
@@ -35,7 +51,9 @@
         self._group_by_name = group_by_name
         self._activity = activity
         self._directory = directory
+        self._gathers = gathers
         self._sampled_by_group: dict[str, GroupClient] = {}
+        self._relayed_by_member: dict[str, _ReceivedSample] = {}
         self._admission = admission
         self._clock = clock
 
@@ -104,6 +122,28 @@
                 taken_at = earliest_sent_at - sample.age_ms / 1000.0
                 group.note_shared(sample.member, sample.position, taken_at)
                 self._sampled_by_group[group.name] = group
+                self._note_relayed(_ReceivedSample(sample, taken_at))
+
+    def _note_relayed(self, received: _ReceivedSample) -> None:
+        member = received.sample.member
+        known = self._relayed_by_member.get(member)
+        if known is None or received.taken_at > known.taken_at:
+            self._relayed_by_member[member] = received
+
+    def _relayed_samples(
+        self, known: frozenset[str], now: float
+    ) -> list[SharedSample]:
+        """Return other VMs' recent samples at other than known members."""
+        relayed = []
+        for member, (sample, taken_at) in tuple(
+            self._relayed_by_member.items()
+        ):
+            if now - taken_at > _MAX_SAMPLE_AGE_S:
+                del self._relayed_by_member[member]
+            elif member not in known and self._gathers():
+                age_ms = int((now - taken_at) * 1000) + 1
+                relayed.append(sample._replace(age_ms=age_ms))
+        return relayed
 
     def _shared_samples(self, now: float) -> tuple[SharedSample, ...]:
         """Return the newest sample of each group, for other VMs."""
@@ -122,7 +162,8 @@
             # Rounded up: a sample must not count as younger than it is.
             age_ms = int((now - sample.taken_at) * 1000) + 1
             shared.append(SharedSample(leader, sample.position, age_ms))
-        return tuple(shared)
+        known = frozenset(item.member for item in shared)
+        return (*shared, *self._relayed_samples(known, now))
 
 
 def _to_ms(seconds: float) -> int:
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -310,6 +310,7 @@
             self.directory,
             self._admission,
             self._clock,
+            lambda: self._vms.gathers,
         )
         address = VmAddress(
             settings.vm,
--- a/redwingpost/node/tests/test_work_at_rest.py
+++ b/redwingpost/node/tests/test_work_at_rest.py
@@ -17,6 +17,7 @@
 from redwingpost.membership.heartbeat import (
     Heartbeat,
     PrimaryHealth,
+    SharedSample,
     VmAddress,
 )
 from redwingpost.membership.vm_table import VmTable
@@ -287,6 +288,31 @@
             self.node._update_readiness()
         self.assertEqual(1, self.counts["count_reached"])
 
+    async def test_a_gatherer_passes_on_samples_of_other_homes(self) -> None:
+        """A home tells its gatherers a sample; they are homes of others.
+
+        If they dropped it, as they know no primary of the group, the other
+        homes would have to ask the members for what one has found out.
+        """
+        name = next(name for name in _GROUPS if name not in self.own)
+        member = f"{name}-m0"
+        writer = self.node._heartbeat_writer
+        cases = ((True, 0.0, 1), (False, 0.0, 0), (True, 2.0, 0))
+        for gathers, later_s, count in cases:
+            with self.subTest(gathers=gathers, later_s=later_s):
+                self.node._vms.gathers = gathers
+                sample = SharedSample(member, Position(3, 9), 100)
+                now = self.clock.now()
+                writer.take_samples((sample,), now - 0.1)
+                self.clock.advance(later_s)
+                shared = writer.describe(False).samples
+                members = [item.member for item in shared]
+                self.assertEqual([member] * count, members)
+                for item in shared:
+                    # Rounded up: it must not count as younger than it is.
+                    self.assertLessEqual(200, item.age_ms)
+                    self.assertLessEqual(item.age_ms, 201)
+
 
 class StartTest(IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
