Operators: the increase of counters, for labels of any kind

Load is measured like usage, by counters read twice, but its series have other labels. The same function serves both; only its types change, and what it does with a restarted process stays.

operator.tests.test_usage passes.

--- a/redwingpost/operator/usage.py
+++ b/redwingpost/operator/usage.py
@@ -6,8 +6,8 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
-from typing import NamedTuple
+from collections.abc import Hashable, Iterable, Mapping
+from typing import NamedTuple, TypeVar
 
 from prometheus_client.parser import text_string_to_metric_families
 
@@ -16,6 +16,8 @@
 _METRIC = "redwing_operations_total"
 _GRANTED = "granted"
 
+_Key = TypeVar("_Key", bound=Hashable)
+
 
 class Series(NamedTuple):
     """The labels of one counter of a VM."""
@@ -62,8 +64,8 @@
 
 
 def count_increase(
-    before: Mapping[Series, int], after: Mapping[Series, int]
-) -> Counter[Series]:
+    before: Mapping[_Key, int], after: Mapping[_Key, int]
+) -> Counter[_Key]:
     """Return the increase of one VM's counters between two readings.
 
     The counters of a restarted process start from zero: all of its counts
