--- a/redwingpost/cli/ctl_usage.py
+++ b/redwingpost/cli/ctl_usage.py
@@ -6,8 +6,9 @@
 from rich.table import Table
 from typer import Context, Exit, Option, echo
 
-from redwingpost.adapters.http_client import HttpClient, HttpLost
+from redwingpost.adapters.http_client import HttpLost
 from redwingpost.cli.ctl_common import EXIT_REFUSED, read_address, show_result
+from redwingpost.cli.metrics_pages import read_metrics_page
 from redwingpost.operator.usage import (
     Series,
     UsageLine,
@@ -16,9 +17,6 @@
     summarise,
 )
 
-#: Seconds to wait for a node's metrics page.
-_TIMEOUT_S = 5.0
-
 
 def usage(
     context: Context,
@@ -56,13 +54,7 @@
 
 
 async def _read(node: str) -> dict[Series, int]:
-    address = read_address(node)
-    client = HttpClient(address.ip, address.port)
-    try:
-        answer = await client.request("GET", "/metrics", _TIMEOUT_S)
-        return read_counts(answer.body.decode())
-    finally:
-        client.close()
+    return read_counts(await read_metrics_page(read_address(node)))
 
 
 def _make_table(lines: tuple[UsageLine, ...]) -> Table:
