Ctl: redwingctl load, how full members are and for whom

Which member is full, and who fills it, had to be added up by hand from the metrics pages of all VMs.

--- a/redwingpost/cli/ctl.py
+++ b/redwingpost/cli/ctl.py
@@ -11,6 +11,7 @@
 from typer import Argument, Context, Exit, Option, Typer, echo
 
 from redwingpost.adapters.peer import PeerAddress
+from redwingpost.cli.ctl_load import load
 from redwingpost.cli.ctl_refusals import refusals
 from redwingpost.cli.ctl_usage import usage
 from redwingpost.cli.ctl_common import (
@@ -388,6 +389,7 @@
 
 
 app.command()(usage)
+app.command()(load)
 app.command()(refusals)
 
 
