Docs: the walk from a refusal to its cause, on the users' platform

The page on full groups covered the MySQL proxies only. It now leads from each code that callers of a node see to the decision, its line and fields, the metrics and redwingctl load, and says what to do; what it says on the proxies stays.

A test checks that metrics, kinds of lines and details that the walk names exist, so that no step searches for what is never written. cli.tests.test_docs passes.

--- a/redwingpost/cli/tests/test_docs.py
+++ b/redwingpost/cli/tests/test_docs.py
@@ -12,6 +12,9 @@
 from redwingpost.bench import scenarios
 from redwingpost.bench.scenario import SCENARIOS
 from redwingpost.core import render_code_table
+from redwingpost.node.load_metrics import LoadCollector
+from redwingpost.node.metrics import NodeMetrics
+from redwingpost.ports.clock import VirtualClock
 
 ROOT = Path(__file__).resolve().parents[3]
 DOCS = ROOT / "docs"
@@ -65,6 +68,42 @@
                     self.assertIn(name, SCENARIOS.names())
 
 
+class WhenItIsFullTest(TestCase):
+    """The walk from a refusal names lines and metrics that nodes write."""
+
+    def setUp(self) -> None:
+        page = (DOCS / "operating" / "when-it-is-full.md").read_text()
+        self.walk, _, _ = page.partition("\n## The MySQL proxies\n")
+
+    def test_metrics_exist(self):
+        metrics = NodeMetrics()
+        metrics.collect_from(LoadCollector({}, VirtualClock()))
+        rendered = metrics.render().decode()
+        names = set(findall(r"`(redwing_\w+)`", self.walk))
+        self.assertTrue(names)
+        for name in names:
+            with self.subTest(name):
+                self.assertIn(f"# TYPE {name} ", rendered)
+
+    def test_kinds_of_lines_and_details_exist(self):
+        """Guards against a step that searches for what is never written."""
+        sources = "\n".join(
+            path.read_text()
+            for path in (ROOT / "redwingpost").rglob("*.py")
+            if "tests" not in path.parts
+        )
+        kinds = findall(r"`([a-z]+-[a-z-]+)`", self.walk)
+        details = findall(r"`([a-z-]+ [a-z -]+)`", self.walk)
+        names = {
+            name
+            for name in (*kinds, *details)
+            if not name.startswith(("redwing-", "redwingctl "))
+        }
+        self.assertTrue(names)
+        unknown = {name for name in names if f'"{name}"' not in sources}
+        self.assertEqual(set(), unknown)
+
+
 class LinksTest(TestCase):
     def test_pages_link_to_pages_that_exist(self):
         pages = [ROOT / "README.md", *DOCS.rglob("*.md")]
