Forwarding: what reached no home in time has not run

Cause: a statement whose homes couldn't be reached before its time ended was answered timed-out, which leaves open whether it ran.

Change: target-lost, unless something was sent. The test failed before: timed-out.

--- a/redwingpost/node/forwarding/forwarder.py
+++ b/redwingpost/node/forwarding/forwarder.py
@@ -142,9 +142,12 @@
             if not may_retry_elsewhere(done):
                 return done.result
             last_refusal = self._note_refused(home, task, placed, done)
-        if task.arrived_at + task.route.timeout_s <= self._clock.now():
-            return last_refusal or Refusal(Code.TIMED_OUT, "no home answered")
-        return last_refusal
+        is_late = task.arrived_at + task.route.timeout_s <= self._clock.now()
+        if last_refusal is not None or not is_late:
+            return last_refusal
+        if task.caller.state.trace.may_have_run:
+            return Refusal(Code.TIMED_OUT, "no home answered")
+        return Refusal(Code.TARGET_LOST, "no home was reached in time", 100)
 
     async def open_transaction(
         self,
--- a/redwingpost/node/tests/test_forwarding.py
+++ b/redwingpost/node/tests/test_forwarding.py
@@ -287,6 +287,15 @@
         self.assertIsNone(result)
         self.assertEqual(["home-0", "home-1"], self.homes.suspected)
 
+    async def test_what_reached_no_home_in_time_is_not_run(self) -> None:
+        """Guards against a refusal that leaves open whether it ran."""
+        for server in self.servers:
+            await server.stop()
+        task = self.task(read("r"))
+        late = task._replace(arrived_at=task.arrived_at - 2.0)
+        result = await self.forwarder.run_alone(late)
+        self.assertEqual(Code.TARGET_LOST.name, result.code.name)
+
     async def test_a_read_whose_home_is_lost_runs_at_another(self) -> None:
         task = self.task(read("r"))
         result = await self._lose_home(self.forwarder.run_alone(task))
