--- a/redwingpost/node/tests/test_attempt.py
+++ b/redwingpost/node/tests/test_attempt.py
@@ -162,6 +162,6 @@
         outcome = await run_standalone(
             member, caller, _READ, None, 9.0, VirtualClock()
         )
-        self.assertEqual(refusal, outcome.refuse())
+        self.assertEqual(refusal, outcome.as_refusal())
         self.assertEqual((0, 1), (member.runs, member.released))
         self.assertFalse(caller.state.trace.may_have_run)
