Placement: only where connections are fewer than organisations

Cause: placement, its reports and the shares in a partition were in force in all fleets that have homes.

Change: ServiceRules.has_few_connections decides for admission and placement alike. Elsewhere homes are tried in the order of the organisation's name, second homes take no token of the retry budget, and no loads are reported, as before.

--- a/redwingpost/configuration/routes.py
+++ b/redwingpost/configuration/routes.py
@@ -84,6 +84,14 @@
     organisations_by_key: dict[str, OrganisationRule]
     idle_transaction_s: float
 
+    def has_few_connections(self, max_connections: int) -> bool:
+        """Return whether organisations outnumber a member's connections.
+
+        Not each of them can then have a connection of its own, and
+        statements compete for what the others leave.
+        """
+        return max_connections < len(self.organisations_by_name)
+
     def organisation_of(self, key: str) -> OrganisationRule | None:
         """Return the organisation that a key is granted to, if any."""
         return self.organisations_by_key.get(key)
--- a/redwingpost/node/forwarding/forwarder.py
+++ b/redwingpost/node/forwarding/forwarder.py
@@ -99,9 +99,10 @@
     def has_home_elsewhere(self, route: RouteRule, organisation: str) -> bool:
         """Return whether another VM may run a statement as home."""
         now = self._clock.now()
-        ranked = self._homes.ranked_homes(
-            route.group, organisation, now, route.regions
-        )
+        subject = route.group, organisation, now, route.regions
+        if not self._homes.places_by_load(route.group):
+            return bool(self._homes.homes_to_try(*subject))
+        ranked = self._homes.ranked_homes(*subject)
         return any(address.vm != self._homes.vm for address in ranked)
 
     def next_transaction(self) -> int:
@@ -129,7 +130,9 @@
                 if is_write:
                     done = await channel.request(work, self._timeout_s(task))
                 else:
-                    done = await self._request_read(channel, work, task)
+                    done = await self._request_read(
+                        channel, work, task, placed
+                    )
             except HomeLost as lost:
                 self._note_lost(home, channel, task, lost)
                 if not lost.sent:
@@ -273,7 +276,7 @@
         a token of the retry budget.
         """
         for position, home in enumerate(placed.homes[:MAX_HOMES]):
-            if position > 0:
+            if position > 0 and placed.is_by_load:
                 group = task.route.group
                 if not self._placer.can_run(home, group, placed.needs_primary):
                     continue
@@ -295,13 +298,17 @@
         self._channels.reports.note_unreachable(home.vm, now)
 
     async def _request_read(
-        self, channel: HomeChannel, work: Work, task: ForwardedStatement
+        self,
+        channel: HomeChannel,
+        work: Work,
+        task: ForwardedStatement,
+        placed: StatementPlace,
     ) -> Done:
         """Request a read; fail early if the home sends no message at all."""
         until = self._clock.now() + self._timeout_s(task)
         future = channel.send(work)
         try:
-            return await self._await_read(channel, future, until)
+            return await self._await_read(channel, future, until, placed)
         except BaseException:
             self._withdraw(channel, work)
             raise
@@ -326,7 +333,11 @@
             return
 
     async def _await_read(
-        self, channel: HomeChannel, future: Future, until: float
+        self,
+        channel: HomeChannel,
+        future: Future,
+        until: float,
+        placed: StatementPlace,
     ) -> Done:
         while True:
             waiting_since = self._clock.now()
@@ -337,14 +348,21 @@
             if future.done():
                 return future.result()
             # An overloaded home also sends nothing. Without the retry
-            # budget each of its reads would be sent several times. The
-            # next home takes the token.
-            if (
-                channel.last_received_at < waiting_since
-                and self._budget.tokens >= 1.0
+            # budget each of its reads would be sent several times.
+            if channel.last_received_at < waiting_since and self._may_retry(
+                placed
             ):
                 raise HomeLost("silent", sent=True)
 
+    def _may_retry(self, placed: StatementPlace) -> bool:
+        """Return whether the retry budget allows another home.
+
+        Where statements are placed by load, that home takes the token.
+        """
+        if placed.is_by_load:
+            return self._budget.tokens >= 1.0
+        return self._budget.spend()
+
     def _note_lost(
         self,
         home: VmAddress,
--- a/redwingpost/node/forwarding/homes.py
+++ b/redwingpost/node/forwarding/homes.py
@@ -161,6 +161,8 @@
         homes = self.homes_of(group, now)
         if homes.is_all or self.vm not in homes.names:
             return self._vms.count()
+        if not self.places_by_load(group):
+            return len(homes.addresses)
         return ceil(len(homes.addresses) / self.heard_part(now) - 1e-9)
 
     def heard_part(self, now: float) -> float:
@@ -172,9 +174,22 @@
 
     def is_cut(self, group: str, now: float) -> bool:
         """Return whether homes may exist that this one doesn't hear of."""
+        if not self.places_by_load(group):
+            return False
         homes = self.homes_of(group, now)
         return not homes.is_all and self.heard_part(now) < 1.0
 
+    def places_by_load(self, group: str) -> bool:
+        """Return whether statements are placed by what homes report.
+
+        Where each organisation can have a connection of its own, the order
+        of homes by the organisation's name keeps these in use.
+        """
+        rule = self._rules and self._rules.groups_by_name.get(group)
+        return rule is not None and self._rules.has_few_connections(
+            rule.max_connections
+        )
+
     def senders(self, group: str, now: float) -> tuple[str, ...]:
         """Return the VMs that may send statements to a group's cold members.
 
--- a/redwingpost/node/forwarding/peer.py
+++ b/redwingpost/node/forwarding/peer.py
@@ -50,13 +50,17 @@
 
 
 class HomeDependencies(NamedTuple):
-    """What a home uses to run statements."""
+    """What a home uses to run statements.
+
+    ``reports_load`` returns whether to report the load of a group.
+    """
 
     group_by_name: dict[str, GroupClient]
     reads: ReadRunner
     writes: WriteRunner
     clock: Clock
     is_stopping: Callable[[], bool]
+    reports_load: Callable[[str], bool]
 
 
 class _HeldTransaction(NamedTuple):
@@ -137,9 +141,12 @@
         if self._writer.is_closing():
             return
         idle_s = self.dependencies.clock.now() - self._started_at
-        if not self._task_by_number and idle_s > REPORT_AFTER_USE_S:
+        loads = self._loads.of_all_groups()
+        if not self._task_by_number and (
+            idle_s > REPORT_AFTER_USE_S or not loads
+        ):
             return
-        busy = Busy(len(self._task_by_number), self._loads.of_all_groups())
+        busy = Busy(len(self._task_by_number), loads)
         write_frame(self._writer, pack_busy(busy))
         self._send_busy_within(
             BUSY_INTERVAL_S if self._task_by_number else REPORT_INTERVAL_S
--- a/redwingpost/node/forwarding/placer.py
+++ b/redwingpost/node/forwarding/placer.py
@@ -34,11 +34,14 @@
     """Homes to try for a statement, or why it is refused unrun.
 
     The homes may include this VM; none if it runs the statement anyway.
+    ``is_by_load`` is False if they are in the order of the organisation's
+    name, whatever they report.
     """
 
     homes: tuple[VmAddress, ...]
     needs_primary: bool
     refusal: Refusal | None = None
+    is_by_load: bool = True
 
 
 class _Unable(NamedTuple):
@@ -107,6 +110,11 @@
     ) -> StatementPlace:
         """Return the homes to try for a statement, the best first."""
         now = self._clock.now()
+        if not self._homes.places_by_load(route.group):
+            homes = self._homes.homes_to_try(
+                route.group, organisation, now, route.regions
+            )
+            return StatementPlace(homes, needs_primary, is_by_load=False)
         known = self._known(route, organisation, needs_primary, now)
         if not known.address_by_vm:
             return StatementPlace((), needs_primary)
--- a/redwingpost/node/forwarding/server.py
+++ b/redwingpost/node/forwarding/server.py
@@ -32,7 +32,9 @@
         self._port = port
         self._dependencies = dependencies
         self._loads = LocalLoads(
-            dependencies.group_by_name, dependencies.clock
+            dependencies.group_by_name,
+            dependencies.clock,
+            dependencies.reports_load,
         )
         self._server: Server | None = None
         self._peers: set[Peer] = set()
--- a/redwingpost/node/request/admission.py
+++ b/redwingpost/node/request/admission.py
@@ -132,7 +132,7 @@
         None if a member accepts ``max_connections`` and thereby one for
         each organisation: statements then only wait for connections.
         """
-        if max_connections >= len(self.rules.organisations_by_name):
+        if not self.rules.has_few_connections(max_connections):
             return None
         if self._member_rules is None:
             # Imported here, as nodes whose members have connections enough
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -189,7 +189,9 @@
                 self._homes,
                 self._channels,
                 clock,
-                LocalLoads(self.group_by_name, clock),
+                LocalLoads(
+                    self.group_by_name, clock, self._homes.places_by_load
+                ),
                 self.metrics.note_placement,
             ),
         )
@@ -211,6 +213,7 @@
                 self._services.writes,
                 clock,
                 lambda: self.is_stopping,
+                self._homes.places_by_load,
             ),
         )
         self._copies = CopyPage(
