Metrics: how old a copy of a table is, and how long its request has waited

A node whose request for changes is pending at a store that never answers logs nothing and looks like a node whose table hasn't changed. Gauges by table show the age of the copy, the wait of the pending request and the store's version; store-lost and store-history-lost hold the wait and the version before. The stand-in of the store can be silent: it accepts requests and never answers them.

--- a/redwingpost/node/fleet/watcher.py
+++ b/redwingpost/node/fleet/watcher.py
@@ -89,6 +89,7 @@
         self._reader = reader
         self._clock = clock
         self._version: int | None = None
+        self._requested_at: float | None = None
         self._answered_at = float("-inf")
         self._changed_at = float("-inf")
         self._was_lost = False
@@ -109,8 +110,21 @@
         """Return the time since the copy was known to be current (s)."""
         return self._clock.now() - self._current_at
 
+    @property
+    def version(self) -> int:
+        """Return the store's version of the last answer, 0 before it."""
+        return self._version or 0
+
+    @property
+    def pending_s(self) -> float:
+        """Return for how long the present request has waited (s)."""
+        if self._requested_at is None:
+            return 0.0
+        return self._clock.now() - self._requested_at
+
     async def read_now(self) -> bool:
         """Read the whole table; return False if the store didn't answer."""
+        self._requested_at = self._clock.now()
         got = await self._store.snapshot(self.table)
         if got.is_error():
             self._note_lost(got.error.detail)
@@ -135,6 +149,7 @@
                 return
 
     async def _read_changes(self) -> bool:
+        self._requested_at = self._clock.now()
         got = await self._store.changes(self.table, self._version, FEED_WAIT_S)
         if got.is_error():
             self._note_lost(got.error.detail)
@@ -144,7 +159,9 @@
         self._note_answer()
         changes = got.ok
         if changes.history_lost:
-            log_event("store-history-lost", table=self.table)
+            log_event(
+                "store-history-lost", table=self.table, version=self._version
+            )
             self._version = None
             return True
         self._version = max(self._version, changes.version)
@@ -181,6 +198,7 @@
 
     def _note_answer(self) -> None:
         self._answered_at = self._clock.now()
+        self._requested_at = None
         if self._was_lost:
             self._was_lost = False
             log_event("store-regained", table=self.table)
@@ -188,6 +206,13 @@
                 self._on_regained()
 
     def _note_lost(self, detail: str) -> None:
+        waited_s, self._requested_at = self.pending_s, None
         if not self._was_lost:
             self._was_lost = True
-            log_event("store-lost", table=self.table, detail=detail)
+            log_event(
+                "store-lost",
+                table=self.table,
+                detail=detail,
+                waited_s=round(waited_s, 3),
+                version=self._version,
+            )
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -56,6 +56,7 @@
 from redwingpost.node.request.writes import WriteRunner
 from redwingpost.node.settings import NodeSettings
 from redwingpost.node.steps import repeat
+from redwingpost.node.table_metrics import TableCollector
 from redwingpost.node.takeover.coordinator import TakeoverDependencies
 from redwingpost.node.takeover.duty import DutyKeeper
 from redwingpost.node.takeover.keeper import TakeoverKeeper
@@ -204,6 +205,7 @@
             self._centres,
         )
         self._make_watchers()
+        self.metrics.collect_from(TableCollector(self._watchers))
         self._home_server = HomeServer(
             settings.ip,
             settings.heartbeat_port,
@@ -309,6 +311,11 @@
             self._clock,
             self._try_takeovers,
         )
+        self._watchers = (
+            self._rules_watcher,
+            self._member_watcher,
+            self._fleet_watcher,
+        )
 
     def _known_data_centres(self) -> frozenset[str]:
         """Return the data centres of VMs and members, as far as listed."""
@@ -417,14 +424,7 @@
         )
 
     def _table_pages(self) -> TablePages:
-        watcher_by_table = {
-            watcher.table: watcher
-            for watcher in (
-                self._rules_watcher,
-                self._member_watcher,
-                self._fleet_watcher,
-            )
-        }
+        watcher_by_table = {item.table: item for item in self._watchers}
         return TablePages(
             {name: item.copy for name, item in watcher_by_table.items()},
             lambda table: watcher_by_table[table].is_lost,
@@ -437,9 +437,7 @@
         return [
             self._ready_pages,
             self._metrics_pages,
-            self._rules_watcher,
-            self._member_watcher,
-            self._fleet_watcher,
+            *self._watchers,
             self._entry,
             self._heartbeats,
             self._takeovers,
--- a/redwingpost/standin/lines/store.py
+++ b/redwingpost/standin/lines/store.py
@@ -26,10 +26,12 @@
 
     ``lose_answers`` is the number of coming transactions that are applied
     without an answer; requests from ``refused_ips`` are answered with 503.
+    While the store is silent, it accepts requests and never answers them.
     """
 
     def __init__(self) -> None:
         self.is_down = False
+        self.is_silent = False
         self.delay_s = 0.0
         self.lose_answers = 0
         self.refused_ips: set[str] = set()
@@ -79,6 +81,8 @@
         self._wake()
 
     async def _refuse(self, request: Request) -> Response | None:
+        if self.faults.is_silent:
+            await Event().wait()
         await sleep(self.faults.delay_s)
         if self.faults.is_down or request.remote in self.faults.refused_ips:
             return Response(status=503)
