Store: a request for changes ends within the bound of its table

Callers' requests were handled by older versions than confirmed ones, and added routes refused, for as long as half a minute after the store had been silent for a second and a half; on all VMs at once, without a line of log.

Cause: a VM waited 31 s for the answer to a request for changes and relied on TCP's probes to find a connection that is dead. A store that takes a request and never answers it keeps the connection alive. In a series of changes all VMs ask 0.2 s after the last answer, so one short silence takes the requests of all, and no heartbeat tells of a newer version. Connections that go silent are found by the probes only after 3 to 5 s, later than a VM counts as in touch again.

Change: a request may take as long as a change of its table may be late, less the retry and a new connection: 2.4 s for the configuration (bound from the settings, 3 s), 3.6 s for members, 9.4 s for the list of VMs. After a lost request the next one asks for an answer at once with the whole time limit, so that a slow link still delivers.

--- a/redwingpost/node/fleet/relayed_store.py
+++ b/redwingpost/node/fleet/relayed_store.py
@@ -16,10 +16,6 @@
 from redwingpost.ports.fleet_store import Changes, FleetStore, Snapshot
 from redwingpost.ports.platform import Condition, TransactResult, Write
 
-#: Seconds beyond the requested wait after which a request to a gatherer
-#: times out.
-_MARGIN_S = 1.0
-
 #: Seconds between checks whether the gatherer is still one of this VM's: a
 #: gatherer that is cut off would delay changes for as long as the wait.
 _RECHECK_S = 0.5
@@ -92,7 +88,7 @@
         return await self._store.transact(conditions, writes)
 
     async def changes(
-        self, table: str, after: int, wait_s: float
+        self, table: str, after: int, wait_s: float, timeout_s: float
     ) -> Result[Changes, Refusal]:
         """Wait for changes after a version."""
         await self._wait_for_list(table)
@@ -101,7 +97,8 @@
             if gatherer not in self._gatherers():
                 # It is no longer one of this VM's gatherers.
                 continue
-            got = await self._fetch_from(gatherer, table, after, wait_s)
+            target = table_request_path(table, after, wait_s)
+            got = await self._fetch_from(gatherer, table, target, timeout_s)
             if got is None:
                 continue
             if got.is_ok():
@@ -114,7 +111,7 @@
             detail = "lost to this VM's gatherers"
             return Error(Refusal(Code.STORE_UNAVAILABLE, detail))
         self._store_queried_at_by_table[table] = self._clock.now()
-        got = await self._store.changes(table, after, wait_s)
+        got = await self._store.changes(table, after, wait_s, timeout_s)
         if got.is_ok():
             self._note_source(table, "store")
         return got
@@ -154,12 +151,10 @@
             await sleep(_POLL_S)
 
     async def _fetch_from(
-        self, gatherer: VmAddress, table: str, after: int, wait_s: float
+        self, gatherer: VmAddress, table: str, target: str, timeout_s: float
     ) -> Result[Changes, Refusal] | None:
         """Return a gatherer's changes; None once it is no longer selected."""
         client = self._client(gatherer, table)
-        target = table_request_path(table, after, wait_s)
-        timeout_s = wait_s + _MARGIN_S
         pending = create_task(client.request("GET", target, timeout_s))
         try:
             while not pending.done():
--- a/redwingpost/node/fleet/watcher.py
+++ b/redwingpost/node/fleet/watcher.py
@@ -7,6 +7,7 @@
 
 from mode import Service
 
+from redwingpost.node.fleet.feed_times import RETRY_S, FeedTimes
 from redwingpost.node.fleet.table_copy import TableCopy
 from redwingpost.node.steps import repeat
 from redwingpost.observability.journal import log_event
@@ -14,14 +15,8 @@
 from redwingpost.ports.fleet_store import FleetStore, Snapshot
 from redwingpost.ports.platform import Row
 
-#: Seconds that a request waits for a change. The keep-alive probes detect a
-#: dead connection long before.
-FEED_WAIT_S = 30.0
-
-#: Seconds between attempts while the store doesn't answer: each VM that
-#: reads from it directly sends them for three tables.
-RETRY_S = 0.4
-
+#: How late (seconds) a change may be known, unless its table says otherwise.
+DEFAULT_BOUND_S = 3.0
 
 #: Seconds within which a second change counts as part of a burst, and the
 #: delay before the changes of a burst are read together: far below the
@@ -67,6 +62,9 @@
     essence : callable, optional
         Returns what of a row matters. Changes that leave it equal are not
         passed to the reader, nor to other VMs.
+    bound_s : float, optional
+        How late (seconds) a change may be known here, also after a request
+        that was never answered.
     """
 
     def __init__(
@@ -78,6 +76,7 @@
         on_regained: Callable[[], None] | None = None,
         on_current: Callable[[float], None] | None = None,
         essence: Callable[[Row], Any] | None = None,
+        bound_s: float = DEFAULT_BOUND_S,
         **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
@@ -88,6 +87,7 @@
         self.table = table
         self._reader = reader
         self._clock = clock
+        self._times = FeedTimes.within(bound_s)
         self._version: int | None = None
         self._requested_at: float | None = None
         self._answered_at = float("-inf")
@@ -150,7 +150,10 @@
 
     async def _read_changes(self) -> bool:
         self._requested_at = self._clock.now()
-        got = await self._store.changes(self.table, self._version, FEED_WAIT_S)
+        times = self._times.after_failure if self._was_lost else self._times
+        got = await self._store.changes(
+            self.table, self._version, times.wait_s, times.timeout_s
+        )
         if got.is_error():
             self._note_lost(got.error.detail)
             # Removals during the outage follow in the feed. The whole table
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -83,6 +83,10 @@
 PROBE_CHECK_S = 0.05
 IDLE_PROBE_CHECK_S = 0.19
 
+#: How late (seconds) a change of the list of VMs may be known: a VM that
+#: enters it sends heartbeats to all others by itself.
+_VM_LIST_BOUND_S = 10.0
+
 #: Connections to a group's members if the configuration doesn't name it.
 _DEFAULT_CONNECTIONS = 32
 
@@ -261,11 +265,12 @@
     # Parts -------------------------------------------------------------
 
     def _make_watchers(self) -> None:
+        settings = self.settings
         ports = self._ports
         store = RelayedStore(
             ports.store,
             self._gathering,
-            self.settings.metrics_port,
+            settings.metrics_port,
             FLEET_TABLE,
             self._clock,
         )
@@ -292,6 +297,7 @@
             CombinedReader((self._rules_reader, self._evacuation_reader)),
             self._clock,
             self._try_takeovers,
+            bound_s=min(settings.configuration_s, settings.evacuate_s),
         )
         self._member_watcher = TableWatcher(
             store,
@@ -301,6 +307,7 @@
             self._try_takeovers,
             self.directory.note_current,
             ports.format.member_essence,
+            settings.drain_s * DRAIN_WORK_FRACTION,
         )
         self._fleet_watcher = TableWatcher(
             store,
@@ -310,6 +317,7 @@
             ),
             self._clock,
             self._try_takeovers,
+            bound_s=_VM_LIST_BOUND_S,
         )
         self._watchers = (
             self._rules_watcher,
--- a/redwingpost/node/settings.py
+++ b/redwingpost/node/settings.py
@@ -17,8 +17,10 @@
     """Settings of one VM; times are seconds.
 
     ``peer_ips`` are VMs that get heartbeats while the list of VMs can't
-    be read from the store. ``drain_s`` is for how long a draining member
-    may still be sent statements, ``evacuate_s`` the same for the members
+    be read from the store. ``configuration_s`` is the time within which an
+    accepted configuration must be in force. ``drain_s`` is for how long a
+    draining member may still be sent statements, ``evacuate_s`` the same for
+    the members
     of a data centre from the order to evacuate it, ``grace_s`` how long
     the process may take to stop. ``capacity`` is what the VM can carry,
     in VMs of half a core and 10 Mbit/s. ``has_places`` tells whether
@@ -37,6 +39,7 @@
     store: Endpoint
     orders: Endpoint
     peer_ips: tuple[str, ...] = ()
+    configuration_s: float = 3.0
     drain_s: float = 7.0
     grace_s: float = 6.0
     evacuate_s: float = 5.0
--- a/redwingpost/node/tests/test_essence.py
+++ b/redwingpost/node/tests/test_essence.py
@@ -99,7 +99,7 @@
     async def snapshot(self, table: str):
         return Ok(Snapshot((_put(1).row,), 1, 0))
 
-    async def changes(self, table: str, after: int, wait_s: float):
+    async def changes(self, table, after, wait_s, timeout_s):
         self._clock.advance(self._interval_s)
         return Ok(self._changes.pop(0)) if self._changes else _LOST
 
--- a/redwingpost/node/tests/test_relayed_store.py
+++ b/redwingpost/node/tests/test_relayed_store.py
@@ -55,7 +55,7 @@
         self.calls = 0
 
     async def changes(
-        self, table: str, after: int, wait_s: float
+        self, table: str, after: int, wait_s: float, timeout_s: float
     ) -> Result[Changes, Refusal]:
         """Return one change."""
         self.calls += 1
@@ -89,7 +89,9 @@
         )
 
     async def _next(self, wait_s: float = 5.0) -> Changes:
-        got = await wait_for(self.relayed.changes("t", 5, wait_s), _TIMEOUT_S)
+        got = await wait_for(
+            self.relayed.changes("t", 5, wait_s, wait_s + 1.0), _TIMEOUT_S
+        )
         return got.ok
 
     async def test_changes_come_from_a_gatherer(self) -> None:
@@ -142,7 +144,7 @@
         """
         self.lost = set(_IPS)
         await self._next()
-        got = await self.relayed.changes("t", 5, 5.0)
+        got = await self.relayed.changes("t", 5, 5.0, 6.0)
         self.assertTrue(got.is_error())
         self.assertEqual(1, self.store.calls)
 
--- a/redwingpost/node/tests/test_watcher.py
+++ b/redwingpost/node/tests/test_watcher.py
@@ -7,6 +7,7 @@
 
 from redwingpost.core.codes import Code
 from redwingpost.core.requests import Refusal
+from redwingpost.node.fleet.feed_times import ANSWER_S, RETRY_S
 from redwingpost.node.fleet.watcher import TableWatcher
 from redwingpost.ports.clock import MonotonicClock, VirtualClock
 from redwingpost.ports.fleet_store import Changes, RowChange, Snapshot
@@ -29,7 +30,7 @@
     async def snapshot(self, table: str):
         return self._snapshots.pop(0) if self._snapshots else _UNAVAILABLE
 
-    async def changes(self, table: str, after: int, wait_s: float):
+    async def changes(self, table, after, wait_s, timeout_s):
         return self._changes.pop(0) if self._changes else _UNAVAILABLE
 
 
@@ -112,6 +113,37 @@
         self.assertEqual([True], regained)
 
 
+class RecordingStore:
+    """Keeps the times of the requests; answers none of them."""
+
+    def __init__(self) -> None:
+        self.times: list[tuple[float, float]] = []
+
+    async def snapshot(self, table: str):
+        return Ok(Snapshot((), 1, 0))
+
+    async def changes(self, table, after, wait_s, timeout_s):
+        self.times.append((wait_s, timeout_s))
+        return _UNAVAILABLE
+
+
+class UnansweredTest(IsolatedAsyncioTestCase):
+    async def test_a_lost_request_ends_within_the_bound(self) -> None:
+        """A request that is never answered must not outlast the bound."""
+        for bound_s in (1.5, 3.0, 4.2, 10.0):
+            with self.subTest(bound_s):
+                store = RecordingStore()
+                watcher = TableWatcher(
+                    store, "t", KeyReader(), VirtualClock(), bound_s=bound_s
+                )
+                for _ in range(2):
+                    await watcher._follow_while_answered()
+                (wait_s, timeout_s), after_failure = store.times
+                self.assertLess(timeout_s + RETRY_S, bound_s)
+                self.assertGreaterEqual(timeout_s - wait_s, ANSWER_S)
+                self.assertEqual((0.0, timeout_s), after_failure)
+
+
 class CountingStore:
     """A store whose table changes periodically; counts the calls."""
 
@@ -124,7 +156,7 @@
     async def snapshot(self, table: str):
         return Ok(Snapshot((), 0, 0))
 
-    async def changes(self, table: str, after: int, wait_s: float):
+    async def changes(self, table, after, wait_s, timeout_s):
         self.calls += 1
         if after >= self._last:
             return _UNAVAILABLE
--- a/redwingpost/platform/settings.py
+++ b/redwingpost/platform/settings.py
@@ -16,6 +16,7 @@
 #: Environment variable that holds the path of the settings file.
 PATH_VARIABLE = "REDWINGPOST_NODE_FILE"
 
+_DEFAULT_CONFIGURATION_MS = 3000
 _DEFAULT_DRAIN_MS = 7000
 _DEFAULT_GRACE_S = 6.0
 _DEFAULT_EVACUATE_MS = 5000
@@ -65,6 +66,8 @@
         store=_endpoint(value, "platform", "address"),
         orders=_endpoint(value, "cloudApi", "address"),
         peer_ips=tuple(seed.rpartition(":")[0] for seed in seeds),
+        configuration_s=bounds.get("configApplyMs", _DEFAULT_CONFIGURATION_MS)
+        / 1000.0,
         drain_s=bounds.get("drainMs", _DEFAULT_DRAIN_MS) / 1000.0,
         grace_s=float(bounds.get("graceS", _DEFAULT_GRACE_S)),
         evacuate_s=bounds.get("evacuateMs", _DEFAULT_EVACUATE_MS) / 1000.0,
--- a/redwingpost/platform/store.py
+++ b/redwingpost/platform/store.py
@@ -30,9 +30,6 @@
 #: milliseconds; later the caller should rather try again or go on.
 CALL_TIMEOUT_S = 1.5
 
-#: Seconds by which a feed request may exceed its wait before it fails.
-FEED_MARGIN_S = 1.0
-
 #: Rows per page; the store returns no more in one answer.
 _PAGE_ROWS = 500
 
@@ -77,7 +74,7 @@
             start = rows[-1].key + "\0"
 
     async def changes(
-        self, table: str, after: int, wait_s: float
+        self, table: str, after: int, wait_s: float, timeout_s: float
     ) -> Result[Changes, Refusal]:
         """Wait for changes after a version."""
         feed = self._feed_by_table.get(table)
@@ -87,7 +84,7 @@
         fields = {"table": table, "after": after, "waitMs": int(wait_s * 1e3)}
         target = f"/rows-feed?{urlencode(fields)}"
         try:
-            answer = await feed.request("GET", target, wait_s + FEED_MARGIN_S)
+            answer = await feed.request("GET", target, timeout_s)
         except HttpLost as lost:
             return Error(Refusal(Code.STORE_UNAVAILABLE, str(lost)))
         if answer.status == 410:
--- a/redwingpost/platform/tests/test_decoding.py
+++ b/redwingpost/platform/tests/test_decoding.py
@@ -335,11 +335,13 @@
         snapshot = (await self.store.snapshot("t")).ok
         self.stand_in.put("t", "b", 2)
         self.stand_in.remove("t", "a")
-        changes = (await self.store.changes("t", snapshot.version, 5.0)).ok
+        changes = (
+            await self.store.changes("t", snapshot.version, 5.0, 6.0)
+        ).ok
         read = [(item.row.key, item.is_removed) for item in changes.changes]
         self.assertEqual([("b", False), ("a", True)], read)
         self.stand_in.rows.clear_history()
-        lost = (await self.store.changes("t", snapshot.version, 5.0)).ok
+        lost = (await self.store.changes("t", snapshot.version, 5.0, 6.0)).ok
         self.assertTrue(lost.history_lost)
 
     async def test_a_lost_answer_is_no_refusal(self) -> None:
@@ -357,7 +359,7 @@
         self.stand_in.faults.is_down = True
         for call in (
             self.store.snapshot("t"),
-            self.store.changes("t", 0, 1.0),
+            self.store.changes("t", 0, 1.0, 2.0),
             self.store.transact((), (Write("t", "k", {}),)),
         ):
             with self.subTest(call.__name__):
--- a/redwingpost/ports/fleet_store.py
+++ b/redwingpost/ports/fleet_store.py
@@ -63,9 +63,12 @@
         """Return all rows of a table."""
 
     async def changes(
-        self, table: str, after: int, wait_s: float
+        self, table: str, after: int, wait_s: float, timeout_s: float
     ) -> Result[Changes, Refusal]:
-        """Wait up to ``wait_s`` seconds for changes after a version."""
+        """Wait up to ``wait_s`` seconds for changes after a version.
+
+        A request without an answer fails after ``timeout_s`` seconds.
+        """
 
     async def transact(
         self, conditions: tuple[Condition, ...], writes: tuple[Write, ...]
