Store: a version holds the era, so that a restored store's are new ones

Callers' requests were handled by an older configuration, for good, after the store had come back from a copy some seconds old.

Cause: such a store gives out numbers again. A VM that asked for changes after a number of before got only what came after it; a configuration written under a repeated number never arrived. The same held for a condition on a row's number, which may hold on another row.

Change: a version is era and number in one ordered integer, made by the client of the store from the header Store-Era. An answer of another era means that the whole table is read again, at VMs behind a gatherer too; a condition on a version of an earlier era holds on no row; a write whose answer shows another era than before is read back. A header that is missing after it was there, sinks or is no number is logged, and nothing is taken from the answer. A store without the header is one era: nothing changes.

--- a/redwingpost/adapters/http_client.py
+++ b/redwingpost/adapters/http_client.py
@@ -66,10 +66,18 @@
 
 
 class HttpAnswer(NamedTuple):
-    """Status and body of a complete response."""
+    """Status, body and headers of a complete response.
+
+    Names of headers are in lower case.
+    """
 
     status: int
     body: bytes
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return a header's value; None if it is missing."""
+        return dict(self.headers).get(name)
 
 
 class HttpLost(Exception):
@@ -193,6 +201,7 @@
     async def _receive(self, timeout_s: float) -> HttpAnswer:
         """Return the response; fail after ``timeout_s`` without its start."""
         status = 0
+        headers: tuple[tuple[bytes, bytes], ...] = ()
         body = bytearray()
         while True:
             event = self._framing.next_event()
@@ -203,10 +212,11 @@
                 timeout_s = STALL_TIMEOUT_S
             elif isinstance(event, Response):
                 status = event.status_code
+                headers = tuple(event.headers)
             elif isinstance(event, Data):
                 body += event.data
             elif isinstance(event, EndOfMessage):
-                return HttpAnswer(status, bytes(body))
+                return HttpAnswer(status, bytes(body), headers)
             elif isinstance(event, ConnectionClosed):
                 raise ConnectionResetError("closed before the response")
 
--- a/redwingpost/node/fleet/watcher.py
+++ b/redwingpost/node/fleet/watcher.py
@@ -12,7 +12,12 @@
 from redwingpost.node.steps import repeat
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
-from redwingpost.ports.fleet_store import FleetStore, Snapshot
+from redwingpost.ports.fleet_store import (
+    FleetStore,
+    Snapshot,
+    era_of,
+    number_of,
+)
 from redwingpost.ports.platform import Row
 
 #: How late (seconds) a change may be known, unless its table says otherwise.
@@ -111,9 +116,14 @@
         return self._clock.now() - self._current_at
 
     @property
-    def version(self) -> int:
-        """Return the store's version of the last answer, 0 before it."""
-        return self._version or 0
+    def era(self) -> int:
+        """Return the store's era of the last answer, 0 before it."""
+        return era_of(self._version or 0)
+
+    @property
+    def number(self) -> int:
+        """Return the store's number of the last answer, 0 before it."""
+        return number_of(self._version or 0)
 
     @property
     def pending_s(self) -> float:
@@ -163,7 +173,7 @@
         changes = got.ok
         if changes.history_lost:
             log_event(
-                "store-history-lost", table=self.table, version=self._version
+                "store-history-lost", table=self.table, version=self.number
             )
             self._version = None
             return True
@@ -217,5 +227,5 @@
                 table=self.table,
                 detail=detail,
                 waited_s=round(waited_s, 3),
-                version=self._version,
+                version=self.number,
             )
--- a/redwingpost/node/table_metrics.py
+++ b/redwingpost/node/table_metrics.py
@@ -22,7 +22,12 @@
     (
         "redwing_table_version",
         "Version of the store in its last answer about a table",
-        "version",
+        "number",
+    ),
+    (
+        "redwing_table_era",
+        "Era of the store in its last answer about a table",
+        "era",
     ),
 )
 
--- a/redwingpost/node/tests/line_site.py
+++ b/redwingpost/node/tests/line_site.py
@@ -224,3 +224,15 @@
         await wait_for(poll(), TIMEOUT_S)
     except TimeoutError as error:
         raise AssertionError(f"{what} did not happen in time") from error
+
+
+async def until_in_force(node: NodeProcess, version: int) -> None:
+    """Wait until a node has put a configuration in force."""
+
+    def is_in_force() -> bool:
+        return any(
+            line["kind"] == "rules-in-force" and line["version"] == version
+            for line in node.log_lines()
+        )
+
+    await until(is_in_force, f"version {version}")
--- a/redwingpost/node/tests/test_relayed_store.py
+++ b/redwingpost/node/tests/test_relayed_store.py
@@ -13,7 +13,12 @@
 from redwingpost.node.fleet.table_copy import KEPT_BATCHES, TableCopy
 from redwingpost.node.fleet.table_pages import TABLE_PATH, TablePages
 from redwingpost.ports.clock import MonotonicClock
-from redwingpost.ports.fleet_store import Changes, RowChange, Snapshot
+from redwingpost.ports.fleet_store import (
+    Changes,
+    RowChange,
+    Snapshot,
+    make_version,
+)
 from redwingpost.ports.platform import Row
 
 _IPS = ("127.0.73.1", "127.0.73.2")
@@ -155,6 +160,15 @@
 
 
 class TableCopyTest(IsolatedAsyncioTestCase):
+    async def test_a_reader_of_an_earlier_era_reads_the_table(self) -> None:
+        """It would miss what was written under repeated numbers."""
+        copy = TableCopy()
+        copy.note_snapshot(Snapshot((), make_version(1, 50), 0))
+        reading = create_task(copy.wait(make_version(1, 60), 5.0))
+        await sleep(0.01)
+        copy.note_snapshot(Snapshot((), make_version(2, 40), 0))
+        self.assertTrue((await reading).history_lost)
+
     async def test_changes_since_a_version(self) -> None:
         copy = TableCopy()
         copy.note_snapshot(Snapshot((), 5, 0))
@@ -166,6 +180,7 @@
             ("one behind", newest - 1, 1, False),
             ("too far behind", 5, 0, True),
             ("ahead", newest + 3, 0, False),
+            ("in a later era", make_version(1, 1), 0, False),
         )
         for name, after, changes, is_lost in cases:
             with self.subTest(name):
--- a/redwingpost/node/tests/test_silent_store.py
+++ b/redwingpost/node/tests/test_silent_store.py
@@ -5,10 +5,10 @@
 from unittest import IsolatedAsyncioTestCase
 
 from redwingpost.node.tests.line_site import (
-    NodeProcess,
     NodeSite,
     configuration,
     until,
+    until_in_force,
 )
 
 #: Seconds within which a configuration must be in force.
@@ -36,7 +36,7 @@
         await self._leave_requests_unanswered()
         confirmed_at = monotonic()
         self.site.standins.configure(configuration(4))
-        await gather(*(self._until(node, 4) for node in self.site.nodes))
+        await gather(*(until_in_force(node, 4) for node in self.site.nodes))
         self.assertLessEqual(monotonic() - confirmed_at, CONFIGURATION_S)
 
     async def test_metrics_show_a_request_that_isnt_answered(self) -> None:
@@ -56,22 +56,12 @@
         for version in (2, 3):
             self.site.standins.configure(configuration(version))
             await gather(
-                *(self._until(node, version) for node in self.site.nodes)
+                *(until_in_force(node, version) for node in self.site.nodes)
             )
         self.store.faults.is_silent = True
         await sleep(_NEXT_REQUEST_S + _SILENT_S)
         self.store.faults.is_silent = False
 
-    async def _until(self, node: NodeProcess, version: int) -> None:
-        await until(lambda: _is_in_force(node, version), f"version {version}")
-
-
-def _is_in_force(node: NodeProcess, version: int) -> bool:
-    return any(
-        line["kind"] == "rules-in-force" and line["version"] == version
-        for line in node.log_lines()
-    )
-
 
 def _value(page: str, metric: str) -> float:
     """Return a metric's value for the configuration's table."""
--- a/redwingpost/platform/store.py
+++ b/redwingpost/platform/store.py
@@ -18,7 +18,15 @@
 from redwingpost.core.codes import Code
 from redwingpost.core.requests import Refusal
 from redwingpost.ports.clock import Clock
-from redwingpost.ports.fleet_store import Changes, RowChange, Snapshot
+from redwingpost.observability.journal import log_event
+from redwingpost.ports.fleet_store import (
+    Changes,
+    RowChange,
+    Snapshot,
+    era_of,
+    make_version,
+    number_of,
+)
 from redwingpost.ports.platform import (
     Condition,
     Row,
@@ -33,6 +41,10 @@
 #: Rows per page; the store returns no more in one answer.
 _PAGE_ROWS = 500
 
+#: Header with the number of the store's era, which each restore from an
+#: older copy raises.
+_ERA_HEADER = b"store-era"
+
 _JSON = (("Content-Type", "application/json"),)
 
 
@@ -52,11 +64,13 @@
         self._port = port
         self._calls = HttpPool(ip, port, clock)
         self._feed_by_table: dict[str, HttpClient] = {}
+        self._era = _Era()
 
     async def snapshot(self, table: str) -> Result[Snapshot, Refusal]:
         """Return all rows of a table."""
         rows: list[Row] = []
         start = ""
+        era: int | None = None
         while True:
             fields = {"table": table, "part": "", "limit": str(_PAGE_ROWS)}
             if start:
@@ -64,11 +78,15 @@
             got = await self._get(f"/rows-get?{urlencode(fields)}")
             if got.is_error():
                 return got
-            page = got.ok
-            rows.extend(_decode_row(item) for item in page["rows"])
+            page_era, page = got.ok
+            if era is not None and page_era != era:
+                detail = "restored between two pages"
+                return Error(Refusal(Code.STORE_UNAVAILABLE, detail))
+            era = page_era
+            rows.extend(_decode_row(item, era) for item in page["rows"])
             if not page.get("hasMore"):
-                answer = Snapshot(tuple(rows), page["ver"], page["nowMs"])
-                return Ok(answer)
+                version = make_version(era, page["ver"])
+                return Ok(Snapshot(tuple(rows), version, page["nowMs"]))
             # A range includes its start, so start at the smallest key
             # after the last one read.
             start = rows[-1].key + "\0"
@@ -77,25 +95,42 @@
         self, table: str, after: int, wait_s: float, timeout_s: float
     ) -> Result[Changes, Refusal]:
         """Wait for changes after a version."""
+        if era_of(after) != self._era.number:
+            return Ok(Changes((), 0, history_lost=True))
         feed = self._feed_by_table.get(table)
         if feed is None:
             feed = HttpClient(self._ip, self._port)
             self._feed_by_table[table] = feed
-        fields = {"table": table, "after": after, "waitMs": int(wait_s * 1e3)}
+        fields = {
+            "table": table,
+            "after": number_of(after),
+            "waitMs": int(wait_s * 1e3),
+        }
         target = f"/rows-feed?{urlencode(fields)}"
         try:
             answer = await feed.request("GET", target, timeout_s)
         except HttpLost as lost:
             return Error(Refusal(Code.STORE_UNAVAILABLE, str(lost)))
-        if answer.status == 410:
+        era = self._era.note(answer)
+        if era.is_error():
+            return era
+        if answer.status == 410 or era.ok != era_of(after):
             return Ok(Changes((), 0, history_lost=True))
         read = _decode_answer(answer)
-        return read.map(_decode_changes)
+        return read.map(lambda got: _decode_changes(got, era.ok))
 
     async def transact(
         self, conditions: tuple[Condition, ...], writes: tuple[Write, ...]
     ) -> Result[TransactResult, Refusal]:
-        """Apply all writes if all conditions hold, else none."""
+        """Apply all writes if all conditions hold, else none.
+
+        A condition on a version of an earlier era holds on no row.
+        """
+        was_known, era = self._era.is_known, self._era.number
+        if any(
+            item.version and era_of(item.version) != era for item in conditions
+        ):
+            return Ok(TransactResult(False, (), ()))
         body = encode(
             {
                 "expectedRev": [
@@ -120,19 +155,61 @@
         except HttpLost as lost:
             code = Code.STORE_OUTCOME_UNKNOWN if lost.sent else None
             return Error(Refusal(code or Code.STORE_UNAVAILABLE, str(lost)))
+        noted = self._era.note(answer)
+        if noted.is_error() or (was_known and noted.ok != era):
+            # Whether the conditions held on the rows that they were meant
+            # for, and whether a write was kept, must be read back.
+            detail = "the store's era is another than before the call"
+            return Error(Refusal(Code.STORE_OUTCOME_UNKNOWN, detail))
         if answer.status == 412:
             rows = decode(answer.body).get("rows", [])
-            conflicts = tuple(_decode_row(item) for item in rows)
+            conflicts = tuple(_decode_row(item, noted.ok) for item in rows)
             return Ok(TransactResult(False, (), conflicts))
         read = _decode_answer(answer)
-        return read.map(lambda got: TransactResult(True, (got["ver"],), ()))
+        return read.map(
+            lambda got: TransactResult(
+                True, (make_version(noted.ok, got["ver"]),), ()
+            )
+        )
 
-    async def _get(self, target: str) -> Result[Any, Refusal]:
+    async def _get(self, target: str) -> Result[tuple[int, Any], Refusal]:
+        """Return the era and the body of an answer."""
         try:
             answer = await self._calls.request("GET", target, CALL_TIMEOUT_S)
         except HttpLost as lost:
             return Error(Refusal(Code.STORE_UNAVAILABLE, str(lost)))
-        return _decode_answer(answer)
+        era = self._era.note(answer)
+        if era.is_error():
+            return era
+        return _decode_answer(answer).map(lambda body: (era.ok, body))
+
+
+class _Era:
+    """The era of the store, as its answers tell.
+
+    A store that doesn't number its eras stays in era 0.
+    """
+
+    def __init__(self) -> None:
+        self.number = 0
+        self.is_known = False
+
+    def note(self, answer: HttpAnswer) -> Result[int, Refusal]:
+        """Return the era of an answer, or an error if it can't be right."""
+        text = answer.header(_ERA_HEADER)
+        if text is None and not self.number:
+            self.is_known = True
+            return Ok(0)
+        if text is None or not text.isdigit() or int(text) < self.number:
+            shown = None if text is None else text.decode("latin-1")
+            log_event("store-era-refused", era=shown, before=self.number)
+            detail = f"era {shown} after {self.number}"
+            return Error(Refusal(Code.STORE_UNAVAILABLE, detail))
+        before, self.number = self.number, int(text)
+        if self.is_known and self.number != before:
+            log_event("store-restored", era=self.number, before=before)
+        self.is_known = True
+        return Ok(self.number)
 
 
 def _decode_answer(answer: HttpAnswer) -> Result[Any, Refusal]:
@@ -145,21 +222,23 @@
         return Error(Refusal(Code.STORE_UNAVAILABLE, str(error)))
 
 
-def _decode_row(item: dict[str, Any]) -> Row:
+def _decode_row(item: dict[str, Any], era: int) -> Row:
     """Return a row; its value is None if it can't be decoded."""
     try:
         value = decode(b64decode(item.get("value", ""), validate=True))
     except (Base64Error, DecodeError, ValueError):
         value = None
-    return Row(item["table"], item["key"], item.get("ver", 0), value)
+    number = item.get("ver", 0)
+    version = make_version(era, number) if number else 0
+    return Row(item["table"], item["key"], version, value)
 
 
-def _decode_changes(got: dict[str, Any]) -> Changes:
+def _decode_changes(got: dict[str, Any], era: int) -> Changes:
     changes = (
-        RowChange(_decode_row(item), bool(item.get("removed")))
+        RowChange(_decode_row(item, era), bool(item.get("removed")))
         for item in got.get("rows", [])
     )
-    return Changes(tuple(changes), got["ver"])
+    return Changes(tuple(changes), make_version(era, got["ver"]))
 
 
 def _encode_condition(condition: Condition) -> dict[str, Any]:
@@ -167,7 +246,7 @@
         "table": condition.table,
         "part": "",
         "key": condition.key,
-        "ver": condition.version,
+        "ver": number_of(condition.version),
     }
 
 
--- a/redwingpost/platform/tests/test_decoding.py
+++ b/redwingpost/platform/tests/test_decoding.py
@@ -19,6 +19,7 @@
 from redwingpost.platform.settings import load_node_settings
 from redwingpost.platform.store import RowStore
 from redwingpost.ports.clock import MonotonicClock
+from redwingpost.ports.fleet_store import era_of, number_of
 from redwingpost.ports.platform import Condition, Row, Write
 from redwingpost.ports.registry import EntryError
 from redwingpost.standin.lines.store import StandInStore
@@ -344,6 +345,49 @@
         lost = (await self.store.changes("t", snapshot.version, 5.0, 6.0)).ok
         self.assertTrue(lost.history_lost)
 
+    async def test_a_version_of_an_earlier_era_is_never_used(self) -> None:
+        """A restored store gives a number out again, for another row."""
+        self.stand_in.put("t", "other", 0)
+        copy = self.stand_in.rows.copy()
+        self.stand_in.put("t", "k", "lost")
+        before = (await self.store.snapshot("t")).ok
+        self.stand_in.restore(copy)
+        self.stand_in.put("t", "k", "another")
+        changes = (await self.store.changes("t", before.version, 1.0, 2.0)).ok
+        self.assertTrue(changes.history_lost)
+        after = (await self.store.snapshot("t")).ok
+        self.assertEqual(number_of(before.version), number_of(after.version))
+        self.assertGreater(after.version, before.version)
+        for version, committed in (
+            (before.version, False),
+            (after.version, True),
+        ):
+            with self.subTest(version):
+                done = await self.store.transact(
+                    (Condition("t", "k", version),), (Write("t", "k", 1),)
+                )
+                self.assertEqual(committed, done.ok.committed)
+
+    async def test_a_write_beside_a_restore_is_read_back(self) -> None:
+        """Nobody knows whether a restore kept a write of that moment."""
+        await self.store.snapshot("t")
+        self.stand_in.restore(self.stand_in.rows.copy())
+        done = await self.store.transact((), (Write("t", "k", 1),))
+        self.assertEqual(Code.STORE_OUTCOME_UNKNOWN.name, done.error.code.name)
+
+    async def test_an_answer_with_an_impossible_era_is_refused(self) -> None:
+        """An era that is no number, sinks or is missing keeps the old one."""
+        self.stand_in.era = 4
+        await self.store.snapshot("t")
+        for era in ("", "x", "-5", "4.5", 3):
+            with self.subTest(era=era):
+                self.stand_in.era = era
+                got = await self.store.snapshot("t")
+                self.assertTrue(got.is_error())
+        self.stand_in.era = 5
+        version = (await self.store.snapshot("t")).ok.version
+        self.assertEqual(5, era_of(version))
+
     async def test_a_lost_answer_is_no_refusal(self) -> None:
         """The store applies a write, and its answer is lost.
 
--- a/redwingpost/ports/fleet_store.py
+++ b/redwingpost/ports/fleet_store.py
@@ -3,6 +3,12 @@
 Rows and conditions are those of ``redwingpost.ports.platform``. A value
 that can't be decoded is returned as None, so that a row of another writer
 doesn't stop the reader.
+
+A store that was restored from an older copy gives out numbers again that it
+gave to other rows before. Each restore begins a new *era*. A version here
+holds the era and the store's number in one integer, so that all versions of
+an era are above those of the eras before it, and equal versions mean equal
+rows. A row's version 0 means in every era that there is no such row.
 """
 
 from typing import NamedTuple, Protocol
@@ -17,6 +23,44 @@
     Write,
 )
 
+#: Bits of a version that hold the store's number.
+_NUMBER_BITS = 48
+
+
+def make_version(era: int, number: int) -> int:
+    """Return the version for a number that the store gave out in an era.
+
+    Examples
+    --------
+    >>> make_version(0, 5)
+    5
+    >>> make_version(2, 1) > make_version(1, 900)
+    True
+    """
+    return (era << _NUMBER_BITS) + number
+
+
+def era_of(version: int) -> int:
+    """Return the era of a version.
+
+    Examples
+    --------
+    >>> era_of(make_version(3, 7)), era_of(7)
+    (3, 0)
+    """
+    return version >> _NUMBER_BITS
+
+
+def number_of(version: int) -> int:
+    """Return the store's number of a version.
+
+    Examples
+    --------
+    >>> number_of(make_version(3, 7))
+    7
+    """
+    return version & ((1 << _NUMBER_BITS) - 1)
+
 
 class Snapshot(NamedTuple):
     """The rows of a table at one version.
@@ -41,9 +85,9 @@
 
     The order matters: a member that was removed and then written again
     exists. ``history_lost``: the store no longer has all changes since
-    that version, and the whole table must be read again. ``age_s`` is the
-    time (seconds) since the sender was known to have all changes; 0 for the
-    store itself.
+    that version, or has begun a new era; the table must be read again.
+    ``age_s`` is the time (seconds) since the sender was known to have all
+    changes; 0 for the store itself.
     """
 
     changes: tuple[RowChange, ...]
--- a/redwingpost/standin/lines/rows.py
+++ b/redwingpost/standin/lines/rows.py
@@ -92,9 +92,10 @@
     def since(self, table: str, ver: int) -> list[Change] | None:
         """Return a table's changes after a version.
 
-        Returns None if the history was cleared after that version.
+        Returns None if the history was cleared after that version, or if
+        the version has not been given out.
         """
-        if ver < self._cleared_ver:
+        if not self._cleared_ver <= ver <= self.ver:
             return None
         return [
             change
@@ -102,6 +103,15 @@
             if change.row.table == table and change.row.ver > ver
         ]
 
+    def copy(self) -> "Rows":
+        """Return a copy with the same rows, version and history."""
+        copied = Rows()
+        copied.ver = self.ver
+        copied._rows_by_id = dict(self._rows_by_id)
+        copied._history = self._history.copy()
+        copied._cleared_ver = self._cleared_ver
+        return copied
+
     def clear_history(self) -> None:
         """Discard all changes up to the current version."""
         self._history.clear()
--- a/redwingpost/standin/lines/store.py
+++ b/redwingpost/standin/lines/store.py
@@ -43,6 +43,7 @@
     def __init__(self) -> None:
         self.rows = Rows()
         self.faults = StoreFaults()
+        self.era: int | str = 0
         self._objects: dict[str, bytes] = {}
         self._changed = Event()
         self._runner: AppRunner | None = None
@@ -59,6 +60,7 @@
                 get("/blob-get/{name}", self._get_object),
             ]
         )
+        app.on_response_prepare.append(self._add_era)
         self._runner = AppRunner(app, shutdown_timeout=0.1)
         await self._runner.setup()
         site = TCPSite(self._runner, ip, port)
@@ -75,6 +77,12 @@
         self.rows.apply([], [(table, "", key, text)], [])
         self._wake()
 
+    def restore(self, rows: Rows) -> None:
+        """Go back to an older copy of the rows; all connections end."""
+        self.rows = rows
+        self.era += 1
+        self._wake()
+
     def remove(self, table: str, key: str) -> None:
         """Remove a row."""
         self.rows.apply([], [], [(table, "", key)])
@@ -131,8 +139,11 @@
             return refused
         table = request.query["table"]
         after = int(request.query["after"])
+        era = self.era
         deadline_at = monotonic() + int(request.query["waitMs"]) / 1000.0
         while True:
+            if self.era != era and request.transport is not None:
+                request.transport.abort()
             changes = self.rows.since(table, after)
             if changes is None:
                 return Response(status=410)
@@ -161,6 +172,9 @@
             return Response(status=404)
         return Response(body=self._objects[name])
 
+    async def _add_era(self, request: Request, response: Response) -> None:
+        response.headers["Store-Era"] = str(self.era)
+
     def _now(self) -> dict[str, int]:
         return {"ver": self.rows.ver, "nowMs": int(monotonic() * 1000)}
 
