Copies: after a failed fetch another VM is asked

A VM without its own source of the configuration asked the VM with the newest one, and of several always the one with the highest address. If that one is heard and can't be reached (a cut in one direction), each try fails, though others have the copy.

Change: one of the VMs with the newest version is drawn, and not the one that has just failed if there is another. Drawing also spreads the readers.

--- a/redwingpost/membership/vm_table.py
+++ b/redwingpost/membership/vm_table.py
@@ -321,17 +321,19 @@
         self.note_hears_half(now)
         return now - self._lacked_half_at
 
-    def newest_configuration(self, now: float) -> tuple[int, str]:
-        """Return the newest version at another VM, and that VM's IP."""
-        versions = [
+    def newest_configuration(self, now: float) -> tuple[int, tuple[str, ...]]:
+        """Return the newest version at other VMs, and the IPs of these."""
+        versions = {
             (item.config_version, item.ip)
             for item in self.fresh_heartbeats(now)
-        ]
-        versions.extend(
+        }
+        versions.update(
             (report.config_version, report.config_ip)
             for report in self.cells(now)
         )
-        return max(versions, default=(0, ""))
+        newest = max((version for version, _ in versions), default=0)
+        ips = (ip for version, ip in versions if version == newest)
+        return newest, tuple(sorted(ips))
 
     def silent_vms(self, now: float) -> tuple[str, ...]:
         """Return the listed VMs to remove, silent for too long."""
--- a/redwingpost/node/fleet/copy_fetcher.py
+++ b/redwingpost/node/fleet/copy_fetcher.py
@@ -78,6 +78,7 @@
         self._behind_since: float | None = None
         self._jitter_s = 0.0
         self._fetching: Task | None = None
+        self._failed_ip = ""
 
     def fetch_if_behind(self) -> None:
         """Start fetching a peer's copy if its configuration is newer.
@@ -86,7 +87,7 @@
         long as the request timeout.
         """
         now = self._clock.now()
-        version, ip = self._vms.newest_configuration(now)
+        version, ips = self._vms.newest_configuration(now)
         if version <= self._admission.rules.version:
             self._behind_since = None
             return
@@ -97,7 +98,15 @@
             return
         if now - self._behind_since >= self._wait_s():
             self._behind_since = now
-            self._fetching = create_task(self._fetch(ip))
+            self._fetching = create_task(self._fetch(self._choose(ips)))
+
+    def _choose(self, ips: tuple[str, ...]) -> str:
+        """Return the VM to ask: not the one that failed, if there is another.
+
+        A VM whose heartbeats arrive may be unreachable all the same.
+        """
+        others = tuple(ip for ip in ips if ip != self._failed_ip)
+        return self._random.choice(others or ips)
 
     def _wait_s(self) -> float:
         after_s = (
@@ -109,7 +118,9 @@
         got = await fetch_copy(ip, self._port)
         if got.is_error():
             log_event("copy-failed", ip=ip, detail=got.error.detail)
+            self._failed_ip = ip
             return
+        self._failed_ip = ""
         if got.ok.configuration is not None:
             log_event("copy-taken", ip=ip)
             self._rules.apply_if_newer(got.ok.configuration)
--- a/redwingpost/node/tests/test_copy_fetcher.py
+++ b/redwingpost/node/tests/test_copy_fetcher.py
@@ -107,6 +107,23 @@
         await sleep(0.05)
         self.assertEqual(0, self.request_count)
 
+    async def test_another_vm_is_asked_after_a_failure(self) -> None:
+        """Guards against a VM that is heard and can't be reached.
+
+        A VM would have asked it again and again, while others have the copy.
+        """
+        unreachable = Heartbeat("vm-9", 1, "127.0.74.9", 2, {}, 1, None, ())
+        for number in range(6):
+            with self.subTest(number):
+                await self.asyncSetUp()
+                self.fetcher._random = Random(number)
+                for _ in range(4):
+                    self.clock.advance(FETCH_AFTER_S + FETCH_JITTER_S)
+                    self.vms.note(unreachable, self.clock.now())
+                    self._check_after(0.0)
+                    await sleep(0.05)
+                self.assertEqual([self.copies.configuration], self.applied[:1])
+
     async def test_a_pending_fetch_is_not_repeated(self) -> None:
         """Guards against a link saturated by copies that time out."""
         self.may_answer.clear()
