Ctl: redwingctl spread, which VMs put a configuration in force late

Near misses show before a rule breaks: the times from the first VM that has a version to each other one, from the VMs' logs, the worst first, with the last event at the late VM.

--- a/redwingpost/cli/ctl.py
+++ b/redwingpost/cli/ctl.py
@@ -13,6 +13,7 @@
 from redwingpost.adapters.peer import PeerAddress
 from redwingpost.cli.ctl_load import load
 from redwingpost.cli.ctl_refusals import refusals
+from redwingpost.cli.ctl_spread import spread
 from redwingpost.cli.ctl_usage import usage
 from redwingpost.cli.ctl_common import (
     EXIT_REFUSED,
@@ -391,6 +392,7 @@
 app.command()(usage)
 app.command()(load)
 app.command()(refusals)
+app.command()(spread)
 
 
 def main() -> None:
