Rates: a refusal for the rate shows the counters behind it

What the whole fleet admitted in any five seconds can't be told from the logs: a line of over-rate holds the estimate of the bucket, not what was admitted. It now holds the operations that this VM has admitted and given back since its start, and what it knows the others to have used, so that the sum over all VMs and what each VM lacked of it can be added up.

--- a/redwingpost/rates/usage.py
+++ b/redwingpost/rates/usage.py
@@ -112,11 +112,16 @@
     ``tokens`` is this VM's estimate of the whole bucket (negative after
     an excess), ``demand_per_s`` the demand at all VMs (operations a
     second), ``share`` this VM's share of the demand (0 to 1).
+    ``admitted`` and ``returned`` are this VM's counters since its start,
+    ``known_used`` what it knows the other VMs to have used since theirs.
     """
 
     tokens: float
     demand_per_s: float
     share: float
+    admitted: int = 0
+    returned: int = 0
+    known_used: int = 0
 
 
 class UsageLedger:
@@ -306,7 +311,20 @@
         if bucket is None:
             return BucketView(0.0, 0.0, 1.0)
         demand = bucket.demand
-        return BucketView(bucket.tokens, demand.per_s, demand.share)
+        own = self._own(organisation)
+        known_used = sum(
+            reports.usage_by_organisation[organisation].used
+            for reports in self._reports_by_vm.values()
+            if organisation in reports.usage_by_organisation
+        )
+        return BucketView(
+            bucket.tokens,
+            demand.per_s,
+            demand.share,
+            own.admitted,
+            own.returned,
+            known_used,
+        )
 
     def note_peer(
         self, vm: str, boot: int, usages: Iterable[Usage], now: float
