Members: the wait alone, without the whole load

A home's answers carry how long a statement would wait, and each one built the whole load of each member of its group to read one field of it.

--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -272,7 +272,7 @@
             clients = []
         else:
             clients = [self.leader()]
-        waits_s = (client.load(now).wait_s for client in clients)
+        waits_s = (client.wait_s(now) for client in clients)
         return min(waits_s, default=float("inf"))
 
     # Places ------------------------------------------------------------
--- a/redwingpost/node/member.py
+++ b/redwingpost/node/member.py
@@ -215,14 +215,27 @@
                 controller.max_running,
                 opened,
                 allowed,
-                self.admission.wait_s(now),
+                self.wait_s(now),
             )
-        waiting = sum(not future.done() for _, _, future in self._waiting)
-        wait_s = waiting * self.latency.smoothed_s / max(allowed, 1)
         return MemberLoad(
-            self.pool.in_use, waiting, allowed, opened, allowed, wait_s
+            self.pool.in_use,
+            self._count_waiting(),
+            allowed,
+            opened,
+            allowed,
+            self.wait_s(now),
         )
 
+    def wait_s(self, now: float) -> float:
+        """Return how long a new statement would wait (seconds)."""
+        if self.admission.controller is not None:
+            return self.admission.wait_s(now)
+        allowed = max(self.budget.allowed(now), 1)
+        return self._count_waiting() * self.latency.smoothed_s / allowed
+
+    def _count_waiting(self) -> int:
+        return sum(not future.done() for _, _, future in self._waiting)
+
     def note_answer(self) -> None:
         """Record that the member has just answered a statement."""
         self._note_alive()
