Fleet: in a fleet of 9 to 20 VMs one VM of a data centre reads the store

Change: in a fleet of more than eight VMs without gatherers, the VM that ranks first in its cell reads the tables, and the others follow it as they follow a gatherer in a larger fleet. Where it fails, each reads the store, also while it says that it has lost the store, since the store may turn it alone away. Fleets of up to eight VMs are served as before.

--- a/redwingpost/membership/gathering.py
+++ b/redwingpost/membership/gathering.py
@@ -59,6 +59,11 @@
 ISOLATED_AFTER_S = 2 * SUSPECT_AFTER_S
 
 
+#: Most VMs of a fleet without gatherers that all read the store. In a
+#: larger one the first VM of each cell does, and the others follow it.
+MAX_READERS = 8
+
+
 class Cells:
     """The listed VMs by cell, ranked by preference as gatherers.
 
@@ -273,17 +278,27 @@
         wanted.pop(self._vm, None)
         return self._addresses(wanted)
 
-    def preferred_gatherers(self, now: float) -> tuple[VmAddress, ...]:
-        """Return the gatherers of this VM's cell that rank before it.
+    def table_sources(self, now: float) -> tuple[VmAddress, ...]:
+        """Return the VMs whose tables this one follows, by preference.
 
-        Empty unless this VM is one of the cell's gatherers. All VMs rank two
-        others in the same order, so no two of them prefer each other.
+        Empty at a VM that reads the store. All VMs rank two others in the
+        same order, so no two of them follow each other.
         """
+        if self.is_direct:
+            return self._direct_sources()
+        if not self.gathers(now):
+            return self.gatherers(now)
         gatherers = self._own_gatherers(now)
         if self._vm not in gatherers:
             return ()
         return self._addresses(gatherers[: gatherers.index(self._vm)])
 
+    def _direct_sources(self) -> tuple[VmAddress, ...]:
+        first = self._cells.ranked(self.cell or "")[:1]
+        if len(self._address_by_vm) <= MAX_READERS or self._vm in first:
+            return ()
+        return self._addresses(first)
+
     def other_cell_gatherers(self, now: float) -> tuple[VmAddress, ...]:
         """Return the gatherers of the other cells.
 
--- a/redwingpost/membership/tests/test_gathering.py
+++ b/redwingpost/membership/tests/test_gathering.py
@@ -180,19 +180,28 @@
                 self.assertEqual(expected, set(merged.vms))
 
 
-class PreferredTest(TestCase):
-    def test_two_gatherers_never_follow_each_other(self) -> None:
-        """Neither would read from the store then."""
-        vms = tuple(VmAddress(f"v{n}", f"ip{n}", 1, "a") for n in range(30))
-        preferred_by_vm = {}
-        for vm in vms:
-            gathering = Gathering(vm.vm)
-            gathering.set_listed(vms)
-            preferred = gathering.preferred_gatherers(0.0)
-            preferred_by_vm[vm.vm] = tuple(item.vm for item in preferred)
-        followed = {
-            vm: names for vm, names in preferred_by_vm.items() if names
-        }
-        self.assertEqual(1, len(followed))
-        ((first,),) = followed.values()
-        self.assertEqual((), preferred_by_vm[first])
+class TableSourcesTest(TestCase):
+    def test_one_vm_of_a_cell_reads_the_store(self) -> None:
+        """Two that followed each other would both have old tables."""
+        cases = (
+            ("all of a small fleet", 6, 2, 6),
+            ("without gatherers", 16, 4, 4),
+            ("with gatherers", 60, 2, 2),
+        )
+        for name, vms, centres, readers in cases:
+            with self.subTest(name):
+                addresses = tuple(
+                    VmAddress(f"v{n}", f"ip{n}", 1, f"dc-{n % centres}")
+                    for n in range(vms)
+                )
+                followed_by_vm = {}
+                for address in addresses:
+                    gathering = Gathering(address.vm)
+                    gathering.set_listed(addresses)
+                    sources = gathering.table_sources(0.0)
+                    followed_by_vm[address.vm] = [item.vm for item in sources]
+                reading = {vm for vm, it in followed_by_vm.items() if not it}
+                self.assertEqual(readers, len(reading))
+                for vm, followed in followed_by_vm.items():
+                    for source in followed:
+                        self.assertNotIn(vm, followed_by_vm[source])
--- a/redwingpost/node/fleet/relayed_store.py
+++ b/redwingpost/node/fleet/relayed_store.py
@@ -41,11 +41,11 @@
 
 
 class RelayedStore:
-    """Implements ``FleetStore``; reads changes from a gatherer if it can.
+    """Implements ``FleetStore``; reads changes from another VM if it can.
 
-    The first gatherer of a cell, and all VMs of a small fleet, read them
-    from the store. The second gatherer follows the first one; where that
-    fails it reads from the store, too.
+    One VM of a cell, and all VMs of a small fleet, read them from the store.
+    The second gatherer of a cell, or in a fleet without gatherers each other
+    VM, reads from the store, too, where the one that it follows fails.
 
     Parameters
     ----------
@@ -95,8 +95,8 @@
         """Wait for changes after a version."""
         await self._wait_for_list(table)
         is_store_lost = False
-        for gatherer in self._gatherers():
-            if gatherer not in self._gatherers():
+        for gatherer in self._sources():
+            if gatherer not in self._sources():
                 # It is no longer one of this VM's gatherers.
                 continue
             target = table_request_path(table, after, wait_s)
@@ -109,13 +109,8 @@
             is_store_lost = (
                 is_store_lost or got.error.code is Code.STORE_UNAVAILABLE
             )
-        is_gatherer = self._gathering.gathers(self._clock.now())
-        if (
-            is_store_lost
-            and not is_gatherer
-            and not self._may_query_store(table)
-        ):
-            detail = "lost to this VM's gatherers"
+        if is_store_lost and not self._may_query_store(table):
+            detail = "lost to the VMs that this one follows"
             return Error(Refusal(Code.STORE_UNAVAILABLE, detail))
         self._store_queried_at_by_table[table] = self._clock.now()
         got = await self._store.changes(table, after, wait_s, timeout_s)
@@ -129,15 +124,14 @@
             self._source_by_table[table] = source
             log_event("table-source", table=table, source=source)
 
-    def _gatherers(self) -> tuple[VmAddress, ...]:
-        now = self._clock.now()
-        if self._gathering.is_direct:
-            return ()
-        if self._gathering.gathers(now):
-            return self._gathering.preferred_gatherers(now)
-        return self._gathering.gatherers(now)
+    def _sources(self) -> tuple[VmAddress, ...]:
+        return self._gathering.table_sources(self._clock.now())
 
     def _may_query_store(self, table: str) -> bool:
+        """Return whether to ask a store that the followed VMs have lost."""
+        gathering = self._gathering
+        if gathering.is_direct or gathering.gathers(self._clock.now()):
+            return True
         queried_at = self._store_queried_at_by_table.get(table, float("-inf"))
         return self._clock.now() - queried_at >= STORE_BACKOFF_S
 
@@ -168,7 +162,7 @@
         try:
             while not pending.done():
                 await wait((pending,), timeout=_RECHECK_S)
-                if not pending.done() and gatherer not in self._gatherers():
+                if not pending.done() and gatherer not in self._sources():
                     await _cancel(pending)
                     return None
             return read_changes(await pending)
--- a/redwingpost/node/tests/test_relayed_store.py
+++ b/redwingpost/node/tests/test_relayed_store.py
@@ -49,13 +49,9 @@
         """Return whether this VM reads from the store itself."""
         return self.is_gatherer
 
-    def gatherers(self, now: float) -> tuple[VmAddress, ...]:
-        """Return the gatherers to follow."""
-        return self.followed
-
-    def preferred_gatherers(self, now: float) -> tuple[VmAddress, ...]:
-        """Return the gatherers that rank before this VM."""
-        return self.preferred
+    def table_sources(self, now: float) -> tuple[VmAddress, ...]:
+        """Return the VMs to follow."""
+        return self.preferred if self.is_gatherer else self.followed
 
 
 class CountingStore:
