--- a/review/4/run.sh
+++ b/review/further/forgotten-roster/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Exit code: 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
 cd "$(dirname "$0")"
-PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=.. exec python3 case.py
+PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=../.. exec python3 case.py
--- a/review/4/case.py
+++ b/review/further/unreadable-entry/case.py
@@ -72,4 +72,4 @@
     return []
 
 
-main(play, ".", "127.63.1")
+main(play, ".", "127.66.1")
--- a/review/standins/members.py
+++ b/review/standins/members.py
@@ -93,6 +93,8 @@
         leader = self.primary()
         if leader is None or leader is member or not member.is_running:
             return
+        if leader.part != member.part:
+            return
         if member.term >= leader.term and member.is_primary:
             return
         was_primary = member.is_primary
@@ -120,7 +122,7 @@
         await asyncio.sleep(2 * LINK_S)
         while member.is_primary and member.term == term:
             received = [m.receive(entry) for m in self.member_by_id.values()
-                        if m is not member]
+                        if m is not member and m.part == member.part]
             if any(received):
                 self.acknowledged.append(entry)
                 return entry
@@ -146,26 +148,66 @@
         self.arrivals = []
         self.slots = asyncio.Semaphore(SLOTS)
         self.address = ""
+        #: Names of the nodes to which the path is cut; whether that to the
+        #: store is; and the number of the part of a network partition.
+        self.cut_nodes = set()
+        self.is_cut_from_store = False
+        self.part = 0
+        self.published_at = float("-inf")
+        self._port = 0
+        self._port_by_node = {}
         self._born = int(time.time() * 1000)
         self._seq = 0
-        self._server = None
+        self._servers = []
         self._beats = None
         self._writers = set()
 
     async def start(self):
         """Listen, register and send check-ins."""
-        self._server = await asyncio.start_server(
-            self._serve, self.group.ip, 0, limit=2 ** 21
-        )
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"{self.group.ip}:{port}"
+        self._port = await self._listen(None)
+        self.address = f"{self.group.ip}:{self._port}"
+        for node in self.group.store.views:
+            self._port_by_node[node] = await self._listen(node)
         self.is_running = True
         self._beats = asyncio.create_task(self._send_beats())
 
+    async def _listen(self, node):
+        server = await asyncio.start_server(
+            lambda reader, writer: self._serve(node, reader, writer),
+            self.group.ip, 0, limit=2 ** 21
+        )
+        self._servers.append(server)
+        return server.sockets[0].getsockname()[1]
+
+    @property
+    def ports(self):
+        """The member's own port, and those of the nodes' paths."""
+        return {self._port, *self._port_by_node.values()}
+
+    def port_for(self, node):
+        """Return the port by which a node reaches this member."""
+        return self._port_by_node.get(node, self._port)
+
+    def cut(self, nodes, part):
+        """Cut the paths to nodes, the store and members of other parts."""
+        self.cut_nodes = set(nodes)
+        self.is_cut_from_store = True
+        self.part = part
+        self.group.record(f"cut id={self.id} from the store, from members of "
+                          f"other parts and from {' '.join(nodes)}")
+
+    async def until_reached(self, node):
+        """Wait while the path to a node is cut: bytes are held up."""
+        while node in self.cut_nodes:
+            await asyncio.sleep(0.05)
+
     def publish(self):
         """Write the member's entry to the store."""
         if not self.is_running or self.group.store.is_away:
             return
+        if self.is_cut_from_store:
+            return
+        self.published_at = time.monotonic()
         self._seq += 1
         self.group.store.put("servers", self.id, {
             "service": self.group.name, "address": self.address,
@@ -186,7 +228,7 @@
         """Exit and leave the list."""
         self.is_running = False
         self._beats.cancel()
-        self._server.close()
+        self._close_servers()
         for writer in tuple(self._writers):
             writer.transport.abort()
         if not self.group.store.is_away:
@@ -198,10 +240,14 @@
         if self.is_running:
             self.is_running = False
             self._beats.cancel()
-            self._server.close()
+            self._close_servers()
             for writer in tuple(self._writers):
                 writer.transport.abort()
 
+    def _close_servers(self):
+        for server in self._servers:
+            server.close()
+
     def receive(self, entry):
         """Receive a commit as a replica; return whether it was taken."""
         if not self.is_running or self.is_primary:
@@ -245,12 +291,16 @@
         while True:
             self.publish()
             await asyncio.sleep(BEAT_S)
+            silent_s = time.monotonic() - self.published_at
+            if self.is_cut_from_store and silent_s >= 3 * BEAT_S:
+                # The store drops an entry after three silent intervals.
+                self.group.store.remove("servers", self.id)
 
-    async def _serve(self, reader, writer):
+    async def _serve(self, node, reader, writer):
         self._writers.add(writer)
         self.connections += 1
         try:
-            await Connection(self, reader, writer).run()
+            await Connection(self, node, reader, writer).run()
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
@@ -262,8 +312,9 @@
 class Connection:
     """One connection to a member."""
 
-    def __init__(self, member, reader, writer):
+    def __init__(self, member, node, reader, writer):
         self._member = member
+        self._node = node
         self._group = member.group
         self._reader = reader
         self._writer = writer
@@ -276,6 +327,7 @@
 
     async def run(self):
         """Answer the start and then the queries."""
+        await self._member.until_reached(self._node)
         word, service, tenant, *wanted = (await self._line()).split(" ")
         await asyncio.sleep(HANDSHAKE_S)
         if service != self._group.name or wanted not in (
@@ -292,6 +344,7 @@
             word, _, rest = (await self._line()).partition(" ")
             if word != "QUERY":
                 return
+            await self._member.until_reached(self._node)
             request, _, text = rest.partition(" ")
             if request != "-":
                 self._member.arrivals.append((time.monotonic(), request))
@@ -303,6 +356,7 @@
                 lines = [f"ERROR {refused}"]
                 if self._state == "T":
                     self._state = "E"
+            await self._member.until_reached(self._node)
             self._send("\r\n".join([*lines, self._ready()]))
 
     async def _execute(self, request, text):
--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -127,10 +127,20 @@
         self._inner_ports = None
         self._store_port = self._orders_port = 0
 
-    async def start(self, services, nodes, config, work_s=0.01):
-        """Start everything and wait until all nodes are ready."""
+    async def start(self, services, nodes, config, work_s=0.01,
+                    has_paths=False):
+        """Start everything and wait until all nodes are ready.
+
+        ``has_paths``: each node has its own path to the store and members.
+        """
         self._store_port = await self.store.start(self.ip)
         self._orders_port = await self.promotions.start(self.ip)
+        names = [f"front-{ZONES[number % len(ZONES)]}-{number}"
+                 for number in range(nodes)]
+        if has_paths:
+            self.store.port_for = self._port_for
+            for name in names:
+                await self.store.start_view(self.ip, name)
         for name in services:
             group = Group(name, self.store, self.ip, self.record, work_s)
             self.group_by_name[name] = group
@@ -139,13 +149,21 @@
         self._inner_ports = sorted(free_ports(f"{self.prefix}.1", 2))
         for number in range(nodes):
             zone = ZONES[number % len(ZONES)]
-            node = Node(self, f"front-{zone}-{number}",
-                        f"{self.prefix}.{number + 1}", zone)
+            node = Node(self, names[number], f"{self.prefix}.{number + 1}",
+                        zone)
             self.nodes.append(node)
             await node.start()
         for node in self.nodes:
             await until(node.is_ready, f"{node.name} ready")
 
+    def _port_for(self, node, port):
+        """Return the port on a node's path of the member with a port."""
+        for group in self.group_by_name.values():
+            for member in group.member_by_id.values():
+                if port in member.ports:
+                    return member.port_for(node)
+        return port
+
     def configure(self, config):
         """Write a config; return the time of the store's ack."""
         self.config = config
@@ -155,6 +173,7 @@
 
     def settings(self, node):
         """Return a node's settings file."""
+        store_port = self.store.views.get(node.name, self._store_port)
         return {
             "node": node.name, "role": "node", "machineClass": "front",
             "serves": ["front", "control"], "ip": node.ip, "zone": node.zone,
@@ -172,7 +191,7 @@
             "tolerate": {"machines": 2, "zones": 1, "regions": 0},
             "bounds": BOUNDS,
             "platform": {
-                "address": f"{self.ip}:{self._store_port}", "form": "table",
+                "address": f"{self.ip}:{store_port}", "form": "table",
                 "writesPerS": 400, "readsPerS": 2000, "txMs": 5.0,
                 "partWritesS": 200, "rowBytes": 65536, "across": False,
                 "historyS": 20, "blobBytes": 8388608, "blobMs": 25.0,
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -27,17 +27,32 @@
         self.rows = {}
         self.history = []
         self.is_away = False
+        #: Ports by the nodes that reach the store on a path of their own;
+        #: ``port_for(node, port)`` returns a member's port on that path, or
+        #: its own port if ``node`` is None, given the port on any path.
+        self.views = {}
+        self.port_for = None
         self._delay_s = delay_s
         self._changed = asyncio.Event()
         self._server = HttpServer(self._handle, self._headers)
+        self._view_servers = []
 
     async def start(self, ip):
         """Listen on a free port and return it."""
         return await self._server.start(ip)
 
+    async def start_view(self, ip, node):
+        """Listen on a port for one node."""
+        server = HttpServer(
+            lambda request: self._handle(request, node), self._headers
+        )
+        self.views[node] = await server.start(ip)
+        self._view_servers.append(server)
+
     def close(self):
         """Stop listening."""
-        self._server.close()
+        for server in (self._server, *self._view_servers):
+            server.close()
 
     def put(self, table, key, value):
         """Write a row, as the operator or a member does."""
@@ -54,7 +69,8 @@
     async def restore(self, copy, away_s):
         """Be away for a moment, and come back from a copy of the rows."""
         self.is_away = True
-        self._server.drop_connections()
+        for server in (self._server, *self._view_servers):
+            server.drop_connections()
         await asyncio.sleep(away_s)
         self.ver, self.rows, self.history = copy[0], dict(copy[1]), copy[2]
         self.era += 1
@@ -82,16 +98,48 @@
                 self.history.append((Row(*row_id, "", self.ver), True))
         self._wake()
 
-    async def _handle(self, request):
+    def _as_seen(self, row, node):
+        """Return a row's fields, with the addresses of a node's paths."""
+        fields = row._asdict()
+        if self.port_for is not None and row.value:
+            fields["value"] = self._on_path(row.value, node)
+        return fields
+
+    def _on_path(self, text, node):
+        """Return a row's value with members' addresses on a node's paths.
+
+        A member has one address in a real network. Here it has a port for
+        each node, so that a single path can be cut.
+        """
+        try:
+            value = json.loads(base64.b64decode(text))
+        except ValueError:
+            return text
+
+        def convert(item):
+            if isinstance(item, dict):
+                return {name: convert(each) for name, each in item.items()}
+            if isinstance(item, list):
+                return [convert(each) for each in item]
+            if isinstance(item, int) and not isinstance(item, bool):
+                return self.port_for(node, item)
+            if isinstance(item, str) and item.rpartition(":")[2].isdigit():
+                ip, colon, port = item.rpartition(":")
+                return f"{ip}{colon}{self.port_for(node, int(port))}"
+            return item
+
+        return encode(convert(value))
+
+    async def _handle(self, request, node=None):
         if self.is_away:
             return 503, None
         await asyncio.sleep(self._delay_s)
         if request.path == "/rows-tx":
             return self._transact(json.loads(request.body))
         if request.path == "/rows-get":
-            return self._get(request.query)
+            return self._get(request.query, node)
         if request.path == "/rows-feed":
-            return await self._feed(request.query)
+            return await self._feed(request.query, node)
         return 404, None
 
     def _transact(self, body):
@@ -110,13 +158,14 @@
             found = [row._asdict() for row in wrong]
             return 412, {"rows": found, **self._now()}
         self._apply(
-            [(i["table"], i.get("part", ""), i["key"], i["value"])
+            [(i["table"], i.get("part", ""), i["key"],
+              self._on_path(i["value"], None) if self.port_for else i["value"])
              for i in puts],
             [(i["table"], i.get("part", ""), i["key"]) for i in deletes],
         )
         return 200, self._now()
 
-    def _get(self, query):
+    def _get(self, query, node):
         start = query.get("from", "")
         limit = min(int(query.get("limit", "500")), 500)
         found = sorted(
@@ -125,12 +174,12 @@
              and row.part == query.get("part", "")),
             key=lambda row: row.key.encode(),
         )
-        rows = [row._asdict() for row in found[:limit]]
+        rows = [self._as_seen(row, node) for row in found[:limit]]
         return 200, {
             "rows": rows, "hasMore": len(found) > limit, **self._now()
         }
 
-    async def _feed(self, query):
+    async def _feed(self, query, node):
         after, era = int(query["after"]), self.era
         until = time.monotonic() + int(query["waitMs"]) / 1000
         while True:
@@ -139,7 +188,8 @@
             if after > self.ver:
                 return 410, None
             rows = [
-                {**row._asdict(), **({"removed": True} if removed else {})}
+                {**self._as_seen(row, node),
+                 **({"removed": True} if removed else {})}
                 for row, removed in self.history
                 if row.table == query["table"] and row.ver > after
             ]
