--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import os
 import signal
 import time
 
@@ -101,4 +102,7 @@
     return list(dict.fromkeys(broken))
 
 
-main(play, ".", "127.61.1")
+# TROUBLE=0 plays the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
+main(play, ".", "127.61.1", TROUBLE)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import os
 import signal
 import time
 from collections import namedtuple
@@ -108,4 +109,7 @@
     return broken
 
 
-main(play, ".", "127.62.1")
+# TROUBLE=0 plays the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
+main(play, ".", "127.62.1", TROUBLE)
--- a/review/further/forgotten-roster/case.py
+++ b/review/further/forgotten-roster/case.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import os
 import time
 
 from standins.site import Caller, ZONES, config, main
@@ -88,4 +89,7 @@
             f"aren't in the log of the promoted member"]
 
 
-main(play, ".", "127.65.1")
+# TROUBLE=0 plays the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
+main(play, ".", "127.65.1", TROUBLE)
--- a/review/further/passed-key/case.py
+++ b/review/further/passed-key/case.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import os
 import time
 
 from standins.site import BOUNDS, Caller, config, main
@@ -69,4 +70,7 @@
     return broken
 
 
-main(play, ".", "127.64.1")
+# TROUBLE=0 plays the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
+main(play, ".", "127.64.1", TROUBLE)
--- a/review/further/unreadable-entry/case.py
+++ b/review/further/unreadable-entry/case.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import os
 import signal
 import time
 
@@ -72,4 +73,7 @@
     return []
 
 
-main(play, ".", "127.66.1")
+# TROUBLE=0 plays the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
+main(play, ".", "127.66.1", TROUBLE)
--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -323,12 +323,12 @@
     raise RuntimeError(f"did not happen in time: {what}")
 
 
-def main(play, folder, prefix):
+def main(play, folder, prefix, trouble):
     """Run a case: exit with 1 if its rule was broken, 2 if it can't run.
 
-    ``play(site, trouble)`` returns the texts that say how it was broken.
+    ``play(site, trouble)`` returns the texts that say how it was broken;
+    ``trouble`` tells whether to play the disruption.
     """
-    trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
         site = Site(folder, prefix)
