--- a/redwingpost/node/takeover/coordinator.py
+++ b/redwingpost/node/takeover/coordinator.py
@@ -271,8 +271,9 @@
     def _choose_promotable(self, survey: Survey) -> MemberStatus | None:
         for item in candidates(survey.statuses, None):
             if may_promote(item, survey):
+                self._log_survey("takeover-safe", survey, item)
                 return item
-        self._log_unsafe(survey)
+        self._log_survey("takeover-unsafe", survey)
         return None
 
     # A primary that answers ----------------------------------------------
@@ -336,7 +337,7 @@
             if is_worth_stopping(status, survey, leader):
                 return True
             if self._clock.now() >= until:
-                self._log_unsafe(survey)
+                self._log_survey("takeover-unsafe", survey)
                 return False
             await sleep(POLL_S)
 
@@ -368,6 +369,7 @@
                 )
                 if is_eligible and may_promote(item, survey):
                     self._has_stopped_primary = True
+                    self._log_survey("takeover-safe", survey, item)
                     return item
             if is_late:
                 self._has_stopped_primary = True
@@ -518,7 +520,7 @@
             for item in statuses
             if not item.is_silent and item.report.paused_for > term
         }
-        await self._send_to_all(paused, "resume")
+        await self._resume(paused)
         await self._group.fresh_round()
 
     async def _resume_replicas(
@@ -533,14 +535,35 @@
             for item in statuses
             if not item.is_silent and item.report.is_primary
         ]
-        replicas = self._clients_except(primaries)
-        await self._send_to_all(replicas, "resume")
+        await self._resume(self._clients_except(primaries))
 
-    def _log_unsafe(self, survey: Survey) -> None:
+    async def _resume(self, clients: dict[str, MemberClient]) -> None:
+        """Resume members; one that doesn't answer may do so later."""
+        if not clients:
+            return
+        statuses = await self._send_to_all(clients, "resume")
         log_event(
-            "takeover-unsafe",
+            "members-resumed",
             group=self._group.name,
+            members=[describe_status(item) for item in statuses],
+            **self._describe_duty(),
+        )
+
+    def _log_survey(
+        self, kind: str, survey: Survey, chosen: MemberStatus | None = None
+    ) -> None:
+        log_event(
+            kind,
+            group=self._group.name,
+            chosen=chosen.entry.member if chosen else "",
+            stopped=survey.stopped or "",
             members=[describe_status(item) for item in survey.statuses],
             floor=str(survey.floor),
             has_all_members=survey.has_all_members,
+            **self._describe_duty(),
         )
+
+    def _describe_duty(self) -> dict[str, float]:
+        """Return the duty's fence and the time for which it is held."""
+        left_s = self._duty.valid_until - self._clock.now()
+        return {"fence": self._duty.fence, "duty_left_s": round(left_s, 3)}
--- a/redwingpost/platform/orders.py
+++ b/redwingpost/platform/orders.py
@@ -32,7 +32,13 @@
                 "POST", "/promote", _TIMEOUT_S, body, headers
             )
         except HttpLost as lost:
-            log_event("promote-unanswered", group=group, detail=str(lost))
+            log_event(
+                "promote-unanswered",
+                group=group,
+                member=member,
+                fence=fence,
+                detail=str(lost),
+            )
             return False
         log_event(
             "promote-answered",
