Tests that lose commits to a promotion that takes effect late

What callers see: writes that were acknowledged are gone after a change of primary. A promotion is ordered and its answer doesn't come within a second, or the ordering VM is killed. Another member is promoted and acknowledges commits. Then the first order takes effect: its member leads the next term without them, although other replicas hold them.

The stand-in's promotion service can answer late, and a node can start again under its name.

--- a/redwingpost/node/tests/line_site.py
+++ b/redwingpost/node/tests/line_site.py
@@ -72,11 +72,11 @@
         self.ip = ip
         self.ports = ports
         self.process = process
-        self._log = log
+        self.log = log
 
     def log_lines(self) -> list[dict[str, Any]]:
         """Return what the node has logged so far."""
-        return [loads(line) for line in self._log.read_text().splitlines()]
+        return [loads(line) for line in self.log.read_text().splitlines()]
 
     async def caller(self, database: str, key: str = "key-1") -> LineCaller:
         """Return a caller with an open session."""
@@ -178,19 +178,16 @@
         settings.update({"zone": data_centre, **self.settings})
         path.write_text(dumps(settings))
         log = path.with_suffix(".log")
-        with log.open("wb") as stdout:
-            process = await create_subprocess_exec(
-                executable,
-                "-m",
-                "redwingpost.cli.node",
-                env={**environ, PATH_VARIABLE: str(path)},
-                stdout=stdout,
-                stderr=PIPE,
-            )
+        process = await _start_process(path, log)
         node = NodeProcess(ip, ports, process, log)
         self.nodes.append(node)
         return node
 
+    async def start_again(self, node: NodeProcess) -> None:
+        """Start a node that has ended, under its name and at its address."""
+        path = node.log.with_suffix(".json")
+        node.process = await _start_process(path, node.log)
+
     def _settings(self, vm: str, ip: str, ports: dict) -> dict[str, Any]:
         standins = self.standins
         return {
@@ -209,6 +206,19 @@
         }
 
 
+async def _start_process(path: Path, log: Path) -> Process:
+    """Start a node process; it adds its lines to those in the log."""
+    with log.open("ab") as stdout:
+        return await create_subprocess_exec(
+            executable,
+            "-m",
+            "redwingpost.cli.node",
+            env={**environ, PATH_VARIABLE: str(path)},
+            stdout=stdout,
+            stderr=PIPE,
+        )
+
+
 async def until(holds: Callable, what: str = "it") -> None:
     """Wait until a condition holds."""
 
--- /dev/null
+++ b/redwingpost/node/tests/test_late_orders.py
@@ -0,0 +1,75 @@
+"""Node processes whose promotion orders take effect late."""
+
+from asyncio import IncompleteReadError, create_task, sleep
+from signal import SIGKILL
+from unittest import IsolatedAsyncioTestCase
+
+from redwingpost.node.tests.line_site import NodeSite, until
+from redwingpost.standin.lines.group import LineMember
+
+
+class LateOrderTest(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.site = NodeSite()
+        self.addAsyncCleanup(self.site.stop)
+        await self.site.start(nodes=1)
+        self.node = self.site.nodes[0]
+        self.standins = self.site.standins
+        self.group = self.standins.group_by_name["g1"]
+
+    async def test_a_coordinator_restarts_while_its_order_is_under_way(
+        self,
+    ) -> None:
+        """Guards against a second promotion before the first has effect."""
+        self.standins.order_delay_s = 4.0
+        chosen = await self._order_promotion()
+        self.assertEqual(-SIGKILL, await self.node.end(SIGKILL))
+        self.standins.order_delay_s = 0.0
+        await self.site.start_again(self.node)
+        await self._fail_until_second_primary(chosen)
+        await self._write_until_promoted(chosen)
+        self.assertEqual([], self.group.lost)
+
+    async def test_a_coordinator_gives_an_order_up(self) -> None:
+        """Guards against a second promotion after an unanswered order."""
+        self.standins.order_delay_s = 7.0
+        chosen = await self._order_promotion()
+        await sleep(2.0)
+        self.standins.order_delay_s = 0.0
+        await self._fail_until_second_primary(chosen)
+        await self._write_until_promoted(chosen)
+        self.assertEqual([], self.group.lost)
+
+    async def _order_promotion(self) -> LineMember:
+        """Let the primary leave; return the member ordered to replace it."""
+        caller = await self.node.caller("own")
+        await caller.run("WRITE a first")
+        self.standins.register("g1-m1", state="draining")
+        await until(lambda: self.standins.orders, "an order")
+        return self.standins.find(self.standins.orders[0].member)
+
+    async def _fail_until_second_primary(self, chosen: LineMember) -> None:
+        """Make the chosen member silent for some time, and deaf after it."""
+        chosen.is_unresponsive = chosen.is_cut_off = True
+        await sleep(2.5)
+        chosen.is_unresponsive = False
+
+    async def _write_until_promoted(self, chosen: LineMember) -> None:
+        """Write until the late order takes effect."""
+        writing = create_task(self._write())
+        try:
+            await until(lambda: chosen.is_primary, "the ordered promotion")
+        finally:
+            writing.cancel()
+
+    async def _write(self) -> None:
+        number = 0
+        while True:
+            try:
+                caller = await self.node.caller("own")
+                while True:
+                    number += 1
+                    await caller.run(f"WRITE a {number}")
+                    await sleep(0.02)
+            except (AssertionError, IncompleteReadError, OSError):
+                await sleep(0.1)
--- a/redwingpost/standin/lines/site.py
+++ b/redwingpost/standin/lines/site.py
@@ -1,6 +1,6 @@
 """A complete platform in one process: store, groups and promotions."""
 
-from asyncio import create_task, sleep
+from asyncio import create_task, shield, sleep
 from time import monotonic, time
 from typing import Any
 
@@ -34,7 +34,8 @@
 class LineSite:
     """The store, groups of three members, and the promotion API.
 
-    ``orders`` lists the received promotion orders.
+    ``orders`` lists the received promotion orders. The promotion service
+    handles an order, and answers it, after ``order_delay_s`` seconds.
     """
 
     def __init__(self, ip: str = "127.0.0.1") -> None:
@@ -43,6 +44,7 @@
         self.group_by_name: dict[str, LineGroup] = {}
         self.server_by_member: dict[str, MemberServer] = {}
         self.orders: list[Order] = []
+        self.order_delay_s = 0.0
         self.store_port = 0
         self.orders_port = 0
         self._runner: AppRunner | None = None
@@ -149,11 +151,21 @@
         holder = request.headers["X-Redwingpost-Duty-Holder"]
         order = Order(body["service"], body["id"], holder, fence)
         self.orders.append(order)
-        if self.find(order.member).is_unresponsive:
+        if not await self._is_handled(order):
             return Response(status=409)
-        create_task(self._promote_after_delay(order))
         return Response(status=200)
 
+    async def _is_handled(self, order: Order) -> bool:
+        """Handle an order, also one whose sender has given it up."""
+        return await shield(create_task(self._handle(order)))
+
+    async def _handle(self, order: Order) -> bool:
+        await sleep(self.order_delay_s)
+        if self.find(order.member).is_unresponsive:
+            return False
+        create_task(self._promote_after_delay(order))
+        return True
+
     async def _promote_after_delay(self, order: Order) -> None:
         await sleep(PROMOTION_DELAY_S)
         group = self.group_by_name[order.group]
