Takeover: record promotion orders, and none beside one under way

Cause: an order without an answer within a second, or without an effect within three, counted as "not promoted". Members were resumed and another one might be promoted. The same when the coordinating VM was killed: it starts again under its name, holds the duty at once and knows nothing of its order. When the first order took effect, its member led the next term without what had been acknowledged meanwhile.

Change: an order is recorded in the store before it is sent, under the condition that its writer still holds the duty. While it may take effect (no newer term is seen, and 10 s haven't passed) only its member may be ordered and resumed: what that one receives is in the log with which it leads. An order that was refused is withdrawn. An order is sent only if the right still holds once the connection is open, which may take a second.

A takeover costs one more call of the store.

--- a/redwingpost/adapters/http_client.py
+++ b/redwingpost/adapters/http_client.py
@@ -5,6 +5,7 @@
 """
 
 from asyncio import StreamReader, StreamWriter, open_connection, wait_for
+from collections.abc import Callable
 from socket import (
     IPPROTO_TCP,
     SO_KEEPALIVE,
@@ -119,16 +120,19 @@
         timeout_s: float,
         body: bytes = b"",
         headers: tuple[tuple[str, str], ...] = (),
+        may_send: Callable[[], bool] = lambda: True,
     ) -> HttpAnswer:
         """Send a request and return the complete response.
 
         ``timeout_s`` limits the wait for the response to begin; after that
-        the transfer may take as long as bytes keep arriving.
+        the transfer may take as long as bytes keep arriving. ``may_send`` is
+        asked once the connection is open: that may take a second.
 
         Raises
         ------
         HttpLost
-            If the connection fails or the request times out.
+            If the connection fails, the request times out, or it may not be
+            sent any more.
         """
         sent = False
         self.close_if_ended()
@@ -136,6 +140,8 @@
             if self._writer is None:
                 connect_timeout_s = min(timeout_s, CONNECT_TIMEOUT_S)
                 await wait_for(self._connect(), connect_timeout_s)
+            if not may_send():
+                raise HttpLost("too late to send", sent)
             sent = True
             exchange = self._exchange(method, target, body, headers, timeout_s)
             return await wait_for(exchange, timeout_s + MAX_TRANSFER_S)
@@ -241,12 +247,13 @@
         timeout_s: float,
         body: bytes = b"",
         headers: tuple[tuple[str, str], ...] = (),
+        may_send: Callable[[], bool] = lambda: True,
     ) -> HttpAnswer:
         """Send a request as ``HttpClient.request`` does."""
         client = self._take_idle()
         try:
             return await client.request(
-                method, target, timeout_s, body, headers
+                method, target, timeout_s, body, headers, may_send
             )
         finally:
             self._idle.append((client, self._clock.now()))
--- a/redwingpost/adapters/tests/test_http_client.py
+++ b/redwingpost/adapters/tests/test_http_client.py
@@ -1,6 +1,12 @@
 """HTTP requests over connections that hang or are silently broken."""
 
-from asyncio import StreamReader, StreamWriter, start_server, wait_for
+from asyncio import (
+    StreamReader,
+    StreamWriter,
+    sleep,
+    start_server,
+    wait_for,
+)
 from contextlib import ExitStack
 from socket import socket
 from unittest import IsolatedAsyncioTestCase
@@ -60,6 +66,28 @@
                 await wait_for(request, _TIMEOUT_S)
             self.assertFalse(raised.exception.sent)
 
+    async def test_a_request_that_comes_too_late(self) -> None:
+        """Guards against an order that is sent after its right has ended."""
+        arrived = []
+
+        async def serve(reader: StreamReader, writer: StreamWriter) -> None:
+            arrived.append(await reader.read())
+            writer.close()
+
+        server = await start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        client = HttpClient(*server.sockets[0].getsockname())
+        request = client.request(
+            "POST", "/promote", _TIMEOUT_S, may_send=lambda: False
+        )
+        with self.assertRaises(HttpLost) as raised:
+            await wait_for(request, _TIMEOUT_S)
+        self.assertFalse(raised.exception.sent)
+        client.close()
+        while not arrived:
+            await sleep(0.01)
+        self.assertEqual([b""], arrived)
+
 
 class HttpPoolTest(IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
--- a/redwingpost/node/takeover/coordinator.py
+++ b/redwingpost/node/takeover/coordinator.py
@@ -9,11 +9,11 @@
 from typing import NamedTuple
 
 from redwingpost.groups.directory import Directory
-from redwingpost.leases.duty import HeldDuty
 from redwingpost.node.group import GroupClient
 from redwingpost.node.member import MemberClient
 from redwingpost.node.places import Places
 from redwingpost.node.takeover.members import TakeoverMembers
+from redwingpost.node.takeover.orders import TakeoverOrders
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.database import (
@@ -93,8 +93,8 @@
         in the fleet's store.
     sync_replicas : int
         Number of replicas that receive a commit before it is acknowledged.
-    duty : HeldDuty
-        This VM's right to order the promotion.
+    orders : TakeoverOrders
+        Sends the promotion order; has this VM's right to do so.
     dependencies : TakeoverDependencies
         What the takeover uses besides the group.
     """
@@ -104,16 +104,14 @@
         group: GroupClient,
         roster: Roster,
         sync_replicas: int,
-        duty: HeldDuty,
+        orders: TakeoverOrders,
         dependencies: TakeoverDependencies,
     ) -> None:
         self._group = group
         self._sync_replicas = sync_replicas
-        self._duty = duty
+        self._orders = orders
         self._directory = dependencies.directory
-        self._orders = dependencies.orders
         self._clock = dependencies.clock
-        self._vm = dependencies.vm
         self._places = dependencies.places
         self.members = TakeoverMembers(
             group,
@@ -139,6 +137,8 @@
     async def run(self, reason: Reason) -> str:
         """Replace the primary; return the outcome for log and metrics."""
         statuses = await self._send_to_all(self.clients, "status")
+        known_term = max(self._group.evidence.term, newest_term(statuses))
+        self._orders.note_term(known_term)
         leader = current_primary(statuses, self._group.evidence.term)
         if await self._demote_stale(statuses, leader):
             self.members.follow_directory()
@@ -147,7 +147,7 @@
             await self._resume_replicas(statuses)
             return "resumed"
         old = leader or self._group.evidence.leader
-        if choose_replica(statuses, old) is None:
+        if choose_replica(statuses, old, self._orders.member) is None:
             return "no replica answers"
         term = pause_term(statuses)
         if leader is None:
@@ -157,7 +157,8 @@
         if chosen is None:
             await self._resume_replicas(statuses)
             return "not safe yet"
-        if not await self._promote(chosen, term, old):
+        if not await self._promote(chosen, term, old, known_term):
+            await self._orders.withdraw_refused()
             await self._resume_replicas(statuses)
             return "not promoted"
         await self._finish(chosen, old)
@@ -269,13 +270,16 @@
         return (*answers, *silent)
 
     def _choose_promotable(self, survey: Survey) -> MemberStatus | None:
-        for item in candidates(survey.statuses, None):
+        for item in self._candidates(survey):
             if may_promote(item, survey):
                 self._log_survey("takeover-safe", survey, item)
                 return item
         self._log_survey("takeover-unsafe", survey)
         return None
 
+    def _candidates(self, survey: Survey) -> tuple[MemberStatus, ...]:
+        return candidates(survey.statuses, None, self._orders.member)
+
     # A primary that answers ----------------------------------------------
 
     async def _stop(
@@ -290,7 +294,8 @@
         The chosen replica isn't paused and goes on receiving until then, so
         that the primary serves for as long as possible.
         """
-        chosen = choose_replica(statuses, leader).chosen.entry
+        ordered = self._orders.member
+        chosen = choose_replica(statuses, leader, ordered).chosen.entry
         paused = self._clients_except([leader, chosen.member])
         await self._send_to_all(paused, "pause", term)
         if not await self._await_catch_up(chosen, leader, term):
@@ -362,7 +367,7 @@
                 if has_all_members
                 else MEMBERS_TIMEOUT_S
             )
-            for item in candidates(survey.statuses, None):
+            for item in self._candidates(survey):
                 name = item.entry.member
                 is_eligible = name == chosen.member or (
                     has_all_members and name != stopped.entry.member
@@ -431,7 +436,11 @@
     # The order -----------------------------------------------------------
 
     async def _promote(
-        self, chosen: MemberStatus, term: int, old: str | None
+        self,
+        chosen: MemberStatus,
+        term: int,
+        old: str | None,
+        known_term: int,
     ) -> bool:
         """Order the promotion and wait until it shows in the status."""
         # A replica that restarts or returns is not paused: it would
@@ -447,7 +456,9 @@
                 if not is_ordered:
                     if not await self._may_order(chosen, term, old):
                         return await self._check_promoted(chosen)
-                    is_ordered = await self._send_order(chosen)
+                    is_ordered = await self._orders.send(
+                        chosen.entry.member, known_term
+                    )
                 if await self._check_promoted(chosen):
                     return True
                 if pausing.done():
@@ -471,11 +482,6 @@
         others = self._clients_except([chosen.entry.member, old])
         await self._send_to_all(others, "pause", term)
 
-    async def _send_order(self, chosen: MemberStatus) -> bool:
-        return await self._orders.promote(
-            self._group.name, chosen.entry.member, self._vm, self._duty.fence
-        )
-
     async def _check_promoted(self, chosen: MemberStatus) -> bool:
         """Return whether the chosen member leads; record it if so."""
         member = chosen.entry.member
@@ -500,7 +506,7 @@
                 return False
             if self._are_pauses_stale():
                 return False
-        return self._duty.allows_order(self._clock.now())
+        return self._orders.duty.allows_order(self._clock.now())
 
     def _are_pauses_stale(self) -> bool:
         return self._clock.now() - self._paused_at > MAX_PAUSE_AGE_S
@@ -510,6 +516,7 @@
     async def _finish(self, chosen: MemberStatus, old: str | None) -> None:
         """Demote the old primary and resume the paused replicas."""
         term = self._group.evidence.term
+        self._orders.note_term(term)
         self.members.follow_directory()
         others = self._clients_except([chosen.entry.member])
         replaced = {name: others[name] for name in others if name == old}
@@ -538,7 +545,15 @@
         await self._resume(self._clients_except(primaries))
 
     async def _resume(self, clients: dict[str, MemberClient]) -> None:
-        """Resume members; one that doesn't answer may do so later."""
+        """Resume members, but none that an order under way forbids.
+
+        One that doesn't answer may resume later.
+        """
+        ordered = self._orders.member
+        if ordered is not None:
+            clients = {
+                name: clients[name] for name in clients if name == ordered
+            }
         if not clients:
             return
         statuses = await self._send_to_all(clients, "resume")
@@ -557,6 +572,7 @@
             group=self._group.name,
             chosen=chosen.entry.member if chosen else "",
             stopped=survey.stopped or "",
+            ordered=self._orders.member or "",
             members=[describe_status(item) for item in survey.statuses],
             floor=str(survey.floor),
             has_all_members=survey.has_all_members,
@@ -565,5 +581,6 @@
 
     def _describe_duty(self) -> dict[str, float]:
         """Return the duty's fence and the time for which it is held."""
-        left_s = self._duty.valid_until - self._clock.now()
-        return {"fence": self._duty.fence, "duty_left_s": round(left_s, 3)}
+        duty = self._orders.duty
+        left_s = duty.valid_until - self._clock.now()
+        return {"fence": duty.fence, "duty_left_s": round(left_s, 3)}
--- a/redwingpost/node/takeover/duty.py
+++ b/redwingpost/node/takeover/duty.py
@@ -1,7 +1,7 @@
 """Claims of the duty, the right to order promotions, in the fleet's store."""
 
 from asyncio import wait_for
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from redwingpost.core.codes import Code
 from redwingpost.leases.duty import (
@@ -36,12 +36,15 @@
 class ClaimedDuty(NamedTuple):
     """The duty, and the table as read for the claim.
 
-    ``era`` is the store's era at that time.
+    ``era`` is the store's era and ``now_ms`` its time as of the reading,
+    which began at ``read_at`` (seconds on this VM's clock).
     """
 
     duty: HeldDuty
     rows: tuple[Row, ...]
     era: int
+    now_ms: int = 0
+    read_at: float = 0.0
 
 
 class DutyKeeper:
@@ -51,6 +54,7 @@
         self._store = store
         self._vm = vm
         self._clock = clock
+        self._held_version = 0
 
     async def take(self) -> ClaimedDuty | None:
         """Claim or extend the duty.
@@ -75,7 +79,29 @@
         log_event("duty-taken", fence=new_row.fence)
         until = holder_valid_until(requested_at, DUTY_MS / 1000.0)
         duty = HeldDuty(new_row.fence, until)
-        return ClaimedDuty(duty, got.rows, era_of(got.version))
+        return ClaimedDuty(
+            duty, got.rows, era_of(got.version), got.now_ms, requested_at
+        )
+
+    async def write_as_holder(
+        self, key: str, value: dict[str, Any] | None
+    ) -> bool:
+        """Write a row if this VM still holds the duty; delete it if None.
+
+        Returns
+        -------
+        bool
+            False if it wasn't written, or if that isn't known.
+        """
+        writing = self._store.transact(
+            (Condition(GROUP_TABLE, DUTY_KEY, self._held_version),),
+            (Write(GROUP_TABLE, key, value),),
+        )
+        try:
+            done = await wait_for(writing, DUTY_CALL_S)
+        except TimeoutError:
+            return False
+        return done.is_ok() and done.ok.committed
 
     async def reserve_in_new_era(self, got: Snapshot) -> bool:
         """Reserve the duty if its row is older than the store's era.
@@ -117,6 +143,8 @@
             log_event("duty-unanswered", fence=new_row.fence)
             return await self._was_written(new_row)
         if done.is_ok():
+            if done.ok.committed:
+                self._held_version = done.ok.versions[0]
             return done.ok.committed
         if done.error.code.name != Code.STORE_OUTCOME_UNKNOWN.name:
             return False
@@ -133,7 +161,11 @@
         got = await self._read()
         if got is None or era_of(got.version) != new_row.era:
             return False
-        return _find_row(got)[0] == new_row
+        row, version = _find_row(got)
+        if row != new_row:
+            return False
+        self._held_version = version
+        return True
 
 
 def _find_row(got: Snapshot) -> tuple[DutyRow, int]:
--- a/redwingpost/node/takeover/keeper.py
+++ b/redwingpost/node/takeover/keeper.py
@@ -16,6 +16,7 @@
 )
 from redwingpost.node.takeover.duty import DutyKeeper
 from redwingpost.node.takeover.leader_view import LeaderViews
+from redwingpost.node.takeover.orders import OrderDependencies, TakeoverOrders
 from redwingpost.node.takeover.rosters import decode_rosters, is_confirmed
 from redwingpost.observability.journal import log_event
 from redwingpost.takeover.roster import Roster
@@ -135,7 +136,16 @@
             group,
             stored.roster if stored else Roster({}),
             self._admission.sync_replicas(group.name),
-            claimed.duty,
+            TakeoverOrders(
+                group.name,
+                claimed,
+                OrderDependencies(
+                    self._duty,
+                    self._dependencies.orders,
+                    self._clock,
+                    self._dependencies.vm,
+                ),
+            ),
             self._dependencies,
         )
         try:
--- /dev/null
+++ b/redwingpost/node/takeover/orders.py
@@ -0,0 +1,133 @@
+"""The promotion orders of one takeover, recorded before they are sent."""
+
+from typing import NamedTuple
+
+from redwingpost.leases.duty import HeldDuty
+from redwingpost.node.takeover.duty import ClaimedDuty, DutyKeeper
+from redwingpost.observability.journal import log_event
+from redwingpost.ports.clock import Clock
+from redwingpost.ports.database import OrderOutcome, PromotionOrders
+from redwingpost.ports.platform import Row
+from redwingpost.takeover.orders import ORDER_LIFETIME_S, OrderRecord
+
+ORDER_PREFIX = "order/"
+
+
+class OrderDependencies(NamedTuple):
+    """What orders use besides the claimed duty; ``vm`` is this VM's name."""
+
+    keeper: DutyKeeper
+    sender: PromotionOrders
+    clock: Clock
+    vm: str
+
+
+class TakeoverOrders:
+    """Orders of one takeover, and one of an earlier takeover.
+
+    Parameters
+    ----------
+    group : str
+        Name of the group.
+    claimed : ClaimedDuty
+        This VM's right to order promotions, and the rows read with it.
+    dependencies : OrderDependencies
+        Where orders are recorded and sent.
+    """
+
+    def __init__(
+        self, group: str, claimed: ClaimedDuty, dependencies: OrderDependencies
+    ) -> None:
+        self._group = group
+        self._claimed = claimed
+        self._keeper = dependencies.keeper
+        self._sender = dependencies.sender
+        self._clock = dependencies.clock
+        self._vm = dependencies.vm
+        self._under_way = find_order(claimed.rows, group)
+        self._has_sent = False
+
+    @property
+    def duty(self) -> HeldDuty:
+        """Return the right to order promotions."""
+        return self._claimed.duty
+
+    @property
+    def member(self) -> str | None:
+        """Return the member whose promotion may be under way, or None.
+
+        No other member may be ordered or resumed.
+        """
+        return None if self._under_way is None else self._under_way.member
+
+    def note_term(self, term: int) -> None:
+        """Drop an order that the group's newest term shows to have ended."""
+        order = self._under_way
+        if order and not order.may_take_effect(term, self._now_ms()):
+            self._under_way = None
+
+    async def send(self, member: str, term: int) -> bool:
+        """Record and send an order; return whether it was accepted.
+
+        Parameters
+        ----------
+        member : str
+            The member to promote.
+        term : int
+            The newest term that is known.
+        """
+        order = self._under_way
+        if order is None:
+            until_ms = self._now_ms() + round(ORDER_LIFETIME_S * 1000)
+            order = OrderRecord(member, term, until_ms)
+            if not await self._record(order):
+                return False
+            self._under_way = order
+        if order.member != member:
+            return False
+        outcome = await self._sender.promote(
+            self._group, member, self._vm, self.duty.fence, self._may_send
+        )
+        self._has_sent |= outcome is not OrderOutcome.REFUSED
+        return outcome is OrderOutcome.ACCEPTED
+
+    async def withdraw_refused(self) -> None:
+        """Remove the record of an order that was only ever refused."""
+        if self._under_way is None or self._has_sent:
+            return
+        if find_order(self._claimed.rows, self._group) is not None:
+            # An earlier takeover may have sent it.
+            return
+        if await self._record(None):
+            self._under_way = None
+
+    def _may_send(self) -> bool:
+        return self.duty.allows_order(self._clock.now())
+
+    def _now_ms(self) -> int:
+        """Return the table service's time, or somewhat more."""
+        elapsed_s = self._clock.now() - self._claimed.read_at
+        return self._claimed.now_ms + round(elapsed_s * 1000)
+
+    async def _record(self, order: OrderRecord | None) -> bool:
+        value = None if order is None else order.to_value()
+        is_recorded = await self._keeper.write_as_holder(
+            ORDER_PREFIX + self._group, value
+        )
+        log_event(
+            "promotion-recorded",
+            group=self._group,
+            member=order.member if order else "",
+            term=order.term if order else 0,
+            fence=self.duty.fence,
+            written=is_recorded,
+        )
+        return is_recorded
+
+
+def find_order(rows: tuple[Row, ...], group: str) -> OrderRecord | None:
+    """Return the recorded order of a group."""
+    for row in rows:
+        if row.key == ORDER_PREFIX + group:
+            return OrderRecord.from_value(row.value)
+    return None
--- a/redwingpost/node/tests/test_coordinator.py
+++ b/redwingpost/node/tests/test_coordinator.py
@@ -3,6 +3,7 @@
 from asyncio import get_running_loop
 from collections.abc import Callable
 from unittest import IsolatedAsyncioTestCase
+from unittest.mock import patch
 
 from redwingpost.configuration.routes import (
     NO_RULES,
@@ -16,12 +17,25 @@
 from redwingpost.groups.regions import RegionMap
 from redwingpost.leases.duty import HeldDuty
 from redwingpost.node.places import Places
+from redwingpost.node.takeover import coordinator
 from redwingpost.node.takeover.coordinator import (
     Coordinator,
     TakeoverDependencies,
 )
-from redwingpost.ports.clock import MonotonicClock
-from redwingpost.ports.database import MemberEntry, StatusReport
+from redwingpost.node.takeover.duty import GROUP_TABLE, ClaimedDuty
+from redwingpost.node.takeover.orders import (
+    ORDER_PREFIX,
+    OrderDependencies,
+    TakeoverOrders,
+)
+from redwingpost.ports.clock import Clock, MonotonicClock, VirtualClock
+from redwingpost.ports.database import (
+    MemberEntry,
+    OrderOutcome,
+    StatusReport,
+)
+from redwingpost.ports.platform import Row
+from redwingpost.takeover.orders import OrderRecord
 from redwingpost.takeover.roster import Roster
 from redwingpost.takeover.triggers import Reason
 
@@ -84,16 +98,27 @@
         self.evidence = GroupEvidence()
         self.promoted: list[str] = []
         self.stopped_before_order: list[bool] = []
+        self.recorded: list[tuple[str, dict | None]] = []
+        self.outcome = OrderOutcome.ACCEPTED
+
+    async def write_as_holder(self, key: str, value: dict | None) -> bool:
+        """Accept a record."""
+        self.recorded.append((key, value))
+        return True
 
-    async def promote(self, group, member, holder, fence) -> bool:
-        """Apply a promotion order immediately."""
+    async def promote(
+        self, group, member, holder, fence, may_send
+    ) -> OrderOutcome:
+        """Apply a promotion order immediately, or as the test says."""
+        if self.outcome is not OrderOutcome.ACCEPTED:
+            return self.outcome
         primary = self.all_by_name["p"]
         self.promoted.append(member)
         self.stopped_before_order.append(not primary.is_primary)
         chosen = self.all_by_name[member]
         chosen.is_primary = True
         chosen.term += 1
-        return True
+        return OrderOutcome.ACCEPTED
 
     async def members_of(self, group: str) -> tuple[MemberEntry, ...]:
         """Return the members that the registry lists."""
@@ -105,6 +130,14 @@
         self.all_by_name[name] = self.member_by_name[name] = joined
         return joined
 
+    def resumed(self) -> list[str]:
+        """Return the members that were resumed."""
+        return [
+            name
+            for name, member in sorted(self.all_by_name.items())
+            if "resume" in member.commands
+        ]
+
     def register(self, name: str, after_s: float) -> None:
         """Put a member on the registry's list, now or later."""
         if after_s:
@@ -123,8 +156,11 @@
         group: FakeGroup,
         roster: str = "pab",
         places: Places | None = None,
+        rows: tuple[Row, ...] = (),
+        duty_s: float = 60.0,
+        clock: Clock | None = None,
     ) -> Coordinator:
-        clock = MonotonicClock()
+        clock = clock or MonotonicClock()
         directory = Directory()
         for member in group.member_by_name.values():
             directory.put(member.entry, clock.now())
@@ -132,9 +168,14 @@
             directory, group, None, group, clock, "vm-1", places
         )
         entries = tuple(_entry(name) for name in roster)
-        duty = HeldDuty(1, clock.now() + 60.0)
+        duty = HeldDuty(1, clock.now() + duty_s)
+        orders = TakeoverOrders(
+            _GROUP,
+            ClaimedDuty(duty, rows, 0, 1000, clock.now()),
+            OrderDependencies(group, group, clock, "vm-1"),
+        )
         stored = Roster({}).with_listed(entries)
-        coordinator = Coordinator(group, stored, 1, duty, dependencies)
+        coordinator = Coordinator(group, stored, 1, orders, dependencies)
         for name, client in group.all_by_name.items():
             if name in coordinator.clients:
                 coordinator.clients[name] = client
@@ -314,6 +355,50 @@
                     await coordinator.run(reason)
                     self.assertEqual(expected, group.promoted)
 
+    async def test_an_order_of_an_earlier_takeover(self) -> None:
+        """Guards against two promotions of one group under way."""
+        # Member, newest term before and end (ms) of the order; silent
+        # members; members that are promoted, and those that are resumed.
+        cases = (
+            ("of the next choice", ("b", 1, 9000), "p", ["b"], ""),
+            ("of another member", ("a", 1, 9000), "p", ["a"], ""),
+            ("of a silent member", ("a", 1, 9000), "pa", [], ""),
+            ("of a silent member, none else", ("a", 1, 9000), "a", [], ""),
+            ("that has ended", ("a", 1, 900), "a", ["b"], ""),
+            ("that took effect", ("a", 0, 9000), "a", ["b"], ""),
+        )
+        for name, order, silent, promoted, resumed in cases:
+            with self.subTest(name):
+                group = FakeGroup()
+                for member in silent:
+                    group.all_by_name[member].is_silent = True
+                value = OrderRecord(*order).to_value()
+                row = Row(GROUP_TABLE, ORDER_PREFIX + _GROUP, 5, value)
+                coordinator = self._coordinator(group, rows=(row,))
+                await coordinator.run(Reason.LEAVING)
+                self.assertEqual(promoted, group.promoted)
+                self.assertEqual(list(resumed), group.resumed())
+
+    async def test_an_order_that_has_no_effect_yet(self) -> None:
+        """Guards against resuming members while an order is under way."""
+        cases = (
+            (OrderOutcome.UNANSWERED, ["b"]),
+            (OrderOutcome.REFUSED, ["a", "b"]),
+        )
+        for outcome, resumed in cases:
+            with self.subTest(outcome):
+                group = FakeGroup()
+                group.all_by_name["p"].is_silent = True
+                group.outcome = outcome
+                with patch.object(coordinator, "PROMOTION_TIMEOUT_S", 0.1):
+                    told = await self._coordinator(group).run(Reason.SILENT)
+                self.assertEqual("not promoted", told)
+                self.assertEqual(resumed, group.resumed())
+                key, value = group.recorded[-1]
+                self.assertEqual(ORDER_PREFIX + _GROUP, key)
+                is_withdrawn = outcome is OrderOutcome.REFUSED
+                self.assertEqual(is_withdrawn, value is None)
+
     async def test_no_route_could_use_the_only_replica(self) -> None:
         """Guards against a primary that serves nobody."""
         group = FakeGroup()
--- a/redwingpost/platform/orders.py
+++ b/redwingpost/platform/orders.py
@@ -1,10 +1,14 @@
 """HTTP client for the platform's promotion calls."""
 
+from collections.abc import Callable
+from http import HTTPStatus
+
 from msgspec.json import encode
 
 from redwingpost.adapters.http_client import HttpLost, HttpPool
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
+from redwingpost.ports.database import OrderOutcome
 
 #: Seconds to wait for the platform's answer. It need not be longer: the
 #: member's status shows whether the order took effect.
@@ -18,9 +22,14 @@
         self._client = HttpPool(ip, port, clock)
 
     async def promote(
-        self, group: str, member: str, holder: str, fence: int
-    ) -> bool:
-        """Return whether the platform accepted the order."""
+        self,
+        group: str,
+        member: str,
+        holder: str,
+        fence: int,
+        may_send: Callable[[], bool],
+    ) -> OrderOutcome:
+        """Send an order, if ``may_send`` still allows it once connected."""
         headers = (
             ("Content-Type", "application/json"),
             ("X-Redwingpost-Duty-Holder", holder),
@@ -29,7 +38,7 @@
         body = encode({"service": group, "id": member})
         try:
             answer = await self._client.request(
-                "POST", "/promote", _TIMEOUT_S, body, headers
+                "POST", "/promote", _TIMEOUT_S, body, headers, may_send
             )
         except HttpLost as lost:
             log_event(
@@ -38,8 +47,11 @@
                 member=member,
                 fence=fence,
                 detail=str(lost),
+                sent=lost.sent,
+            )
+            return (
+                OrderOutcome.UNANSWERED if lost.sent else OrderOutcome.REFUSED
             )
-            return False
         log_event(
             "promote-answered",
             group=group,
@@ -47,4 +59,6 @@
             fence=fence,
             status=answer.status,
         )
-        return answer.status == 200
+        if answer.status == HTTPStatus.OK:
+            return OrderOutcome.ACCEPTED
+        return OrderOutcome.REFUSED
--- a/redwingpost/ports/database.py
+++ b/redwingpost/ports/database.py
@@ -4,6 +4,7 @@
 exchange (a request and its answer) at a time.
 """
 
+from collections.abc import Callable
 from enum import Enum
 from typing import NamedTuple, Protocol
 
@@ -180,10 +181,23 @@
         """Open a link, or return the member's refusal."""
 
 
+class OrderOutcome(Enum):
+    """What is known of an order; an unanswered one may take effect later."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNANSWERED = "unanswered"
+
+
 class PromotionOrders(Protocol):
     """Orders the platform to make a member the primary of its group."""
 
     async def promote(
-        self, group: str, member: str, holder: str, fence: int
-    ) -> bool:
-        """Return whether the platform accepted the order."""
+        self,
+        group: str,
+        member: str,
+        holder: str,
+        fence: int,
+        may_send: Callable[[], bool],
+    ) -> OrderOutcome:
+        """Send an order, if ``may_send`` still allows it once connected."""
--- /dev/null
+++ b/redwingpost/takeover/orders.py
@@ -0,0 +1,77 @@
+"""Promotion orders that may still take effect.
+
+An order takes effect some time after it was sent, also if its answer was lost
+or the VM that sent it has ended. If another member is promoted meanwhile, it
+acknowledges commits that the ordered member may lack. When the earlier order
+takes effect, that member leads the next term without them.
+
+So an order is recorded in the fleet's store before it is sent. While it may
+take effect, only its member may be ordered again, and only that member may be
+resumed: whatever it receives until then is in the log with which it leads.
+"""
+
+from typing import Any, NamedTuple
+
+from redwingpost.core.foreign import UNREADABLE
+
+#: Seconds after its record within which an order takes effect, if ever. It is
+#: sent again for up to three seconds and may be under way for seconds.
+ORDER_LIFETIME_S = 10.0
+
+
+class OrderRecord(NamedTuple):
+    """An order as recorded in the fleet's store.
+
+    ``term`` is the newest term that was known when ``member`` was ordered to
+    lead the next one. The order takes effect before ``until_ms`` on the table
+    service's clock, or never.
+    """
+
+    member: str
+    term: int
+    until_ms: int
+
+    def to_value(self) -> dict[str, Any]:
+        """Return the value to store in the order's row."""
+        return self._asdict()
+
+    @classmethod
+    def from_value(cls, value: Any) -> "OrderRecord | None":
+        """Parse a row's value; None if it can't be parsed.
+
+        Examples
+        --------
+        >>> OrderRecord.from_value({"member": "a", "term": 2, "until_ms": 9})
+        OrderRecord(member='a', term=2, until_ms=9)
+        >>> OrderRecord.from_value({}) is None
+        True
+        """
+        try:
+            return cls(
+                str(value["member"]),
+                int(value["term"]),
+                int(value["until_ms"]),
+            )
+        except UNREADABLE:
+            return None
+
+    def may_take_effect(self, term: int, now_ms: int) -> bool:
+        """Return whether the order may take effect from now on.
+
+        Parameters
+        ----------
+        term : int
+            The newest term that is known. A newer one than the record's
+            shows that the order has taken effect: no other was sent.
+        now_ms : int
+            The present time on the table service's clock.
+
+        Examples
+        --------
+        >>> order = OrderRecord("a", term=2, until_ms=900)
+        >>> order.may_take_effect(2, 800), order.may_take_effect(3, 800)
+        (True, False)
+        >>> order.may_take_effect(2, 900)
+        False
+        """
+        return term <= self.term and now_ms < self.until_ms
--- a/redwingpost/takeover/plan.py
+++ b/redwingpost/takeover/plan.py
@@ -94,10 +94,15 @@
 
 
 def candidates(
-    statuses: tuple[MemberStatus, ...], leader: str | None
+    statuses: tuple[MemberStatus, ...],
+    leader: str | None,
+    ordered: str | None = None,
 ) -> tuple[MemberStatus, ...]:
     """Return the replicas that may be promoted, best first.
 
+    ``ordered`` is a member whose promotion may be under way: then there is
+    no other candidate (``redwingpost.takeover.orders``).
+
     A draining member comes after all others, as it would have to be replaced
     again. It is included because it may be the only one that holds every
     acknowledged commit. Before that, a member comes first in whose region
@@ -108,7 +113,9 @@
     replicas = [
         item
         for item in statuses
-        if item.entry.member != leader and not item.is_silent
+        if item.entry.member != leader
+        and not item.is_silent
+        and ordered in (None, item.entry.member)
         # Still reports as primary, although it was replaced. Its log is
         # taken into account all the same.
         and not item.report.is_primary and not item.losses.is_all
@@ -123,7 +130,9 @@
 
 
 def choose_replica(
-    statuses: tuple[MemberStatus, ...], leader: str | None
+    statuses: tuple[MemberStatus, ...],
+    leader: str | None,
+    ordered: str | None = None,
 ) -> Choice | None:
     """Choose the first of the candidates.
 
@@ -132,7 +141,7 @@
     Choice or None
         None if no replica answers.
     """
-    best = candidates(statuses, leader)
+    best = candidates(statuses, leader, ordered)
     if not best:
         return None
     chosen = best[0].entry.member
