Takeover: send no command to members once the duty has ended

RESUME names no term. A coordinator that was frozen, or whose takeover took longer than the duty's 6 s, resumed members that the next coordinator had paused, between that one's survey and the effect of its order. They could then confirm commits that the chosen member lacks.

Change: PAUSE, RESUME and STEPDOWN are sent only while the duty holds for another 0.5 s, longer than a command is waited for. Pauses that are left behind are ended by the next holder of the duty, as before.

Evidence: test_the_right_ends_during_a_takeover: in its three cases members were resumed before, none since.

--- a/redwingpost/leases/duty.py
+++ b/redwingpost/leases/duty.py
@@ -37,6 +37,11 @@
 ORDER_MARGIN_S = 1.5
 
 
+#: The same for a command to a member: it is given up after 0.4 s. The next
+#: holder's pauses must not be undone by a command of the one before.
+COMMAND_MARGIN_S = 0.5
+
+
 class DutyRow(NamedTuple):
     """The stored row; ``until_ms`` is on the table service's clock.
 
@@ -99,6 +104,18 @@
         """
         return now + ORDER_MARGIN_S < self.valid_until
 
+    def allows_command(self, now: float) -> bool:
+        """Return whether a member may be paused, resumed or demoted.
+
+        Examples
+        --------
+        >>> HeldDuty(3, valid_until=10.0).allows_command(9.0)
+        True
+        >>> HeldDuty(3, valid_until=10.0).allows_command(9.7)
+        False
+        """
+        return now + COMMAND_MARGIN_S < self.valid_until
+
 
 def must_reserve(row: DutyRow, era: int) -> bool:
     """Return whether a row was written before the store's present era.
--- a/redwingpost/node/takeover/coordinator.py
+++ b/redwingpost/node/takeover/coordinator.py
@@ -172,7 +172,14 @@
         """Send a command to members and return their statuses.
 
         A member that isn't on the roster is included only if it answers.
+        Once this VM's right has ended nothing is sent that changes a member,
+        as another VM may conduct a takeover.
         """
+        if command != "status" and not self._orders.duty.allows_command(
+            self._clock.now()
+        ):
+            log_event("duty-ended", group=self._group.name, command=command)
+            clients = {}
 
         async def send(client: MemberClient) -> MemberStatus:
             report = await client.send_command(command, *arguments)
--- a/redwingpost/node/tests/test_coordinator.py
+++ b/redwingpost/node/tests/test_coordinator.py
@@ -399,6 +399,33 @@
                 is_withdrawn = outcome is OrderOutcome.REFUSED
                 self.assertEqual(is_withdrawn, value is None)
 
+    async def test_the_right_ends_during_a_takeover(self) -> None:
+        """Guards against undoing the pauses of the next coordinator."""
+        cases = (
+            ("a silent primary", Reason.SILENT, "pause"),
+            ("a stalled primary", Reason.STALLED, "pause"),
+            ("a stopped primary", Reason.LEAVING, "step_down"),
+        )
+        for name, reason, step in cases:
+            with self.subTest(name):
+                group = FakeGroup()
+                group.all_by_name["p"].is_silent = reason is Reason.SILENT
+                group.all_by_name["p"].index = (
+                    12 if reason is Reason.STALLED else 9
+                )
+                clock = VirtualClock()
+
+                def suspend(command: str) -> None:
+                    if command == step:
+                        clock.advance(6.0)
+
+                member = "p" if step == "step_down" else "a"
+                group.all_by_name[member].on_command = suspend
+                takeover = self._coordinator(group, duty_s=6.0, clock=clock)
+                await takeover.run(reason)
+                self.assertEqual([], group.promoted)
+                self.assertEqual([], group.resumed())
+
     async def test_no_route_could_use_the_only_replica(self) -> None:
         """Guards against a primary that serves nobody."""
         group = FakeGroup()
