--- a/redwingpost/node/tests/line_site.py
+++ b/redwingpost/node/tests/line_site.py
@@ -78,6 +78,10 @@
         """Return what the node has logged so far."""
         return [loads(line) for line in self.log.read_text().splitlines()]
 
+    def has_started(self) -> bool:
+        """Return whether the node has logged its start."""
+        return any(line["kind"] == "started" for line in self.log_lines())
+
     async def caller(self, database: str, key: str = "key-1") -> LineCaller:
         """Return a caller with an open session."""
         caller = await LineCaller.connect(self.ip, self.ports["callers"])
