--- a/redwingpost/node/tests/test_duty.py
+++ b/redwingpost/node/tests/test_duty.py
@@ -8,7 +8,11 @@
 from redwingpost.core.requests import Refusal
 from redwingpost.leases.duty import DUTY_MS
 from redwingpost.node.fleet.vm_list import FLEET_TABLE
-from redwingpost.node.takeover.duty import DUTY_KEY, DutyKeeper
+from redwingpost.node.takeover.duty import (
+    DUTY_KEY,
+    GROUP_TABLE,
+    DutyKeeper,
+)
 from redwingpost.ports.clock import VirtualClock
 from redwingpost.ports.fleet_store import Snapshot, make_version
 from redwingpost.ports.platform import Row, TransactResult
@@ -75,6 +79,61 @@
         )
 
 
+class ConditionalStore:
+    """A store that checks all conditions; ``row_by_key`` is what it has."""
+
+    def __init__(self, clock: VirtualClock) -> None:
+        self.row_by_key: dict[str, Row] = {}
+        self._clock = clock
+        self._version = 0
+
+    async def snapshot(self, table: str) -> Result[Snapshot, Refusal]:
+        """Return the rows."""
+        now_ms = int(self._clock.now() * 1000)
+        rows = tuple(self.row_by_key.values())
+        return Ok(Snapshot(rows, self._version, now_ms))
+
+    async def transact(
+        self, conditions, writes
+    ) -> Result[TransactResult, Refusal]:
+        """Write the rows if all conditions hold."""
+        for condition in conditions:
+            row = self.row_by_key.get(condition.key)
+            if condition.version != (row.version if row else 0):
+                return Ok(TransactResult(False, (), ()))
+        self._version += 1
+        for write in writes:
+            row = Row(GROUP_TABLE, write.key, self._version, write.value)
+            self.row_by_key[write.key] = row
+        return Ok(TransactResult(True, (self._version,) * len(writes), ()))
+
+
+class HolderTest(IsolatedAsyncioTestCase):
+    async def test_records_of_the_holder_alone(self) -> None:
+        """Guards against an order of a VM whose right has passed on."""
+        cases = (
+            ("holds it", (), True),
+            ("has renewed it", ("vm-1",), True),
+            ("another VM has claimed it since", ("vm-2",), False),
+            ("claimed by itself and another", ("vm-1", "vm-2"), False),
+        )
+        for name, later_claims, is_recorded in cases:
+            with self.subTest(name):
+                clock = VirtualClock(100.0)
+                store = ConditionalStore(clock)
+                keepers = {
+                    vm: DutyKeeper(store, vm, clock) for vm in ("vm-1", "vm-2")
+                }
+                self.assertIsNotNone(await keepers["vm-1"].take())
+                for vm in later_claims:
+                    clock.advance(DUTY_MS / 1000.0)
+                    self.assertIsNotNone(await keepers[vm].take())
+                holder = keepers["vm-1"]
+                done = await holder.write_as_holder("order/g", {"member": "a"})
+                self.assertEqual(is_recorded, done)
+                self.assertEqual(is_recorded, "order/g" in store.row_by_key)
+
+
 class RestoredDutyTest(IsolatedAsyncioTestCase):
     """Guards against two VMs that promote with one fence after a restore.
 
