Takeover: an accepted order that shows no effect ends after 3 s

Cause: while an order may take effect only its member may be ordered.

Change: an order that the platform accepted is withdrawn after 3 s without effect, several times what a promotion takes. Only one that was never answered holds for 10 s. It also ends once another member is listed at its member's address: the named process is gone.

--- a/redwingpost/node/takeover/coordinator.py
+++ b/redwingpost/node/takeover/coordinator.py
@@ -24,6 +24,7 @@
 )
 from redwingpost.ports.registry import MemberRegistry
 from redwingpost.takeover.joining import REGISTRATION_S
+from redwingpost.takeover.orders import ACCEPTED_LIFETIME_S
 from redwingpost.takeover.plan import (
     Survey,
     candidates,
@@ -45,9 +46,10 @@
 #: change.
 POLL_S = 0.03
 
-#: Seconds for the chosen replica to receive what a paused one had, and
-#: for a promotion to show in the member's status after the order.
+#: Seconds for the chosen replica to receive what a paused one had.
 CATCH_UP_TIMEOUT_S = 1.0
+
+#: Seconds for the platform to accept an order, which is sent again meanwhile.
 PROMOTION_TIMEOUT_S = 3.0
 
 #: Seconds for a chosen replica to receive the commits that were in transit
@@ -139,6 +141,7 @@
         statuses = await self._send_to_all(self.clients, "status")
         known_term = max(self._group.evidence.term, newest_term(statuses))
         self._orders.note_term(known_term)
+        self._orders.note_replaced(self.members.replaced())
         leader = current_primary(statuses, self._group.evidence.term)
         if await self._demote_stale(statuses, leader):
             self.members.follow_directory()
@@ -158,7 +161,7 @@
             await self._resume_replicas(statuses)
             return "not safe yet"
         if not await self._promote(chosen, term, old, known_term):
-            await self._orders.withdraw_refused()
+            await self._orders.withdraw_ended()
             await self._resume_replicas(statuses)
             return "not promoted"
         await self._finish(chosen, old)
@@ -466,6 +469,8 @@
                     is_ordered = await self._orders.send(
                         chosen.entry.member, known_term
                     )
+                    if is_ordered:
+                        until = self._clock.now() + ACCEPTED_LIFETIME_S
                 if await self._check_promoted(chosen):
                     return True
                 if pausing.done():
--- a/redwingpost/node/takeover/members.py
+++ b/redwingpost/node/takeover/members.py
@@ -69,6 +69,20 @@
         """
         return self._roster.member_by_name
 
+    def replaced(self) -> frozenset[str]:
+        """Return members at whose address another one is listed now."""
+        listed = self._directory.members_of(self._group.name)
+        name_by_address = {
+            (entry.ip, entry.port): entry.member for entry in listed
+        }
+        entries = (client.entry for client in self.clients.values())
+        return frozenset(
+            entry.member
+            for entry in entries
+            if name_by_address.get((entry.ip, entry.port), entry.member)
+            != entry.member
+        )
+
     def follow_directory(self) -> None:
         """Add members that have joined according to this VM's copy."""
         self._add_listed(self._directory.members_of(self._group.name))
--- a/redwingpost/node/takeover/orders.py
+++ b/redwingpost/node/takeover/orders.py
@@ -8,7 +8,11 @@
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.database import OrderOutcome, PromotionOrders
 from redwingpost.ports.platform import Row
-from redwingpost.takeover.orders import ORDER_LIFETIME_S, OrderRecord
+from redwingpost.takeover.orders import (
+    ACCEPTED_LIFETIME_S,
+    ORDER_LIFETIME_S,
+    OrderRecord,
+)
 
 ORDER_PREFIX = "order/"
 
@@ -45,7 +49,9 @@
         self._clock = dependencies.clock
         self._vm = dependencies.vm
         self._under_way = find_order(claimed.rows, group)
-        self._has_sent = False
+        # An earlier takeover may have had no answer to its order.
+        self._is_unanswered = self._under_way is not None
+        self._accepted_at = float("-inf")
 
     @property
     def duty(self) -> HeldDuty:
@@ -66,6 +72,11 @@
         if order and not order.may_take_effect(term, self._now_ms()):
             self._under_way = None
 
+    def note_replaced(self, members: frozenset[str]) -> None:
+        """Drop an order whose member has ended, as another has its address."""
+        if self.member in members:
+            self._under_way = None
+
     async def send(self, member: str, term: int) -> bool:
         """Record and send an order; return whether it was accepted.
 
@@ -88,17 +99,22 @@
         outcome = await self._sender.promote(
             self._group, member, self._vm, self.duty.fence, self._may_send
         )
-        self._has_sent |= outcome is not OrderOutcome.REFUSED
+        if outcome is OrderOutcome.ACCEPTED:
+            self._accepted_at = self._clock.now()
+        self._is_unanswered |= outcome is OrderOutcome.UNANSWERED
         return outcome is OrderOutcome.ACCEPTED
 
-    async def withdraw_refused(self) -> None:
-        """Remove the record of an order that was only ever refused."""
-        if self._under_way is None or self._has_sent:
-            return
-        if find_order(self._claimed.rows, self._group) is not None:
-            # An earlier takeover may have sent it.
+    async def withdraw_ended(self) -> None:
+        """Remove the record of an order that can no longer take effect.
+
+        Each time it was sent it was refused, or accepted long ago.
+        """
+        if self._under_way is None or self._is_unanswered:
             return
-        if await self._record(None):
+        since_accepted_s = self._clock.now() - self._accepted_at
+        if since_accepted_s >= ACCEPTED_LIFETIME_S and await self._record(
+            None
+        ):
             self._under_way = None
 
     def _may_send(self) -> bool:
--- a/redwingpost/takeover/orders.py
+++ b/redwingpost/takeover/orders.py
@@ -18,6 +18,10 @@
 #: sent again for up to three seconds and may be under way for seconds.
 ORDER_LIFETIME_S = 10.0
 
+#: The same after the platform has accepted it: several times what a promotion
+#: takes. If the member ends before that, another one may be promoted.
+ACCEPTED_LIFETIME_S = 3.0
+
 
 class OrderRecord(NamedTuple):
     """An order as recorded in the fleet's store.
