Commits: a replica alone vouches only if it is known to have run on

What callers would see: a write that was answered with success is gone after a takeover (LOST).

Cause: between a promotion's order and its effect a replica restarts and forgets its pause. The primary lives, and only the coordinator can't reach it. The replica confirms commits to it, and vouches for them to the callers' VM until the registry tells of the restart.

The row 'pause lost in an unknown restart' of test_group fails before. A VM that isn't told that the primary fails elsewhere still asks nobody (docs/design/takeover.md, 'What is left').

--- a/redwingpost/groups/confirmation.py
+++ b/redwingpost/groups/confirmation.py
@@ -13,12 +13,19 @@
 progress, that VM requests the replicas' reports after the primary has
 answered. A replica that has not restarted recently is then still paused, or is
 the new primary.
+
+The registry tells of a restart only later. So while another VM can't reach the
+primary, a replica alone vouches only over a connection that is older than any
+takeover under way: a restart would have ended it. Otherwise all other members
+must answer, none of them paused, and hold the commit: the one that a takeover
+chose is among them.
 """
 
 from collections.abc import Iterable
 from enum import Enum
 from typing import NamedTuple
 
+from redwingpost.core.positions import ZERO_POSITION, Position
 from redwingpost.groups.evidence import accepts_commits
 from redwingpost.ports.database import StatusReport
 
@@ -64,11 +71,27 @@
 class ReplicaAnswer(NamedTuple):
     """A replica's report, None if it is silent.
 
-    ``is_trusted``: the replica has not restarted recently.
+    ``is_trusted``: the replica has not restarted recently as far as the
+    registry tells. ``is_running_on``: it answered over a connection that is
+    older than any takeover under way.
     """
 
     report: StatusReport | None
     is_trusted: bool
+    is_running_on: bool = False
+
+
+class Commit(NamedTuple):
+    """An acknowledged commit; ``position`` is None if it isn't known.
+
+    ``held_up_s`` is how long the primary took to acknowledge it (seconds).
+    ``is_failing_elsewhere`` tells whether another VM can't reach the primary.
+    """
+
+    term: int
+    position: Position | None = None
+    held_up_s: float = 0.0
+    is_failing_elsewhere: bool = False
 
 
 def needs_confirmation(signs: TakeoverSigns) -> bool:
@@ -106,18 +129,16 @@
 
 
 def check_commit(
-    term: int, answers: Iterable[ReplicaAnswer], held_up_s: float = 0.0
+    commit: Commit, answers: Iterable[ReplicaAnswer]
 ) -> CommitStatus:
     """Check an acknowledged commit against the replicas' later reports.
 
     Parameters
     ----------
-    term : int
-        The primary's term.
+    commit : Commit
+        The commit, and what is known of its primary.
     answers : iterable of ReplicaAnswer
         From all members of the group but the primary.
-    held_up_s : float, optional
-        How long the primary took to acknowledge the commit (seconds).
 
     Returns
     -------
@@ -127,21 +148,53 @@
 
     Examples
     --------
-    >>> from redwingpost.core.positions import Position
     >>> follows = StatusReport(False, 3, Position(3, 9), 0, 0, 0, 1)
     >>> paused = follows._replace(paused_for=4)
-    >>> check_commit(3, [ReplicaAnswer(follows, is_trusted=True)]).value
+    >>> check_commit(Commit(3), [ReplicaAnswer(follows, True)]).value
     'kept'
-    >>> check_commit(3, [ReplicaAnswer(paused, is_trusted=True)]).value
+    >>> check_commit(Commit(3), [ReplicaAnswer(paused, True)]).value
+    'open'
+
+    Another VM can't reach the primary, and one replica is silent.
+
+    >>> silent = ReplicaAnswer(None, True)
+    >>> commit = Commit(3, is_failing_elsewhere=True)
+    >>> check_commit(commit, [ReplicaAnswer(follows, True), silent]).value
     'open'
+    >>> lasting = ReplicaAnswer(follows, True, is_running_on=True)
+    >>> check_commit(commit, [lasting, silent]).value
+    'kept'
     """
-    answers = [item for item in answers if item.report is not None]
+    everyone = tuple(answers)
+    answered = [item for item in everyone if item.report is not None]
     accepting = [
-        item for item in answers if accepts_commits(item.report, term)
+        item for item in answered if accepts_commits(item.report, commit.term)
     ]
-    is_held_up = held_up_s >= HELD_UP_S and len(accepting) < len(answers)
-    if not is_held_up and any(item.is_trusted for item in accepting):
+    if _is_vouched_for(commit, everyone, answered, accepting):
         return CommitStatus.KEPT
-    if any(item.report.term > term for item in answers):
+    if any(item.report.term > commit.term for item in answered):
         return CommitStatus.REPLACED
     return CommitStatus.OPEN
+
+
+def _is_vouched_for(
+    commit: Commit,
+    everyone: tuple[ReplicaAnswer, ...],
+    answered: list[ReplicaAnswer],
+    accepting: list[ReplicaAnswer],
+) -> bool:
+    """Return whether replicas that accept commits show that it is kept."""
+    is_any_paused = len(accepting) < len(answered)
+    if commit.held_up_s >= HELD_UP_S and is_any_paused:
+        return False
+    vouching = [item for item in accepting if item.is_trusted]
+    if not commit.is_failing_elsewhere:
+        return bool(vouching)
+    if any(item.is_running_on for item in vouching):
+        return True
+    position = commit.position or ZERO_POSITION
+    return (
+        bool(vouching)
+        and len(accepting) == len(everyone)
+        and all(item.report.received >= position for item in accepting)
+    )
--- a/redwingpost/groups/tests/test_confirmation.py
+++ b/redwingpost/groups/tests/test_confirmation.py
@@ -7,6 +7,7 @@
     FAILS_ELSEWHERE_S,
     HELD_UP_S,
     SETTLED_S,
+    Commit,
     CommitStatus,
     ReplicaAnswer,
     TakeoverSigns,
@@ -101,5 +102,33 @@
         )
         for name, answers, held_up_s, expected in cases:
             with self.subTest(name):
-                status = check_commit(_TERM, answers, held_up_s)
-                self.assertIs(expected, status)
+                commit = Commit(_TERM, held_up_s=held_up_s)
+                self.assertIs(expected, check_commit(commit, answers))
+
+    def test_a_restart_that_the_registry_has_not_told_yet(self) -> None:
+        """Guards against the word of a replica that has lost its pause."""
+        position = Position(_TERM, 9)
+        holds = ReplicaAnswer(_FOLLOWS, True)
+        lacks = ReplicaAnswer(
+            _FOLLOWS._replace(received=Position(_TERM, 8)), True
+        )
+        lasting = holds._replace(is_running_on=True)
+        fresh = holds._replace(is_trusted=False)
+        paused = ReplicaAnswer(_PAUSED, True)
+        silent = ReplicaAnswer(None, True)
+        kept, still_open = CommitStatus.KEPT, CommitStatus.OPEN
+        cases = (
+            ("both accept and hold it", (holds, holds), 0.0, kept),
+            ("the other is paused", (holds, paused), 0.0, still_open),
+            ("the other is silent", (holds, silent), 0.0, still_open),
+            ("the other lacks it", (holds, lacks), 0.0, still_open),
+            ("the other has restarted", (holds, fresh), 0.0, kept),
+            ("both have restarted", (fresh, fresh), 0.0, still_open),
+            ("ran on, other paused", (lasting, paused), 0.0, kept),
+            ("ran on, other silent", (lasting, silent), 0.0, kept),
+            ("ran on, held up", (lasting, paused), HELD_UP_S, still_open),
+        )
+        for name, answers, held_up_s, expected in cases:
+            with self.subTest(name):
+                commit = Commit(_TERM, position, held_up_s, True)
+                self.assertIs(expected, check_commit(commit, answers))
--- a/redwingpost/node/lead_proofs.py
+++ b/redwingpost/node/lead_proofs.py
@@ -125,7 +125,11 @@
         now = self._clock.now()
         self._on_answers()
         return tuple(
-            ReplicaAnswer(report, self.is_trusted(client.entry.member, now))
+            ReplicaAnswer(
+                report,
+                self.is_trusted(client.entry.member, now),
+                client.control_open_s >= RECENT_RESTART_S,
+            )
             for client, report in zip(clients, reports, strict=True)
         )
 
--- a/redwingpost/node/member.py
+++ b/redwingpost/node/member.py
@@ -126,6 +126,7 @@
         self._links = links
         self._clock = clock
         self._control: DatabaseLink | None = None
+        self._control_opened_at = float("inf")
         self._control_lock = Lock()
         self._waiting: list[tuple[int, int, Future]] = []
         self._sequence = count()
@@ -135,6 +136,16 @@
         """Whether a connection to the member is open."""
         return self._control is not None or self.pool.has_links
 
+    @property
+    def control_open_s(self) -> float:
+        """Return for how long the control connection has been open (s).
+
+        0 if there is none. The member's process has run for that time.
+        """
+        if self._control is None or not self._control.is_open:
+            return 0.0
+        return self._clock.now() - self._control_opened_at
+
     @property
     def is_failing(self) -> bool:
         """Whether anything has failed there since its last answer."""
@@ -455,6 +466,7 @@
                 self._control = await self._connect(
                     CONTROL_NAME, CONNECT_TIMEOUT_S
                 )
+                self._control_opened_at = self._clock.now()
             report = await getattr(self._control, command)(*arguments)
             self._note_alive()
             return report
--- a/redwingpost/node/request/commits.py
+++ b/redwingpost/node/request/commits.py
@@ -5,7 +5,9 @@
 
 from redwingpost.core.positions import Position
 from redwingpost.groups.confirmation import (
+    FAILS_ELSEWHERE_S,
     HELD_UP_S,
+    Commit,
     CommitStatus,
     check_commit,
     needs_confirmation,
@@ -74,12 +76,19 @@
     if commit.position is not None:
         term = commit.position.term
     while True:
-        if held_up_s < HELD_UP_S and await group.prove():
+        fails_elsewhere_s = group.proofs.signs().fails_elsewhere_s
+        checked = Commit(
+            term,
+            commit.position,
+            held_up_s,
+            fails_elsewhere_s >= FAILS_ELSEWHERE_S,
+        )
+        if not checked.is_failing_elsewhere and held_up_s < HELD_UP_S:
             # The proof holds for the primary known now, which may be new.
-            if _still_leads(group, leader, commit):
+            if await group.prove() and _still_leads(group, leader, commit):
                 return CommitStatus.KEPT
         answers = await group.proofs.query_replicas(leader.entry.member)
-        status = check_commit(term, answers, held_up_s)
+        status = check_commit(checked, answers)
         if status is CommitStatus.REPLACED and _is_in_new_log(group, commit):
             return CommitStatus.KEPT
         if status is not CommitStatus.OPEN or clock.now() >= commit.deadline:
--- a/redwingpost/node/tests/test_group.py
+++ b/redwingpost/node/tests/test_group.py
@@ -23,6 +23,9 @@
 from redwingpost.ports.clock import VirtualClock
 from redwingpost.ports.database import LinkLost, MemberEntry, StatusReport
 
+#: Change of a report: the member has received the commit in question.
+_HOLDS = {"received": Position(1, 10)}
+
 
 def _entry(member: str, started_ms: int = 0) -> MemberEntry:
     is_primary = member == "m1"
@@ -151,7 +154,20 @@
                 1.0,
                 True,
             ),
-            ("fails elsewhere", self._fail_elsewhere, {}, 0.0, True),
+            (
+                "fails elsewhere",
+                self._fail_elsewhere,
+                {"m2": _HOLDS, "m3": _HOLDS},
+                0.0,
+                True,
+            ),
+            (
+                "fails elsewhere, pause lost in an unknown restart",
+                self._fail_elsewhere,
+                {"m2": {"paused_for": 2}, "m3": _HOLDS},
+                0.0,
+                False,
+            ),
             (
                 "fails elsewhere, both paused",
                 self._fail_elsewhere,
--- a/redwingpost/verify/takeover.py
+++ b/redwingpost/verify/takeover.py
@@ -21,6 +21,7 @@
 from redwingpost.groups.confirmation import (
     FAILS_ELSEWHERE_S,
     SETTLED_S,
+    Commit,
     CommitStatus,
     ReplicaAnswer,
     TakeoverSigns,
@@ -300,7 +301,8 @@
     def _writer_steps(self, state: TakeoverState) -> Iterator[Step]:
         for item in state.pending:
             answers = self._answers_for(state, item.primary)
-            if check_commit(item.commit[1], answers) is CommitStatus.KEPT:
+            commit = Commit(item.commit[1])
+            if check_commit(commit, answers) is CommitStatus.KEPT:
                 following = state._replace(pending=state.pending - {item})
                 yield (
                     f"commit {item.commit[0]} is confirmed",
