Members: a command that is given up is not sent later

The system goes on sending what it still holds, for up to 3 s. A RESUME that was held up so could arrive after the PAUSE of a later takeover, on another connection, and undo it.

Change: a connection whose exchange is given up is reset. What the member has received by then it may still run.

Evidence: test_a_command_that_is_given_up: the member's side read the end of the stream before, a reset since.

--- a/redwingpost/adapters/http_client.py
+++ b/redwingpost/adapters/http_client.py
@@ -9,6 +9,7 @@
 from socket import (
     IPPROTO_TCP,
     SO_KEEPALIVE,
+    SO_LINGER,
     SOL_SOCKET,
     TCP_KEEPCNT,
     TCP_KEEPIDLE,
@@ -16,6 +17,7 @@
     TCP_NODELAY,
     TCP_USER_TIMEOUT,
 )
+from struct import pack
 from typing import NamedTuple
 
 from h11 import (
@@ -66,6 +68,10 @@
 MAX_IDLE_S = 1.0
 
 
+#: Value of ``SO_LINGER`` with which a close resets the connection.
+_NO_LINGER = pack("ii", 1, 0)
+
+
 class HttpAnswer(NamedTuple):
     """Status, body and headers of a complete response.
 
@@ -275,6 +281,16 @@
         return HttpClient(self._ip, self._port)
 
 
+def reset_connection(writer: StreamWriter) -> None:
+    """Close without sending what the system still holds.
+
+    After an ordinary close it goes on sending for seconds.
+    """
+    socket = writer.get_extra_info("socket")
+    socket.setsockopt(SOL_SOCKET, SO_LINGER, _NO_LINGER)
+    writer.transport.abort()
+
+
 def tune_socket(writer: StreamWriter) -> None:
     """Disable Nagle's algorithm and detect unreachable peers."""
     socket = writer.get_extra_info("socket")
--- a/redwingpost/platform/member_link.py
+++ b/redwingpost/platform/member_link.py
@@ -10,7 +10,7 @@
     wait_for,
 )
 
-from redwingpost.adapters.http_client import tune_socket
+from redwingpost.adapters.http_client import reset_connection, tune_socket
 from redwingpost.core.positions import Position
 from redwingpost.core.statements import Statement
 from redwingpost.platform.lines import (
@@ -128,8 +128,10 @@
             raise LinkLost("answer too large", sent=True) from error
         except CancelledError:
             # The answer is still outstanding and would be taken for that
-            # of the next statement.
-            self.close()
+            # of the next statement. The member must not run later what was
+            # given up: a RESUME could undo a PAUSE on another connection.
+            self._is_broken = True
+            reset_connection(self._writer)
             raise
 
     async def _receive(self) -> Reply:
--- a/redwingpost/platform/tests/test_member_link.py
+++ b/redwingpost/platform/tests/test_member_link.py
@@ -1,6 +1,13 @@
 """Tests of a connection to a member: pipelining and answers."""
 
-from asyncio import StreamReader, StreamWriter, start_server
+from asyncio import (
+    Future,
+    StreamReader,
+    StreamWriter,
+    get_running_loop,
+    start_server,
+    wait_for,
+)
 from unittest import IsolatedAsyncioTestCase
 
 from redwingpost.core.statements import Shape, Statement, StatementKind
@@ -45,6 +52,30 @@
         self.addCleanup(link.close)
         return link
 
+    async def test_a_command_that_is_given_up(self) -> None:
+        """Guards against a RESUME that arrives after a later PAUSE."""
+        ended: Future[type] = get_running_loop().create_future()
+
+        async def serve(reader: StreamReader, writer: StreamWriter) -> None:
+            await reader.readuntil(b"\r\n")
+            writer.write(b"READY I -\r\n")
+            await reader.readuntil(b"\r\n")
+            try:
+                ended.set_result(await reader.read())
+            except ConnectionResetError:
+                ended.set_result(ConnectionResetError)
+            writer.close()
+
+        server = await start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        entry = MemberEntry("m", "g", "127.0.0.1", port, "a", False, True)
+        link = await LineLinkFactory().open(entry, "parish", 5.0)
+        with self.assertRaises(TimeoutError):
+            await wait_for(link.resume(), 0.1)
+        self.assertIs(ConnectionResetError, await wait_for(ended, 5.0))
+        self.assertFalse(link.is_open)
+
     async def test_all_set_up_steps_are_sent_together(self) -> None:
         """Set-up steps are sent one by one, each after the last answer.
 
