Members: refuse addresses that no host can have

Callers saw a group without a primary for good: an entry of another writer with the address 0.0.0.0:1 was taken for a replica, entered the group's roster, and counted as a silent member that may hold commits. When the primary was lost no replica was promoted any more.

is_host_ip refuses the unspecified network, multicast, reserved and broadcast addresses, in members' entries, rosters and the list of VMs; settings refuse them for the store and the promotion service, and allow 0.0.0.0 to listen at. Unreadable parts of a roster are logged and counted.

Private and loopback addresses are accepted as before. The rosters' tests used a text that is no address.

--- a/redwingpost/core/foreign.py
+++ b/redwingpost/core/foreign.py
@@ -7,7 +7,7 @@
 single entries may raise.
 """
 
-from socket import AF_INET, inet_pton
+from ipaddress import AddressValueError, IPv4Address, IPv4Network
 from typing import Any
 
 from msgspec import DecodeError
@@ -35,6 +35,12 @@
 
 MAX_PORT = 65535
 
+#: Stands for all addresses of a host, where it listens.
+_ANY = "0.0.0.0"
+
+#: Addresses that stand for the sender's own host or network.
+_THIS_NETWORK = IPv4Network("0.0.0.0/8")
+
 
 class ForeignError(ValueError):
     """Data can't be decoded, or is out of bounds."""
@@ -106,25 +112,37 @@
     return is_whole and 0 < value <= MAX_PORT
 
 
-def is_ip(value: Any) -> bool:
-    """Return whether a value is an IPv4 address.
+def is_host_ip(value: Any) -> bool:
+    """Return whether a value is an IPv4 address that a host can have.
+
+    Not the unspecified, multicast, reserved and broadcast addresses: whoever
+    is listed there can't be reached by any VM, and would count as silent.
 
     Examples
     --------
-    >>> is_ip("10.0.0.3"), is_ip("10.0.0.300"), is_ip("x" * 99), is_ip(None)
-    (True, False, False, False)
+    >>> is_host_ip("10.0.0.3"), is_host_ip("127.0.0.1"), is_host_ip(None)
+    (True, True, False)
+    >>> is_host_ip("0.0.0.0"), is_host_ip("224.0.0.1"), is_host_ip("10.0.0")
+    (False, False, False)
     """
+    if not isinstance(value, str):
+        return False
     try:
-        inet_pton(AF_INET, value)
-    except (OSError, TypeError, ValueError):
+        address = IPv4Address(value)
+    except AddressValueError:
         return False
-    return True
+    return not (
+        address in _THIS_NETWORK or address.is_multicast or address.is_reserved
+    )
 
 
-def parse_address(text: str) -> tuple[str, int] | None:
-    """Return an IPv4 address and port; None if it can't be used.
+def parse_address(
+    text: str, allows_any: bool = False
+) -> tuple[str, int] | None:
+    """Return a host's IPv4 address and port; None if it can't be used.
 
-    Names aren't looked up, and some can't even be tried.
+    Names aren't looked up, and some can't even be tried. ``allows_any`` also
+    accepts the address that stands for all of a host, to listen at.
 
     Examples
     --------
@@ -132,7 +150,10 @@
     ('10.0.0.3', 8080)
     >>> parse_address("10.0.0.3:99999") is None
     True
+    >>> parse_address("0.0.0.0:80"), parse_address("0.0.0.0:80", True)
+    (None, ('0.0.0.0', 80))
     """
     host, _, digits = text.rpartition(":")
     port = parse_whole(digits)
-    return (host, port) if is_port(port) and is_ip(host) else None
+    is_usable = is_host_ip(host) or (allows_any and host == _ANY)
+    return (host, port) if is_port(port) and is_usable else None
--- a/redwingpost/node/fleet/vm_list.py
+++ b/redwingpost/node/fleet/vm_list.py
@@ -6,7 +6,7 @@
 
 from mode import Service
 
-from redwingpost.core.foreign import is_ip, is_port
+from redwingpost.core.foreign import is_host_ip, is_port
 from redwingpost.membership.gathering import Gathering
 from redwingpost.membership.heartbeat import VmAddress
 from redwingpost.membership.vm_table import VmTable
@@ -196,7 +196,7 @@
     ip = row.value.get("ip")
     port = row.value.get("port")
     data_centre = row.value.get("data_centre")
-    if not (is_ip(ip) and is_port(port) and isinstance(data_centre, str)):
+    if not (is_host_ip(ip) and is_port(port) and isinstance(data_centre, str)):
         note_unreadable("vm-unreadable", row.key, f"{ip!r}:{port!r}")
         return None
     capacity = row.value.get("capacity")
--- a/redwingpost/node/takeover/rosters.py
+++ b/redwingpost/node/takeover/rosters.py
@@ -13,6 +13,7 @@
 from redwingpost.node.steps import repeat
 from redwingpost.node.takeover.duty import GROUP_TABLE, DutyKeeper
 from redwingpost.observability.journal import log_event
+from redwingpost.observability.unreadable import note_unreadable
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.fleet_store import FleetStore, era_of
 from redwingpost.ports.platform import Condition, Row, Write
@@ -90,9 +91,14 @@
 
 def _decode(row: Row) -> StoredRoster:
     group = row.key.removeprefix(ROSTER_PREFIX)
-    era = row.value.get(_ERA_FIELD) if isinstance(row.value, dict) else None
+    value = row.value if isinstance(row.value, dict) else {}
+    roster = Roster.from_value(group, value)
+    unreadable = value.keys() - roster.member_by_name.keys() - {_ERA_FIELD}
+    if unreadable or row.value is not value:
+        note_unreadable("roster-unreadable", row.key, sorted(unreadable))
+    era = value.get(_ERA_FIELD)
     return StoredRoster(
-        Roster.from_value(group, row.value),
+        roster,
         row.version,
         era if isinstance(era, int) else 0,
     )
--- a/redwingpost/node/tests/test_rosters.py
+++ b/redwingpost/node/tests/test_rosters.py
@@ -132,7 +132,9 @@
     def _list(self, *members: str, draining: str = "") -> None:
         now = self.clock.now()
         entries = tuple(
-            MemberEntry(m, "g", "ip", ord(m), "a", m == draining, m == "a")
+            MemberEntry(
+                m, "g", "10.0.0.1", ord(m), "a", m == draining, m == "a"
+            )
             for m in members
         )
         self.directory.replace(entries, now)
@@ -158,7 +160,7 @@
         for name, group in groups.items():
             group.name = name
         entries = tuple(
-            MemberEntry(f"{name}-a", name, "ip", 1, "a", False, True)
+            MemberEntry(f"{name}-a", name, "10.0.0.1", 1, "a", False, True)
             for name in names
         )
         self.directory.replace(entries, self.clock.now())
--- a/redwingpost/platform/settings.py
+++ b/redwingpost/platform/settings.py
@@ -154,7 +154,7 @@
 
 def _endpoint(value: dict[str, Any], section: str, name: str) -> Endpoint:
     text = _require_field(_require_field(value, section, dict), name, str)
-    address = parse_address(text)
+    address = parse_address(text, allows_any=section == "listen")
     if address is None:
         raise _SettingsError(f"{section}.{name}: {text!r}; allowed: IP:PORT")
     return Endpoint(*address)
--- a/redwingpost/platform/tests/test_decoding.py
+++ b/redwingpost/platform/tests/test_decoding.py
@@ -71,6 +71,8 @@
             ("listen", {"front": "nowhere", "ready": "a:1"}, "listen.front"),
             ("innerPorts", [5], "innerPorts"),
             ("platform", None, "platform: None"),
+            ("platform", {"address": "0.0.0.0:80"}, "platform.address"),
+            ("cloudApi", {"address": "224.0.0.1:80"}, "cloudApi.address"),
         )
         for name, value, expected in cases:
             with self.subTest(name=name, value=value):
@@ -80,6 +82,11 @@
                 )
                 self.assertIn(expected, loaded.error.detail)
 
+    def test_a_node_may_listen_at_all_addresses(self) -> None:
+        listen = {"front": "0.0.0.0:84", "ready": "0.0.0.0:85"}
+        read = self._load({**SETTINGS, "listen": listen}).ok
+        self.assertEqual(("0.0.0.0", 84), tuple(read.callers))
+
     def test_places(self) -> None:
         """A value of a wrong type is left out and named, the rest is kept."""
         good = {
@@ -167,6 +174,11 @@
         cases += [
             ("state", {**MEMBER, "state": "resting"}),
             ("address", {**MEMBER, "address": "nowhere"}),
+            ("unspecified", {**MEMBER, "address": "0.0.0.0:1"}),
+            ("this network", {**MEMBER, "address": "0.0.0.7:80"}),
+            ("multicast", {**MEMBER, "address": "239.1.2.3:80"}),
+            ("reserved", {**MEMBER, "address": "240.0.0.1:80"}),
+            ("broadcast", {**MEMBER, "address": "255.255.255.255:80"}),
             ("dbRole", {**MEMBER, "dbRole": 3}),
             ("slots", {**MEMBER, "slots": "many"}),
             ("bytes", None),
--- a/redwingpost/takeover/roster.py
+++ b/redwingpost/takeover/roster.py
@@ -17,7 +17,7 @@
 
 from typing import Any, NamedTuple
 
-from redwingpost.core.foreign import is_port
+from redwingpost.core.foreign import is_host_ip, is_port
 from redwingpost.core.positions import Position
 from redwingpost.ports.database import MemberEntry, StatusReport
 
@@ -170,7 +170,7 @@
     return (
         isinstance(value, list)
         and len(value) == 3
-        and isinstance(value[0], str)
+        and is_host_ip(value[0])
         and is_port(value[1])
         and isinstance(value[2], str)
     )
--- a/redwingpost/takeover/tests/test_roster.py
+++ b/redwingpost/takeover/tests/test_roster.py
@@ -47,7 +47,16 @@
         roster = Roster({}).with_listed((_entry("a", 1), _entry("b", 2)))
         read = Roster.from_value("g", roster.to_value())
         self.assertEqual(roster, read)
-        for value in (None, 7, {"a": ["10.0.0.1", "80", "x"]}, {"a": 3}):
+        for value in (
+            None,
+            7,
+            {"a": 3},
+            {"a": ["10.0.0.1", "80", "x"]},
+            {"a": ["10.0.0.1", 65536, "x"]},
+            {"a": ["0.0.0.0", 80, "x"]},
+            {"a": ["255.255.255.255", 80, "x"]},
+            {"a": ["name.invalid", 80, "x"]},
+        ):
             with self.subTest(value):
                 self.assertEqual(Roster({}), Roster.from_value("g", value))
 
