Duty: reserve it where its row can't be one of a VM

Callers of every group would have found no primary for good after any loss of one: a row of another writer whose until_ms is far away counted as a duty that is held; one that can't be read counted as free, and the next claim sent a fence that was used before, which a platform that checks fences refuses; a fence above 64 bits, or of another era, went into later claims.

A row counts only if a VM can have written it: whole numbers, of the present era, ending within the time of a claim, and with no more holders than the store has had transactions. Otherwise the duty is reserved for that time, as in a new era, with a fence above all that may be in use (the store's number).

--- a/redwingpost/core/foreign.py
+++ b/redwingpost/core/foreign.py
@@ -33,6 +33,9 @@
 #: and too large for what they are used for.
 _MAX_DIGITS = 18
 
+#: Largest whole number that all readers of JSON agree on.
+MAX_WHOLE = 2**53
+
 MAX_PORT = 65535
 
 #: Stands for all addresses of a host, where it listens.
@@ -100,6 +103,20 @@
     return int(text)
 
 
+def is_whole(value: Any, largest: int = MAX_WHOLE) -> bool:
+    """Return whether a value is a whole number from 0 to ``largest``.
+
+    Examples
+    --------
+    >>> is_whole(7), is_whole(7.0), is_whole(True), is_whole(-1)
+    (True, False, False, False)
+    >>> is_whole(2**53 + 1), is_whole("7")
+    (False, False)
+    """
+    is_number = isinstance(value, int) and not isinstance(value, bool)
+    return is_number and 0 <= value <= largest
+
+
 def is_port(value: Any) -> bool:
     """Return whether a value is a port that can be connected to.
 
@@ -108,8 +125,7 @@
     >>> is_port(80), is_port(99999), is_port(True)
     (True, False, False)
     """
-    is_whole = isinstance(value, int) and not isinstance(value, bool)
-    return is_whole and 0 < value <= MAX_PORT
+    return is_whole(value, MAX_PORT) and value > 0
 
 
 def is_host_ip(value: Any) -> bool:
--- a/redwingpost/leases/duty.py
+++ b/redwingpost/leases/duty.py
@@ -22,7 +22,7 @@
 
 from typing import Any, NamedTuple
 
-from redwingpost.core.foreign import UNREADABLE
+from redwingpost.core.foreign import is_whole
 
 #: Milliseconds for which the duty is claimed. A takeover takes about two
 #: seconds and must not lose the duty half way; after a holder crashes,
@@ -72,15 +72,47 @@
         >>> DutyRow.from_value(None)
         DutyRow(holder='', fence=0, until_ms=0, era=0)
         """
-        try:
-            return cls(
-                str(value["holder"]),
-                int(value["fence"]),
-                int(value["until_ms"]),
-                int(value.get("era", 0)),
-            )
-        except UNREADABLE:
+        if not isinstance(value, dict):
             return cls("", 0, 0)
+        row = cls(
+            value.get("holder"),
+            value.get("fence"),
+            value.get("until_ms"),
+            value.get("era", 0),
+        )
+        is_readable = isinstance(row.holder, str) and all(
+            is_whole(number) for number in row[1:]
+        )
+        return row if is_readable else cls("", 0, 0)
+
+    def is_possible(self, era: int, number: int, now_ms: int) -> bool:
+        """Return whether a VM can have written the row.
+
+        Each holder's first claim takes a transaction of the store, so no
+        fence counts more than the store has had.
+
+        Parameters
+        ----------
+        era, number : int
+            The store's present era, and its number of the row's version.
+        now_ms : int
+            The present time on the table service's clock.
+
+        Examples
+        --------
+        >>> DutyRow("a", 4, 6900).is_possible(0, number=9, now_ms=1000)
+        True
+        >>> DutyRow("a", 4, 2**53).is_possible(0, number=9, now_ms=1000)
+        False
+        >>> DutyRow("a", 2**40, 6900).is_possible(0, number=9, now_ms=1000)
+        False
+        """
+        holders = self.fence - (self.era << _COUNT_BITS)
+        return (
+            self.era == era
+            and 0 <= holders <= number
+            and 0 < self.until_ms <= now_ms + DUTY_MS
+        )
 
 
 class HeldDuty(NamedTuple):
@@ -130,18 +162,26 @@
     return row.era < era
 
 
-def reserve(now_ms: int, era: int) -> DutyRow:
-    """Return the row that reserves the duty at the beginning of an era.
+def reserve(now_ms: int, era: int, number: int) -> DutyRow:
+    """Return the row that reserves the duty for the time of a claim.
+
+    Parameters
+    ----------
+    now_ms : int
+        The present time on the table service's clock.
+    era, number : int
+        The store's present era and number. Fences that count up to the
+        number may be in use.
 
     Examples
     --------
-    >>> row = reserve(now_ms=1000, era=1)
+    >>> row = reserve(now_ms=1000, era=1, number=9)
     >>> claim(row, "b", now_ms=6999) is None
     True
     >>> claim(row, "b", now_ms=7000).fence - row.fence
     1
     """
-    return DutyRow("", era << _COUNT_BITS, now_ms + DUTY_MS, era)
+    return DutyRow("", (era << _COUNT_BITS) + number, now_ms + DUTY_MS, era)
 
 
 def claim(row: DutyRow, vm: str, now_ms: int) -> DutyRow | None:
--- a/redwingpost/node/takeover/duty.py
+++ b/redwingpost/node/takeover/duty.py
@@ -14,8 +14,14 @@
 )
 from redwingpost.leases.lease import holder_valid_until
 from redwingpost.observability.journal import log_event
+from redwingpost.observability.unreadable import note_unreadable
 from redwingpost.ports.clock import Clock
-from redwingpost.ports.fleet_store import FleetStore, Snapshot, era_of
+from redwingpost.ports.fleet_store import (
+    FleetStore,
+    Snapshot,
+    era_of,
+    number_of,
+)
 from redwingpost.ports.platform import Condition, Row, Write
 
 #: Table of rows about the groups: the holder of the duty, and the groups'
@@ -67,7 +73,7 @@
         """
         requested_at = self._clock.now()
         got = await self._read()
-        if got is None or await self.reserve_in_new_era(got):
+        if got is None or await self.reserve_if_needed(got):
             return None
         row, version = _find_row(got)
         new_row = claim(row, self._vm, got.now_ms)
@@ -103,19 +109,27 @@
             return False
         return done.is_ok() and done.ok.committed
 
-    async def reserve_in_new_era(self, got: Snapshot) -> bool:
-        """Reserve the duty if its row is older than the store's era.
+    async def reserve_if_needed(self, got: Snapshot) -> bool:
+        """Reserve the duty if nobody can tell who holds it.
+
+        That is, if its row is older than the store's era, or another writer
+        has replaced it.
 
         Returns
         -------
         bool
-            Whether the row was older.
+            Whether that is so.
         """
         row, version = _find_row(got)
         era = era_of(got.version)
+        number = max(number_of(got.version), number_of(version))
         if not must_reserve(row, era):
-            return False
-        reserved = reserve(got.now_ms, era)
+            if not version or row.is_possible(
+                era, number_of(version), got.now_ms
+            ):
+                return False
+            note_unreadable("duty-unreadable", DUTY_KEY, row)
+        reserved = reserve(got.now_ms, era, number)
         is_written = await self._write(reserved, version)
         log_event("duty-reserved", era=era, written=is_written)
         return True
--- a/redwingpost/node/takeover/rosters.py
+++ b/redwingpost/node/takeover/rosters.py
@@ -288,7 +288,7 @@
             log_event("rosters-unknown", detail=got.error.detail)
             return None
         self._era = era_of(got.ok.version)
-        await self._duty.reserve_in_new_era(got.ok)
+        await self._duty.reserve_if_needed(got.ok)
         return decode_rosters(got.ok.rows)
 
     def _stored(self, group: str) -> StoredRoster:
--- a/redwingpost/node/tests/test_duty.py
+++ b/redwingpost/node/tests/test_duty.py
@@ -1,6 +1,7 @@
 """Claims of the duty at a store whose answers are lost."""
 
 from asyncio import Event, wait_for
+from typing import Any
 from unittest import IsolatedAsyncioTestCase
 
 from expression import Ok, Result
@@ -9,6 +10,7 @@
 from redwingpost.leases.duty import DUTY_MS
 from redwingpost.node.fleet.vm_list import FLEET_TABLE
 from redwingpost.node.takeover.duty import (
+    ClaimedDuty,
     DUTY_KEY,
     GROUP_TABLE,
     DutyKeeper,
@@ -166,7 +168,7 @@
                 other = self._keeper("vm-2")
                 if is_reserved_early:
                     got = (await self.store.snapshot("t")).ok
-                    await other.reserve_in_new_era(got)
+                    await other.reserve_if_needed(got)
                 second = None
                 while second is None:
                     second = await other.take()
@@ -194,6 +196,59 @@
         self.assertIsNone(held)
 
 
+class OddDutyTest(IsolatedAsyncioTestCase):
+    async def test_a_row_of_another_writer(self) -> None:
+        """Guards against a duty that nobody gets, and fences used before."""
+        good = {"holder": "x", "fence": 3, "until_ms": 9000}
+        cases = (
+            ("bytes", None),
+            ("list", [1, 2]),
+            ("no fields", {}),
+            ("held for ever", {**good, "until_ms": 2**53}),
+            ("too large", {**good, "until_ms": 10**30}),
+            ("a fraction", {**good, "until_ms": 9000.5}),
+            ("digits", {**good, "until_ms": "9" * 5000}),
+            ("a negative time", {**good, "until_ms": -1}),
+            ("a fence too large", {**good, "fence": 2**64}),
+            ("a fence of no claim", {**good, "fence": 2**31}),
+            ("a negative fence", {**good, "fence": -5}),
+            ("a boolean", {**good, "fence": True}),
+            ("a later era", {**good, "era": 7, "fence": 7 << 32}),
+            ("a holder without a name", {**good, "holder": 10**30}),
+        )
+        for era in (0, 2):
+            for name, value in cases:
+                with self.subTest(name, era=era):
+                    await self._check_claims_after(value, era)
+
+    async def _check_claims_after(self, value: Any, era: int) -> None:
+        clock = VirtualClock(100.0)
+        store = RestorableStore(clock)
+        store.era = era
+        before = await self._claim(DutyKeeper(store, "vm-1", clock), clock)
+        replaced = store.rows[0]
+        version = replaced.version + 1
+        store.rows = (replaced._replace(version=version, value=value),)
+        other = DutyKeeper(store, "vm-2", clock)
+        replaced_at = clock.now()
+        after = await self._claim(other, clock)
+        self.assertGreater(after.duty.fence, before.duty.fence)
+        self.assertLess(after.duty.fence, (era + 1) << 32)
+        waited_s = clock.now() - replaced_at
+        self.assertGreaterEqual(waited_s, DUTY_MS / 1000.0)
+        self.assertLessEqual(waited_s, DUTY_MS / 1000.0 + 0.3)
+
+    async def _claim(
+        self, keeper: DutyKeeper, clock: VirtualClock
+    ) -> ClaimedDuty:
+        for _ in range(200):
+            claimed = await keeper.take()
+            clock.advance(0.1)
+            if claimed is not None:
+                return claimed
+        raise AssertionError("nobody gets the duty")
+
+
 class DutyTest(IsolatedAsyncioTestCase):
     async def test_a_claim_whose_answer_is_lost(self) -> None:
         """The answer to a claim of the duty is lost.
