Orders: a recorded order counts only if a VM can have sent it

A group stayed without a primary for good if another writer had put a row order/GROUP with a time far away: while such an order may take effect no other member is promoted. Texts, fractions and booleans were taken for numbers.

An order's time ends within the lifetime of an order and the error of its estimated beginning, seen from any later reading. A row beyond that, or with a field of another type, is logged, counted and overwritten by the next order; an order that was only refused is withdrawn beside it, too.

--- a/redwingpost/node/takeover/orders.py
+++ b/redwingpost/node/takeover/orders.py
@@ -5,6 +5,7 @@
 from redwingpost.leases.duty import HeldDuty
 from redwingpost.node.takeover.duty import ClaimedDuty, DutyKeeper
 from redwingpost.observability.journal import log_event
+from redwingpost.observability.unreadable import note_unreadable
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.database import OrderOutcome, PromotionOrders
 from redwingpost.ports.platform import Row
@@ -44,7 +45,8 @@
         self._sender = dependencies.sender
         self._clock = dependencies.clock
         self._vm = dependencies.vm
-        self._under_way = find_order(claimed.rows, group)
+        self._earlier = find_order(claimed.rows, group, claimed.now_ms)
+        self._under_way = self._earlier
         self._has_sent = False
 
     @property
@@ -95,7 +97,7 @@
         """Remove the record of an order that was only ever refused."""
         if self._under_way is None or self._has_sent:
             return
-        if find_order(self._claimed.rows, self._group) is not None:
+        if self._earlier is not None:
             # An earlier takeover may have sent it.
             return
         if await self._record(None):
@@ -125,9 +127,24 @@
         return is_recorded
 
 
-def find_order(rows: tuple[Row, ...], group: str) -> OrderRecord | None:
-    """Return the recorded order of a group."""
+def find_order(
+    rows: tuple[Row, ...], group: str, now_ms: int
+) -> OrderRecord | None:
+    """Return the recorded order of a group; None if no VM can have sent it.
+
+    Parameters
+    ----------
+    rows : tuple of Row
+        The rows read with the claim of the duty.
+    group : str
+        Name of the group.
+    now_ms : int
+        The table service's time as of the reading.
+    """
     for row in rows:
         if row.key == ORDER_PREFIX + group:
-            return OrderRecord.from_value(row.value)
+            order = OrderRecord.from_value(row.value)
+            if order is not None and order.is_possible(now_ms):
+                return order
+            note_unreadable("order-unreadable", row.key, row.value)
     return None
--- a/redwingpost/node/tests/test_coordinator.py
+++ b/redwingpost/node/tests/test_coordinator.py
@@ -2,6 +2,7 @@
 
 from asyncio import get_running_loop
 from collections.abc import Callable
+from typing import Any
 from unittest import IsolatedAsyncioTestCase
 from unittest.mock import patch
 
@@ -17,7 +18,7 @@
 from redwingpost.groups.regions import RegionMap
 from redwingpost.leases.duty import HeldDuty
 from redwingpost.node.places import Places
-from redwingpost.node.takeover import coordinator
+from redwingpost.node.takeover import coordinator, orders
 from redwingpost.node.takeover.coordinator import (
     Coordinator,
     TakeoverDependencies,
@@ -379,6 +380,50 @@
                 self.assertEqual(promoted, group.promoted)
                 self.assertEqual(list(resumed), group.resumed())
 
+    async def test_an_order_of_another_writer(self) -> None:
+        """Guards against a row that forbids all promotions for good."""
+        good = {"member": "a", "term": 1, "until_ms": 9000}
+        cases = (
+            ("bytes", None),
+            ("list", ["a", 1, 9000]),
+            ("no fields", {}),
+            ("a time far away", {**good, "until_ms": 2**53}),
+            ("far away, and a term", {**good, "until_ms": 2**53, "term": 9}),
+            ("a time too large", {**good, "until_ms": 10**30}),
+            ("a fraction", {**good, "until_ms": 9000.5}),
+            ("a float too large", {**good, "until_ms": 1e308}),
+            ("digits", {**good, "until_ms": "9000"}),
+            ("a boolean", {**good, "term": True}),
+            ("a term too large", {**good, "term": 10**30}),
+            ("a negative term", {**good, "term": -1}),
+            ("no name", {**good, "member": ["a"]}),
+        )
+        for name, value in cases:
+            for outcome in (OrderOutcome.ACCEPTED, OrderOutcome.REFUSED):
+                with self.subTest(name, outcome=outcome):
+                    await self._check_promotion_beside(value, outcome)
+
+    async def _check_promotion_beside(
+        self, value: Any, outcome: OrderOutcome
+    ) -> None:
+        """Check that the row has no effect, and that ours replaces it."""
+        group = FakeGroup()
+        group.all_by_name["a"].is_silent = True
+        group.outcome = outcome
+        row = Row(GROUP_TABLE, ORDER_PREFIX + _GROUP, 5, value)
+        with (
+            patch.object(coordinator, "PROMOTION_TIMEOUT_S", 0.1),
+            patch.object(orders, "note_unreadable") as noted,
+        ):
+            taking = self._coordinator(group, rows=(row,))
+            await taking.run(Reason.LEAVING)
+        is_accepted = outcome is OrderOutcome.ACCEPTED
+        self.assertEqual(["b"] if is_accepted else [], group.promoted)
+        recorded = [value for _, value in group.recorded]
+        self.assertEqual("b", recorded[0]["member"])
+        self.assertEqual(is_accepted, recorded[-1] is not None)
+        noted.assert_called_once()
+
     async def test_an_order_that_has_no_effect_yet(self) -> None:
         """Guards against resuming members while an order is under way."""
         cases = (
--- a/redwingpost/takeover/orders.py
+++ b/redwingpost/takeover/orders.py
@@ -12,12 +12,16 @@
 
 from typing import Any, NamedTuple
 
-from redwingpost.core.foreign import UNREADABLE
+from redwingpost.core.foreign import is_whole
 
 #: Seconds after its record within which an order takes effect, if ever. It is
 #: sent again for up to three seconds and may be under way for seconds.
 ORDER_LIFETIME_S = 10.0
 
+#: Milliseconds after any later reading within which an order's time ends. The
+#: time of its record is estimated, by less than the duty lasts.
+_MAX_LEFT_MS = 2 * ORDER_LIFETIME_S * 1000
+
 
 class OrderRecord(NamedTuple):
     """An order as recorded in the fleet's store.
@@ -46,14 +50,28 @@
         >>> OrderRecord.from_value({}) is None
         True
         """
-        try:
-            return cls(
-                str(value["member"]),
-                int(value["term"]),
-                int(value["until_ms"]),
-            )
-        except UNREADABLE:
+        if not isinstance(value, dict):
+            return None
+        fields = [value.get(name) for name in cls._fields]
+        member, term, until_ms = fields
+        if not isinstance(member, str) or not is_whole(term):
             return None
+        return cls(*fields) if is_whole(until_ms) else None
+
+    def is_possible(self, now_ms: int) -> bool:
+        """Return whether a VM can have recorded the order.
+
+        Another writer's row would otherwise keep its group without a primary
+        until the time that it states.
+
+        Examples
+        --------
+        >>> OrderRecord("a", term=2, until_ms=10_900).is_possible(1000)
+        True
+        >>> OrderRecord("a", term=2, until_ms=2**53).is_possible(1000)
+        False
+        """
+        return self.until_ms <= now_ms + _MAX_LEFT_MS
 
     def may_take_effect(self, term: int, now_ms: int) -> bool:
         """Return whether the order may take effect from now on.
