Configuration: check the range of all numbers

Callers of a route, group or organisation with an odd number got no answer or a lost one: a priority or a number of replicas that fits into no message failed each statement that another VM was to run, a rate or burst that is negative or no number failed its admission, and apiKeys that is a text gave a key for each of its characters. A wait at a rate near zero fitted into no message either.

Numbers are from 0 to 2^53, priorities and replicas fit their fields, keys are texts. An odd route or organisation is left out alone; an odd number of a group or of limits leaves the version before in force, since a group without its rule would count as one without synchronous replicas.

--- a/redwingpost/node/request/admission.py
+++ b/redwingpost/node/request/admission.py
@@ -22,6 +22,9 @@
 #: no key.
 PUBLIC_NAME = "public"
 
+#: Milliseconds after which refused callers may come back at the latest.
+_LONGEST_WAIT_MS = 24 * 3600 * 1000
+
 _NO_LIMIT = OrganisationRule(
     PUBLIC_NAME, frozenset(), float("inf"), float("inf"), 1
 )
@@ -198,4 +201,6 @@
             wait_s=wait_s,
             version=self.rules.version,
         )
-        return Refusal(Code.OVER_RATE, "", max(1, int(wait_s * 1000)))
+        # Rates near zero give waits that fit into no message.
+        wait_ms = min(wait_s * 1000, _LONGEST_WAIT_MS)
+        return Refusal(Code.OVER_RATE, "", max(1, int(wait_ms)))
--- a/redwingpost/platform/entries.py
+++ b/redwingpost/platform/entries.py
@@ -15,7 +15,7 @@
     RouteRule,
     ServiceRules,
 )
-from redwingpost.core.foreign import parse_address
+from redwingpost.core.foreign import MAX_WHOLE, is_whole, parse_address
 from redwingpost.observability.journal import log_event
 from redwingpost.observability.unreadable import note_unreadable
 from redwingpost.ports.database import MemberEntry
@@ -32,14 +32,15 @@
 #: Field of a member's row that changes while nothing else does.
 _LIFE_COUNTER = "seq"
 
-#: Largest whole number of an entry, which JSON readers agree on.
-_MAX_WHOLE = 2**53
+#: Largest values of fields that are sent to other VMs.
+_MAX_PRIORITY = 2**31 - 1
+_MAX_REPLICAS = 2**16 - 1
 
 RuleT = TypeVar("RuleT")
 
 
-class _UnusableName(EntryError):
-    """A name can't be sent to members; its entry alone is left out."""
+class _UnusableEntry(EntryError):
+    """An entry of a configuration can't be used; it alone is left out."""
 
 
 def decode_member(row: Row, has_places: bool = False) -> MemberEntry:
@@ -133,7 +134,7 @@
         _restrict if has_places else None,
     )
     limits = value.get("limits", {})
-    idle_ms = limits.get("txIdleMs", _DEFAULT_TX_IDLE_MS)
+    idle_ms = _number(limits, "txIdleMs", _DEFAULT_TX_IDLE_MS)
     return ServiceRules(
         version=_require_field(value, "configVersion", int),
         routes_by_database={route.database: route for route in routes},
@@ -155,29 +156,33 @@
         database=_require_field(value, "host", str),
         group=_require_field(value, "service", str),
         consistency=_CONSISTENCY_BY_ROUTE_TYPE[route_type],
-        timeout_s=value.get("timeoutMs", 1000) / 1000.0,
-        target_latency_s=value.get("targetLatencyMs", 1000) / 1000.0,
-        priority=value.get("priority", 1),
-        max_staleness_s=value.get("maxStalenessMs", 0) / 1000.0,
+        timeout_s=_number(value, "timeoutMs", 1000) / 1000.0,
+        target_latency_s=_number(value, "targetLatencyMs", 1000) / 1000.0,
+        priority=_whole(value, "priority", 1, _MAX_PRIORITY),
+        max_staleness_s=_number(value, "maxStalenessMs", 0) / 1000.0,
         is_public=bool(value.get("public", False)),
     )
 
 
 def _decode_group(value: dict[str, Any]) -> GroupRule:
-    return GroupRule(
-        _require_word(value, "name"),
-        _require_field(value, "maxConns", int),
-        value.get("syncReplicas", 0),
-    )
+    name = _require_word(value, "name")
+    try:
+        replicas = _whole(value, "syncReplicas", 0, _MAX_REPLICAS)
+    except _UnusableEntry as error:
+        # Without its rule the group would count as one whose commits are
+        # acknowledged before a replica has them.
+        raise EntryError(str(error)) from error
+    connections = _require_field(value, "maxConns", int)
+    return GroupRule(name, connections, replicas)
 
 
 def _decode_organisation(value: dict[str, Any]) -> OrganisationRule:
     return OrganisationRule(
         _require_word(value, "name"),
-        frozenset(value.get("apiKeys", ())),
-        float(value.get("ratePerS", float("inf"))),
-        float(value.get("burst", float("inf"))),
-        value.get("priority", 1),
+        frozenset(_texts(value, "apiKeys")),
+        _number(value, "ratePerS", float("inf")),
+        _number(value, "burst", float("inf")),
+        _whole(value, "priority", 1, _MAX_PRIORITY),
     )
 
 
@@ -191,8 +196,9 @@
     for item in items:
         try:
             rule = decode(item)
-        except _UnusableName as error:
-            note_unreadable("entry-unreadable", str(item["name"]), error)
+        except _UnusableEntry as error:
+            name = str(item.get("name", ""))
+            note_unreadable("entry-unreadable", name, error)
             continue
         if add_places is not None:
             try:
@@ -237,11 +243,37 @@
     if field is None:
         return None
     is_number = isinstance(field, int | float) and not isinstance(field, bool)
-    if not is_number or not 0.0 <= field < float("inf"):
-        raise EntryError(f"{name}: {field!r}; allowed: a number of 0 or more")
+    if not is_number or not 0 <= field <= MAX_WHOLE:
+        allowed = f"a number from 0 to {MAX_WHOLE}"
+        raise _UnusableEntry(f"{name}: {field!r}; allowed: {allowed}")
     return float(field)
 
 
+def _number(value: dict[str, Any], name: str, default: float) -> float:
+    field = _optional_number(value, name)
+    return default if field is None else field
+
+
+def _whole(
+    value: dict[str, Any], name: str, default: int, largest: int
+) -> int:
+    field = value.get(name)
+    if field is None:
+        return default
+    if not is_whole(field, largest):
+        raise _UnusableEntry(f"{name}: {field!r}; allowed: 0 to {largest}")
+    return field
+
+
+def _texts(value: dict[str, Any], name: str) -> list[str]:
+    field = value.get(name) or []
+    if not isinstance(field, list) or not all(
+        isinstance(item, str) for item in field
+    ):
+        raise _UnusableEntry(f"{name}: allowed: list of str")
+    return field
+
+
 def _require_word(value: dict[str, Any], name: str) -> str:
     """Return a text that is sent to members as one field of a line.
 
@@ -249,7 +281,9 @@
     """
     field = _require_field(value, name, str)
     if not field or not field.isprintable() or " " in field:
-        raise _UnusableName(f"{name}: {field!r}; allowed: no blanks, controls")
+        raise _UnusableEntry(
+            f"{name}: {field!r}; allowed: no blanks, controls"
+        )
     return field
 
 
@@ -263,8 +297,8 @@
     field = value.get(name)
     if not isinstance(field, field_type) or isinstance(field, bool):
         raise EntryError(f"{name}: {field!r}; allowed: {field_type.__name__}")
-    if field_type is int and not 0 <= field <= _MAX_WHOLE:
-        raise EntryError(f"{name}: {field}; allowed: 0 to {_MAX_WHOLE}")
+    if field_type is int and not is_whole(field):
+        raise EntryError(f"{name}: {field}; allowed: 0 to {MAX_WHOLE}")
     return field
 
 
--- /dev/null
+++ b/redwingpost/platform/tests/test_odd_numbers.py
@@ -0,0 +1,163 @@
+"""Odd numbers in a configuration, up to where they are used."""
+
+from base64 import b64encode
+from json import dumps
+from typing import Any
+from unittest import TestCase
+from unittest.mock import patch
+
+from redwingpost.configuration.routes import ServiceRules
+from redwingpost.core.positions import Position
+from redwingpost.core.requests import Refusal
+from redwingpost.core.statements import Statement, StatementKind
+from redwingpost.membership.vm_table import VmTable
+from redwingpost.node.fleet.registry import RulesReader
+from redwingpost.node.forwarding.messages import Action, Done, Work
+from redwingpost.node.places import Places
+from redwingpost.node.request.admission import Admission
+from redwingpost.node.tests.line_site import configuration
+from redwingpost.observability.trace import RunParts
+from redwingpost.platform.entries import PLACES_FORMAT
+from redwingpost.platform.store import _decode_row
+from redwingpost.ports.clock import VirtualClock
+from redwingpost.rates.usage import UsageLedger
+from redwingpost.wire.work import pack_done, pack_work, unpack
+
+#: JSON texts of numbers, and of what looks like one.
+ODD_TEXTS = (
+    "9007199254740993",
+    "18446744073709551616",
+    "1" + "0" * 30,
+    "1" + "0" * 400,
+    "1e308",
+    "1e999",
+    "1e-300",
+    "0",
+    "-1",
+    "-1e308",
+    "0.5",
+    "NaN",
+    "true",
+    "null",
+    '"7"',
+    '"inf"',
+    '"nan"',
+    "[]",
+    "{}",
+)
+_FIELDS = {
+    "routes": ("timeoutMs", "targetLatencyMs", "priority", "maxStalenessMs"),
+    "services": ("maxConns", "syncReplicas"),
+    "tenants": ("ratePerS", "burst", "priority", "apiKeys"),
+    "limits": ("txIdleMs",),
+}
+_MARK = "@odd"
+_PARTS = RunParts("", 0, 0.0, 0.0, False)
+
+
+def odd_configurations(version: int) -> list[tuple[str, bytes]]:
+    """Return configurations with one odd field, and that field's name.
+
+    It is in the first entry of its section.
+    """
+    found = []
+    for section, names in _FIELDS.items():
+        for name in names:
+            value = configuration(version)
+            item = value[section]
+            (item if section == "limits" else item[0])[name] = _MARK
+            text = dumps(value)
+            for odd in ODD_TEXTS:
+                changed = text.replace(f'"{_MARK}"', odd).encode()
+                found.append((f"{section}.{name}: {odd[:24]}", changed))
+    return found
+
+
+class ConfigurationTest(TestCase):
+    """Guards against a field that breaks what is computed from it later.
+
+    An odd field costs its entry, or the configuration, and nothing more.
+    """
+
+    def test_odd_fields_in_use(self) -> None:
+        for name, text in odd_configurations(7):
+            with (
+                self.subTest(name),
+                patch("redwingpost.observability.journal.logger"),
+            ):
+                self._use(text)
+
+    def _use(self, text: bytes) -> None:
+        clock = VirtualClock(100.0)
+        vms = VmTable("vm-1", 0.0)
+        admission = Admission(vms, UsageLedger(0.0), clock)
+        places = Places(
+            "vm-1",
+            lambda group, now: ("vm-1", "vm-2"),
+            lambda group, member: None,
+            clock,
+        )
+        reader = RulesReader(
+            admission,
+            PLACES_FORMAT,
+            lambda: places.take_rules(admission.rules),
+        )
+        item = {
+            "table": "op",
+            "key": "config",
+            "ver": 5,
+            "value": b64encode(text).decode(),
+        }
+        reader.on_rows((_decode_row(item, 0),))
+        if not admission.has_rules:
+            return
+        self._check_types(admission.rules)
+        for database, key in (("strict", "key-1"), ("own", "key-3")):
+            admitted = admission.check(database, key)
+            if isinstance(admitted, Refusal):
+                continue
+            self._send(admitted, places)
+            for _ in range(1200):
+                refused = admission.spend(admitted.organisation, "r")
+                clock.advance(0.0001)
+                if refused is not None:
+                    done = Done(1, refused, Position(1, 1), True, _PARTS)
+                    self.assertEqual(done, unpack(pack_done(done)))
+                    break
+            admission.follow_fleet()
+        for limit in (1, 32):
+            rules = admission.member_rules(limit)
+            if rules is not None:
+                rules.weights.flow(1, "parish")
+
+    def _check_types(self, rules: ServiceRules) -> None:
+        for route in rules.routes_by_database.values():
+            self.assertIs(int, type(route.priority))
+            self.assertIs(float, type(route.timeout_s))
+        for group in rules.groups_by_name.values():
+            self.assertIs(int, type(group.sync_replicas))
+        for organisation in rules.organisations_by_name.values():
+            self.assertIs(int, type(organisation.priority))
+            self.assertGreaterEqual(organisation.rate, 0.0)
+        self.assertIn("g1", rules.groups_by_name)
+        keys = rules.organisations_by_key.keys()
+        self.assertLessEqual(keys, {"key-1", "key-2", "key-3"})
+
+    def _send(self, admitted: Any, places: Places) -> None:
+        places.losses(admitted.route.group, "dc-a")
+        places._find_share(admitted.route.group)
+        work = Work(
+            1,
+            Action.RUN,
+            0,
+            admitted.organisation.name,
+            admitted.route,
+            admitted.sync_replicas,
+            Statement("1", StatementKind.READ, "READ a"),
+            None,
+            None,
+            {},
+            Position(1, 1),
+            0.25,
+        )
+        self.assertEqual(work, unpack(pack_work(work)))
