Configuration: keep a group's rule where its cold limit can't be read

A group whose coldPerS or coldS was odd was left out. Its cold members then had no limit at all, and the group counted as one without synchronous replicas: a takeover could lose commits that had been acknowledged.

The group keeps its connections and replicas, and its cold members get no statements.

--- a/redwingpost/platform/entries.py
+++ b/redwingpost/platform/entries.py
@@ -226,9 +226,18 @@
 
 
 def _limit_cold(rule: GroupRule, value: dict[str, Any]) -> GroupRule:
-    """Add a group's limit for cold members."""
-    rate = _optional_number(value, "coldPerS")
-    cold_s = _optional_number(value, "coldS")
+    """Add a group's limit for cold members.
+
+    Where it can't be read its cold members get no statements. Without its
+    rule the group would have no limit at all, and count as one whose commits
+    are acknowledged before a replica has them.
+    """
+    try:
+        rate = _optional_number(value, "coldPerS")
+        cold_s = _optional_number(value, "coldS")
+    except _UnusableEntry as error:
+        log_event("entry-unreadable", entry=rule.group, detail=str(error))
+        return rule._replace(cold_rate=0.0)
     return rule._replace(cold_rate=rate, cold_s=cold_s or 0.0)
 
 
