Rosters: a row's era counts only up to the store's

A roster whose era another writer had set to a later one counted as confirmed in eras to come: after a restore a takeover would not have waited until the members that the copy lacks were added.

The era of a row can't be above that of its version. Otherwise the roster counts as unconfirmed and is written again. The tests' store gives versions in its era, as the real one does.

--- a/redwingpost/node/takeover/rosters.py
+++ b/redwingpost/node/takeover/rosters.py
@@ -6,6 +6,7 @@
 
 from mode import Service
 
+from redwingpost.core.foreign import is_whole
 from redwingpost.core.positions import Position
 from redwingpost.groups.directory import Directory
 from redwingpost.membership.vm_table import VmTable
@@ -97,11 +98,9 @@
     if unreadable or row.value is not value:
         note_unreadable("roster-unreadable", row.key, sorted(unreadable))
     era = value.get(_ERA_FIELD)
-    return StoredRoster(
-        roster,
-        row.version,
-        era if isinstance(era, int) else 0,
-    )
+    # A later era than the store's would count as confirmed in that one, too.
+    is_possible = is_whole(era, era_of(row.version))
+    return StoredRoster(roster, row.version, era if is_possible else 0)
 
 
 def is_confirmed(stored: StoredRoster | None, era: int) -> bool:
--- a/redwingpost/node/tests/test_rosters.py
+++ b/redwingpost/node/tests/test_rosters.py
@@ -12,13 +12,14 @@
 from redwingpost.membership.vm_table import VmTable
 from redwingpost.node.takeover.duty import DutyKeeper
 from redwingpost.node.takeover.rosters import (
+    ROSTER_PREFIX,
     RosterKeeper,
     decode_rosters,
     is_confirmed,
 )
 from redwingpost.ports.clock import VirtualClock
 from redwingpost.ports.database import MemberEntry, StatusReport
-from redwingpost.ports.fleet_store import Snapshot, make_version
+from redwingpost.ports.fleet_store import Snapshot, make_version, number_of
 from redwingpost.ports.platform import Row, TransactResult
 
 _DRAIN_S = 7.0
@@ -60,7 +61,9 @@
         """Return all rows."""
         self.calls += 1
         version = make_version(self.era, self.version)
-        return Ok(Snapshot(tuple(self.rows.values()), version, 0))
+        return Ok(
+            Snapshot(tuple(map(self._seen, self.rows.values())), version, 0)
+        )
 
     async def transact(
         self, conditions, writes
@@ -71,13 +74,19 @@
         self.most_entries = max(self.most_entries, entries)
         for item in conditions:
             row = self.rows.get(item.key)
-            if item.version != (row.version if row else 0):
+            if item.version != (self._seen(row).version if row else 0):
                 return Ok(TransactResult(False, (), ()))
         self.version += 1
         for item in writes:
-            row = Row(item.table, item.key, self.version, item.value)
+            version = make_version(self.era, self.version)
+            row = Row(item.table, item.key, version, item.value)
             self.rows[item.key] = row
-        return Ok(TransactResult(True, (self.version,), ()))
+        return Ok(TransactResult(True, (version,), ()))
+
+    def _seen(self, row: Row) -> Row:
+        """Return a row with its version in the present era."""
+        number = number_of(row.version)
+        return row._replace(version=make_version(self.era, number))
 
     def members(self) -> list[str]:
         """Return the members on the only group's roster."""
@@ -278,6 +287,23 @@
         stored = decode_rosters(tuple(self.store.rows.values()))
         self.assertTrue(is_confirmed(stored["g"], self.store.era))
 
+    def test_rows_of_another_writer(self) -> None:
+        """Guards against a roster that counts as confirmed by mistake.
+
+        One that isn't confirmed is written again in the present era.
+        """
+        good = {"a": ["10.0.0.1", 80, "dc"]}
+        eras = (3, 2**53, 10**30, -1, 2.0, 1e308, True, "2", None, [2], {})
+        for era in eras:
+            with self.subTest(era=era):
+                version = make_version(2, 7)
+                row = Row(
+                    "t", ROSTER_PREFIX + "g", version, {**good, "era": era}
+                )
+                stored = decode_rosters((row,))["g"]
+                self.assertEqual(["a"], list(stored.roster.member_by_name))
+                self.assertFalse(is_confirmed(stored, 2))
+
     async def test_two_vms_write_at_once(self) -> None:
         """Another VM has written meanwhile; its change must be kept."""
         self._list("a", "b", "c")
