Settings: check the range of bounds and limits

A VM with odd bounds or limits started, and failed later: a capacity that isn't finite ended each ranking of homes (OverflowError), a negative or infinite time ended up in its waits. A value has to be a number from 0 to 2^53 now; otherwise the start ends with one line that names the field. The list of VMs takes capacities up to the same number.

--- a/redwingpost/node/fleet/vm_list.py
+++ b/redwingpost/node/fleet/vm_list.py
@@ -1,12 +1,11 @@
 """The list of VMs in the fleet's store: entering, reading, removing."""
 
 from collections.abc import Callable
-from math import inf
 from typing import Any
 
 from mode import Service
 
-from redwingpost.core.foreign import is_host_ip, is_port
+from redwingpost.core.foreign import MAX_WHOLE, is_host_ip, is_port
 from redwingpost.membership.gathering import Gathering
 from redwingpost.membership.heartbeat import VmAddress
 from redwingpost.membership.vm_table import VmTable
@@ -200,7 +199,7 @@
         note_unreadable("vm-unreadable", row.key, f"{ip!r}:{port!r}")
         return None
     capacity = row.value.get("capacity")
-    if not isinstance(capacity, float) or not 0.0 < capacity < inf:
+    if not isinstance(capacity, float) or not 0.0 < capacity <= MAX_WHOLE:
         # Written by a VM that doesn't state its capacity.
         capacity = 1.0
     vm = row.key.removeprefix(VM_PREFIX)
--- a/redwingpost/platform/settings.py
+++ b/redwingpost/platform/settings.py
@@ -7,6 +7,7 @@
 
 from redwingpost.core.codes import Code
 from redwingpost.core.foreign import (
+    MAX_WHOLE,
     UNREADABLE,
     decode_json,
     is_port,
@@ -70,11 +71,14 @@
         store=_endpoint(value, "platform", "address"),
         orders=_endpoint(value, "cloudApi", "address"),
         peer_ips=tuple(seed.rpartition(":")[0] for seed in seeds),
-        configuration_s=bounds.get("configApplyMs", _DEFAULT_CONFIGURATION_MS)
+        configuration_s=_number(
+            bounds, "configApplyMs", _DEFAULT_CONFIGURATION_MS
+        )
+        / 1000.0,
+        drain_s=_number(bounds, "drainMs", _DEFAULT_DRAIN_MS) / 1000.0,
+        grace_s=_number(bounds, "graceS", _DEFAULT_GRACE_S),
+        evacuate_s=_number(bounds, "evacuateMs", _DEFAULT_EVACUATE_MS)
         / 1000.0,
-        drain_s=bounds.get("drainMs", _DEFAULT_DRAIN_MS) / 1000.0,
-        grace_s=float(bounds.get("graceS", _DEFAULT_GRACE_S)),
-        evacuate_s=bounds.get("evacuateMs", _DEFAULT_EVACUATE_MS) / 1000.0,
         capacity=_capacity(value.get("limits") or {}),
         has_places=places.is_listed,
         cold_bounds=places.cold_bounds,
@@ -130,7 +134,7 @@
         self, value: dict[str, Any], name: str, default: float
     ) -> float:
         field = self._take(value, name, int | float, default)
-        if field >= 0:
+        if 0 <= field <= MAX_WHOLE:
             return float(field)
         self.unreadable.append(f"{name}: {field!r}")
         return default
@@ -146,12 +150,22 @@
     >>> _capacity({"cpuShare": 0.5, "cores": 1, "linkMbps": 5})
     0.5
     """
-    cores = limits.get("cpuShare", _UNIT_CORES) * limits.get("cores", 1)
-    link_mbps = limits.get("linkMbps", _UNIT_LINK_MBPS)
+    cores = _number(limits, "cpuShare", _UNIT_CORES)
+    cores *= _number(limits, "cores", 1)
+    link_mbps = _number(limits, "linkMbps", _UNIT_LINK_MBPS)
     units = min(cores / _UNIT_CORES, link_mbps / _UNIT_LINK_MBPS)
     return round(units, 2)
 
 
+def _number(value: dict[str, Any], name: str, default: float) -> float:
+    field = value.get(name, default)
+    is_number = isinstance(field, int | float) and not isinstance(field, bool)
+    if not is_number or not 0 <= field <= MAX_WHOLE:
+        allowed = f"a number from 0 to {MAX_WHOLE}"
+        raise _SettingsError(f"{name}: {field!r}; allowed: {allowed}")
+    return float(field)
+
+
 def _endpoint(value: dict[str, Any], section: str, name: str) -> Endpoint:
     text = _require_field(_require_field(value, section, dict), name, str)
     address = parse_address(text, allows_any=section == "listen")
--- a/redwingpost/platform/tests/test_decoding.py
+++ b/redwingpost/platform/tests/test_decoding.py
@@ -73,6 +73,13 @@
             ("platform", None, "platform: None"),
             ("platform", {"address": "0.0.0.0:80"}, "platform.address"),
             ("cloudApi", {"address": "224.0.0.1:80"}, "cloudApi.address"),
+            ("bounds", {"drainMs": -1}, "drainMs: -1"),
+            ("bounds", {"drainMs": 1e308}, "drainMs: 1e+308"),
+            ("bounds", {"configApplyMs": True}, "configApplyMs: True"),
+            ("bounds", {"graceS": "nan"}, "graceS: 'nan'"),
+            ("bounds", {"evacuateMs": 10**30}, "evacuateMs: 1000"),
+            ("limits", {"cpuShare": 1e308, "cores": 1e308}, "cpuShare: 1e+"),
+            ("limits", {"linkMbps": [10]}, "linkMbps: [10]"),
         )
         for name, value, expected in cases:
             with self.subTest(name=name, value=value):
