Log: cut long fields, not lines

An entry with a long field gave a line that was cut after 4,096 characters: no JSON any more, and without its end, so that the next line was joined to it. Whoever reads the log lost both; characters of several bytes made lines longer than a pipe takes without blocking. A text that can't be encoded raised where the line was written.

--- a/redwingpost/observability/journal.py
+++ b/redwingpost/observability/journal.py
@@ -21,6 +21,9 @@
 #: blocking (POSIX: PIPE_BUF).
 MAX_LINE_BYTES = 4096
 
+#: Bytes of the fields of a line that is too long, without their names.
+_MAX_FIELDS_BYTES = 3 * MAX_LINE_BYTES // 4
+
 _clock = MonotonicClock()
 _rate_limiter = LineRateLimiter()
 
@@ -39,7 +42,7 @@
         if not self._poll.poll(0):
             self.dropped += 1
             return
-        self._file.write(line[:MAX_LINE_BYTES])
+        self._file.write(line)
         self._file.flush()
 
 
@@ -65,4 +68,45 @@
     line = {"at": round(time(), 3), "kind": kind, **fields}
     if left_out:
         line["left_out"] = left_out
-    logger.opt(raw=True).info(encode(line).decode() + "\n")
+    logger.opt(raw=True).info(_render(line))
+
+
+def _render(line: dict[str, Any]) -> str:
+    """Return a line's text, with its longest fields cut to fit.
+
+    Examples
+    --------
+    >>> _render({"kind": "started"})
+    '{"kind":"started"}\\n'
+    >>> _render({"key": "\\ud800"})
+    '{"key":"?"}\\n'
+    """
+    try:
+        text = encode(line)
+    except (OverflowError, TypeError, ValueError):
+        # Such as half a character.
+        line = {name: _to_text(field) for name, field in line.items()}
+        text = encode(line)
+    if len(text) >= MAX_LINE_BYTES:
+        longest = _MAX_FIELDS_BYTES // len(line)
+        text = encode(
+            {name: _cut(field, longest) for name, field in line.items()}
+        )
+    return text.decode() + "\n"
+
+
+def _to_text(field: Any) -> Any:
+    """Return a field as a text that can be encoded."""
+    if isinstance(field, float | bool):
+        return field
+    return str(field).encode("utf-8", "replace").decode()
+
+
+def _cut(field: Any, longest: int) -> Any:
+    """Return a field whose text has at most ``longest`` bytes of JSON."""
+    text = encode(field)
+    if len(text) <= longest:
+        return field
+    shown = field if isinstance(field, str) else text.decode()
+    # A character takes up to six bytes of JSON.
+    return shown[: longest // 6] + "…"
