--- a/redwingpost/platform/tests/test_odd_numbers.py
+++ b/redwingpost/platform/tests/test_odd_numbers.py
@@ -1,7 +1,6 @@
 """Odd numbers in a configuration, up to where they are used."""
 
 from base64 import b64encode
-from json import dumps
 from typing import Any
 from unittest import TestCase
 from unittest.mock import patch
@@ -15,7 +14,7 @@
 from redwingpost.node.forwarding.messages import Action, Done, Work
 from redwingpost.node.places import Places
 from redwingpost.node.request.admission import Admission
-from redwingpost.node.tests.line_site import configuration
+from redwingpost.node.tests.odd_rows import odd_configurations
 from redwingpost.observability.trace import RunParts
 from redwingpost.platform.entries import PLACES_FORMAT
 from redwingpost.platform.store import _decode_row
@@ -23,56 +22,9 @@
 from redwingpost.rates.usage import UsageLedger
 from redwingpost.wire.work import pack_done, pack_work, unpack
 
-#: JSON texts of numbers, and of what looks like one.
-ODD_TEXTS = (
-    "9007199254740993",
-    "18446744073709551616",
-    "1" + "0" * 30,
-    "1" + "0" * 400,
-    "1e308",
-    "1e999",
-    "1e-300",
-    "0",
-    "-1",
-    "-1e308",
-    "0.5",
-    "NaN",
-    "true",
-    "null",
-    '"7"',
-    '"inf"',
-    '"nan"',
-    "[]",
-    "{}",
-)
-_FIELDS = {
-    "routes": ("timeoutMs", "targetLatencyMs", "priority", "maxStalenessMs"),
-    "services": ("maxConns", "syncReplicas", "coldPerS", "coldS"),
-    "tenants": ("ratePerS", "burst", "priority", "apiKeys"),
-    "limits": ("txIdleMs",),
-}
-_MARK = "@odd"
 _PARTS = RunParts("", 0, 0.0, 0.0, False)
 
 
-def odd_configurations(version: int) -> list[tuple[str, bytes]]:
-    """Return configurations with one odd field, and that field's name.
-
-    It is in the first entry of its section.
-    """
-    found = []
-    for section, names in _FIELDS.items():
-        for name in names:
-            value = configuration(version)
-            item = value[section]
-            (item if section == "limits" else item[0])[name] = _MARK
-            text = dumps(value)
-            for odd in ODD_TEXTS:
-                changed = text.replace(f'"{_MARK}"', odd).encode()
-                found.append((f"{section}.{name}: {odd[:24]}", changed))
-    return found
-
-
 class ConfigurationTest(TestCase):
     """Guards against a field that breaks what is computed from it later.
 
@@ -80,12 +32,12 @@
     """
 
     def test_odd_fields_in_use(self) -> None:
-        for name, text in odd_configurations(7):
+        for row in odd_configurations(7):
             with (
-                self.subTest(name),
+                self.subTest(row.text),
                 patch("redwingpost.observability.journal.logger"),
             ):
-                self._use(text)
+                self._use(row.text.encode())
 
     def _use(self, text: bytes) -> None:
         clock = VirtualClock(100.0)
--- a/redwingpost/standin/lines/store.py
+++ b/redwingpost/standin/lines/store.py
@@ -73,7 +73,10 @@
 
     def put(self, table: str, key: str, value: Any) -> None:
         """Write a row, as the operator or a member does."""
-        text = b64encode(encode(value)).decode()
+        self.put_text(table, key, b64encode(encode(value)).decode())
+
+    def put_text(self, table: str, key: str, text: str) -> None:
+        """Write a row whose value is given in base64."""
         self.rows.apply([], [(table, "", key, text)], [])
         self._wake()
 
