Heartbeats: ignore samples that would be dated to come

A machine that starts again has a new clock, while the others still echo the one before in their heartbeats. Until then the VM took the sample's primary for proven to lead, and samples for fresh, whatever had happened since, so that reads could be too old for their consistency. A gatherer that passes samples on failed with each of its digests, since a negative age fits into no message.

Samples are ignored if the echoed clock is ahead of the present one: what was received can't have been sent later. The next heartbeat echoes the new clock.

--- a/redwingpost/node/fleet/heartbeat_writer.py
+++ b/redwingpost/node/fleet/heartbeat_writer.py
@@ -109,9 +109,11 @@
             The other VM's samples.
         earliest_sent_at : float or None
             The earliest time they may have been sent, on this VM's clock
-            (seconds). Without it the samples are ignored.
+            (seconds). Without it the samples are ignored, and if it is to
+            come: it echoes another clock, as that of this machine before it
+            started again.
         """
-        if earliest_sent_at is None:
+        if earliest_sent_at is None or earliest_sent_at > self._clock.now():
             return
         for sample in samples:
             listed = self._directory.get(sample.member)
--- a/redwingpost/node/tests/test_heartbeats.py
+++ b/redwingpost/node/tests/test_heartbeats.py
@@ -2,15 +2,30 @@
 
 from asyncio import sleep, wait_for
 from socket import AF_INET, SOCK_DGRAM, socket
-from unittest import IsolatedAsyncioTestCase
+from unittest import IsolatedAsyncioTestCase, TestCase
 
+from redwingpost.core.positions import Position
+from redwingpost.groups.directory import Directory
+from redwingpost.groups.evidence import GroupEvidence
 from redwingpost.membership.gathering import Gathering
-from redwingpost.membership.heartbeat import Heartbeat, VmAddress
+from redwingpost.membership.heartbeat import (
+    Echo,
+    Heartbeat,
+    SharedSample,
+    VmAddress,
+)
 from redwingpost.membership.vm_table import VmTable
+from redwingpost.node.fleet.digest_writer import DigestWriter
+from redwingpost.node.fleet.heartbeat_writer import HeartbeatWriter
 from redwingpost.node.fleet.heartbeats import Heartbeats, LocalVm
-from redwingpost.ports.clock import MonotonicClock
+from redwingpost.node.group import GroupClient
+from redwingpost.node.request.admission import Admission
+from redwingpost.ports.clock import MonotonicClock, VirtualClock
+from redwingpost.ports.database import MemberEntry, StatusReport
 from redwingpost.rates.usage import UsageLedger
+from redwingpost.wire.heartbeat import pack_digest, unpack
 
+_REPORT = StatusReport(True, 3, Position(3, 9), 0, 0, 0, 0)
 _IPS = ("127.0.71.1", "127.0.71.2")
 
 #: Seconds to wait for datagrams on the loopback interface, which take far
@@ -38,6 +53,76 @@
         """Ignore samples."""
 
 
+class FakeActivity:
+    """No group is in use on this VM."""
+
+    def active(self, now: float) -> list[GroupClient]:
+        """Return no group."""
+        return []
+
+
+class FakeGroup:
+    """A group whose samples are kept."""
+
+    name = "g"
+
+    def __init__(self) -> None:
+        self.evidence = GroupEvidence()
+        self.evidence.note_report("m1", _REPORT, 0.0)
+
+    def note_shared(
+        self, member: str, position: Position, taken_at: float
+    ) -> None:
+        """Add a sample."""
+        self.evidence.note_shared(member, position, taken_at)
+
+
+class SampleTest(TestCase):
+    def test_an_echo_of_a_clock_before_a_restart(self) -> None:
+        """Guards against samples that never age, and heartbeats that fail."""
+        clock = VirtualClock(60.0)
+        cases = (
+            ("of this clock", 59_000, 900, True),
+            ("of the clock before", 86_400_000, 40_000, False),
+            ("of no clock", 2**64 - 1, 2**32 - 1, False),
+        )
+        for name, clock_ms, held_ms, is_taken in cases:
+            for gathers in (False, True):
+                with self.subTest(name, gathers=gathers):
+                    group = FakeGroup()
+                    writer = self._writer(clock, group, gathers)
+                    sample = SharedSample("m1", Position(3, 9), 1)
+                    echo = Echo(clock_ms, held_ms)
+                    writer.take_samples((sample,), echo.earliest_sent_at())
+                    newest = group.evidence.newest_sample()
+                    self.assertEqual(is_taken, newest is not None)
+                    heartbeat = writer.describe(False)
+                    digest = DigestWriter(
+                        VmTable("vm-1", 0.0)
+                    ).build_cell_digest(heartbeat, "a/0", False, clock.now())
+                    received = unpack(pack_digest(digest), "ip")
+                    self.assertEqual(is_taken, bool(received.samples))
+
+    def _writer(
+        self, clock: VirtualClock, group: FakeGroup, gathers: bool
+    ) -> HeartbeatWriter:
+        directory = Directory()
+        directory.put(
+            MemberEntry("m1", "g", "10.0.0.1", 80, "a", False, True), 0.0
+        )
+        vms = VmTable("vm-1", 0.0)
+        return HeartbeatWriter(
+            "vm-1",
+            "ip",
+            {"g": group},
+            FakeActivity(),
+            directory,
+            Admission(vms, UsageLedger(0.0), clock),
+            clock,
+            lambda: gathers,
+        )
+
+
 class SilentHeartbeats(Heartbeats):
     """Sends no periodic heartbeats."""
 
