--- a/redwingpost/node/takeover/rosters.py
+++ b/redwingpost/node/takeover/rosters.py
@@ -6,6 +6,7 @@
 
 from mode import Service
 
+from redwingpost.core.foreign import is_whole
 from redwingpost.core.positions import Position
 from redwingpost.groups.directory import Directory
 from redwingpost.membership.vm_table import VmTable
@@ -13,6 +14,7 @@
 from redwingpost.node.steps import repeat
 from redwingpost.node.takeover.duty import GROUP_TABLE, DutyKeeper
 from redwingpost.observability.journal import log_event
+from redwingpost.observability.unreadable import note_unreadable
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.fleet_store import FleetStore, era_of
 from redwingpost.ports.platform import Condition, Row, Write
@@ -90,12 +92,15 @@
 
 def _decode(row: Row) -> StoredRoster:
     group = row.key.removeprefix(ROSTER_PREFIX)
-    era = row.value.get(_ERA_FIELD) if isinstance(row.value, dict) else None
-    return StoredRoster(
-        Roster.from_value(group, row.value),
-        row.version,
-        era if isinstance(era, int) else 0,
-    )
+    value = row.value if isinstance(row.value, dict) else {}
+    roster = Roster.from_value(group, value)
+    unreadable = value.keys() - roster.member_by_name.keys() - {_ERA_FIELD}
+    if unreadable or row.value is not value:
+        note_unreadable("roster-unreadable", row.key, sorted(unreadable))
+    era = value.get(_ERA_FIELD)
+    # A later era than the store's would count as confirmed in that one, too.
+    is_possible = is_whole(era, era_of(row.version))
+    return StoredRoster(roster, row.version, era if is_possible else 0)
 
 
 def is_confirmed(stored: StoredRoster | None, era: int) -> bool:
@@ -282,7 +287,7 @@
             log_event("rosters-unknown", detail=got.error.detail)
             return None
         self._era = era_of(got.ok.version)
-        await self._duty.reserve_in_new_era(got.ok)
+        await self._duty.reserve_if_needed(got.ok)
         return decode_rosters(got.ok.rows)
 
     def _stored(self, group: str) -> StoredRoster:
