Commits: who vouches for a commit must hold it

Cause: a replica that is known to have run on vouched for a commit without having received it. A member whose promotion is under way is resumed and may be cut off from the old primary: it isn't paused and lacks the commit that another replica, which lost its pause, has confirmed.

Evidence: the row 'ran on, but lacks it' of test_confirmation: kept before, open since.

--- a/redwingpost/groups/confirmation.py
+++ b/redwingpost/groups/confirmation.py
@@ -17,8 +17,9 @@
 The registry tells of a restart only later. So while another VM can't reach the
 primary, a replica alone vouches only over a connection that is older than any
 takeover under way: a restart would have ended it. Otherwise all other members
-must answer, none of them paused, and hold the commit: the one that a takeover
-chose is among them.
+must answer, none of them paused: the one that a takeover chose is among them.
+In both cases they must hold the commit: a member whose promotion is under way
+isn't paused, and may have received nothing.
 """
 
 from collections.abc import Iterable
@@ -190,11 +191,8 @@
     vouching = [item for item in accepting if item.is_trusted]
     if not commit.is_failing_elsewhere:
         return bool(vouching)
-    if any(item.is_running_on for item in vouching):
-        return True
     position = commit.position or ZERO_POSITION
-    return (
-        bool(vouching)
-        and len(accepting) == len(everyone)
-        and all(item.report.received >= position for item in accepting)
-    )
+    holding = [item for item in accepting if item.report.received >= position]
+    if any(item.is_running_on and item.is_trusted for item in holding):
+        return True
+    return bool(vouching) and len(holding) == len(everyone)
--- a/redwingpost/groups/tests/test_confirmation.py
+++ b/redwingpost/groups/tests/test_confirmation.py
@@ -126,6 +126,12 @@
             ("both have restarted", (fresh, fresh), 0.0, still_open),
             ("ran on, other paused", (lasting, paused), 0.0, kept),
             ("ran on, other silent", (lasting, silent), 0.0, kept),
+            (
+                "ran on, but lacks it",
+                (lacks._replace(is_running_on=True), silent),
+                0.0,
+                still_open,
+            ),
             ("ran on, held up", (lasting, paused), HELD_UP_S, still_open),
         )
         for name, answers, held_up_s, expected in cases:
