Takeover: orders that are sent again, late, or under an earlier claim

Now the order is recorded first, and the pauses' age is checked once the connection is open. - An order that was sent twice may take effect twice. A newer term ended its record after the first time. Now the record counts the sends; if there may have been two it ends by time alone. Each further send renews its time. - A takeover of an earlier claim could overwrite or withdraw the record of another VM, if its own VM had claimed the duty again. Now a record is written for a claim's fence and on the row's version as read with it. - A command that waits for a connection was sent without asking whether the duty still holds. Now it is asked immediately before.

--- a/redwingpost/node/member.py
+++ b/redwingpost/node/member.py
@@ -419,14 +419,21 @@
         self.admission.leave(ticket, pooled.ran_s)
 
     async def send_command(
-        self, command: str, *arguments: int
+        self,
+        command: str,
+        *arguments: int,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> StatusReport | None:
-        """Send a control command; return None if no report came."""
+        """Send a control command; return None if no report came.
+
+        ``may_send`` is asked immediately before it is sent: a connection may
+        have to be opened first.
+        """
         is_silent = self.unanswered_s >= SILENT_S
         self.command_sent_at = self._clock.now()
         try:
             return await wait_for(
-                self._send_in_turn(command, arguments),
+                self._send_in_turn(command, arguments, may_send),
                 SILENT_CONTROL_TIMEOUT_S if is_silent else CONTROL_TIMEOUT_S,
             )
         except MemberRefused as refused:
@@ -459,7 +466,10 @@
             self._control = None
 
     async def _send_in_turn(
-        self, command: str, arguments: tuple[int, ...]
+        self,
+        command: str,
+        arguments: tuple[int, ...],
+        may_send: Callable[[], bool],
     ) -> StatusReport | None:
         async with self._control_lock:
             if self._control is None or not self._control.is_open:
@@ -467,6 +477,8 @@
                     CONTROL_NAME, CONNECT_TIMEOUT_S
                 )
                 self._control_opened_at = self._clock.now()
+            if not may_send():
+                return None
             report = await getattr(self._control, command)(*arguments)
             self._note_alive()
             return report
--- a/redwingpost/node/takeover/coordinator.py
+++ b/redwingpost/node/takeover/coordinator.py
@@ -178,14 +178,20 @@
         Once this VM's right has ended nothing is sent that changes a member,
         as another VM may conduct a takeover.
         """
-        if command != "status" and not self._orders.duty.allows_command(
-            self._clock.now()
-        ):
+
+        def may_send() -> bool:
+            duty = self._orders.duty
+            is_reading = command == "status"
+            return is_reading or duty.allows_command(self._clock.now())
+
+        if not may_send():
             log_event("duty-ended", group=self._group.name, command=command)
             clients = {}
 
         async def send(client: MemberClient) -> MemberStatus:
-            report = await client.send_command(command, *arguments)
+            report = await client.send_command(
+                command, *arguments, may_send=may_send
+            )
             return self._status(self._entry_of(client), report)
 
         statuses = await gather(*(send(item) for item in clients.values()))
@@ -464,10 +470,12 @@
         try:
             while self._clock.now() < until:
                 if not is_ordered:
-                    if not await self._may_order(chosen, term, old):
+                    if not await self._may_order(
+                        chosen, term, old, known_term
+                    ):
                         return await self._check_promoted(chosen)
                     is_ordered = await self._orders.send(
-                        chosen.entry.member, known_term
+                        chosen.entry.member, self._may_send
                     )
                     if is_ordered:
                         until = self._clock.now() + ACCEPTED_LIFETIME_S
@@ -505,19 +513,30 @@
         return True
 
     async def _may_order(
-        self, chosen: MemberStatus, term: int, old: str | None
+        self,
+        chosen: MemberStatus,
+        term: int,
+        old: str | None,
+        known_term: int,
     ) -> bool:
-        """Return whether duty and pauses are still valid for the order.
+        """Record the order; return whether duty and pauses still allow it.
 
         This VM may have been suspended since it claimed the duty, or since
         the members answered.
         """
+        member = chosen.entry.member
+        if not await self._orders.prepare(member, known_term):
+            return False
         if not self._has_stopped_primary and self._are_pauses_stale():
             repeated = await self._pause_all(old, term)
             if repeated is None or repeated.entry != chosen.entry:
                 return False
-            if self._are_pauses_stale():
-                return False
+        return self._may_send()
+
+    def _may_send(self) -> bool:
+        """Return whether the order may leave now."""
+        if not self._has_stopped_primary and self._are_pauses_stale():
+            return False
         return self._orders.duty.allows_order(self._clock.now())
 
     def _are_pauses_stale(self) -> bool:
@@ -539,7 +558,7 @@
             for item in statuses
             if not item.is_silent and item.report.paused_for > term
         }
-        await self._resume(paused)
+        await self._resume(paused, chosen.entry.member)
         await self._group.fresh_round()
 
     async def _resume_replicas(
@@ -554,15 +573,19 @@
             for item in statuses
             if not item.is_silent and item.report.is_primary
         ]
-        await self._resume(self._clients_except(primaries))
+        leader = current_primary(statuses, self._group.evidence.term)
+        await self._resume(self._clients_except(primaries), leader)
 
-    async def _resume(self, clients: dict[str, MemberClient]) -> None:
+    async def _resume(
+        self, clients: dict[str, MemberClient], leader: str | None
+    ) -> None:
         """Resume members, but none that an order under way forbids.
 
+        Replicas of the ordered member itself may be resumed once it leads.
         One that doesn't answer may resume later.
         """
         ordered = self._orders.member
-        if ordered is not None:
+        if ordered not in (None, leader):
             clients = {
                 name: clients[name] for name in clients if name == ordered
             }
--- a/redwingpost/node/takeover/duty.py
+++ b/redwingpost/node/takeover/duty.py
@@ -60,7 +60,7 @@
         self._store = store
         self._vm = vm
         self._clock = clock
-        self._held_version = 0
+        self._held_fence = self._held_version = 0
 
     async def take(self) -> ClaimedDuty | None:
         """Claim or extend the duty.
@@ -90,24 +90,39 @@
         )
 
     async def write_as_holder(
-        self, key: str, value: dict[str, Any] | None
-    ) -> bool:
+        self, fence: int, row: Condition, value: dict[str, Any] | None
+    ) -> int | None:
         """Write a row if this VM still holds the duty; delete it if None.
 
+        Parameters
+        ----------
+        fence : int
+            Fence of the claim for which it is written. Another VM may have
+            held the duty since, and this one again.
+        row : Condition
+            The row and the version that it must have.
+        value : dict or None
+            The row's new value.
+
         Returns
         -------
-        bool
-            False if it wasn't written, or if that isn't known.
+        int or None
+            The row's new version, 0 if it was deleted. None if it wasn't
+            written, or if that isn't known.
         """
+        if fence != self._held_fence:
+            return None
         writing = self._store.transact(
-            (Condition(GROUP_TABLE, DUTY_KEY, self._held_version),),
-            (Write(GROUP_TABLE, key, value),),
+            (Condition(GROUP_TABLE, DUTY_KEY, self._held_version), row),
+            (Write(row.table, row.key, value),),
         )
         try:
             done = await wait_for(writing, DUTY_CALL_S)
         except TimeoutError:
-            return False
-        return done.is_ok() and done.ok.committed
+            return None
+        if done.is_error() or not done.ok.committed:
+            return None
+        return 0 if value is None else done.ok.versions[0]
 
     async def reserve_if_needed(self, got: Snapshot) -> bool:
         """Reserve the duty if nobody can tell who holds it.
@@ -158,7 +173,7 @@
             return await self._was_written(new_row)
         if done.is_ok():
             if done.ok.committed:
-                self._held_version = done.ok.versions[0]
+                self._note_held(new_row, done.ok.versions[0])
             return done.ok.committed
         if done.error.code.name != Code.STORE_OUTCOME_UNKNOWN.name:
             return False
@@ -178,9 +193,13 @@
         row, version = _find_row(got)
         if row != new_row:
             return False
-        self._held_version = version
+        self._note_held(row, version)
         return True
 
+    def _note_held(self, row: DutyRow, version: int) -> None:
+        self._held_fence = row.fence
+        self._held_version = version
+
 
 def _find_row(got: Snapshot) -> tuple[DutyRow, int]:
     """Return the duty's row and its version, 0 if there is no row."""
--- a/redwingpost/node/takeover/orders.py
+++ b/redwingpost/node/takeover/orders.py
@@ -1,14 +1,19 @@
 """The promotion orders of one takeover, recorded before they are sent."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from redwingpost.leases.duty import HeldDuty
-from redwingpost.node.takeover.duty import ClaimedDuty, DutyKeeper
+from redwingpost.node.takeover.duty import (
+    GROUP_TABLE,
+    ClaimedDuty,
+    DutyKeeper,
+)
 from redwingpost.observability.journal import log_event
 from redwingpost.observability.unreadable import note_unreadable
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.database import OrderOutcome, PromotionOrders
-from redwingpost.ports.platform import Row
+from redwingpost.ports.platform import Condition, Row
 from redwingpost.takeover.orders import (
     ACCEPTED_LIFETIME_S,
     ORDER_LIFETIME_S,
@@ -17,6 +22,10 @@
 
 ORDER_PREFIX = "order/"
 
+#: Seconds for which a record counts for the next attempt to send the order,
+#: where the one before was refused.
+_PREPARED_S = 1.0
+
 
 class OrderDependencies(NamedTuple):
     """What orders use besides the claimed duty; ``vm`` is this VM's name."""
@@ -50,8 +59,11 @@
         self._clock = dependencies.clock
         self._vm = dependencies.vm
         self._under_way = find_order(claimed.rows, group, claimed.now_ms)
+        self._row_version = _find_version(claimed.rows, group)
         # An earlier takeover may have had no answer to its order.
         self._is_unanswered = self._under_way is not None
+        self._sends = self._under_way.sends if self._under_way else 0
+        self._prepared_at = float("-inf")
         self._accepted_at = float("-inf")
 
     @property
@@ -78,8 +90,8 @@
         if self.member in members:
             self._under_way = None
 
-    async def send(self, member: str, term: int) -> bool:
-        """Record and send an order; return whether it was accepted.
+    async def prepare(self, member: str, term: int) -> bool:
+        """Record that an order is sent next; return whether it may be.
 
         Parameters
         ----------
@@ -88,22 +100,36 @@
         term : int
             The newest term that is known.
         """
-        order = self._under_way
-        if order is None:
-            until_ms = self._now_ms() + round(ORDER_LIFETIME_S * 1000)
-            order = OrderRecord(member, term, until_ms)
-            if not await self._record(order):
-                return False
-            self._under_way = order
-        if order.member != member:
+        if self.member not in (None, member):
             return False
+        now = self._clock.now()
+        if now - self._prepared_at < _PREPARED_S:
+            return True
+        until_ms = self._now_ms() + round(ORDER_LIFETIME_S * 1000)
+        order = OrderRecord(member, term, until_ms, self._sends + 1)
+        if not await self._record(order):
+            return False
+        self._under_way = order
+        self._prepared_at = now
+        return True
+
+    async def send(self, member: str, may_send: Callable[[], bool]) -> bool:
+        """Send the order that was prepared; return whether it was accepted.
+
+        ``may_send`` is asked immediately before it is sent.
+        """
         outcome = await self._sender.promote(
-            self._group, member, self._vm, self.duty.fence, self._may_send
+            self._group, member, self._vm, self.duty.fence, may_send
         )
-        if outcome is OrderOutcome.ACCEPTED:
-            self._accepted_at = self._clock.now()
-        self._is_unanswered |= outcome is OrderOutcome.UNANSWERED
-        return outcome is OrderOutcome.ACCEPTED
+        if outcome is OrderOutcome.REFUSED:
+            return False
+        self._sends += 1
+        self._prepared_at = float("-inf")
+        if outcome is OrderOutcome.UNANSWERED:
+            self._is_unanswered = True
+            return False
+        self._accepted_at = self._clock.now()
+        return True
 
     async def withdraw_ended(self) -> None:
         """Remove the record of an order that can no longer take effect.
@@ -118,9 +144,6 @@
         ):
             self._under_way = None
 
-    def _may_send(self) -> bool:
-        return self.duty.allows_order(self._clock.now())
-
     def _now_ms(self) -> int:
         """Return the table service's time, or somewhat more."""
         elapsed_s = self._clock.now() - self._claimed.read_at
@@ -128,18 +151,23 @@
 
     async def _record(self, order: OrderRecord | None) -> bool:
         value = None if order is None else order.to_value()
-        is_recorded = await self._keeper.write_as_holder(
-            ORDER_PREFIX + self._group, value
+        key = ORDER_PREFIX + self._group
+        version = await self._keeper.write_as_holder(
+            self.duty.fence,
+            Condition(GROUP_TABLE, key, self._row_version),
+            value,
         )
+        if version is not None:
+            self._row_version = version
         log_event(
             "promotion-recorded",
             group=self._group,
             member=order.member if order else "",
             term=order.term if order else 0,
             fence=self.duty.fence,
-            written=is_recorded,
+            written=version is not None,
         )
-        return is_recorded
+        return version is not None
 
 
 def find_order(
@@ -163,3 +191,9 @@
                 return order
             note_unreadable("order-unreadable", row.key, row.value)
     return None
+
+
+def _find_version(rows: tuple[Row, ...], group: str) -> int:
+    """Return the version of a group's row, 0 if there is none."""
+    versions = (r.version for r in rows if r.key == ORDER_PREFIX + group)
+    return next(versions, 0)
--- a/redwingpost/node/tests/test_coordinator.py
+++ b/redwingpost/node/tests/test_coordinator.py
@@ -35,7 +35,7 @@
     OrderOutcome,
     StatusReport,
 )
-from redwingpost.ports.platform import Row
+from redwingpost.ports.platform import Condition, Row
 from redwingpost.takeover.orders import OrderRecord
 from redwingpost.takeover.roster import Roster
 from redwingpost.takeover.triggers import Reason
@@ -61,7 +61,10 @@
         self.on_command: Callable[[str], None] = lambda command: None
 
     async def send_command(
-        self, command: str, *arguments: int
+        self,
+        command: str,
+        *arguments: int,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> StatusReport | None:
         """Apply a command and return the status."""
         self.on_command(command)
@@ -102,16 +105,22 @@
         self.recorded: list[tuple[str, dict | None]] = []
         self.outcome = OrderOutcome.ACCEPTED
         self.has_effect = True
+        self.on_record: Callable[[], None] = lambda: None
 
-    async def write_as_holder(self, key: str, value: dict | None) -> bool:
+    async def write_as_holder(
+        self, fence: int, row: Condition, value: dict | None
+    ) -> int | None:
         """Accept a record."""
-        self.recorded.append((key, value))
-        return True
+        self.recorded.append((row.key, value))
+        self.on_record()
+        return len(self.recorded)
 
     async def promote(
         self, group, member, holder, fence, may_send
     ) -> OrderOutcome:
         """Apply a promotion order immediately, or as the test says."""
+        if not may_send():
+            return OrderOutcome.REFUSED
         if self.outcome is not OrderOutcome.ACCEPTED or not self.has_effect:
             return self.outcome
         primary = self.all_by_name["p"]
@@ -369,6 +378,7 @@
             ("of a silent member, none else", ("a", 1, 9000), "a", [], ""),
             ("that has ended", ("a", 1, 900), "a", ["b"], ""),
             ("that took effect", ("a", 0, 9000), "a", ["b"], ""),
+            ("one of two took effect", ("a", 0, 9000, 2), "a", [], ""),
         )
         for name, order, silent, promoted, resumed in cases:
             with self.subTest(name):
@@ -439,6 +449,22 @@
         self.assertEqual(is_accepted, recorded[-1] is not None)
         noted.assert_called_once()
 
+    async def test_a_restart_while_the_order_is_recorded(self) -> None:
+        """Guards against an order on pauses that are long past."""
+        group = FakeGroup()
+        group.all_by_name["p"].is_silent = True
+        clock = VirtualClock()
+        restarting = group.all_by_name["a"]
+
+        def restart() -> None:
+            clock.advance(0.5)
+            restarting.paused_for = 0
+            restarting.index += 1
+
+        group.on_record = restart
+        await self._coordinator(group, clock=clock).run(Reason.SILENT)
+        self.assertEqual([], group.promoted)
+
     async def test_an_order_that_has_no_effect_yet(self) -> None:
         """Guards against resuming members while an order is under way."""
         cases = (
--- a/redwingpost/node/tests/test_duty.py
+++ b/redwingpost/node/tests/test_duty.py
@@ -17,7 +17,7 @@
 )
 from redwingpost.ports.clock import VirtualClock
 from redwingpost.ports.fleet_store import Snapshot, make_version
-from redwingpost.ports.platform import Row, TransactResult
+from redwingpost.ports.platform import Condition, Row, TransactResult
 
 #: Far above the duration of reading the row back. Waiting for the lost
 #: answer would never end.
@@ -113,11 +113,17 @@
 class HolderTest(IsolatedAsyncioTestCase):
     async def test_records_of_the_holder_alone(self) -> None:
         """Guards against an order of a VM whose right has passed on."""
+        turn_s = DUTY_MS / 1000.0
         cases = (
             ("holds it", (), True),
-            ("has renewed it", ("vm-1",), True),
-            ("another VM has claimed it since", ("vm-2",), False),
-            ("claimed by itself and another", ("vm-1", "vm-2"), False),
+            ("has renewed it", (("vm-1", 1.0),), True),
+            ("has claimed it again", (("vm-1", turn_s),), False),
+            ("another VM has claimed it", (("vm-2", turn_s),), False),
+            (
+                "has claimed it again, after another",
+                (("vm-2", turn_s), ("vm-1", turn_s)),
+                False,
+            ),
         )
         for name, later_claims, is_recorded in cases:
             with self.subTest(name):
@@ -126,13 +132,17 @@
                 keepers = {
                     vm: DutyKeeper(store, vm, clock) for vm in ("vm-1", "vm-2")
                 }
-                self.assertIsNotNone(await keepers["vm-1"].take())
-                for vm in later_claims:
-                    clock.advance(DUTY_MS / 1000.0)
+                claimed = await keepers["vm-1"].take()
+                for vm, after_s in later_claims:
+                    clock.advance(after_s)
                     self.assertIsNotNone(await keepers[vm].take())
                 holder = keepers["vm-1"]
-                done = await holder.write_as_holder("order/g", {"member": "a"})
-                self.assertEqual(is_recorded, done)
+                done = await holder.write_as_holder(
+                    claimed.duty.fence,
+                    Condition(GROUP_TABLE, "order/g", 0),
+                    {"member": "a"},
+                )
+                self.assertEqual(is_recorded, done is not None)
                 self.assertEqual(is_recorded, "order/g" in store.row_by_key)
 
 
--- a/redwingpost/takeover/orders.py
+++ b/redwingpost/takeover/orders.py
@@ -8,6 +8,10 @@
 So an order is recorded in the fleet's store before it is sent. While it may
 take effect, only its member may be ordered again, and only that member may be
 resumed: whatever it receives until then is in the log with which it leads.
+
+An order that was sent more than once may take effect more than once: after
+the first time its member may have been replaced. So a newer term ends only an
+order that was sent once; others end by time.
 """
 
 from typing import Any, NamedTuple
@@ -15,7 +19,7 @@
 from redwingpost.core.foreign import is_whole
 
 #: Seconds after its record within which an order takes effect, if ever. It is
-#: sent again for up to three seconds and may be under way for seconds.
+#: recorded each time before it is sent, and may be under way for seconds.
 ORDER_LIFETIME_S = 10.0
 
 #: The same after the platform has accepted it: several times what a promotion
@@ -32,12 +36,13 @@
 
     ``term`` is the newest term that was known when ``member`` was ordered to
     lead the next one. The order takes effect before ``until_ms`` on the table
-    service's clock, or never.
+    service's clock, or never. ``sends`` is how often it may have been sent.
     """
 
     member: str
     term: int
     until_ms: int
+    sends: int = 1
 
     def to_value(self) -> dict[str, Any]:
         """Return the value to store in the order's row."""
@@ -50,17 +55,21 @@
         Examples
         --------
         >>> OrderRecord.from_value({"member": "a", "term": 2, "until_ms": 9})
-        OrderRecord(member='a', term=2, until_ms=9)
+        OrderRecord(member='a', term=2, until_ms=9, sends=1)
         >>> OrderRecord.from_value({}) is None
         True
         """
         if not isinstance(value, dict):
             return None
-        fields = [value.get(name) for name in cls._fields]
-        member, term, until_ms = fields
-        if not isinstance(member, str) or not is_whole(term):
+        member, *numbers = (
+            value.get("member"),
+            value.get("term"),
+            value.get("until_ms"),
+            value.get("sends", 1),
+        )
+        if not isinstance(member, str) or not all(map(is_whole, numbers)):
             return None
-        return cls(*fields) if is_whole(until_ms) else None
+        return cls(member, *numbers)
 
     def is_possible(self, now_ms: int) -> bool:
         """Return whether a VM can have recorded the order.
@@ -84,7 +93,7 @@
         ----------
         term : int
             The newest term that is known. A newer one than the record's
-            shows that the order has taken effect: no other was sent.
+            shows that an order that was sent once has taken effect.
         now_ms : int
             The present time on the table service's clock.
 
@@ -95,5 +104,9 @@
         (True, False)
         >>> order.may_take_effect(2, 900)
         False
+        >>> order._replace(sends=2).may_take_effect(3, 800)
+        True
         """
-        return term <= self.term and now_ms < self.until_ms
+        if now_ms >= self.until_ms:
+            return False
+        return term <= self.term or self.sends > 1
