HTTP client: a request that is given up is not sent later

Cause: a promotion order without an answer was given up after a second and its connection closed; the system goes on sending it for up to 3 s.

Change: the connection is reset.

Evidence: test_a_request_that_is_given_up: the server read the end of the stream before, a reset since.

--- a/redwingpost/adapters/http_client.py
+++ b/redwingpost/adapters/http_client.py
@@ -152,7 +152,7 @@
             exchange = self._exchange(method, target, body, headers, timeout_s)
             return await wait_for(exchange, timeout_s + MAX_TRANSFER_S)
         except (OSError, RemoteProtocolError, TimeoutError) as error:
-            self.close()
+            self.close(resets=sent)
             detail = f"{type(error).__name__} {error}".strip()
             raise HttpLost(detail, sent) from error
         except BaseException:
@@ -173,9 +173,14 @@
         if reader.at_eof() or reader.exception() is not None:
             self.close()
 
-    def close(self) -> None:
-        """Close the connection; the next request opens another."""
-        if self._writer is not None:
+    def close(self, resets: bool = False) -> None:
+        """Close the connection; the next request opens another.
+
+        ``resets``: a request that was given up isn't sent any more.
+        """
+        if self._writer is not None and resets:
+            reset_connection(self._writer)
+        elif self._writer is not None:
             self._writer.close()
         self._reader = self._writer = None
 
--- a/redwingpost/adapters/tests/test_http_client.py
+++ b/redwingpost/adapters/tests/test_http_client.py
@@ -1,8 +1,10 @@
 """HTTP requests over connections that hang or are silently broken."""
 
 from asyncio import (
+    Future,
     StreamReader,
     StreamWriter,
+    get_running_loop,
     sleep,
     start_server,
     wait_for,
@@ -66,6 +68,26 @@
                 await wait_for(request, _TIMEOUT_S)
             self.assertFalse(raised.exception.sent)
 
+    async def test_a_request_that_is_given_up(self) -> None:
+        """Guards against an order that is sent after it was given up."""
+        ended: Future[object] = get_running_loop().create_future()
+
+        async def serve(reader: StreamReader, writer: StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            try:
+                ended.set_result(await reader.read())
+            except ConnectionResetError:
+                ended.set_result(ConnectionResetError)
+            writer.close()
+
+        server = await start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        client = HttpClient(*server.sockets[0].getsockname())
+        with self.assertRaises(HttpLost) as raised:
+            await client.request("POST", "/promote", 0.1)
+        self.assertTrue(raised.exception.sent)
+        self.assertIs(ConnectionResetError, await wait_for(ended, _TIMEOUT_S))
+
     async def test_a_request_that_comes_too_late(self) -> None:
         """Guards against an order that is sent after its right has ended."""
         arrived = []
