Takeover: no stop of a primary that couldn't lead again

Cause: while an order for another member may take effect, only that member may be ordered. If it lacked the last commits of a primary that was stopped, nobody could lead until the order had ended, up to 10 s. Found by a review.

Change: meanwhile a primary is stopped only if the ordered member holds its whole log. Beside it the age of a record is compared with the store's time as it was read, no longer with an estimate that may be 0.7 s ahead.

Evidence: test_a_stop_while_an_order_is_under_way: the primary was stopped before, it isn't since.

--- a/redwingpost/node/takeover/coordinator.py
+++ b/redwingpost/node/takeover/coordinator.py
@@ -355,7 +355,7 @@
             self._silent_members = frozenset(
                 item.entry.member for item in others if item.is_silent
             )
-            if is_worth_stopping(status, survey, leader):
+            if is_worth_stopping(status, survey, leader, self._orders.member):
                 return True
             if self._clock.now() >= until:
                 self._log_survey("takeover-unsafe", survey)
--- a/redwingpost/node/takeover/orders.py
+++ b/redwingpost/node/takeover/orders.py
@@ -82,7 +82,8 @@
     def note_term(self, term: int) -> None:
         """Drop an order that the group's newest term shows to have ended."""
         order = self._under_way
-        if order and not order.may_take_effect(term, self._now_ms()):
+        # The time of the claim: a later one would be an estimate.
+        if order and not order.may_take_effect(term, self._claimed.now_ms):
             self._under_way = None
 
     def note_replaced(self, members: frozenset[str]) -> None:
--- a/redwingpost/node/tests/test_coordinator.py
+++ b/redwingpost/node/tests/test_coordinator.py
@@ -449,6 +449,21 @@
         self.assertEqual(is_accepted, recorded[-1] is not None)
         noted.assert_called_once()
 
+    async def test_a_stop_while_an_order_is_under_way(self) -> None:
+        """Guards against a stopped primary that may not lead again."""
+        group = FakeGroup()
+        group.all_by_name["p"].index = 12
+        row = Row(
+            GROUP_TABLE,
+            ORDER_PREFIX + _GROUP,
+            5,
+            OrderRecord("a", 1, 9000).to_value(),
+        )
+        with patch.object(coordinator, "CATCH_UP_TIMEOUT_S", 0.1):
+            await self._coordinator(group, rows=(row,)).run(Reason.STALLED)
+        self.assertNotIn("step_down", group.all_by_name["p"].commands)
+        self.assertEqual(["a"], group.resumed())
+
     async def test_a_restart_while_the_order_is_recorded(self) -> None:
         """Guards against an order on pauses that are long past."""
         group = FakeGroup()
--- a/redwingpost/takeover/plan.py
+++ b/redwingpost/takeover/plan.py
@@ -246,18 +246,25 @@
     return all(item.report.paused_for >= term for item in answering)
 
 
-def is_worth_stopping(chosen: MemberStatus, survey: Survey, old: str) -> bool:
+def is_worth_stopping(
+    chosen: MemberStatus,
+    survey: Survey,
+    old: str,
+    ordered: str | None = None,
+) -> bool:
     """Return whether stopping the old primary would allow a promotion.
 
     Stopping it where no promotion can follow leaves the group without a
     primary until the next attempt. The registry is read after the stop.
+    While a promotion may be under way (``ordered``) the stopped primary
+    can't be promoted again, so the chosen member must hold its whole log.
     """
     statuses = tuple(
         _as_stopped(item) if item.entry.member == old else item
         for item in survey.statuses
     )
     after_stop = survey._replace(
-        statuses=statuses, stopped=old, has_all_members=True
+        statuses=statuses, stopped=old, has_all_members=ordered is None
     )
     return may_promote(chosen, after_stop)
 
