--- a/redwingpost/node/tests/test_odd_entries.py
+++ b/redwingpost/node/tests/test_odd_entries.py
@@ -63,6 +63,14 @@
         self.assertEqual(expected, keys)
         self.assertIn('redwing_unreadable_total{kind="member"} 3.0', page)
 
+    async def test_an_entry_at_an_address_where_nobody_listens(self) -> None:
+        """Guards against a lost primary that is never replaced."""
+        self._put("odd", {**_ENTRY, "address": "127.77.77.77:1"})
+        await sleep(_ROSTERS_S)
+        self.standins.store.remove("servers", "odd")
+        await sleep(_ROSTERS_S)
+        await self._replace_primary()
+
     def _put(self, member: str, entry: Any) -> None:
         self.standins.store.put("servers", member, entry)
 
