Store: read answers that can't be decoded as failed ones

An answer whose body isn't as it should be raised in the task that asked, as a takeover that was about to claim the duty. A number of 48 bits or more reached into the era of a version. A transaction that was answered with success, but with a broken body, counted as one that wasn't done.

Bodies are checked where they are decoded: a reading fails as at a store that doesn't answer, a transaction has an unknown outcome and is read back. The store's time is cut to whole milliseconds.

--- a/redwingpost/core/foreign.py
+++ b/redwingpost/core/foreign.py
@@ -117,6 +117,20 @@
     return is_number and 0 <= value <= largest
 
 
+def is_number(value: Any) -> bool:
+    """Return whether a value is a number from 0 to ``MAX_WHOLE``.
+
+    Examples
+    --------
+    >>> is_number(0.5), is_number(7), is_number(True), is_number("7")
+    (True, True, False, False)
+    >>> is_number(float("inf")), is_number(float("nan")), is_number(-0.5)
+    (False, False, False)
+    """
+    is_real = isinstance(value, int | float) and not isinstance(value, bool)
+    return is_real and 0 <= value <= MAX_WHOLE
+
+
 def is_port(value: Any) -> bool:
     """Return whether a value is a port that can be connected to.
 
--- a/redwingpost/platform/entries.py
+++ b/redwingpost/platform/entries.py
@@ -15,7 +15,12 @@
     RouteRule,
     ServiceRules,
 )
-from redwingpost.core.foreign import MAX_WHOLE, is_whole, parse_address
+from redwingpost.core.foreign import (
+    MAX_WHOLE,
+    is_number,
+    is_whole,
+    parse_address,
+)
 from redwingpost.observability.journal import log_event
 from redwingpost.observability.unreadable import note_unreadable
 from redwingpost.ports.database import MemberEntry
@@ -251,8 +256,7 @@
     field = value.get(name)
     if field is None:
         return None
-    is_number = isinstance(field, int | float) and not isinstance(field, bool)
-    if not is_number or not 0 <= field <= MAX_WHOLE:
+    if not is_number(field):
         allowed = f"a number from 0 to {MAX_WHOLE}"
         raise _UnusableEntry(f"{name}: {field!r}; allowed: {allowed}")
     return float(field)
--- a/redwingpost/platform/settings.py
+++ b/redwingpost/platform/settings.py
@@ -10,6 +10,7 @@
     MAX_WHOLE,
     UNREADABLE,
     decode_json,
+    is_number,
     is_port,
     parse_address,
 )
@@ -159,8 +160,7 @@
 
 def _number(value: dict[str, Any], name: str, default: float) -> float:
     field = value.get(name, default)
-    is_number = isinstance(field, int | float) and not isinstance(field, bool)
-    if not is_number or not 0 <= field <= MAX_WHOLE:
+    if not is_number(field):
         allowed = f"a number from 0 to {MAX_WHOLE}"
         raise _SettingsError(f"{name}: {field!r}; allowed: {allowed}")
     return float(field)
--- a/redwingpost/platform/store.py
+++ b/redwingpost/platform/store.py
@@ -15,7 +15,15 @@
     HttpPool,
 )
 from redwingpost.core.codes import Code
-from redwingpost.core.foreign import ForeignError, decode_json, parse_whole
+from redwingpost.core.foreign import (
+    MAX_WHOLE,
+    UNREADABLE,
+    ForeignError,
+    decode_json,
+    is_number,
+    is_whole,
+    parse_whole,
+)
 from redwingpost.core.requests import Refusal
 from redwingpost.ports.clock import Clock
 from redwingpost.observability.journal import log_event
@@ -41,6 +49,9 @@
 #: Rows per page; the store returns no more in one answer.
 _PAGE_ROWS = 500
 
+#: Largest number of the store that a version holds.
+_MAX_NUMBER = number_of(-1)
+
 #: Header with the number of the store's era, which each restore from an
 #: older copy raises.
 _ERA_HEADER = b"store-era"
@@ -83,10 +94,13 @@
                 detail = "restored between two pages"
                 return Error(Refusal(Code.STORE_UNAVAILABLE, detail))
             era = page_era
-            rows.extend(_decode_row(item, era) for item in page["rows"])
+            try:
+                read = _decode_page(page, era)
+            except UNREADABLE as error:
+                return Error(_unreadable(error))
+            rows.extend(read.rows)
             if not page.get("hasMore"):
-                version = make_version(era, page["ver"])
-                return Ok(Snapshot(tuple(rows), version, page["nowMs"]))
+                return Ok(read._replace(rows=tuple(rows)))
             # A range includes its start, so start at the smallest key
             # after the last one read.
             start = rows[-1].key + "\0"
@@ -117,7 +131,12 @@
         if answer.status == 410 or era.ok != era_of(after):
             return Ok(Changes((), 0, history_lost=True))
         read = _decode_answer(answer)
-        return read.map(lambda got: _decode_changes(got, era.ok))
+        if read.is_error():
+            return read
+        try:
+            return Ok(_decode_changes(read.ok, era.ok))
+        except UNREADABLE as error:
+            return Error(_unreadable(error))
 
     async def transact(
         self, conditions: tuple[Condition, ...], writes: tuple[Write, ...]
@@ -161,16 +180,7 @@
             # for, and whether a write was kept, must be read back.
             detail = "the store's era is another than before the call"
             return Error(Refusal(Code.STORE_OUTCOME_UNKNOWN, detail))
-        if answer.status == 412:
-            rows = decode_json(answer.body).get("rows", [])
-            conflicts = tuple(_decode_row(item, noted.ok) for item in rows)
-            return Ok(TransactResult(False, (), conflicts))
-        read = _decode_answer(answer)
-        return read.map(
-            lambda got: TransactResult(
-                True, (make_version(noted.ok, got["ver"]),), ()
-            )
-        )
+        return _decode_transaction(answer, noted.ok)
 
     async def _get(self, target: str) -> Result[tuple[int, Any], Refusal]:
         """Return the era and the body of an answer."""
@@ -223,15 +233,60 @@
         return Error(Refusal(Code.STORE_UNAVAILABLE, str(error)))
 
 
+def _unreadable(error: Exception) -> Refusal:
+    detail = f"{type(error).__name__}: {error}"
+    return Refusal(Code.STORE_UNAVAILABLE, f"unreadable answer: {detail}")
+
+
+def _decode_transaction(
+    answer: HttpAnswer, era: int
+) -> Result[TransactResult, Refusal]:
+    """Return the result of a transaction that the store has answered."""
+    if answer.status == 412:
+        try:
+            got = decode_json(answer.body)
+            rows = [_decode_row(item, era) for item in got.get("rows", [])]
+        except UNREADABLE as error:
+            log_event("store-answer-unreadable", detail=str(error))
+            rows = []
+        return Ok(TransactResult(False, (), tuple(rows)))
+    if answer.status != 200:
+        detail = f"status {answer.status}"
+        return Error(Refusal(Code.STORE_UNAVAILABLE, detail))
+    try:
+        version = _make_version(era, decode_json(answer.body)["ver"])
+    except UNREADABLE as error:
+        # The writes are kept, under a version that must be read back.
+        detail = _unreadable(error).detail
+        return Error(Refusal(Code.STORE_OUTCOME_UNKNOWN, detail))
+    return Ok(TransactResult(True, (version,), ()))
+
+
+def _make_version(era: int, number: Any) -> int:
+    if not is_whole(number, _MAX_NUMBER):
+        raise ForeignError(f"ver: {number!r}; allowed: 0 to {_MAX_NUMBER}")
+    return make_version(era, number)
+
+
+def _decode_page(page: dict[str, Any], era: int) -> Snapshot:
+    rows = tuple(_decode_row(item, era) for item in page["rows"])
+    now_ms = page["nowMs"]
+    if not is_number(now_ms):
+        raise ForeignError(f"nowMs: {now_ms!r}; allowed: 0 to {MAX_WHOLE}")
+    return Snapshot(rows, _make_version(era, page["ver"]), int(now_ms))
+
+
 def _decode_row(item: dict[str, Any], era: int) -> Row:
     """Return a row; its value is None if it can't be decoded."""
     try:
         value = decode_json(b64decode(item.get("value", ""), validate=True))
     except (Base64Error, TypeError, ValueError):
         value = None
-    number = item.get("ver", 0)
-    version = make_version(era, number) if number else 0
-    return Row(item["table"], item["key"], version, value)
+    table, key, number = item["table"], item["key"], item.get("ver", 0)
+    if not (isinstance(table, str) and isinstance(key, str)):
+        raise ForeignError(f"table {table!r}, key {key!r}; allowed: str")
+    version = _make_version(era, number) if number != 0 else 0
+    return Row(table, key, version, value)
 
 
 def _decode_changes(got: dict[str, Any], era: int) -> Changes:
@@ -239,7 +294,7 @@
         RowChange(_decode_row(item, era), bool(item.get("removed")))
         for item in got.get("rows", [])
     )
-    return Changes(tuple(changes), make_version(era, got["ver"]))
+    return Changes(tuple(changes), _make_version(era, got["ver"]))
 
 
 def _encode_condition(condition: Condition) -> dict[str, Any]:
--- a/redwingpost/platform/tests/test_decoding.py
+++ b/redwingpost/platform/tests/test_decoding.py
@@ -5,8 +5,9 @@
 from tempfile import TemporaryDirectory
 from typing import Any
 from unittest import IsolatedAsyncioTestCase, TestCase
-from unittest.mock import patch
+from unittest.mock import AsyncMock, patch
 
+from redwingpost.adapters.http_client import HttpAnswer, HttpClient
 from redwingpost.configuration.routes import Consistency
 from redwingpost.core.codes import Code
 from redwingpost.node.tests.line_site import configuration
@@ -373,6 +374,10 @@
         )
 
 
+def _ok(body: bytes) -> HttpAnswer:
+    return HttpAnswer(200, body)
+
+
 class StoreTest(IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.stand_in = StandInStore()
@@ -463,6 +468,53 @@
         self.assertEqual(Code.STORE_OUTCOME_UNKNOWN.name, done.error.code.name)
         self.assertEqual(1, len((await self.store.snapshot("t")).ok.rows))
 
+    async def test_answers_that_cannot_be_read(self) -> None:
+        """Guards against an answer that ends the task which asked.
+
+        A write that was answered with success may have been kept.
+        """
+        good = {"rows": [], "ver": 7, "nowMs": 5, "hasMore": False}
+        row = {"table": "t", "part": "", "key": "k", "value": "e30=", "ver": 3}
+        usable = (("nowMs", 2**48), ("nowMs", 0.5))
+        cases = [
+            (name, odd)
+            for name in good
+            for odd in (2**48, 10**30, -1, 0.5, True, "7", None, {"a": 1})
+            if name != "hasMore" and (name, odd) not in usable
+        ]
+        cases += [
+            ("rows", [{**row, name: odd}])
+            for name in ("table", "key", "ver")
+            for odd in (2**60, -1, 0.5, None, [])
+        ]
+        cases += [("rows", [7]), ("rows", 7)]
+        unavailable = Code.STORE_UNAVAILABLE.name
+        bodies = [dumps({**good, name: odd}).encode() for name, odd in cases]
+        bodies += [b"", b"{", b"[]", b"7", b"null", b"[" * 9000]
+        write = Write("t", "k", {})
+        for body in bodies:
+            with self.subTest(body=body[:80]):
+                with patch.object(
+                    HttpClient, "request", AsyncMock(return_value=_ok(body))
+                ):
+                    read = await self.store.snapshot("t")
+                    self.assertEqual(unavailable, read.error.code.name)
+                    changed = await self.store.changes("t", 1, 1.0, 2.0)
+                    if b"nowMs" not in body or b'"nowMs": 5' in body:
+                        self.assertEqual(unavailable, changed.error.code.name)
+                    done = await self.store.transact((), (write,))
+                    if done.is_error():
+                        self.assertEqual(
+                            Code.STORE_OUTCOME_UNKNOWN.name,
+                            done.error.code.name,
+                        )
+                refused = HttpAnswer(412, body)
+                with patch.object(
+                    HttpClient, "request", AsyncMock(return_value=refused)
+                ):
+                    done = await self.store.transact((), (write,))
+                    self.assertFalse(done.ok.committed)
+
     async def test_a_store_that_refuses(self) -> None:
         self.stand_in.faults.is_down = True
         for call in (
