Pages between VMs: check versions, keys and ages

A page with a version that is a text, or a key that is a list, raised where it was applied, each time that the table was followed; one with a negative age dated the copy to come.

--- a/redwingpost/node/fleet/copies.py
+++ b/redwingpost/node/fleet/copies.py
@@ -13,11 +13,11 @@
 from redwingpost.adapters.http_client import HttpClient, HttpLost
 from redwingpost.adapters.http_pages import Page
 from redwingpost.core.codes import Code
-from redwingpost.core.foreign import UNREADABLE
+from redwingpost.core.foreign import UNREADABLE, ForeignError
 from redwingpost.core.requests import Refusal
 from redwingpost.groups.evacuations import Evacuations
 from redwingpost.node.fleet.table_copy import TableCopy
-from redwingpost.node.fleet.table_pages import CONTENT_TYPE
+from redwingpost.node.fleet.table_pages import CONTENT_TYPE, decode_row
 from redwingpost.ports.platform import Row
 from redwingpost.wire.pages import PageError, pack_page, unpack_page
 
@@ -85,9 +85,15 @@
 
 def _decode(body: dict[str, Any]) -> CopiedRows:
     configuration = body["configuration"]
-    members = tuple(Row(*item) for item in body["members"])
+    members = tuple(decode_row(item) for item in body["members"])
     return CopiedRows(
-        Row(*configuration) if configuration else None,
+        decode_row(configuration) if configuration else None,
         members,
-        tuple(body.get("evacuated", ())),
+        _decode_names(body.get("evacuated", [])),
     )
+
+
+def _decode_names(names: list[str]) -> tuple[str, ...]:
+    if not all(isinstance(name, str) for name in names):
+        raise ForeignError(f"evacuated: {names!r}")
+    return tuple(names)
--- a/redwingpost/node/fleet/table_pages.py
+++ b/redwingpost/node/fleet/table_pages.py
@@ -17,10 +17,15 @@
 from redwingpost.adapters.http_client import HttpAnswer
 from redwingpost.adapters.http_pages import Page
 from redwingpost.core.codes import Code
-from redwingpost.core.foreign import UNREADABLE
+from redwingpost.core.foreign import (
+    UNREADABLE,
+    ForeignError,
+    is_number,
+    is_whole,
+)
 from redwingpost.core.requests import Refusal
 from redwingpost.node.fleet.table_copy import TableCopy
-from redwingpost.ports.fleet_store import Changes, RowChange
+from redwingpost.ports.fleet_store import Changes, RowChange, make_version
 from redwingpost.ports.platform import Row
 from redwingpost.wire.pages import PageError, pack_page, unpack_page
 
@@ -37,6 +42,9 @@
 #: answer at least once a second, an empty one if nothing has changed.
 CURRENT_WAIT_S = 0.9
 
+#: Largest version: an era is a number of at most 18 digits.
+_MAX_VERSION = make_version(10**18, 0)
+
 #: Ages are rounded up to this many seconds, so that readers woken by the
 #: same change get the same page.
 _AGE_STEP_S = 0.05
@@ -129,13 +137,32 @@
     }
 
 
+def decode_row(item: list[Any]) -> Row:
+    """Return a row that another VM has sent.
+
+    Raises
+    ------
+    ForeignError
+        If a field can't be one of a row.
+    """
+    row = Row(*item)
+    if not (
+        isinstance(row.table, str)
+        and isinstance(row.key, str)
+        and is_whole(row.version, _MAX_VERSION)
+    ):
+        raise ForeignError(f"row: {row[:3]}")
+    return row
+
+
 def _decode(body: dict[str, Any]) -> Changes:
     changes = tuple(
-        RowChange(Row(*item[:-1]), item[-1]) for item in body["changes"]
+        RowChange(decode_row(item[:-1]), bool(item[-1]))
+        for item in body["changes"]
     )
+    version, age_ms = body["version"], body.get("age_ms", 0)
+    if not (is_whole(version, _MAX_VERSION) and is_number(age_ms)):
+        raise ForeignError(f"version: {version!r}, age_ms: {age_ms!r}")
     return Changes(
-        changes,
-        body["version"],
-        body["history_lost"],
-        body.get("age_ms", 0) / 1000.0,
+        changes, version, bool(body["history_lost"]), age_ms / 1000.0
     )
--- a/redwingpost/platform/tests/test_fuzz_decoders.py
+++ b/redwingpost/platform/tests/test_fuzz_decoders.py
@@ -12,6 +12,7 @@
 from typing import Any
 from unittest import TestCase
 from unittest.mock import patch
+from zlib import compress
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -20,6 +21,7 @@
 from redwingpost.groups.directory import Directory
 from redwingpost.leases.duty import DutyRow
 from redwingpost.node.fleet.registry import MemberReader, RulesReader
+from redwingpost.node.fleet.table_copy import TableCopy
 from redwingpost.node.fleet.table_pages import read_changes
 from redwingpost.node.fleet.vm_list import VM_PREFIX, FleetReader
 from redwingpost.node.takeover.rosters import ROSTER_PREFIX, decode_rosters
@@ -54,6 +56,16 @@
 _ROSTER = {"m1": ["10.0.0.1", 80, "a"], "m2": ["10.0.0.2", 80, "b"]}
 _DUTY = {"holder": "vm-1", "fence": 4, "until_ms": 9000, "era": 1}
 
+_PAGE = {
+    "changes": [
+        ["servers", "m1", 4, MEMBER, False],
+        ["servers", "m2", 5, None, True],
+    ],
+    "version": 5,
+    "history_lost": False,
+    "age_ms": 50,
+}
+
 #: Texts that look like an address or a number and aren't.
 _SPECIAL = st.sampled_from(
     [
@@ -201,6 +213,57 @@
                 continue
             read_changes(HttpAnswer(200, packed))
 
+    @_FUZZ
+    @given(_texts_of(_PAGE))
+    def test_pages_in_use(self, text: bytes) -> None:
+        read = read_changes(HttpAnswer(200, compress(text)))
+        if read.is_error():
+            return
+        directory = Directory()
+        reader = MemberReader(
+            directory,
+            FORMAT,
+            VirtualClock(),
+            lambda: None,
+            lambda member: False,
+        )
+        copy = TableCopy(None)
+        with patch("redwingpost.observability.journal.logger"):
+            for change in copy.note_changes(read.ok):
+                if change.is_removed:
+                    reader.on_removed((change.row.key,))
+                else:
+                    reader.on_rows((change.row,))
+        self.assertGreaterEqual(read.ok.age_s, 0.0)
+        pack_page([list(row) for row in copy.row_by_key.values()])
+
+    def test_odd_pages(self) -> None:
+        """Guards against a page that ends the reading of its table."""
+        good = {**_PAGE, "changes": [["servers", "m", 4, MEMBER, False]]}
+        self.assertTrue(read_changes(_page(good)).is_ok())
+        cases = (
+            {"version": "7"},
+            {"version": -1},
+            {"version": 0.5},
+            {"version": True},
+            {"version": None},
+            {"age_ms": -1},
+            {"age_ms": 1e308},
+            {"age_ms": "5"},
+            {"changes": [["servers", ["m"], 4, None, False]]},
+            {"changes": [["servers", "m", "4", None, False]]},
+            {"changes": [["servers", "m", 2**200, None, False]]},
+            {"changes": [[None, "m", 4, None, False]]},
+        )
+        for fields in cases:
+            with self.subTest(fields=fields):
+                read = read_changes(_page({**good, **fields}))
+                self.assertTrue(read.is_error())
+
+
+def _page(body: Any) -> HttpAnswer:
+    return HttpAnswer(200, pack_page(body))
+
 
 class _TakesRules:
     def take_rules(self, rules: Any) -> bool:
