--- a/redwingpost/bench/tests/test_restore.py
+++ b/redwingpost/bench/tests/test_restore.py
@@ -2,7 +2,8 @@
 
 from unittest import IsolatedAsyncioTestCase
 
-from redwingpost.bench.restore import RestorePlay, play_seeds
+from redwingpost.bench.plays import play_seeds
+from redwingpost.bench.restore import RestorePlay
 
 _SEED = 7
 
@@ -12,7 +13,9 @@
         """Guards against what a restore loses while much else happens."""
         plays: list[RestorePlay] = []
         seeds = range(_SEED, _SEED + 1)
-        await play_seeds(seeds, 1, lambda seed, play: plays.append(play))
+        await play_seeds(
+            RestorePlay, seeds, 1, lambda seed, play: plays.append(play)
+        )
         self.assertIn("restore", " ".join(plays[0].events))
         self.assertEqual([], plays[0].violations)
         self.assertGreater(plays[0].codes[""], 100)
--- a/redwingpost/cli/bench.py
+++ b/redwingpost/cli/bench.py
@@ -1,6 +1,7 @@
 """``redwing-bench``: experiments with load and faults on real programs."""
 
 from asyncio import run as run_loop
+from collections.abc import Callable
 from json import loads
 from pathlib import Path
 from signal import SIGTERM, default_int_handler, signal
@@ -220,25 +221,62 @@
     Example: redwing-bench restore --seeds 50
     """
     # Imported here, as other commands do without the nodes' stand-ins.
-    from redwingpost.bench.restore import RestorePlay, play_seeds
+    from redwingpost.bench.restore import RestorePlay
+
+    _play(RestorePlay, range(first, first + seeds), jobs)
+
+
+@app.command()
+def takeovers(
+    seeds: Annotated[int, Option(help="Number of seeds to play")] = 1,
+    first: Annotated[int, Option(help="The first seed")] = 1,
+    jobs: Annotated[int, Option(help="Plays at a time")] = 3,
+    tree: Annotated[
+        Path | None, Option(help="Checkout whose sources the nodes run")
+    ] = None,
+    directory: Annotated[
+        Path, Option(help="Folder for logs and orders of violations")
+    ] = Path("/tmp/redwing-takeovers"),
+    answered_late: Annotated[
+        float, Option(help="Share of late promotions answered at once")
+    ] = 0.3,
+) -> None:
+    """Play node processes around takeovers, looking for lost commits.
+
+    Example: redwing-bench takeovers --seeds 50
+    """
+    from redwingpost.bench.takeovers import TakeoverPlay
+
+    def make(seed: int) -> TakeoverPlay:
+        return TakeoverPlay(
+            seed, tree, directory, answered_late_share=answered_late
+        )
+
+    _play(make, range(first, first + seeds), jobs)
+
+
+def _play(make: Callable, seeds: range, jobs: int) -> None:
+    """Play seeds, print each play, and exit 3 if one has violations."""
+    from redwingpost.bench.plays import Play, play_seeds
 
     violated: list[int] = []
 
-    def show(seed: int, play: RestorePlay) -> None:
+    def show(seed: int, play: Play) -> None:
         if play.violations:
             violated.append(seed)
         print(
             f"seed {seed}: {play.codes['']} served,"
             f" {play.codes.total() - play.codes['']} not;"
-            f" {len(play.violations)} violations"
+            f" {len(play.violations)} violations",
+            flush=True,
         )
         if play.violations:
             print(f"  events: {', '.join(play.events)}")
         for violation in play.violations:
-            print(f"  {violation}")
+            print(f"  {violation}", flush=True)
 
-    run_loop(play_seeds(range(first, first + seeds), jobs, show))
-    print(f"{seeds} plays, {len(violated)} with violations: {violated}")
+    run_loop(play_seeds(make, seeds, jobs, show))
+    print(f"{len(seeds)} plays, {len(violated)} with violations: {violated}")
     if violated:
         raise Exit(EXIT_VIOLATED)
 
--- a/redwingpost/node/tests/line_site.py
+++ b/redwingpost/node/tests/line_site.py
@@ -67,8 +67,14 @@
     """One node process and its ports."""
 
     def __init__(
-        self, ip: str, ports: dict[str, int], process: Process, log: Path
+        self,
+        vm: str,
+        ip: str,
+        ports: dict[str, int],
+        process: Process,
+        log: Path,
     ) -> None:
+        self.vm = vm
         self.ip = ip
         self.ports = ports
         self.process = process
@@ -136,24 +142,41 @@
     """The stand-ins and node processes of one test.
 
     ``settings`` are added to the settings of nodes that start from then on.
+
+    Parameters
+    ----------
+    standins : LineSite or None
+        The stand-ins; by default new ones without faults.
+    groups : tuple of str
+        Names of the groups.
+    tree : Path or None
+        Checkout whose sources the nodes run; by default this one.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        standins: LineSite | None = None,
+        groups: tuple[str, ...] = ("g1",),
+        tree: Path | None = None,
+    ) -> None:
         self.settings: dict[str, Any] = {}
+        self.groups = groups
+        self.configuration = configuration(1)
+        self._tree = tree
         number = next(_SITES)
         # Each site has its own addresses: nodes share one inner port, and
         # tests may run in parallel.
         self._prefix = f"127.{40 + getpid() % 200}.{number % 250}"
-        self.standins = LineSite()
+        self.standins = standins or LineSite()
         self.nodes: list[NodeProcess] = []
         self._numbers = count(1)
         self._inner_ports: list[int] = []
-        self._folder = Path(mkdtemp(prefix="redwing-node-"))
+        self.folder = Path(mkdtemp(prefix="redwing-node-"))
 
     async def start(self, nodes: int = 2) -> None:
         """Start the stand-ins and the nodes; wait until all are ready."""
-        await self.standins.start(("g1",))
-        self.standins.configure(configuration(1))
+        await self.standins.start(self.groups)
+        self.standins.configure(self.configuration)
         first_ip = f"{self._prefix}.1"
         self._inner_ports = [find_free_port(first_ip) for _ in range(2)]
         for _ in range(nodes):
@@ -177,20 +200,37 @@
             "ready": find_free_port(ip),
             "metrics": self._inner_ports[-1],
         }
-        path = self._folder / f"node-{number}.json"
-        settings = self._settings(f"vm-{number}", ip, ports)
+        path = self.folder / f"node-{number}.json"
+        vm = f"vm-{number}"
+        settings = self._settings(vm, ip, ports)
         settings.update({"zone": data_centre, **self.settings})
         path.write_text(dumps(settings))
         log = path.with_suffix(".log")
-        process = await _start_process(path, log)
-        node = NodeProcess(ip, ports, process, log)
+        process = await self._start_process(path, log)
+        node = NodeProcess(vm, ip, ports, process, log)
         self.nodes.append(node)
         return node
 
     async def start_again(self, node: NodeProcess) -> None:
         """Start a node that has ended, under its name and at its address."""
         path = node.log.with_suffix(".json")
-        node.process = await _start_process(path, node.log)
+        node.process = await self._start_process(path, node.log)
+
+    async def _start_process(self, path: Path, log: Path) -> Process:
+        """Start a node process; it adds its lines to those in the log."""
+        variables = {**environ, PATH_VARIABLE: str(path)}
+        if self._tree is not None:
+            variables["PYTHONPATH"] = str(self._tree)
+        with log.open("ab") as stdout:
+            return await create_subprocess_exec(
+                executable,
+                "-m",
+                "redwingpost.cli.node",
+                env=variables,
+                cwd=self._tree,
+                stdout=stdout,
+                stderr=PIPE,
+            )
 
     def _settings(self, vm: str, ip: str, ports: dict) -> dict[str, Any]:
         standins = self.standins
@@ -210,19 +250,6 @@
         }
 
 
-async def _start_process(path: Path, log: Path) -> Process:
-    """Start a node process; it adds its lines to those in the log."""
-    with log.open("ab") as stdout:
-        return await create_subprocess_exec(
-            executable,
-            "-m",
-            "redwingpost.cli.node",
-            env={**environ, PATH_VARIABLE: str(path)},
-            stdout=stdout,
-            stderr=PIPE,
-        )
-
-
 async def until(holds: Callable, what: str = "it") -> None:
     """Wait until a condition holds."""
 
--- a/redwingpost/standin/lines/group.py
+++ b/redwingpost/standin/lines/group.py
@@ -191,6 +191,18 @@
         member.applied = min(member.applied, len(member.log))
         member.catch_up()
 
+    def pause(self, member: LineMember, term: int) -> None:
+        """Let a member receive no entries of terms below ``term``."""
+        member.paused_for = term
+
+    def resume(self, member: LineMember) -> None:
+        """End a member's pause; it receives what it has missed."""
+        member.paused_for = 0
+        leader = self.newest_primary()
+        if leader is not None and leader is not member:
+            self.follow(member, leader)
+        self.wake()
+
     def step_down(self, member: LineMember, term: int) -> None:
         """Make a primary of a term below ``term`` a replica."""
         if member.is_primary and member.term < term:
--- a/redwingpost/standin/lines/member_server.py
+++ b/redwingpost/standin/lines/member_server.py
@@ -65,11 +65,22 @@
         while self.member.is_unresponsive:
             await sleep(0.02)
 
+    async def before_statement(
+        self, connection: "MemberConnection", request: str, text: str
+    ) -> None:
+        """Wait until a statement that has arrived may be executed."""
+        await self.wait_while_unresponsive()
+
+    async def before_answer(
+        self, connection: "MemberConnection", request: str
+    ) -> None:
+        """Wait until the answer to a statement may be sent."""
+
     async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
         self._writers.add(writer)
         self.connections += 1
         try:
-            await _Connection(self, reader, writer).run()
+            await MemberConnection(self, reader, writer).run()
         except (IncompleteReadError, OSError, CancelledError):
             # The caller disconnected or the stand-in stops; an open
             # transaction is rolled back. Cancellation is caught as well:
@@ -81,7 +92,7 @@
             writer.close()
 
 
-class _Connection:
+class MemberConnection:
     """One caller's connection.
 
     ``_state`` is the transaction state sent with ``READY``: ``I`` idle,
@@ -95,17 +106,28 @@
         self._member = server.member
         self._reader = reader
         self._writer = writer
+        self.caller_port = writer.get_extra_info("peername")[1]
         self._state = "I"
         self._is_plain = False
         self._writes: dict[str, str] = {}
         self._shapes: dict[str, str] = {}
 
+    @property
+    def is_abandoned(self) -> bool:
+        """Whether the caller has closed the connection."""
+        return self._reader.at_eof()
+
+    @property
+    def is_reset(self) -> bool:
+        """Whether the caller has reset the connection."""
+        return self._reader.exception() is not None
+
     async def run(self) -> None:
         """Check the startup line, then answer queries until the end."""
         word, service, organisation, *expected = (
             await self._read_line()
         ).split()
-        await self._server.wait_while_unresponsive()
+        await self._server.before_statement(self, "", word)
         is_wrong_member = service != self._server.group.name or (
             expected and expected[0] != self._member.name
         )
@@ -128,7 +150,7 @@
     async def _answer(self, request: str, text: str) -> None:
         if request != OWN_REQUEST:
             self._member.arrived_at.append(monotonic())
-        await self._server.wait_while_unresponsive()
+        await self._server.before_statement(self, request, text)
         try:
             rows, proof = await self._execute(request, text)
             lines = [f"DATAROW {row}" for row in rows]
@@ -140,6 +162,7 @@
         if self._member.lose_answers > 0 and request != OWN_REQUEST:
             self._member.lose_answers -= 1
             return
+        await self._server.before_answer(self, request)
         self._send("\r\n".join([*lines, self._ready_line()]))
 
     async def _execute(self, request: str, text: str) -> tuple[list, str]:
@@ -227,16 +250,11 @@
         return [f"{row} {self._server.connections}"], "-"
 
     async def _do_pause(self, request: str, rest: str) -> tuple[list, str]:
-        self._member.paused_for = int(rest)
+        self._server.group.pause(self._member, int(rest))
         return await self._do_status(request, "")
 
     async def _do_resume(self, request: str, rest: str) -> tuple[list, str]:
-        member = self._member
-        member.paused_for = 0
-        leader = self._server.group.newest_primary()
-        if leader is not None and leader is not member:
-            self._server.group.follow(member, leader)
-        self._server.group.wake()
+        self._server.group.resume(self._member)
         return await self._do_status(request, "")
 
     async def _do_stepdown(self, request: str, rest: str) -> tuple[list, str]:
--- a/redwingpost/standin/lines/site.py
+++ b/redwingpost/standin/lines/site.py
@@ -123,26 +123,38 @@
         """Return the name of the member that was promoted last."""
         return self.group_by_name[group].last_primary.name
 
+    def make_group(self, name: str, members: tuple[str, ...]) -> LineGroup:
+        """Return a new group."""
+        return LineGroup(name, members)
+
+    def make_server(self, group: LineGroup, member: str) -> MemberServer:
+        """Return a member's server, not started yet."""
+        return MemberServer(group, group.member_by_name[member])
+
+    async def start_member(self, group: LineGroup, member: str) -> None:
+        """Start a member's server, without an entry in the store."""
+        server = self.make_server(group, member)
+        port = await server.start(self.ip)
+        self.server_by_member[member] = server
+        self._entry_by_member[member] = {
+            "service": group.name,
+            "address": f"{self.ip}:{port}",
+            "zone": "dc-a",
+            "configVersion": "v1",
+            "slots": 5,
+            "state": "ready",
+            "coldLeftMs": 0,
+            "dbRole": "primary" if server.member.is_primary else "replica",
+            "seq": 0,
+            "born": int(time() * 1000),
+        }
+
     async def _start_group(self, name: str) -> None:
         members = tuple(f"{name}-m{number}" for number in (1, 2, 3))
-        group = LineGroup(name, members)
+        group = self.make_group(name, members)
         self.group_by_name[name] = group
         for member in members:
-            server = MemberServer(group, group.member_by_name[member])
-            port = await server.start(self.ip)
-            self.server_by_member[member] = server
-            self._entry_by_member[member] = {
-                "service": name,
-                "address": f"{self.ip}:{port}",
-                "zone": "dc-a",
-                "configVersion": "v1",
-                "slots": 5,
-                "state": "ready",
-                "coldLeftMs": 0,
-                "dbRole": "primary" if server.member.is_primary else "replica",
-                "seq": 0,
-                "born": int(time() * 1000),
-            }
+            await self.start_member(group, member)
             self.register(member)
 
     async def _promote(self, request: Request) -> Response:
