Members: give a connection up that has ended already

Cause: a command is given up after its member, or a reset, has ended the connection, as after a suspension. The socket is closed by then, and setting an option on it raised OSError in place of the cancellation: a takeover ended as 'failed: OSError' and left its pauses.

Evidence: test_a_connection_that_ended_as_it_is_given_up, OSError before.

--- a/redwingpost/adapters/http_client.py
+++ b/redwingpost/adapters/http_client.py
@@ -6,6 +6,7 @@
 
 from asyncio import StreamReader, StreamWriter, open_connection, wait_for
 from collections.abc import Callable
+from contextlib import suppress
 from socket import (
     IPPROTO_TCP,
     SO_KEEPALIVE,
@@ -291,8 +292,10 @@
 
     After an ordinary close it goes on sending for seconds.
     """
-    socket = writer.get_extra_info("socket")
-    socket.setsockopt(SOL_SOCKET, SO_LINGER, _NO_LINGER)
+    # The far end may have closed it, and the loop its socket with it.
+    with suppress(OSError):
+        socket = writer.get_extra_info("socket")
+        socket.setsockopt(SOL_SOCKET, SO_LINGER, _NO_LINGER)
     writer.transport.abort()
 
 
--- a/redwingpost/platform/tests/test_member_link.py
+++ b/redwingpost/platform/tests/test_member_link.py
@@ -1,10 +1,13 @@
 """Tests of a connection to a member: pipelining and answers."""
 
 from asyncio import (
+    CancelledError,
     Future,
     StreamReader,
     StreamWriter,
+    create_task,
     get_running_loop,
+    sleep,
     start_server,
     wait_for,
 )
@@ -76,6 +79,16 @@
         self.assertIs(ConnectionResetError, await wait_for(ended, 5.0))
         self.assertFalse(link.is_open)
 
+    async def test_a_connection_that_ended_as_it_is_given_up(self) -> None:
+        """Guards against a takeover that ends by an error of a socket."""
+        link = await self._open(["COMPLETE -"])
+        waiting = create_task(link._exchange("QUERY - PAUSE 2"))
+        await sleep(0.01)
+        link._writer.get_extra_info("socket")._sock.close()
+        waiting.cancel()
+        with self.assertRaises(CancelledError):
+            await waiting
+
     async def test_all_set_up_steps_are_sent_together(self) -> None:
         """Set-up steps are sent one by one, each after the last answer.
 
