Commits: those that wait for replicas share one query

Cause: while another VM can't reach the primary, each commit asked all replicas on its own, one exchange after the other on each control connection.

Change: all that wait share the next query, as proofs of the lead do.

Evidence: test_commits_share_one_query: 2 requests for 50 commits, 100 before.

--- a/redwingpost/node/lead_proofs.py
+++ b/redwingpost/node/lead_proofs.py
@@ -2,6 +2,7 @@
 
 from asyncio import gather
 from collections.abc import Callable
+from functools import partial
 
 from redwingpost.groups.confirmation import (
     FAILS_ELSEWHERE_S,
@@ -13,7 +14,7 @@
 from redwingpost.groups.evidence import RECENT_RESTART_S, GroupEvidence
 from redwingpost.membership.vm_table import VmTable
 from redwingpost.node.member import MemberClient
-from redwingpost.node.prover import SharedProof
+from redwingpost.node.prover import SharedQuery
 from redwingpost.ports.clock import Clock
 from redwingpost.ports.database import StatusReport
 
@@ -66,7 +67,10 @@
         self._clock = clock
         self._is_primary_suspect = is_primary_suspect
         self._on_answers = on_answers
-        self._proof = SharedProof(self._query)
+        self._proof = SharedQuery(self._query, failed=False)
+        self._answers_by_leader: dict[
+            str, SharedQuery[tuple[ReplicaAnswer, ...]]
+        ] = {}
 
     async def prove(self) -> bool:
         """Return whether the primary led at some moment after this call."""
@@ -112,7 +116,18 @@
         )
 
     async def query_replicas(self, leader: str) -> tuple[ReplicaAnswer, ...]:
-        """Request a report from all members but the primary."""
+        """Return a report of each member but the primary.
+
+        All that wait share one request: each on its own would wait for the
+        members' control connections beyond the time of a command.
+        """
+        shared = self._answers_by_leader.get(leader)
+        if shared is None:
+            shared = SharedQuery(partial(self._ask_replicas, leader), ())
+            self._answers_by_leader = {leader: shared}
+        return await shared.get()
+
+    async def _ask_replicas(self, leader: str) -> tuple[ReplicaAnswer, ...]:
         requested_at = self._clock.now()
         clients = [
             client
--- a/redwingpost/node/prover.py
+++ b/redwingpost/node/prover.py
@@ -1,28 +1,34 @@
-"""Shares one proof of the primary's lead among all that wait for it."""
+"""Shares the result of one query among all that wait for it."""
 
 from asyncio import Future, Task, create_task, get_running_loop, shield
 from collections.abc import Awaitable, Callable
+from typing import Generic, TypeVar
 
+T = TypeVar("T")
 
-class SharedProof:
+
+class SharedQuery(Generic[T]):
     """Runs one query at a time; all waiting calls share the next one.
 
-    A query's result is a proof only for calls made before it was sent, so
-    a call that arrives during a query waits for the following one.
+    A query's result holds only for calls made before it was sent, so a call
+    that arrives during a query waits for the following one.
 
     Parameters
     ----------
     query : callable
-        Runs one query; returns whether the lead was proven.
+        Runs one query; returns its result.
+    failed : object
+        The result if the query raises.
     """
 
-    def __init__(self, query: Callable[[], Awaitable[bool]]) -> None:
+    def __init__(self, query: Callable[[], Awaitable[T]], failed: T) -> None:
         self._query = query
+        self._failed = failed
         self._next: Future | None = None
         self._query_task: Task | None = None
 
-    async def get(self) -> bool:
-        """Return whether the primary led at some moment after this call."""
+    async def get(self) -> T:
+        """Return the result of a query that begins after this call."""
         if self._next is None or self._next.done():
             self._next = get_running_loop().create_future()
         waiting = self._next
@@ -34,9 +40,9 @@
         while self._next is not None and not self._next.done():
             waiting = self._next
             self._next = None
-            is_proven = False
+            result = self._failed
             try:
-                is_proven = await self._query()
+                result = await self._query()
             finally:
                 if not waiting.done():
-                    waiting.set_result(is_proven)
+                    waiting.set_result(result)
--- a/redwingpost/node/tests/test_group.py
+++ b/redwingpost/node/tests/test_group.py
@@ -1,5 +1,6 @@
 """How a group's client evaluates its members' reports."""
 
+from asyncio import gather
 from types import SimpleNamespace
 from unittest import IsolatedAsyncioTestCase
 
@@ -39,6 +40,7 @@
 
     def __init__(self) -> None:
         self.report_by_member: dict[str, StatusReport] = {}
+        self.asked = 0
 
     async def open(
         self, entry: MemberEntry, organisation: str, timeout_s: float
@@ -46,6 +48,7 @@
         """Open a link to a member."""
 
         async def status() -> StatusReport | None:
+            self.asked += 1
             return self.report_by_member.get(entry.member)
 
         return SimpleNamespace(is_open=True, status=status, close=lambda: None)
@@ -206,6 +209,16 @@
                     prepare()
                 self.assertEqual(expected, await self._confirm(sent_s_ago))
 
+    async def test_commits_share_one_query(self) -> None:
+        """Guards against commits that wait in turn for a member's answer."""
+        self._fail_elsewhere()
+        for member in ("m2", "m3"):
+            self._change(member, **_HOLDS)
+        self.members.asked = 0
+        told = await gather(*(self._confirm() for _ in range(50)))
+        self.assertEqual([True] * 50, told)
+        self.assertEqual(2, self.members.asked)
+
     async def test_a_primary_that_is_known_to_be_replaced(self) -> None:
         """Guards against proofs of the new primary's lead used for the old."""
         leader = self.group.member_by_name["m1"]
