Test of a rate over two nodes: the platform's bound, both nodes in force

test_the_rate_holds_over_two_nodes failed once, beside plays at a load average of 31: 120 of 240 calls served. The bound of half of the calls has no ground: what may be served depends on how long the calls take, and 120 are as many as one of the two nodes was sent, which had perhaps not put the rate in force; the test waited for the other alone.

--- a/redwingpost/node/tests/test_failures.py
+++ b/redwingpost/node/tests/test_failures.py
@@ -5,12 +5,21 @@
 from unittest import IsolatedAsyncioTestCase
 
 from redwingpost.node.tests.line_caller import LineCaller
-from redwingpost.node.tests.line_site import NodeSite, configuration, until
+from redwingpost.node.tests.line_site import (
+    NodeSite,
+    configuration,
+    until,
+    until_in_force,
+)
 
 #: Seconds for which members aren't listed: shorter than the time after
 #: which a member whose entry has lapsed counts as removed.
 LAPSED_S = 0.5
 
+#: What the platform's rules allow beyond a rate and its burst.
+OVERAGE = 0.1
+SLACK = 20
+
 _NOT_KEPT = {"BUSY", "ABORTED", "LAGGING", "READONLY", "MAXCONN"}
 
 
@@ -145,7 +154,8 @@
     async def test_the_rate_holds_over_two_nodes(self) -> None:
         """An organisation exceeds its rate limit many times on two nodes.
 
-        Together they may serve no more than its rate and burst.
+        Together they may serve no more than its rate and burst, for the time
+        that the calls take, and what the platform's rules allow beyond them.
         """
         changed = configuration(2)
         changed["tenants"][1].update(ratePerS=10, burst=10)
@@ -155,11 +165,14 @@
             for node in self.site.nodes
             for _ in range(3)
         ]
+        for node in self.site.nodes:
+            await until_in_force(node, 2)
         await until(lambda: self._is_limited(callers[0]))
-        # The burst, and the tokens added while both nodes are called.
+        began_at = monotonic()
         counts = await gather(*(self._count(item, 40) for item in callers))
-        served = sum(counts)
-        self.assertLess(served, 6 * 40 / 2)
+        took_s = monotonic() - began_at
+        allowed = (10 * took_s + 10) * (1.0 + OVERAGE) + SLACK
+        self.assertLessEqual(sum(counts), allowed, f"{counts}, {took_s} s")
 
     async def test_the_store_is_unavailable(self) -> None:
         """The platform's store is down.
