--- a/redwingpost/node/tests/test_odd_entries.py
+++ b/redwingpost/node/tests/test_odd_entries.py
@@ -110,7 +110,9 @@
     async def asyncSetUp(self) -> None:
         self.site = NodeSite()
         self.addAsyncCleanup(self.site.stop)
-        await self.site.start(nodes=2)
+        await self.site.start(nodes=1)
+        self.site.settings = {"contracts": ["places"]}
+        await until((await self.site.add_node()).is_ready)
         self.standins = self.site.standins
         self.store = self.standins.store
         self.random = Random(_SEED)
