--- a/redwingpost/core/foreign.py
+++ b/redwingpost/core/foreign.py
@@ -33,6 +33,9 @@
 #: and too large for what they are used for.
 _MAX_DIGITS = 18
 
+#: Largest number of that many digits, as members may count terms.
+MAX_COUNTED = 10**_MAX_DIGITS - 1
+
 #: Largest whole number that all readers of JSON agree on.
 MAX_WHOLE = 2**53
 
--- a/redwingpost/node/tests/odd_rows.py
+++ b/redwingpost/node/tests/odd_rows.py
@@ -68,7 +68,12 @@
 }
 _VM = {"ip": "0.0.0.0", "port": 1, "data_centre": "dc-a", "capacity": 1.0}
 _DUTY = {"holder": "vm-9", "fence": 1, "until_ms": 2**53, "era": 0}
-_ORDER = {"member": "g1-m9", "term": 2**50, "until_ms": 2**53}
+_ORDER = {
+    "member": "g1-m9",
+    "term": 2**50,
+    "until_ms": 2**53,
+    "sends": 1,
+}
 
 #: Numbers in a configuration, by section.
 _FIELDS_BY_SECTION = {
--- a/redwingpost/node/tests/test_coordinator.py
+++ b/redwingpost/node/tests/test_coordinator.py
@@ -422,6 +422,8 @@
             ("a term too large", {**good, "term": 10**30}),
             ("a negative term", {**good, "term": -1}),
             ("no name", {**good, "member": ["a"]}),
+            ("sends too large", {**good, "sends": 2**53}),
+            ("half a send", {**good, "sends": 0.5}),
         )
         for name, value in cases:
             for outcome in (OrderOutcome.ACCEPTED, OrderOutcome.REFUSED):
--- a/redwingpost/takeover/orders.py
+++ b/redwingpost/takeover/orders.py
@@ -16,7 +16,7 @@
 
 from typing import Any, NamedTuple
 
-from redwingpost.core.foreign import is_whole
+from redwingpost.core.foreign import MAX_COUNTED, is_whole
 
 #: Seconds after its record within which an order takes effect, if ever. It is
 #: recorded each time before it is sent, and may be under way for seconds.
@@ -31,6 +31,10 @@
 _MAX_LEFT_MS = 2 * ORDER_LIFETIME_S * 1000
 
 
+#: Largest number of sends that is recorded.
+_MAX_SENDS = 1000
+
+
 class OrderRecord(NamedTuple):
     """An order as recorded in the fleet's store.
 
@@ -45,8 +49,11 @@
     sends: int = 1
 
     def to_value(self) -> dict[str, Any]:
-        """Return the value to store in the order's row."""
-        return self._asdict()
+        """Return the value to store in the order's row.
+
+        From a few sends on their number makes no difference.
+        """
+        return self._replace(sends=min(self.sends, _MAX_SENDS))._asdict()
 
     @classmethod
     def from_value(cls, value: Any) -> "OrderRecord | None":
@@ -61,15 +68,19 @@
         """
         if not isinstance(value, dict):
             return None
-        member, *numbers = (
+        member, term, until_ms, sends = (
             value.get("member"),
             value.get("term"),
             value.get("until_ms"),
             value.get("sends", 1),
         )
-        if not isinstance(member, str) or not all(map(is_whole, numbers)):
-            return None
-        return cls(member, *numbers)
+        is_readable = (
+            isinstance(member, str)
+            and is_whole(term, MAX_COUNTED)
+            and is_whole(until_ms)
+            and is_whole(sends, _MAX_SENDS)
+        )
+        return cls(member, term, until_ms, sends) if is_readable else None
 
     def is_possible(self, now_ms: int) -> bool:
         """Return whether a VM can have recorded the order.
