--- a/redwingpost/node/tests/test_odd_entries.py
+++ b/redwingpost/node/tests/test_odd_entries.py
@@ -110,7 +110,9 @@
     async def asyncSetUp(self) -> None:
         self.site = NodeSite()
         self.addAsyncCleanup(self.site.stop)
-        await self.site.start(nodes=2)
+        await self.site.start(nodes=1)
+        self.site.settings = {"contracts": ["places"]}
+        await until((await self.site.add_node()).is_ready)
         self.standins = self.site.standins
         self.store = self.standins.store
         self.random = Random(_SEED)
@@ -120,7 +122,10 @@
     async def test_rows_of_all_tables(self) -> None:
         for number in range(_ROUNDS):
             await self._run_round()
-            print(f"round {number}: {self.put} rows, {self.written} writes")
+            if _ROUNDS > 1:
+                print(
+                    f"round {number}: {self.put} rows, {self.written} writes"
+                )
         for node in self.site.nodes:
             await self._check_process(node)
 
