Orders: one that has ended doesn't count as sent

Cause: the next order of a group was recorded as sent once more than the one before, also if that one had taken effect long ago. From the second promotion on a newer term no longer ended the record: for 10 s only the member that was promoted last could lead, and a new primary that failed in that time wasn't replaced.

Evidence: rows 'that took effect', 'that has ended' and 'two, ended since' of test_an_order_of_an_earlier_takeover expect one send; two were recorded.

--- a/redwingpost/node/takeover/orders.py
+++ b/redwingpost/node/takeover/orders.py
@@ -84,12 +84,12 @@
         order = self._under_way
         # The time of the claim: a later one would be an estimate.
         if order and not order.may_take_effect(term, self._claimed.now_ms):
-            self._under_way = None
+            self._drop()
 
     def note_replaced(self, members: frozenset[str]) -> None:
         """Drop an order whose member has ended, as another has its address."""
         if self.member in members:
-            self._under_way = None
+            self._drop()
 
     async def prepare(self, member: str, term: int) -> bool:
         """Record that an order is sent next; return whether it may be.
@@ -145,6 +145,11 @@
         ):
             self._under_way = None
 
+    def _drop(self) -> None:
+        self._under_way = None
+        self._is_unanswered = False
+        self._sends = 0
+
     def _now_ms(self) -> int:
         """Return the table service's time, or somewhat more."""
         elapsed_s = self._clock.now() - self._claimed.read_at
--- a/redwingpost/node/tests/test_coordinator.py
+++ b/redwingpost/node/tests/test_coordinator.py
@@ -379,6 +379,7 @@
             ("that has ended", ("a", 1, 900), "a", ["b"], ""),
             ("that took effect", ("a", 0, 9000), "a", ["b"], ""),
             ("one of two took effect", ("a", 0, 9000, 2), "a", [], ""),
+            ("two, ended since", ("a", 0, 900, 2), "a", ["b"], ""),
         )
         for name, order, silent, promoted, resumed in cases:
             with self.subTest(name):
@@ -391,6 +392,9 @@
                 await coordinator.run(Reason.LEAVING)
                 self.assertEqual(promoted, group.promoted)
                 self.assertEqual(list(resumed), group.resumed())
+                sends = [value["sends"] for _, value in group.recorded]
+                is_again = promoted == [order[0]]
+                self.assertEqual([2 if is_again else 1] * len(sends), sends)
 
     async def test_an_order_whose_member_started_again(self) -> None:
         """Guards against waiting for a member that has another name now."""
