Members: the time of a command holds also behind a suspension

Cause: wait_for of Python 3.11 loses its cancellation if the awaited step has just finished. A connection that opened while the process was suspended past the command's time was used: the command was sent late, and its answer waited for without a limit. The member stayed silent to this VM, and a takeover that waited never ended.

Change: asyncio.timeout, for commands and for new connections to members.

Evidence: test_a_command_behind_a_suspension: not ended after 5 s before.

--- a/redwingpost/node/member.py
+++ b/redwingpost/node/member.py
@@ -5,6 +5,7 @@
     Future,
     Lock,
     get_running_loop,
+    timeout,
     wait_for,
 )
 from collections import Counter
@@ -432,10 +433,10 @@
         is_silent = self.unanswered_s >= SILENT_S
         self.command_sent_at = self._clock.now()
         try:
-            return await wait_for(
-                self._send_in_turn(command, arguments, may_send),
-                SILENT_CONTROL_TIMEOUT_S if is_silent else CONTROL_TIMEOUT_S,
-            )
+            async with timeout(
+                SILENT_CONTROL_TIMEOUT_S if is_silent else CONTROL_TIMEOUT_S
+            ):
+                return await self._send_in_turn(command, arguments, may_send)
         except MemberRefused as refused:
             if refused.failure.kind is not FailureKind.TOO_MANY_CONNECTIONS:
                 self.failed_at = self._clock.now()
--- a/redwingpost/platform/member_link.py
+++ b/redwingpost/platform/member_link.py
@@ -7,7 +7,7 @@
     StreamReader,
     StreamWriter,
     open_connection,
-    wait_for,
+    timeout,
 )
 
 from redwingpost.adapters.http_client import reset_connection, tune_socket
@@ -156,7 +156,8 @@
     ) -> LineLink | MemberFailure:
         """Open a link, or return the member's refusal."""
         try:
-            return await wait_for(self._open(entry, organisation), timeout_s)
+            async with timeout(timeout_s):
+                return await self._open(entry, organisation)
         except (
             OSError,
             IncompleteReadError,
