Proofs: an error in one shared query leaves the next one running

Cause: an error ended the task of the queries; who had come meanwhile waited for a query that nobody ran. Found by a review.

Evidence: test_a_query_that_raises: the second caller waited on before.

--- a/redwingpost/node/prover.py
+++ b/redwingpost/node/prover.py
@@ -4,6 +4,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Generic, TypeVar
 
+from redwingpost.observability.journal import log_event
+
 T = TypeVar("T")
 
 
@@ -43,6 +45,9 @@
             result = self._failed
             try:
                 result = await self._query()
+            except Exception as error:
+                # Those that wait for the next query must get it.
+                log_event("query-failed", error=repr(error))
             finally:
                 if not waiting.done():
                     waiting.set_result(result)
