Takeover: an entry at a listed member's address doesn't replace it

Cause: an order under way ended once another member was listed at its member's address. Another writer's entry there is enough. Found by a review.

Change: only if the ordered member itself is off the list.

Evidence: test_an_order_whose_member_started_again, listed: another member was promoted before.

--- a/redwingpost/node/takeover/members.py
+++ b/redwingpost/node/takeover/members.py
@@ -70,17 +70,15 @@
         return self._roster.member_by_name
 
     def replaced(self) -> frozenset[str]:
-        """Return members at whose address another one is listed now."""
+        """Return members off the list at whose address another one is."""
         listed = self._directory.members_of(self._group.name)
-        name_by_address = {
-            (entry.ip, entry.port): entry.member for entry in listed
-        }
+        addresses = {(entry.ip, entry.port) for entry in listed}
         entries = (client.entry for client in self.clients.values())
         return frozenset(
             entry.member
             for entry in entries
-            if name_by_address.get((entry.ip, entry.port), entry.member)
-            != entry.member
+            if self._directory.get(entry.member) is None
+            and (entry.ip, entry.port) in addresses
         )
 
     def follow_directory(self) -> None:
--- a/redwingpost/node/tests/test_coordinator.py
+++ b/redwingpost/node/tests/test_coordinator.py
@@ -397,17 +397,24 @@
                 self.assertEqual([2 if is_again else 1] * len(sends), sends)
 
     async def test_an_order_whose_member_started_again(self) -> None:
-        """Guards against waiting for a member that has another name now."""
-        group = FakeGroup()
-        group.all_by_name["a"].is_silent = True
-        value = OrderRecord("a", 1, 9000).to_value()
-        row = Row(GROUP_TABLE, ORDER_PREFIX + _GROUP, 5, value)
-        takeover = self._coordinator(group, rows=(row,))
-        entry = group.all_by_name["a"].entry._replace(member="c")
-        group.add_member("c").entry = entry
-        group.directory.put(entry, 0.0)
-        await takeover.run(Reason.LEAVING)
-        self.assertEqual(["b"], group.promoted)
+        """Guards against waiting for a member that has another name now.
+
+        Another writer's entry at the member's address changes nothing.
+        """
+        for is_listed, promoted in ((False, ["b"]), (True, [])):
+            with self.subTest(is_listed=is_listed):
+                group = FakeGroup()
+                group.all_by_name["a"].is_silent = True
+                value = OrderRecord("a", 1, 9000).to_value()
+                row = Row(GROUP_TABLE, ORDER_PREFIX + _GROUP, 5, value)
+                takeover = self._coordinator(group, rows=(row,))
+                entry = group.all_by_name["a"].entry._replace(member="c")
+                group.add_member("c").entry = entry
+                group.directory.put(entry, 0.0)
+                if not is_listed:
+                    group.directory.remove("a", 0.0)
+                await takeover.run(Reason.LEAVING)
+                self.assertEqual(promoted, group.promoted)
 
     async def test_an_order_of_another_writer(self) -> None:
         """Guards against a row that forbids all promotions for good."""
