Orders: answers of a failing service don't say that nothing was done

500, 502 and 504 of the promotion service, or of what stands before it, count as no answer. They counted as refusals, after which members are resumed.

--- a/redwingpost/platform/orders.py
+++ b/redwingpost/platform/orders.py
@@ -15,6 +15,14 @@
 _TIMEOUT_S = 1.0
 
 
+#: Answers that don't say whether the order was taken.
+_MAY_ACT_LATER = (
+    HTTPStatus.INTERNAL_SERVER_ERROR,
+    HTTPStatus.BAD_GATEWAY,
+    HTTPStatus.GATEWAY_TIMEOUT,
+)
+
+
 class HttpPromotionOrders:
     """Implements ``PromotionOrders``."""
 
@@ -61,4 +69,6 @@
         )
         if answer.status == HTTPStatus.OK:
             return OrderOutcome.ACCEPTED
+        if answer.status in _MAY_ACT_LATER:
+            return OrderOutcome.UNANSWERED
         return OrderOutcome.REFUSED
