Commits: a VM that was suspended asks before it tells that one is kept

Cause: the signs of a takeover are what this VM has heard. After a suspension they are those of before: the primary's acknowledgement waits in the socket, and old heartbeats beside it make the VM one that hears the others. A takeover may have ended meanwhile, and a replica that had lost its pause confirmed the commit.

Two rows change, both to the stricter side: 'cut off until recently' asks, and 'ran on, other paused' leaves a commit open.

--- a/redwingpost/groups/confirmation.py
+++ b/redwingpost/groups/confirmation.py
@@ -17,8 +17,8 @@
 The registry tells of a restart only later. So while another VM can't reach the
 primary, a replica alone vouches only over a connection that is older than any
 takeover under way: a restart would have ended it. Otherwise all other members
-must answer, none of them paused: the one that a takeover chose is among them.
-In both cases they must hold the commit: a member whose promotion is under way
+must answer: the one that a takeover chose is among them. In both cases none
+that answers may be paused, and they must hold the commit: a member whose promotion is under way
 isn't paused, and may have received nothing.
 """
 
@@ -109,7 +109,7 @@
     return (
         signs.has_fresh_replica
         or signs.fails_elsewhere_s >= FAILS_ELSEWHERE_S
-        or signs.heard_half_s <= 0.0
+        or signs.heard_half_s < SETTLED_S
     )
 
 
@@ -186,7 +186,8 @@
 ) -> bool:
     """Return whether replicas that accept commits show that it is kept."""
     is_any_paused = len(accepting) < len(answered)
-    if commit.held_up_s >= HELD_UP_S and is_any_paused:
+    is_in_doubt = commit.is_failing_elsewhere or commit.held_up_s >= HELD_UP_S
+    if is_in_doubt and is_any_paused:
         return False
     vouching = [item for item in accepting if item.is_trusted]
     if not commit.is_failing_elsewhere:
--- a/redwingpost/groups/tests/test_confirmation.py
+++ b/redwingpost/groups/tests/test_confirmation.py
@@ -50,7 +50,7 @@
             (
                 "cut off until recently",
                 _HEALTHY._replace(heard_half_s=SETTLED_S / 2),
-                False,
+                True,
                 True,
             ),
         )
@@ -124,7 +124,7 @@
             ("the other lacks it", (holds, lacks), 0.0, still_open),
             ("the other has restarted", (holds, fresh), 0.0, kept),
             ("both have restarted", (fresh, fresh), 0.0, still_open),
-            ("ran on, other paused", (lasting, paused), 0.0, kept),
+            ("ran on, other paused", (lasting, paused), 0.0, still_open),
             ("ran on, other silent", (lasting, silent), 0.0, kept),
             (
                 "ran on, but lacks it",
--- a/redwingpost/membership/vm_table.py
+++ b/redwingpost/membership/vm_table.py
@@ -91,6 +91,7 @@
         #: Increases each time the list of VMs is applied.
         self.list_version = 0
         self._lacked_half_at = now
+        self._noted_half_at = now
         #: Whether this VM gathers. If so, reports on primaries come from
         #: heartbeats and other cells' digests, else from a fleet digest.
         self.gathers = False
@@ -318,8 +319,14 @@
         return 2 * alive >= self.count()
 
     def note_hears_half(self, now: float) -> None:
-        """Note whether at least half of the VMs are alive now."""
-        if not self.hears_half(now):
+        """Note whether at least half of the VMs are alive now.
+
+        Between two calls that are far apart this VM was suspended, and heard
+        nobody: heartbeats that it reads now may be old.
+        """
+        was_suspended = now - self._noted_half_at > HEARTBEAT_TIMEOUT_S
+        self._noted_half_at = now
+        if was_suspended or not self.hears_half(now):
             self._lacked_half_at = now
 
     def heard_half_s(self, now: float) -> float:
--- a/redwingpost/node/tests/test_group.py
+++ b/redwingpost/node/tests/test_group.py
@@ -16,7 +16,7 @@
     PrimaryHealth,
     VmAddress,
 )
-from redwingpost.membership.vm_table import VmTable
+from redwingpost.membership.vm_table import HEARTBEAT_INTERVAL_S, VmTable
 from redwingpost.node.group import GroupClient
 from redwingpost.node.member import CONTROL_IDLE_S
 from redwingpost.node.places import Places
@@ -125,7 +125,20 @@
         await super().asyncSetUp()
         self.vms.set_listed((VmAddress("vm-1", "ip1", 1),))
         await self._learn("m1", 1)
-        self.clock.advance(SETTLED_S)
+        self._run_on(vms=1)
+
+    def _run_on(self, vms: int) -> None:
+        """Let time pass while this VM runs and hears the others."""
+        for _ in range(2 * round(SETTLED_S / HEARTBEAT_INTERVAL_S)):
+            self.clock.advance(HEARTBEAT_INTERVAL_S)
+            self._hear(vms)
+            self.vms.note_hears_half(self.clock.now())
+
+    def _hear(self, vms: int) -> None:
+        for number in range(2, vms + 1):
+            name, ip = f"vm-{number}", f"ip{number}"
+            heartbeat = Heartbeat(name, 1, ip, 1, {}, 1, None, ())
+            self.vms.note(heartbeat, self.clock.now())
 
     def _change(self, member: str, **changes) -> None:
         report = self.members.report_by_member[member]
@@ -209,6 +222,38 @@
                     prepare()
                 self.assertEqual(expected, await self._confirm(sent_s_ago))
 
+    async def test_a_vm_that_was_suspended_through_a_takeover(self) -> None:
+        """Guards against signs from before the suspension.
+
+        m2 leads without the commit, which m3 had confirmed to m1. Heartbeats
+        that the VM reads when it goes on are old.
+        """
+        cases = (
+            ("two VMs, nothing heard yet", 2, 1, 0.0),
+            ("three VMs, one old heartbeat", 3, 2, 0.0),
+            ("six VMs, nothing heard yet", 6, 1, 0.0),
+            ("six VMs, two old heartbeats", 6, 3, 0.0),
+            ("six VMs, the next commit", 6, 3, 0.002),
+        )
+        for name, vms, heard, later_s in cases:
+            with self.subTest(name):
+                await self.asyncSetUp()
+                self.vms.set_listed(
+                    tuple(
+                        VmAddress(f"vm-{number}", f"ip{number}", 1)
+                        for number in range(1, vms + 1)
+                    )
+                )
+                self._run_on(vms)
+                self.clock.advance(7.0)
+                self.members.lead("m2", 2)
+                self._hear(heard)
+                if later_s:
+                    self.group.proofs.signs()
+                    self.clock.advance(later_s)
+                    self._hear(heard + 1)
+                self.assertFalse(await self._confirm(7.0))
+
     async def test_commits_share_one_query(self) -> None:
         """Guards against commits that wait in turn for a member's answer."""
         self._fail_elsewhere()
