Takeover: a member of an earlier term than another one reports doesn't lead

Cause: who leads was decided by the claims of the members that answer and the newest term that this VM had seen before, not by the terms that they report in this takeover.

Evidence: test_a_former_primary_that_still_answers: another member was promoted with two members silent; none is now.

--- a/redwingpost/groups/confirmation.py
+++ b/redwingpost/groups/confirmation.py
@@ -18,8 +18,8 @@
 primary, a replica alone vouches only over a connection that is older than any
 takeover under way: a restart would have ended it. Otherwise all other members
 must answer: the one that a takeover chose is among them. In both cases none
-that answers may be paused, and they must hold the commit: a member whose promotion is under way
-isn't paused, and may have received nothing.
+that answers may be paused, and they must hold the commit: a member whose
+promotion is under way isn't paused, and may have received nothing.
 """
 
 from collections.abc import Iterable
--- a/redwingpost/node/takeover/coordinator.py
+++ b/redwingpost/node/takeover/coordinator.py
@@ -142,14 +142,16 @@
         known_term = max(self._group.evidence.term, newest_term(statuses))
         self._orders.note_term(known_term)
         self._orders.note_replaced(self.members.replaced())
-        leader = current_primary(statuses, self._group.evidence.term)
+        leader = current_primary(statuses, known_term)
         if await self._demote_stale(statuses, leader):
             self.members.follow_directory()
             statuses = await self._send_to_all(self.clients, "status")
         if reason is Reason.LEFT_PAUSED and leader is not None:
             await self._resume_replicas(statuses)
             return "resumed"
-        old = leader or self._group.evidence.leader
+        old = leader
+        if old is None and self._group.evidence.term == known_term:
+            old = self._group.evidence.leader
         if choose_replica(statuses, old, self._orders.member) is None:
             return "no replica answers"
         term = pause_term(statuses)
--- a/redwingpost/node/tests/test_coordinator.py
+++ b/redwingpost/node/tests/test_coordinator.py
@@ -55,6 +55,7 @@
         self.is_primary = is_primary
         self.index = index
         self.term = 1
+        self.log_term = 0
         self.paused_for = 0
         self.is_silent = False
         self.commands: list[str] = []
@@ -77,7 +78,7 @@
             self.paused_for = 0
         elif command == "step_down" and arguments[0] > self.term:
             self.is_primary = False
-        head = Position(self.term, self.index)
+        head = Position(self.log_term or self.term, self.index)
         return StatusReport(
             self.is_primary, self.term, head, self.paused_for, 0, 0, 0
         )
@@ -367,6 +368,26 @@
                     await coordinator.run(reason)
                     self.assertEqual(expected, group.promoted)
 
+    async def test_a_former_primary_that_still_answers(self) -> None:
+        """Guards against taking its log for all that was acknowledged.
+
+        a has heard of the primary of term 2, which is silent. p still leads
+        term 1 and c has its log.
+        """
+        for silent, promoted in (("bd", []), ("b", ["p"])):
+            with self.subTest(silent=silent):
+                group = FakeGroup()
+                for name in "cd":
+                    group.add_member(name).index = 12
+                group.all_by_name["p"].index = 12
+                group.all_by_name["a"].term = 2
+                group.all_by_name["a"].log_term = 1
+                for name in silent:
+                    group.all_by_name[name].is_silent = True
+                takeover = self._coordinator(group, roster="pabcd")
+                await takeover.run(Reason.LEAVING)
+                self.assertEqual(promoted, group.promoted)
+
     async def test_an_order_of_an_earlier_takeover(self) -> None:
         """Guards against two promotions of one group under way."""
         # Member, newest term before and end (ms) of the order; silent
