--- a/redwingpost/bench/takeovers.py
+++ b/redwingpost/bench/takeovers.py
@@ -9,11 +9,15 @@
 from asyncio import create_task, gather, sleep
 from collections import Counter
 from collections.abc import Coroutine
+from faulthandler import (
+    cancel_dump_traceback_later,
+    dump_traceback_later,
+)
 from pathlib import Path
 from random import Random
 from shutil import copy
 from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
-from time import time
+from time import monotonic, time
 from typing import Any
 
 from redwingpost.bench.connections import find_process
@@ -36,6 +40,10 @@
 #: Seconds between steps of replication.
 _REPLICATION_S = 0.025
 
+#: Seconds without a step of replication after which the stand-ins have hung,
+#: and the stack is written to standard error.
+_HANG_S = 0.5
+
 #: Seconds in which an order has ended.
 _MAX_ORDER_S = 6.0
 
@@ -85,6 +93,7 @@
         site.configuration = _configuration()
         super().__init__(seed, site, EVENTS, ("own", "own", "own-2"))
         self.history: list[tuple[float, str]] = []
+        self.hung_s = 0.0
         self.told_at: dict[str, float] = {}
         self._directory = directory
         self.play_s = play_s
@@ -106,12 +115,25 @@
         return (self._replicate(), *super().background())
 
     async def _replicate(self) -> None:
-        while True:
-            for group in self.groups:
-                group.replicate()
-                for name, member in group.member_by_name.items():
-                    self._report_role(name, member)
-            await sleep(_REPLICATION_S)
+        """Let members replicate; record where the stand-ins hung."""
+        try:
+            while True:
+                dump_traceback_later(_HANG_S)
+                began_at = monotonic()
+                self._replicate_once()
+                await sleep(_REPLICATION_S)
+                hung_s = monotonic() - began_at
+                if hung_s > _HANG_S:
+                    self.hung_s += hung_s
+                    self.note(f"the stand-ins hung for {hung_s:.2f} s")
+        finally:
+            cancel_dump_traceback_later()
+
+    def _replicate_once(self) -> None:
+        for group in self.groups:
+            group.replicate()
+            for name, member in group.member_by_name.items():
+                self._report_role(name, member)
 
     def _report_role(self, name: str, member: LineMember) -> None:
         """Write a member's entry at once if its role has changed."""
@@ -211,6 +233,10 @@
         self.judge_orders()
         self._judge_standins()
         if self.violations:
+            if self.hung_s:
+                self.violations.append(
+                    f"the stand-ins hung for {self.hung_s:.2f} s in all"
+                )
             self._keep()
 
     def _judge_promotion(
