Test that loses commits to a repeated promotion order

An order that isn't answered within a second is sent again. Its record in the store ends as soon as a newer term is seen, which the first copy's effect brings. If the promoted member fails then and another one is promoted, the second copy may still take effect: its member leads again without what the other one acknowledged meanwhile.

--- a/redwingpost/node/tests/test_late_orders.py
+++ b/redwingpost/node/tests/test_late_orders.py
@@ -40,6 +40,25 @@
         await self._write_until_promoted(chosen)
         self.assertEqual([], self.group.lost)
 
+    async def test_a_repeated_order_takes_effect_later(self) -> None:
+        """Guards against the effect of an order's copy after another one."""
+        self.standins.order_delay_s = 1.5
+        chosen = await self._order_promotion()
+        self.standins.order_delay_s = 6.0
+        await until(lambda: len(self.standins.orders) > 1, "a second order")
+        self.standins.order_delay_s = 0.0
+        await until(lambda: chosen.is_primary, "the first order's effect")
+        await sleep(0.5)
+        chosen.is_unresponsive = chosen.is_cut_off = True
+        await until(
+            lambda: self.group.last_primary is not chosen, "another primary"
+        )
+        # It returns as a replica that receives nothing yet.
+        chosen.is_primary = False
+        chosen.is_unresponsive = False
+        await self._write_until_promoted(chosen)
+        self.assertEqual([], self.group.lost)
+
     async def _order_promotion(self) -> LineMember:
         """Let the primary leave; return the member ordered to replace it."""
         caller = await self.node.caller("own")
