--- a/redwingpost/bench/takeovers.py
+++ b/redwingpost/bench/takeovers.py
@@ -751,6 +751,33 @@
     await gather(play.freeze_until_order(9.0), trigger_again())
 
 
+@EVENTS.register("a promoted member fails")
+@EVENTS.register("a promoted member fails once more")
+async def _fail_promoted(play: TakeoverPlay) -> None:
+    """Crash a member as it leads; it replicates only some time later."""
+    group = play.any_group()
+    tasks: list = []
+
+    async def fail(member: LineMember) -> None:
+        await sleep(play.random.uniform(0.0, 1.0))
+        seconds = play.random.uniform(0.5, 2.5)
+        await gather(
+            play.crash(member, seconds),
+            play.cut_off(member, seconds + play.random.uniform(0.0, 4.0)),
+        )
+
+    def notify(promotion: Promotion) -> None:
+        group.on_promotion.remove(notify)
+        member = group.member_by_name[promotion.member]
+        tasks.append(create_task(fail(member)))
+
+    group.on_promotion.append(notify)
+    await gather(_trigger(play, group), sleep(_ARMED_S))
+    if notify in group.on_promotion:
+        group.on_promotion.remove(notify)
+    await gather(*tasks)
+
+
 @EVENTS.register("late orders")
 async def _delay_orders(play: TakeoverPlay) -> None:
     standins = play.site.standins
--- a/redwingpost/standin/lines/replication.py
+++ b/redwingpost/standin/lines/replication.py
@@ -116,7 +116,7 @@
         )
         self.promotions.append(promotion)
         self.replicate()
-        for notify in self.on_promotion:
+        for notify in tuple(self.on_promotion):
             notify(promotion)
 
     def pause(self, member: LineMember, term: int) -> None:
