Test that loses commits to a member that joins beside an order under way

While an order without an answer may take effect, all members but the ordered one stay paused. A member that joins then isn't paused: it receives the log of the old primary, which is back, and confirms what waits there. The ordered member, which has received nothing, then leads without these commits.

--- a/redwingpost/node/tests/test_late_orders.py
+++ b/redwingpost/node/tests/test_late_orders.py
@@ -10,6 +10,7 @@
 
 class LateOrderTest(IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
+        self.told: set[str] = set()
         self.site = NodeSite()
         self.addAsyncCleanup(self.site.stop)
         await self.site.start(nodes=1)
@@ -59,6 +60,28 @@
         await self._write_until_promoted(chosen)
         self.assertEqual([], self.group.lost)
 
+    async def test_a_member_joins_while_an_order_is_under_way(self) -> None:
+        """Guards against commits that a member confirms as it joins."""
+        self.standins.order_delay_s = 6.0
+        primary = self.group.last_primary
+        primary.is_unresponsive = True
+        await until(lambda: self.standins.orders, "an order")
+        chosen = self.standins.find(self.standins.orders[0].member)
+        chosen.is_cut_off = True
+        primary.is_unresponsive = False
+        writing = create_task(self._write())
+        await sleep(3.5)
+        joined = LineMember("g1-m4", False)
+        self.group.follow(joined, primary)
+        self.group.member_by_name[joined.name] = joined
+        self.group.wake()
+        await self.standins.start_member(self.group, joined.name)
+        self.standins.register(joined.name)
+        await until(lambda: chosen.is_primary, "the ordered promotion")
+        writing.cancel()
+        kept = {v for e in chosen.log for v in e.writes.values()}
+        self.assertEqual([], sorted(self.told - kept))
+
     async def _order_promotion(self) -> LineMember:
         """Let the primary leave; return the member ordered to replace it."""
         caller = await self.node.caller("own")
@@ -88,7 +111,8 @@
                 caller = await self.node.caller("own")
                 while True:
                     number += 1
-                    await caller.run(f"WRITE a {number}")
+                    told = await caller.run(f"WRITE a {number}")
+                    self.told |= {str(number)} if not told.code else set()
                     await sleep(0.02)
             except (AssertionError, IncompleteReadError, OSError):
                 await sleep(0.1)
