--- a/redwingpost/bench/takeovers.py
+++ b/redwingpost/bench/takeovers.py
@@ -13,10 +13,10 @@
 from random import Random
 from shutil import copy
 from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
-from time import time
+from time import monotonic, time
 from typing import Any
 
-from redwingpost.bench.connections import find_process
+from redwingpost.bench.connections import ConnectionFinder
 from redwingpost.bench.plays import PLAY_S, Events, Play
 from redwingpost.core.registry import Registry
 from redwingpost.node.tests.line_site import (
@@ -36,6 +36,9 @@
 #: Seconds between steps of replication.
 _REPLICATION_S = 0.025
 
+#: Seconds without a step of replication after which the stand-ins have hung.
+_HANG_S = 0.5
+
 #: Seconds in which an order has ended.
 _MAX_ORDER_S = 6.0
 
@@ -85,6 +88,8 @@
         site.configuration = _configuration()
         super().__init__(seed, site, EVENTS, ("own", "own", "own-2"))
         self.history: list[tuple[float, str]] = []
+        self.hung_s = 0.0
+        self._finder = ConnectionFinder(self._vms_by_process)
         self.told_at: dict[str, float] = {}
         self._directory = directory
         self.play_s = play_s
@@ -106,12 +111,21 @@
         return (self._replicate(), *super().background())
 
     async def _replicate(self) -> None:
+        """Let members replicate; record where the stand-ins hung."""
         while True:
-            for group in self.groups:
-                group.replicate()
-                for name, member in group.member_by_name.items():
-                    self._report_role(name, member)
+            began_at = monotonic()
+            self._replicate_once()
             await sleep(_REPLICATION_S)
+            hung_s = monotonic() - began_at
+            if hung_s > _HANG_S:
+                self.hung_s += hung_s
+                self.note(f"the stand-ins hung for {hung_s:.2f} s")
+
+    def _replicate_once(self) -> None:
+        for group in self.groups:
+            group.replicate()
+            for name, member in group.member_by_name.items():
+                self._report_role(name, member)
 
     def _report_role(self, name: str, member: LineMember) -> None:
         """Write a member's entry at once if its role has changed."""
@@ -127,14 +141,17 @@
         """Return a member's server."""
         return self.site.standins.server_by_member[member]
 
-    def _find_vm(self, port: int) -> str:
+    async def _find_vm(self, port: int) -> str:
         """Return the VM whose node has a connection from a local port."""
-        by_pid = {
+        process = await self._finder.find(port)
+        return self._vms_by_process().get(process, "")
+
+    def _vms_by_process(self) -> dict[int, str]:
+        return {
             node.process.pid: node.vm
             for node in self.site.nodes
             if node.process.returncode is None
         }
-        return by_pid.get(find_process(port, by_pid), "")
 
     # History -----------------------------------------------------------
 
@@ -211,6 +228,10 @@
         self.judge_orders()
         self._judge_standins()
         if self.violations:
+            if self.hung_s:
+                self.violations.append(
+                    f"the stand-ins hung for {self.hung_s:.2f} s in all"
+                )
             self._keep()
 
     def _judge_promotion(
@@ -482,16 +503,16 @@
         servers = tuple(self.site.standins.server_by_member.values())
         ending: list = []
 
-        def notify(member: str, vm: str, text: str) -> None:
-            if not text.startswith("PAUSE") or ending:
+        def notify(vm: str) -> None:
+            if ending:
                 return
             ending.append(create_task(self._end_later(vm, how, delay_s)))
 
         for server in servers:
-            server.on_command.append(notify)
+            server.on_pause.append(notify)
         await sleep(_ARMED_S)
         for server in servers:
-            server.on_command.remove(notify)
+            server.on_pause.remove(notify)
         await gather(*ending)
 
     async def _await_armed(self, ending: list, hooks: list, hook: Any) -> None:
@@ -730,6 +751,33 @@
     await gather(play.freeze_until_order(9.0), trigger_again())
 
 
+@EVENTS.register("a promoted member fails")
+@EVENTS.register("a promoted member fails once more")
+async def _fail_promoted(play: TakeoverPlay) -> None:
+    """Crash a member as it leads; it replicates only some time later."""
+    group = play.any_group()
+    tasks: list = []
+
+    async def fail(member: LineMember) -> None:
+        await sleep(play.random.uniform(0.0, 1.0))
+        seconds = play.random.uniform(0.5, 2.5)
+        await gather(
+            play.crash(member, seconds),
+            play.cut_off(member, seconds + play.random.uniform(0.0, 4.0)),
+        )
+
+    def notify(promotion: Promotion) -> None:
+        group.on_promotion.remove(notify)
+        member = group.member_by_name[promotion.member]
+        tasks.append(create_task(fail(member)))
+
+    group.on_promotion.append(notify)
+    await gather(_trigger(play, group), sleep(_ARMED_S))
+    if notify in group.on_promotion:
+        group.on_promotion.remove(notify)
+    await gather(*tasks)
+
+
 @EVENTS.register("late orders")
 async def _delay_orders(play: TakeoverPlay) -> None:
     standins = play.site.standins
