Search of takeovers: late orders, former coordinators, unknown primaries

An order ended with its coordinator, one coordinator acted at a time and always knew the newest primary, and VMs knew at once of a restart. A node process knows less. The model now keeps orders under way and the record of redwingpost.takeover.orders in the state, lets a coordinator go on, or its commands arrive, after its duty has ended, tells VMs of a restart later, and lets a takeover begin at a VM that doesn't reach the newest primary.

Violations with rules disabled (shortest traces, states visited):

- one_order (50,729): 2 paused, 0 stopped, order for 1; coordinator gives up; takeover by 0, effect; its commit is received by 2; effect for 1.
- counts_copies (40,917): order for 1 sent twice, effect; takeover by 0, effect; its commit is received by 2; second effect for 1.
- renews_record (128,377, three takeovers): order for 1, crash; the next takeover sends it again; effect; the record lapses; takeover by 0, effect, commit received by 2; second effect for 1.
- held_by_voucher (75,955): 0 hidden, 1 and 2 paused, order for 1; 2 restarts and receives a commit of 0; coordinator gives up, which resumes 1 alone; 1 vouches without having it; effect.
- checks_duty (149,938): the former coordinator resumes 1 and 2 after the next one's order for 1; 2 receives a commit of 0, which is confirmed; effect.
- doubts_restarts (1,008): 2 restarts unseen after the order for 1, receives a commit of 0 and vouches alone.
- heeds_pauses (4,006, no restart): 2 is paused for a later term than the order gives, by an earlier takeover's pause; it is resumed after the effect and receives from hidden 0.
- checks_record (40,545): a VM reaches the old primary 0 and 3, which missed the takeover; it stops 0 and promotes 3 with 0's log. checks_terms (34,541): the same where 2 reports the newer term.

With all rules the same cases are whole: 56,952, 121,414, 113,258, 621,505, 27,540, 11,472, 208,596 and 181,610 states. A RESUME that arrives after the next order still loses a commit (185,456); only asks_all prevents it (349,199 whole). An acknowledgement by a replaced primary remains where the new primary's answer is missing (86,932); pauses_next prevents it (189,835 whole).

counts_copies, renews_record, heeds_pauses, checks_terms, checks_record and pauses_next aren't in the running code.

distrusts_joined is no longer needed where a replica alone must have run on; its case disables doubts_restarts and heeds_pauses, which would hide it. Writers' steps are in a module of their own; a search's size is a parameter.

--- a/redwingpost/verify/takeover.py
+++ b/redwingpost/verify/takeover.py
@@ -2,10 +2,11 @@
 
 There are three members: a primary and two replicas; a fourth may join at any
 step. A primary takes commits, which are acknowledged once one replica has
-received them. A coordinator pauses replicas, stops the primary, chooses a
-replica and orders its promotion. It may crash at any step, and another one,
-without any state of the group, may start. A reader with an outdated view
-requests proofs. The decisions are those of ``redwingpost.takeover.plan`` and
+received them (``takeover_writers``). A coordinator pauses replicas, stops the
+primary, chooses a replica and orders its promotion (``takeover_orders``). It
+may crash at any step, and another one, without any state of the group, may
+start. A reader with an outdated view requests proofs. The decisions are those
+of ``redwingpost.takeover.plan``, ``redwingpost.takeover.orders`` and
 ``redwingpost.groups.confirmation``, the modules that run in production; the
 proofs follow ``redwingpost.groups.evidence``. Each rule can be disabled;
 the search must then find a violation.
@@ -17,47 +18,44 @@
 
 from collections.abc import Iterator
 
-from redwingpost.core.positions import ZERO_POSITION, Position
-from redwingpost.groups.confirmation import (
-    FAILS_ELSEWHERE_S,
-    SETTLED_S,
-    Commit,
-    CommitStatus,
-    ReplicaAnswer,
-    TakeoverSigns,
-    check_commit,
-    needs_confirmation,
-)
-from redwingpost.ports.database import MemberEntry, StatusReport
+from redwingpost.core.positions import ZERO_POSITION
+from redwingpost.ports.database import MemberEntry
 from redwingpost.takeover.plan import MemberStatus, Survey, may_promote
+from redwingpost.verify.takeover_duty import DutySteps
+from redwingpost.verify.takeover_orders import OrderSteps
 from redwingpost.verify.takeover_reads import ReadSteps
 from redwingpost.verify.takeover_state import (
     Coordinator,
     Faults,
+    Limits,
     Member,
-    Pending,
     Step,
     TakeoverRules,
     TakeoverState,
     find_violation,
     first_state,
+    hidden_state,
+    replaced_state,
 )
+from redwingpost.verify.takeover_writers import WriterSteps, report
 
 __all__ = (
+    "Limits",
     "TakeoverModel",
     "TakeoverRules",
     "first_state",
     "find_violation",
+    "hidden_state",
+    "replaced_state",
 )
 
-#: Largest numbers of commits and takeovers in a search.
-MAX_COMMITS = 2
-MAX_TAKEOVERS = 2
-
 #: Members that are partitioned from the others together: the first primary
 #: alone, or with one of its replicas.
 _PARTITIONS = ((0,), (0, 1))
 
+#: Largest number of changes of the coordinator's VM in a search.
+MAX_VIEWS = 2
+
 #: A replica that is partitioned alone.
 _REPLICA_PARTITIONS = ((1,),)
 
@@ -74,6 +72,8 @@
     ----------
     rules : TakeoverRules
         Rules in force.
+    limits : Limits, optional
+        Largest numbers of commits and takeovers.
     restarts, may : optional
         Faults that may occur: the fields of
         ``redwingpost.verify.takeover_state.Faults``.
@@ -88,11 +88,19 @@
     """
 
     def __init__(
-        self, rules: TakeoverRules, restarts: int = 0, **may: bool
+        self,
+        rules: TakeoverRules,
+        restarts: int = 0,
+        limits: Limits = Limits(),
+        **may: bool,
     ) -> None:
         self._rules = rules
+        self._limits = limits
         self._faults = Faults(restarts, **may)
         self._reads = ReadSteps(rules)
+        self._writers = WriterSteps(rules, self._faults)
+        self._orders = OrderSteps(rules, self._faults)
+        self._duty = DutySteps(rules, self._faults)
 
     def steps(self, state: TakeoverState) -> Iterator[Step]:
         """Yield the name and the resulting state of every possible step."""
@@ -100,8 +108,14 @@
             yield from self._member_steps(state, number, member)
         yield from self._partition_steps(state)
         yield from self._coordinator_steps(state)
-        yield from self._writer_steps(state)
-        yield from self._reads.steps(state)
+        yield from self._view_steps(state)
+        if state.frozen is not None:
+            yield from self._frozen_steps(state)
+        yield from self._duty.steps(state)
+        yield from self._orders.steps(state)
+        yield from self._writers.steps(state)
+        if not self._faults.no_reads:
+            yield from self._reads.steps(state)
 
     # Members -----------------------------------------------------------
 
@@ -175,12 +189,23 @@
         self, state: TakeoverState, number: int, member: Member
     ) -> Iterator[Step]:
         if member.paused_for and self._may_restart(state):
-            restarted = member._replace(paused_for=0, has_restarted=True)
+            restarted = member._replace(
+                paused_for=0,
+                has_restarted=True,
+                is_restart_unseen=self._faults.may_restart_unseen,
+            )
             following = state.with_member(number, restarted)
             yield (
                 f"{number} restarts",
                 following._replace(restarts=state.restarts + 1),
             )
+        if member.is_restart_unseen:
+            yield (
+                f"VMs learn that {number} has restarted",
+                state.with_member(
+                    number, member._replace(is_restart_unseen=False)
+                ),
+            )
         newest = state.newest_primary()
         if (
             newest is None
@@ -203,7 +228,7 @@
     def _primary_steps(
         self, state: TakeoverState, number: int, member: Member
     ) -> Iterator[Step]:
-        if state.commits < MAX_COMMITS:
+        if state.commits < self._limits.commits:
             entry = (state.commits, member.term)
             log = (*member.log, entry)
             extended = member._replace(log=log, applied=len(log))
@@ -231,7 +256,7 @@
             if replica.receives_from(member) and replica.log != member.log:
                 yield (
                     f"{other} receives from {number}",
-                    self._receive(state, number, other),
+                    self._writers.receive(state, number, other),
                 )
 
     def _partition_steps(self, state: TakeoverState) -> Iterator[Step]:
@@ -258,94 +283,26 @@
             )
             yield "the partition heals", state._replace(members=healed)
 
-    # Writers -----------------------------------------------------------
-
-    def _receive(
-        self, state: TakeoverState, number: int, other: int
-    ) -> TakeoverState:
-        """Copy a primary's log to a replica; the primary acknowledges it."""
-        primary = state.members[number]
-        following = state.with_member(
-            other, state.members[other].take_log(primary)
-        )
-        known = {item.commit for item in state.pending} | state.acknowledged
-        is_stale = state.newest_primary().term > primary.term
-        new_commits = frozenset(
-            Pending(commit, number, is_stale)
-            for commit in primary.log
-            if commit not in known
-        )
-        if self._needs_confirmation(following, primary):
-            return following._replace(pending=state.pending | new_commits)
-        for item in new_commits:
-            following = _acknowledge(following, item)
-        return following
-
-    def _needs_confirmation(
-        self, state: TakeoverState, primary: Member
-    ) -> bool:
-        """Return whether a writer's VM has signs of a takeover in progress.
-
-        VMs report to each other which primaries they can't reach.
-        """
-        if not self._rules.confirms_commits:
-            return False
-        signs = TakeoverSigns(
-            any(member.has_restarted for member in state.members),
-            0.0 if primary.is_reachable else FAILS_ELSEWHERE_S,
-            is_suspect=False,
-            heard_half_s=SETTLED_S,
-        )
-        return needs_confirmation(signs)
-
-    def _writer_steps(self, state: TakeoverState) -> Iterator[Step]:
-        for item in state.pending:
-            answers = self._answers_for(state, item.primary)
-            commit = Commit(item.commit[1])
-            if check_commit(commit, answers) is CommitStatus.KEPT:
-                following = state._replace(pending=state.pending - {item})
-                yield (
-                    f"commit {item.commit[0]} is confirmed",
-                    _acknowledge(following, item),
-                )
-
-    def _answers_for(
-        self, state: TakeoverState, primary: int
-    ) -> list[ReplicaAnswer]:
-        """Return the replicas' answers to a VM on the primary's side."""
-        is_partitioned = state.members[primary].is_partitioned
-        is_failing = not state.members[primary].is_reachable
-        return [
-            ReplicaAnswer(
-                _report(member), self._is_trusted(member, is_failing)
-            )
-            for number, member in enumerate(state.members)
-            if number != primary
-            and not member.is_down
-            and not member.is_absent
-            and member.is_partitioned == is_partitioned
-        ]
-
-    def _is_trusted(self, member: Member, is_failing: bool) -> bool:
-        """Return whether a replica's report counts as proof.
-
-        ``is_failing``: the coordinator doesn't reach the primary.
-        """
-        distrusts = self._rules.distrusts_joined and is_failing
-        return not (member.has_restarted or member.has_joined and distrusts)
-
     # Coordinator -------------------------------------------------------
 
     def _coordinator_steps(self, state: TakeoverState) -> Iterator[Step]:
         coordinator = state.coordinator
         if coordinator is None:
-            if state.takeovers < MAX_TAKEOVERS:
+            if state.takeovers < self._limits.takeovers:
                 yield from self._start_takeover(state)
             return
-        yield "coordinator crashes", state._replace(coordinator=None)
+        yield "coordinator crashes", self._orders.end_takeover(state)
         if coordinator.is_ordered:
-            if not state.members[coordinator.chosen].is_down:
-                yield "promotion takes effect", _promote(state)
+            if state.members[coordinator.chosen].is_primary:
+                yield "coordinator finishes", self._orders.finish(state)
+                return
+            if self._faults.may_order_late:
+                yield "coordinator gives up", self._orders.give_up(state)
+            if self._faults.may_repeat_orders and len(state.orders) == 1:
+                yield (
+                    "promotion ordered again",
+                    self._orders.send(state, coordinator),
+                )
             return
         waiting = (
             self._members_to_pause(state, coordinator) - coordinator.paused
@@ -364,23 +321,54 @@
                 "coordinator reads the registry",
                 state._replace(coordinator=complete),
             )
+        if self._faults.may_order_late:
+            yield "coordinator gives up", self._orders.give_up(state)
         if self._may_order(state, coordinator):
-            ordered = coordinator._replace(is_ordered=True)
-            yield "promotion ordered", state._replace(coordinator=ordered)
+            yield "promotion ordered", self._orders.send(state, coordinator)
+
+    def _frozen_steps(self, state: TakeoverState) -> Iterator[Step]:
+        """Yield the steps of a coordinator whose duty has ended."""
+        own = state._replace(coordinator=state.frozen)
+        for name, following in self._coordinator_steps(own):
+            if following.orders == state.orders:
+                yield f"former {name}", following._replace(
+                    frozen=following.coordinator, coordinator=state.coordinator
+                )
+
+    def _view_steps(self, state: TakeoverState) -> Iterator[Step]:
+        """Yield the steps to a VM that reaches other members."""
+        if state.coordinator is not None or state.views >= MAX_VIEWS:
+            return
+        for hidden in self._faults.views:
+            members = tuple(
+                member._replace(is_hidden=number in hidden)
+                for number, member in enumerate(state.members)
+            )
+            names = " and ".join(map(str, hidden))
+            yield (
+                f"the coordinator's VM doesn't reach {names}",
+                state._replace(members=members, views=state.views + 1),
+            )
 
     def _start_takeover(self, state: TakeoverState) -> Iterator[Step]:
-        newest = state.newest_primary()
-        old = None if newest is None else state.members.index(newest)
-        answers = newest is not None and newest.is_reachable
-        term = 1 + max(
-            max(member.term, member.paused_for) for member in state.members
-        )
+        old = self._find_primary(state)
+        answers = old is not None and state.members[old].is_reachable
+        term = self._pause_term(state)
+        ordered = self._orders.ordered_member(state)
         for chosen, member in enumerate(state.members):
             if member.is_primary or not member.is_reachable:
                 continue
+            if ordered not in (None, chosen):
+                continue
             for planned in (True, False) if answers else (False,):
                 coordinator = Coordinator(
-                    term, planned, old, chosen, _present(state)
+                    term,
+                    planned,
+                    old,
+                    chosen,
+                    _present(state),
+                    known_term=state.reported_term(),
+                    known_order=ordered,
                 )
                 kind = "planned" if planned else "unplanned"
                 yield (
@@ -390,6 +378,42 @@
                     ),
                 )
 
+    def _pause_term(self, state: TakeoverState) -> int:
+        if self._rules.pauses_next:
+            return 1 + state.reported_term()
+        return 1 + max(
+            max(member.term, member.paused_for) for member in state.members
+        )
+
+    def _find_primary(self, state: TakeoverState) -> int | None:
+        """Return the member that a coordinator takes for the primary."""
+        if not self._faults.views:
+            newest = state.newest_primary()
+            return None if newest is None else state.members.index(newest)
+        claims = [
+            (member.term, number)
+            for number, member in enumerate(state.members)
+            if member.is_primary and member.is_reachable
+        ]
+        if not claims:
+            return None
+        term, number = max(claims)
+        if self._rules.checks_terms and state.reported_term() > term:
+            return None
+        if self._rules.checks_record and self._is_doubted(state, number, term):
+            return None
+        return number
+
+    def _is_doubted(
+        self, state: TakeoverState, number: int, term: int
+    ) -> bool:
+        """Return whether the last order may have had effect unnoticed."""
+        record = state.last_record
+        if record is None or record.term < term:
+            return False
+        ordered = int(record.member)
+        return number != ordered and not state.members[ordered].is_reachable
+
     def _members_to_pause(
         self, state: TakeoverState, coordinator: Coordinator
     ) -> frozenset[int]:
@@ -487,8 +511,8 @@
         paused_for = member.paused_for
         if not self._rules.repeats_pause and number in coordinator.paused:
             paused_for = coordinator.term
-        report = _report(member)._replace(paused_for=paused_for)
-        return MemberStatus(_ENTRIES[number], report)
+        answer = report(member)._replace(paused_for=paused_for)
+        return MemberStatus(_ENTRIES[number], answer)
 
 
 def _present(state: TakeoverState) -> frozenset[int]:
@@ -498,40 +522,3 @@
         for number, member in enumerate(state.members)
         if not member.is_absent
     )
-
-
-def _report(member: Member) -> StatusReport:
-    head = Position(*member.head)
-    return StatusReport(
-        member.is_primary, member.term, head, member.paused_for, 0, 0, 0
-    )
-
-
-def _acknowledge(state: TakeoverState, item: Pending) -> TakeoverState:
-    """Acknowledge a commit to its writer; check that it is kept."""
-    following = state._replace(acknowledged=state.acknowledged | {item.commit})
-    if item.is_stale:
-        return following._replace(violation="acknowledged when replaced")
-    newest = state.newest_primary()
-    if newest is None or newest.term <= item.commit[1]:
-        return following
-    if item.commit not in newest.log:
-        return following._replace(violation="an acknowledged commit is lost")
-    return following
-
-
-def _promote(state: TakeoverState) -> TakeoverState:
-    """Apply the ordered promotion; check that no commit is lost."""
-    coordinator = state.coordinator
-    term = 1 + max(member.term for member in state.members)
-    chosen = state.members[coordinator.chosen]
-    leader = chosen._replace(
-        is_primary=True,
-        term=term,
-        paused_for=0,
-        applied=len(chosen.log),
-    )
-    following = state.with_member(coordinator.chosen, leader)
-    if state.acknowledged - frozenset(leader.log):
-        return following._replace(violation="an acknowledged commit is lost")
-    return following._replace(coordinator=None)
--- a/redwingpost/verify/takeover_reads.py
+++ b/redwingpost/verify/takeover_reads.py
@@ -106,7 +106,9 @@
             return False
         if self._rules.respects_pause and member.paused_for > read.term:
             return False
-        return not (self._rules.excludes_restarted and member.has_restarted)
+        return not (
+            self._rules.excludes_restarted and member.is_known_restarted
+        )
 
 
 def _run(state: TakeoverState, read: Read) -> Read:
--- a/redwingpost/verify/takeover_state.py
+++ b/redwingpost/verify/takeover_state.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from redwingpost.takeover.orders import OrderRecord
+
 #: A commit: its number and the term of the primary that took it.
 Commit = tuple[int, int]
 
@@ -37,6 +39,40 @@
     asks_primary : bool
         The member that served a read must report, after the read began,
         that it leads.
+    reads_members : bool
+        The registry is read after the stop or the pauses.
+    distrusts_joined : bool
+        A new member confirms nothing while the coordinator may be unable to
+        reach the primary.
+    one_order : bool
+        While a recorded order may take effect, only its member is ordered
+        or resumed.
+    counts_copies : bool
+        An order that was sent more than once may take effect until its
+        record lapses, whatever term members report.
+    renews_record : bool
+        An order is recorded again before a later takeover sends it again.
+    checks_duty : bool
+        A coordinator sends nothing once its duty has ended.
+    held_by_voucher : bool
+        A replica confirms only commits that it has received.
+    heeds_pauses : bool
+        No commit is confirmed while a replica that answers is paused for a
+        newer term, or in one, also if it was not held up.
+    doubts_restarts : bool
+        While the coordinator can't reach the primary, a replica alone
+        confirms a commit only if it is known to have run on.
+    checks_terms : bool
+        A member is taken for the primary only if no member that answers
+        reports a newer term.
+    checks_record : bool
+        The same for the last recorded order: it may have shown the newer
+        term, unless its member answers.
+    pauses_next : bool
+        Members are paused for the term after the newest reported one, also
+        if they are paused for a later one.
+    asks_all : bool
+        No replica alone confirms a commit then.
     """
 
     pauses_others: bool = True
@@ -52,6 +88,17 @@
     asks_primary: bool = True
     reads_members: bool = True
     distrusts_joined: bool = True
+    one_order: bool = True
+    counts_copies: bool = True
+    renews_record: bool = True
+    checks_duty: bool = True
+    held_by_voucher: bool = True
+    heeds_pauses: bool = True
+    doubts_restarts: bool = True
+    checks_terms: bool = True
+    checks_record: bool = True
+    pauses_next: bool = False
+    asks_all: bool = False
 
 
 class Faults(NamedTuple):
@@ -77,6 +124,30 @@
         A replica may be partitioned alone.
     may_join : bool
         A fourth member, without a log, may join at any step.
+    may_restart_unseen : bool
+        VMs learn of a restart in a later step.
+    may_miss_answers : bool
+        A VM that confirms a commit may get the answer of one replica only.
+    may_be_unheard : bool
+        VMs don't learn that the coordinator can't reach the primary.
+    may_order_late : bool
+        An order may take effect after its coordinator has crashed or given
+        up, or never.
+    may_repeat_orders : bool
+        A coordinator may send its order twice.
+    may_lose_duty : bool
+        A coordinator's duty may end before its takeover does.
+    may_arrive_late : bool
+        Commands that it sent before may arrive later.
+    arrives_before_order : bool
+        They arrive before the next coordinator's order, or never.
+    views : tuple of tuple of int
+        Sets of members that the VM of a later takeover may be unable to
+        reach. It doesn't know who leads.
+    no_old_acks : bool
+        A primary acknowledges no commit that it took in an earlier term.
+    no_reads : bool
+        There is no reader.
     """
 
     restarts: int = 0
@@ -87,6 +158,24 @@
     no_restart_after_order: bool = False
     may_partition_replica: bool = False
     may_join: bool = False
+    may_restart_unseen: bool = False
+    may_miss_answers: bool = False
+    may_be_unheard: bool = False
+    may_order_late: bool = False
+    may_repeat_orders: bool = False
+    may_lose_duty: bool = False
+    may_arrive_late: bool = False
+    arrives_before_order: bool = False
+    views: tuple[tuple[int, ...], ...] = ()
+    no_old_acks: bool = False
+    no_reads: bool = False
+
+
+class Limits(NamedTuple):
+    """Largest numbers of commits and takeovers in a search."""
+
+    commits: int = 2
+    takeovers: int = 2
 
 
 class Member(NamedTuple):
@@ -97,7 +186,8 @@
     reach the member, but its replicas can. ``is_unlisted``: it is off the
     registry's list. ``is_off_roster``: it is known to be gone, so that its
     answer is not needed. ``is_absent``: it hasn't started yet;
-    ``has_joined``: it started after the others.
+    ``has_joined``: it started after the others. ``is_restart_unseen``: VMs
+    don't know yet that it has restarted.
     """
 
     is_primary: bool
@@ -113,6 +203,7 @@
     is_off_roster: bool = False
     is_absent: bool = False
     has_joined: bool = False
+    is_restart_unseen: bool = False
 
     @property
     def head(self) -> tuple[int, int]:
@@ -121,6 +212,11 @@
             return (0, 0)
         return (self.log[-1][1], len(self.log))
 
+    @property
+    def is_known_restarted(self) -> bool:
+        """Return whether VMs know that the member has restarted."""
+        return self.has_restarted and not self.is_restart_unseen
+
     @property
     def is_reachable(self) -> bool:
         """Return whether the coordinator reaches the member."""
@@ -161,7 +257,9 @@
 
     ``old`` is the primary to replace, None if there is none. ``known`` are
     the members that it compares; ``has_all_members`` whether it has read the
-    registry's list after the stop or the pauses.
+    registry's list after the stop or the pauses. ``known_term`` is the newest
+    term that members had reported when the takeover began; ``known_order`` is
+    the member whose order is under way as far as it knows.
     """
 
     term: int
@@ -173,17 +271,39 @@
     has_all_members: bool = False
     is_stopped: bool = False
     is_ordered: bool = False
+    known_term: int = 0
+    known_order: int | None = None
+
+
+class Command(NamedTuple):
+    """A command to a member that has not arrived yet."""
+
+    word: str
+    member: int
+    term: int
+
+
+class Order(NamedTuple):
+    """An order that may still take effect.
+
+    ``is_covered``: its record doesn't lapse before that.
+    """
+
+    member: int
+    is_covered: bool = True
 
 
 class Pending(NamedTuple):
     """A commit that a primary has acknowledged, but its writer's VM hasn't.
 
-    ``is_stale``: the primary had been replaced by then.
+    ``is_stale``: the primary had been replaced by then. ``position`` is that
+    in the primary's log.
     """
 
     commit: Commit
     primary: int
     is_stale: bool
+    position: int
 
 
 class Read(NamedTuple):
@@ -206,7 +326,10 @@
     """State of the whole model.
 
     ``violation`` is the violated invariant, or empty. ``early_proof`` is the
-    member and term that a replica confirmed before the read began.
+    member and term that a replica confirmed before the read began. ``record``
+    is the order in the fleet's store, ``last_record`` also if it has lapsed;
+    ``has_copies``: it was sent twice. ``views`` counts changes of the VM.
+    ``frozen`` is a coordinator whose duty has ended and that goes on.
     """
 
     members: tuple[Member, ...]
@@ -219,6 +342,14 @@
     coordinator: Coordinator | None = None
     early_proof: tuple[int, int] | None = None
     read: Read | None = None
+    orders: tuple[Order, ...] = ()
+    record: OrderRecord | None = None
+    last_record: OrderRecord | None = None
+    views: int = 0
+    has_copies: bool = False
+    has_lost_duty: bool = False
+    frozen: Coordinator | None = None
+    late_commands: frozenset[Command] = frozenset()
     violation: str = ""
 
     def with_member(self, number: int, member: Member) -> "TakeoverState":
@@ -227,6 +358,18 @@
         members[number] = member
         return self._replace(members=tuple(members))
 
+    def rostered(self) -> tuple[Member, ...]:
+        """Return the members whose logs may hold acknowledged commits."""
+        return tuple(
+            member
+            for member in self.members
+            if not (member.is_absent or member.is_off_roster)
+        )
+
+    def reported_term(self) -> int:
+        """Return the newest term that a coordinator learns from members."""
+        return max((m.term for m in self.members if m.is_reachable), default=0)
+
     def newest_primary(self) -> Member | None:
         """Return the primary of the highest term, or None."""
         leading = (member for member in self.members if member.is_primary)
@@ -237,14 +380,35 @@
 Step = tuple[str, TakeoverState]
 
 
-def first_state(may_join: bool = False) -> TakeoverState:
-    """Return a healthy group of three members, and one that may join."""
-    members = (Member(True, 1), Member(False, 1), Member(False, 1))
+def first_state(may_join: bool = False, replicas: int = 2) -> TakeoverState:
+    """Return a healthy group, and a member that may join."""
+    members = (Member(True, 1), *[Member(False, 1)] * replicas)
     if may_join:
         members = (*members, Member(False, 1, is_absent=True))
     return TakeoverState(members)
 
 
+def hidden_state() -> TakeoverState:
+    """Return a group whose primary the coordinator can't reach.
+
+    The primary has taken a commit that no replica has received.
+    """
+    primary = Member(True, 1, log=((0, 1),), is_hidden=True, applied=1)
+    members = (primary, Member(False, 1), Member(False, 1))
+    return TakeoverState(members, commits=1)
+
+
+def replaced_state() -> TakeoverState:
+    """Return four members after a takeover that the old primary missed."""
+    members = (
+        Member(True, 1),
+        Member(True, 2),
+        *[Member(False, 1, paused_for=2)] * 2,
+    )
+    record = OrderRecord("1", 1, until_ms=1)
+    return TakeoverState(members, record=record, last_record=record)
+
+
 def find_violation(state: TakeoverState) -> str:
     """Return the invariant that a state violates, or an empty string."""
     return state.violation
--- a/redwingpost/verify/tests/test_takeover.py
+++ b/redwingpost/verify/tests/test_takeover.py
@@ -126,13 +126,15 @@
         self.assertEqual("", found.violation, found.trace)
 
     def test_each_guard_against_joining_members_is_needed(self) -> None:
+        # Without the rules that would hide it.
+        alone = {"doubts_restarts": False, "heeds_pauses": False}
         cases = (
-            ("reads_members", {}),
-            ("distrusts_joined", {"may_be_hidden": True}),
+            ("reads_members", {}, {}),
+            ("distrusts_joined", {"may_be_hidden": True}, alone),
         )
-        for guard, faults in cases:
+        for guard, faults, others in cases:
             with self.subTest(guard):
-                rules = TakeoverRules(**{guard: False})
+                rules = TakeoverRules(**{guard: False}, **others)
                 model = TakeoverModel(rules, may_join=True, **faults)
                 found = search(
                     first_state(may_join=True), model.steps, _log_violation
