Search of takeovers: entries that never answered a VM

An entry on the roster at which nobody answers counts as a silent member: its group stays without a primary once that crashes. The model gets such an entry: nobody's, a member that confirms commits to the primary alone, one that answers late, and one at another member's address. Rules by which a takeover does without it can be switched on; the running code's rules don't change.

--- a/redwingpost/verify/takeover.py
+++ b/redwingpost/verify/takeover.py
@@ -22,6 +22,7 @@
 from redwingpost.ports.database import MemberEntry
 from redwingpost.takeover.plan import MemberStatus, Survey, may_promote
 from redwingpost.verify.takeover_duty import DutySteps
+from redwingpost.verify.takeover_entries import EntrySteps
 from redwingpost.verify.takeover_orders import OrderSteps
 from redwingpost.verify.takeover_reads import ReadSteps
 from redwingpost.verify.takeover_state import (
@@ -36,6 +37,7 @@
     first_state,
     hidden_state,
     replaced_state,
+    unproven_state,
 )
 from redwingpost.verify.takeover_writers import WriterSteps, report
 
@@ -47,6 +49,7 @@
     "find_violation",
     "hidden_state",
     "replaced_state",
+    "unproven_state",
 )
 
 #: Members that are partitioned from the others together: the first primary
@@ -100,6 +103,7 @@
         self._reads = ReadSteps(rules)
         self._writers = WriterSteps(rules, self._faults)
         self._orders = OrderSteps(rules, self._faults)
+        self._entries = EntrySteps(rules, self._faults)
         self._duty = DutySteps(rules, self._faults)
 
     def steps(self, state: TakeoverState) -> Iterator[Step]:
@@ -109,6 +113,7 @@
         yield from self._partition_steps(state)
         yield from self._coordinator_steps(state)
         yield from self._view_steps(state)
+        yield from self._entries.steps(state)
         if state.frozen is not None:
             yield from self._frozen_steps(state)
         yield from self._duty.steps(state)
@@ -494,6 +499,8 @@
         self, coordinator: Coordinator, number: int, member: Member
     ) -> bool:
         """Return whether a member is part of the survey."""
+        if member.is_excused:
+            return False
         if member.is_off_roster or number not in coordinator.known:
             return False
         if member.is_unlisted and not self._rules.counts_unlisted:
--- a/redwingpost/verify/takeover_state.py
+++ b/redwingpost/verify/takeover_state.py
@@ -68,6 +68,16 @@
     checks_record : bool
         The same for the last recorded order: it may have shown the newer
         term, unless its member answers.
+    skips_unproven : bool
+        A takeover does without a member that no VM has had an answer from.
+    waits_for_holders : bool
+        Only once the proven members were seen to hold the primary's log
+        while all VMs knew of the entry.
+    vouches_proven : bool
+        While there is such a member, a commit is confirmed only by a proven
+        one that holds it.
+    inherits_proof : bool
+        An entry at the address of a proven member counts as proven.
     pauses_next : bool
         Members are paused for the term after the newest reported one, also
         if they are paused for a later one.
@@ -97,6 +107,10 @@
     doubts_restarts: bool = True
     checks_terms: bool = True
     checks_record: bool = True
+    skips_unproven: bool = False
+    waits_for_holders: bool = True
+    vouches_proven: bool = True
+    inherits_proof: bool = True
     pauses_next: bool = False
     asks_all: bool = False
 
@@ -141,6 +155,11 @@
         Commands that it sent before may arrive later.
     arrives_before_order : bool
         They arrive before the next coordinator's order, or never.
+    may_answer_late : bool
+        A member that reaches no VM may answer one at any step.
+    may_take_place : bool
+        The entry may replace that of a member which the coordinator doesn't
+        reach, as it has the same address.
     views : tuple of tuple of int
         Sets of members that the VM of a later takeover may be unable to
         reach. It doesn't know who leads.
@@ -166,6 +185,8 @@
     may_lose_duty: bool = False
     may_arrive_late: bool = False
     arrives_before_order: bool = False
+    may_answer_late: bool = False
+    may_take_place: bool = False
     views: tuple[tuple[int, ...], ...] = ()
     no_old_acks: bool = False
     no_reads: bool = False
@@ -187,7 +208,8 @@
     registry's list. ``is_off_roster``: it is known to be gone, so that its
     answer is not needed. ``is_absent``: it hasn't started yet;
     ``has_joined``: it started after the others. ``is_restart_unseen``: VMs
-    don't know yet that it has restarted.
+    don't know yet that it has restarted. ``is_unproven``: it has never
+    answered a VM; ``is_excused``: a takeover may do without it.
     """
 
     is_primary: bool
@@ -204,6 +226,8 @@
     is_absent: bool = False
     has_joined: bool = False
     is_restart_unseen: bool = False
+    is_unproven: bool = False
+    is_excused: bool = False
 
     @property
     def head(self) -> tuple[int, int]:
@@ -329,6 +353,7 @@
     member and term that a replica confirmed before the read began. ``record``
     is the order in the fleet's store, ``last_record`` also if it has lapsed;
     ``has_copies``: it was sent twice. ``views`` counts changes of the VM.
+    ``is_entry_known``: all VMs have the entry of the unproven member.
     ``frozen`` is a coordinator whose duty has ended and that goes on.
     """
 
@@ -346,6 +371,7 @@
     record: OrderRecord | None = None
     last_record: OrderRecord | None = None
     views: int = 0
+    is_entry_known: bool = True
     has_copies: bool = False
     has_lost_duty: bool = False
     frozen: Coordinator | None = None
@@ -398,6 +424,18 @@
     return TakeoverState(members, commits=1)
 
 
+def unproven_state(is_running: bool, is_known: bool) -> TakeoverState:
+    """Return three members and an entry that has never answered a VM.
+
+    If it is running, it receives the primary's commits.
+    """
+    entry = Member(
+        False, 1, is_down=not is_running, is_hidden=True, is_unproven=True
+    )
+    members = (*first_state().members, entry)
+    return TakeoverState(members, is_entry_known=is_known)
+
+
 def replaced_state() -> TakeoverState:
     """Return four members after a takeover that the old primary missed."""
     members = (
--- a/redwingpost/verify/takeover_writers.py
+++ b/redwingpost/verify/takeover_writers.py
@@ -79,6 +79,9 @@
         """
         if not self._rules.confirms_commits:
             return False
+        if self._rules.vouches_proven and state.is_entry_known:
+            if any(member.is_unproven for member in state.members):
+                return True
         is_failing = not (primary.is_reachable or self._faults.may_be_unheard)
         signs = TakeoverSigns(
             any(member.is_known_restarted for member in state.members),
@@ -123,6 +126,7 @@
             if number != primary
             and not member.is_down
             and not member.is_absent
+            and not member.is_unproven
             and member.is_partitioned == is_partitioned
         ]
 
