Test that loses commits to a replica that restarts beside an order under way

A paused replica that restarts forgets its pause. While an order without an answer may take effect, the old primary may be back: the replica confirms its commits, which the ordered member lacks when it leads.

--- a/redwingpost/node/tests/test_late_orders.py
+++ b/redwingpost/node/tests/test_late_orders.py
@@ -62,6 +62,37 @@
 
     async def test_a_member_joins_while_an_order_is_under_way(self) -> None:
         """Guards against commits that a member confirms as it joins."""
+        chosen = await self._return_beside_order()
+        primary = self.group.last_primary
+        joined = LineMember("g1-m4", False)
+        self.group.follow(joined, primary)
+        self.group.member_by_name[joined.name] = joined
+        self.group.wake()
+        await self.standins.start_member(self.group, joined.name)
+        self.standins.register(joined.name)
+        await self._check_told(chosen)
+
+    async def test_a_member_restarts_while_an_order_is_under_way(self) -> None:
+        """Guards against commits that a member confirms after its pause."""
+        chosen = await self._return_beside_order()
+        primary = self.group.last_primary
+        (replica,) = (
+            member
+            for member in self.group.member_by_name.values()
+            if member not in (primary, chosen)
+        )
+        await self.standins.end_process(replica.name)
+        self.group.resume(replica)
+        await self.standins.start_process(replica.name)
+        await sleep(0.2)
+        self.standins.restart_cold(replica.name, 0.0)
+        await self._check_told(chosen)
+
+    async def _return_beside_order(self) -> LineMember:
+        """Return the ordered member, the primary being back before it leads.
+
+        Callers write, and no replica receives anything.
+        """
         self.standins.order_delay_s = 6.0
         primary = self.group.last_primary
         primary.is_unresponsive = True
@@ -69,16 +100,14 @@
         chosen = self.standins.find(self.standins.orders[0].member)
         chosen.is_cut_off = True
         primary.is_unresponsive = False
-        writing = create_task(self._write())
+        self.writing = create_task(self._write())
         await sleep(3.5)
-        joined = LineMember("g1-m4", False)
-        self.group.follow(joined, primary)
-        self.group.member_by_name[joined.name] = joined
-        self.group.wake()
-        await self.standins.start_member(self.group, joined.name)
-        self.standins.register(joined.name)
+        return chosen
+
+    async def _check_told(self, chosen: LineMember) -> None:
+        """Check that the ordered member leads with all that was told."""
         await until(lambda: chosen.is_primary, "the ordered promotion")
-        writing.cancel()
+        self.writing.cancel()
         kept = {v for e in chosen.log for v in e.writes.values()}
         self.assertEqual([], sorted(self.told - kept))
 
