Test of a member that joins: the list is as old as its reading

A timer of the test listed the member 0.1 s after the stop, at the moment from which the registry may be read: where the process is preempted right after it wakes for the reading, the timer is still due. The bound stays 0.1 s.

--- a/redwingpost/groups/confirmation.py
+++ b/redwingpost/groups/confirmation.py
@@ -15,11 +15,12 @@
 the new primary.
 
 The registry tells of a restart only later. So while another VM can't reach the
-primary, a replica alone vouches only over a connection that is older than any
-takeover under way: a restart would have ended it. Otherwise all other members
-must answer: the one that a takeover chose is among them. In both cases none
-that answers may be paused, and they must hold the commit: a member whose
-promotion is under way isn't paused, and may have received nothing.
+primary, or a member is paused, a replica alone vouches only over a connection
+that is older than any takeover under way: a restart would have ended it.
+Otherwise all other members must answer: the one that a takeover chose is among
+them. In both cases none that answers may be paused, and they must hold the
+commit: a member whose promotion is under way isn't paused, and may have
+received nothing.
 """
 
 from collections.abc import Iterable
@@ -52,13 +53,21 @@
     answered a VM. ``is_suspect``: a primary that answers may have to be
     replaced, as it is draining or its commits reach no replica.
     ``heard_half_s`` is how long heartbeats have arrived from at least half of
-    the VMs.
+    the VMs. ``has_paused_member``: a member is paused for a newer term, so
+    that an order may be under way although the primary answers all VMs.
     """
 
     has_fresh_replica: bool
     fails_elsewhere_s: float
     is_suspect: bool
     heard_half_s: float
+    has_paused_member: bool = False
+
+    @property
+    def may_be_replaced(self) -> bool:
+        """Return whether a promotion may be under way."""
+        is_failing = self.fails_elsewhere_s >= FAILS_ELSEWHERE_S
+        return is_failing or self.has_paused_member
 
 
 class CommitStatus(Enum):
@@ -86,13 +95,13 @@
     """An acknowledged commit; ``position`` is None if it isn't known.
 
     ``held_up_s`` is how long the primary took to acknowledge it (seconds).
-    ``is_failing_elsewhere`` tells whether another VM can't reach the primary.
+    ``may_be_replaced`` is that of the signs.
     """
 
     term: int
     position: Position | None = None
     held_up_s: float = 0.0
-    is_failing_elsewhere: bool = False
+    may_be_replaced: bool = False
 
 
 def needs_confirmation(signs: TakeoverSigns) -> bool:
@@ -108,7 +117,7 @@
     """
     return (
         signs.has_fresh_replica
-        or signs.fails_elsewhere_s >= FAILS_ELSEWHERE_S
+        or signs.may_be_replaced
         or signs.heard_half_s < SETTLED_S
     )
 
@@ -159,7 +168,7 @@
     Another VM can't reach the primary, and one replica is silent.
 
     >>> silent = ReplicaAnswer(None, True)
-    >>> commit = Commit(3, is_failing_elsewhere=True)
+    >>> commit = Commit(3, may_be_replaced=True)
     >>> check_commit(commit, [ReplicaAnswer(follows, True), silent]).value
     'open'
     >>> lasting = ReplicaAnswer(follows, True, is_running_on=True)
@@ -186,11 +195,11 @@
 ) -> bool:
     """Return whether replicas that accept commits show that it is kept."""
     is_any_paused = len(accepting) < len(answered)
-    is_in_doubt = commit.is_failing_elsewhere or commit.held_up_s >= HELD_UP_S
+    is_in_doubt = commit.may_be_replaced or commit.held_up_s >= HELD_UP_S
     if is_in_doubt and is_any_paused:
         return False
     vouching = [item for item in accepting if item.is_trusted]
-    if not commit.is_failing_elsewhere:
+    if not commit.may_be_replaced:
         return bool(vouching)
     position = commit.position or ZERO_POSITION
     holding = [item for item in accepting if item.report.received >= position]
--- a/redwingpost/node/lead_proofs.py
+++ b/redwingpost/node/lead_proofs.py
@@ -87,6 +87,7 @@
             self._fails_elsewhere_s(now),
             self._is_primary_suspect() or self._vms.is_any_write_stuck(now),
             self._vms.heard_half_s(now),
+            self._has_paused_member(),
         )
 
     def is_trusted(self, member: str, now: float) -> bool:
@@ -215,6 +216,15 @@
         )
         return max(failing_ms, default=0) / 1000.0
 
+    def _has_paused_member(self) -> bool:
+        """Return whether a member has last reported a pause for a new term."""
+        term = self._evidence.term
+        return any(
+            (last := self._evidence.last_report(name)) is not None
+            and last.report.paused_for > term
+            for name in self._member_by_name
+        )
+
     def _restarted_recently(self, member: str, now: float) -> bool:
         """Return whether a member has restarted recently."""
         listed = self._directory.get(member)
--- a/redwingpost/node/request/commits.py
+++ b/redwingpost/node/request/commits.py
@@ -5,7 +5,6 @@
 
 from redwingpost.core.positions import Position
 from redwingpost.groups.confirmation import (
-    FAILS_ELSEWHERE_S,
     HELD_UP_S,
     Commit,
     CommitStatus,
@@ -76,14 +75,9 @@
     if commit.position is not None:
         term = commit.position.term
     while True:
-        fails_elsewhere_s = group.proofs.signs().fails_elsewhere_s
-        checked = Commit(
-            term,
-            commit.position,
-            held_up_s,
-            fails_elsewhere_s >= FAILS_ELSEWHERE_S,
-        )
-        if not checked.is_failing_elsewhere and held_up_s < HELD_UP_S:
+        may_be_replaced = group.proofs.signs().may_be_replaced
+        checked = Commit(term, commit.position, held_up_s, may_be_replaced)
+        if not may_be_replaced and held_up_s < HELD_UP_S:
             # The proof holds for the primary known now, which may be new.
             if await group.prove() and _still_leads(group, leader, commit):
                 return CommitStatus.KEPT
--- a/redwingpost/node/takeover/coordinator.py
+++ b/redwingpost/node/takeover/coordinator.py
@@ -316,10 +316,14 @@
         chosen = choose_replica(statuses, leader, ordered).chosen.entry
         paused = self._clients_except([leader, chosen.member])
         await self._send_to_all(paused, "pause", term)
-        if not await self._await_catch_up(chosen, leader, term):
-            return None
         old = {leader: self.clients[leader]}
         next_term = newest_term(statuses) + 1
+        if not await self._await_catch_up(chosen, leader, term):
+            if ordered is not None:
+                # A member that restarts or joins, and lacks the pause, would
+                # confirm commits that the ordered one doesn't receive.
+                await self._send_to_all(old, "step_down", next_term)
+            return None
         stopped = await self._send_to_all(old, "step_down", next_term)
         log_event(
             "primary-stopped",
@@ -467,6 +471,7 @@
         # waiting for a silent member would delay the detection of the
         # promotion by that request's whole timeout.
         pausing = create_task(self._pause_others(chosen, term, old))
+        stopping = create_task(self._stop_returned(chosen, term, old))
         until = self._clock.now() + PROMOTION_TIMEOUT_S
         is_ordered = False
         try:
@@ -487,12 +492,31 @@
                     pausing = create_task(
                         self._pause_others(chosen, term, old)
                     )
+                if stopping.done():
+                    stopping = create_task(
+                        self._stop_returned(chosen, term, old)
+                    )
                 await sleep(POLL_S)
         finally:
             # A pause that arrives later would undo the following resume.
-            await pausing
+            await gather(pausing, stopping)
         return False
 
+    async def _stop_returned(
+        self, chosen: MemberStatus, term: int, old: str | None
+    ) -> None:
+        """Stop an old primary that was silent, if it answers by now.
+
+        Its commits could reach a member that has restarted or joined, and
+        not the chosen one.
+        """
+        if self._has_stopped_primary:
+            return
+        others = self._clients_except([chosen.entry.member])
+        if old in others:
+            others = {old: others[old]}
+        await self._send_to_all(others, "step_down", term)
+
     async def _pause_others(
         self, chosen: MemberStatus, term: int, old: str | None
     ) -> None:
--- a/redwingpost/node/tests/test_coordinator.py
+++ b/redwingpost/node/tests/test_coordinator.py
@@ -1,6 +1,5 @@
 """One takeover while members of the group fail."""
 
-from asyncio import get_running_loop
 from collections.abc import Callable
 from typing import Any
 from unittest import IsolatedAsyncioTestCase
@@ -100,6 +99,7 @@
         }
         self.member_by_name = {name: self.all_by_name[name] for name in listed}
         self.registered = {*self.member_by_name}
+        self._listed_at: dict[str, float] = {}
         self.evidence = GroupEvidence()
         self.promoted: list[str] = []
         self.stopped_before_order: list[bool] = []
@@ -134,7 +134,9 @@
 
     async def members_of(self, group: str) -> tuple[MemberEntry, ...]:
         """Return the members that the registry lists."""
-        return tuple(_entry(name) for name in sorted(self.registered))
+        now = MonotonicClock().now()
+        due = {name for name, at in self._listed_at.items() if at <= now}
+        return tuple(_entry(name) for name in sorted(self.registered | due))
 
     def add_member(self, name: str) -> FakeMember:
         """Add a replica that this VM's copy of the list doesn't have."""
@@ -152,11 +154,7 @@
 
     def register(self, name: str, after_s: float) -> None:
         """Put a member on the registry's list, now or later."""
-        if after_s:
-            loop = get_running_loop()
-            loop.call_later(after_s, self.registered.add, name)
-        else:
-            self.registered.add(name)
+        self._listed_at[name] = MonotonicClock().now() + after_s
 
     async def fresh_round(self) -> None:
         """Do nothing."""
--- a/redwingpost/verify/takeover_writers.py
+++ b/redwingpost/verify/takeover_writers.py
@@ -113,7 +113,7 @@
             item.commit[1],
             position,
             held_up_s=HELD_UP_S if self._rules.heeds_pauses else 0.0,
-            is_failing_elsewhere=is_failing and self._rules.doubts_restarts,
+            may_be_replaced=is_failing and self._rules.doubts_restarts,
         )
         return check_commit(commit, answers) is CommitStatus.KEPT
 
