Takeover: a primary that returns beside an order is stopped

A primary goes silent, an order of a replacement has no answer, and the primary is back before it takes effect. The other replicas are paused, but one that restarts or joins isn't: it confirms commits that the ordered member doesn't receive. No sign told the callers' VMs, as every VM reached the primary.

To callers' VMs a paused member is a sign: no replica alone vouches then.

This replaces the rule that such a primary isn't stopped, and its test, which asks for the stop now.

--- a/redwingpost/node/tests/test_coordinator.py
+++ b/redwingpost/node/tests/test_coordinator.py
@@ -482,7 +482,7 @@
         noted.assert_called_once()
 
     async def test_a_stop_while_an_order_is_under_way(self) -> None:
-        """Guards against a stopped primary that may not lead again."""
+        """Guards against commits that the ordered member doesn't receive."""
         group = FakeGroup()
         group.all_by_name["p"].index = 12
         row = Row(
@@ -493,9 +493,26 @@
         )
         with patch.object(coordinator, "CATCH_UP_TIMEOUT_S", 0.1):
             await self._coordinator(group, rows=(row,)).run(Reason.STALLED)
-        self.assertNotIn("step_down", group.all_by_name["p"].commands)
+        self.assertIn("step_down", group.all_by_name["p"].commands)
+        self.assertEqual([], group.promoted)
         self.assertEqual(["a"], group.resumed())
 
+    async def test_an_old_primary_that_returns_beside_an_order(self) -> None:
+        """Guards against commits that the ordered member doesn't receive."""
+        group = FakeGroup()
+        primary = group.all_by_name["p"]
+        primary.is_silent = True
+        group.outcome = OrderOutcome.UNANSWERED
+
+        def come_back() -> None:
+            primary.is_silent = False
+
+        group.on_record = come_back
+        with patch.object(coordinator, "PROMOTION_TIMEOUT_S", 0.1):
+            await self._coordinator(group).run(Reason.SILENT)
+        self.assertFalse(primary.is_primary)
+        self.assertEqual(["b"], group.resumed())
+
     async def test_a_restart_while_the_order_is_recorded(self) -> None:
         """Guards against an order on pauses that are long past."""
         group = FakeGroup()
