Duty: a removed row doesn't start the fences again

Where another writer had removed the duty's row, the next claim sent fence 1, which had been used: a platform that checks fences refuses it, and so each promotion until the fences have caught up.

--- a/redwingpost/node/takeover/duty.py
+++ b/redwingpost/node/takeover/duty.py
@@ -202,8 +202,11 @@
 
 
 def _find_row(got: Snapshot) -> tuple[DutyRow, int]:
-    """Return the duty's row and its version, 0 if there is no row."""
+    """Return the duty's row and its version, 0 if there is no row.
+
+    One that was removed may have had any fence up to the store's number.
+    """
     for row in got.rows:
         if row.key == DUTY_KEY:
             return DutyRow.from_value(row.value), row.version
-    return DutyRow.from_value(None), 0
+    return DutyRow("", number_of(got.version), 0), 0
--- a/redwingpost/node/tests/test_duty.py
+++ b/redwingpost/node/tests/test_duty.py
@@ -231,6 +231,15 @@
                 with self.subTest(name, era=era):
                     await self._check_claims_after(value, era)
 
+    async def test_a_row_that_was_removed(self) -> None:
+        """Guards against a fence that was used before."""
+        clock = VirtualClock(100.0)
+        store = ConditionalStore(clock)
+        before = await self._claim(DutyKeeper(store, "vm-1", clock), clock)
+        del store.row_by_key[DUTY_KEY]
+        after = await self._claim(DutyKeeper(store, "vm-2", clock), clock)
+        self.assertGreater(after.duty.fence, before.duty.fence)
+
     async def _check_claims_after(self, value: Any, era: int) -> None:
         clock = VirtualClock(100.0)
         store = RestorableStore(clock)
