--- a/redwingpost/verify/takeover_entries.py
+++ b/redwingpost/verify/takeover_entries.py
@@ -43,7 +43,11 @@
                 )
             if self._faults.may_answer_late and not member.is_down:
                 proven = member._replace(
-                    is_hidden=False, is_unproven=False, is_excused=False
+                    is_hidden=False,
+                    is_unproven=False,
+                    is_excused=False,
+                    is_cut_off=False,
+                    has_restarted=self._rules.doubts_newcomers,
                 )
                 yield f"{number} answers a VM", state.with_member(
                     number, proven
--- a/redwingpost/verify/takeover_orders.py
+++ b/redwingpost/verify/takeover_orders.py
@@ -54,12 +54,9 @@
         record = state.record
         if not self._rules.one_order or record is None:
             return None
-        may_take_effect = record.may_take_effect(
-            state.reported_term(), _BEFORE_MS
-        )
-        if self._rules.counts_copies and state.has_copies:
-            may_take_effect = True
-        return int(record.member) if may_take_effect else None
+        if not record.may_take_effect(state.reported_term(), _BEFORE_MS):
+            return None
+        return int(record.member)
 
     def send(
         self, state: TakeoverState, coordinator: Coordinator
@@ -81,13 +78,12 @@
         is_recorded = self._faults.may_order_late or self._faults.views
         if not (self._rules.one_order and is_recorded):
             return following
-        if is_repeated:
-            following = following._replace(has_copies=True)
-            if not self._rules.renews_record:
-                return following
-        else:
-            following = following._replace(has_copies=False)
-        record = OrderRecord(str(chosen), coordinator.known_term, _UNTIL_MS)
+        sends = 2 if is_repeated and self._rules.counts_copies else 1
+        record = OrderRecord(
+            str(chosen), coordinator.known_term, _UNTIL_MS, sends
+        )
+        if is_repeated and not self._rules.renews_record:
+            record = state.record and state.record._replace(sends=sends)
         last = record if self._faults.views else None
         return following._replace(record=record, last_record=last)
 
--- a/redwingpost/verify/takeover_state.py
+++ b/redwingpost/verify/takeover_state.py
@@ -48,8 +48,8 @@
         While a recorded order may take effect, only its member is ordered
         or resumed.
     counts_copies : bool
-        An order that was sent more than once may take effect until its
-        record lapses, whatever term members report.
+        The record tells how often its order was sent: one that was sent
+        again may take effect whatever term members report.
     renews_record : bool
         An order is recorded again before a later takeover sends it again.
     checks_duty : bool
@@ -76,6 +76,9 @@
     vouches_proven : bool
         While there is such a member, a commit is confirmed only by a proven
         one that holds it.
+    doubts_newcomers : bool
+        A member that answers for the first time confirms nothing for as long
+        as one that has restarted.
     inherits_proof : bool
         An entry at the address of a proven member counts as proven.
     pauses_next : bool
@@ -110,6 +113,7 @@
     skips_unproven: bool = False
     waits_for_holders: bool = True
     vouches_proven: bool = True
+    doubts_newcomers: bool = True
     inherits_proof: bool = True
     pauses_next: bool = False
     asks_all: bool = False
@@ -209,7 +213,8 @@
     answer is not needed. ``is_absent``: it hasn't started yet;
     ``has_joined``: it started after the others. ``is_restart_unseen``: VMs
     don't know yet that it has restarted. ``is_unproven``: it has never
-    answered a VM; ``is_excused``: a takeover may do without it.
+    answered a VM; ``is_excused``: a takeover may do without it;
+    ``is_cut_off``: no VM reaches it.
     """
 
     is_primary: bool
@@ -228,6 +233,7 @@
     is_restart_unseen: bool = False
     is_unproven: bool = False
     is_excused: bool = False
+    is_cut_off: bool = False
 
     @property
     def head(self) -> tuple[int, int]:
@@ -321,13 +327,15 @@
     """A commit that a primary has acknowledged, but its writer's VM hasn't.
 
     ``is_stale``: the primary had been replaced by then. ``position`` is that
-    in the primary's log.
+    in the primary's log. ``needs_holder``: a member that has answered a VM
+    must hold the commit.
     """
 
     commit: Commit
     primary: int
     is_stale: bool
     position: int
+    needs_holder: bool
 
 
 class Read(NamedTuple):
@@ -351,8 +359,8 @@
 
     ``violation`` is the violated invariant, or empty. ``early_proof`` is the
     member and term that a replica confirmed before the read began. ``record``
-    is the order in the fleet's store, ``last_record`` also if it has lapsed;
-    ``has_copies``: it was sent twice. ``views`` counts changes of the VM.
+    is the order in the fleet's store, ``last_record`` also if it has lapsed.
+    ``views`` counts changes of the VM.
     ``is_entry_known``: all VMs have the entry of the unproven member.
     ``frozen`` is a coordinator whose duty has ended and that goes on.
     """
@@ -372,7 +380,6 @@
     last_record: OrderRecord | None = None
     views: int = 0
     is_entry_known: bool = True
-    has_copies: bool = False
     has_lost_duty: bool = False
     frozen: Coordinator | None = None
     late_commands: frozenset[Command] = frozenset()
@@ -430,7 +437,12 @@
     If it is running, it receives the primary's commits.
     """
     entry = Member(
-        False, 1, is_down=not is_running, is_hidden=True, is_unproven=True
+        False,
+        1,
+        is_down=not is_running,
+        is_hidden=True,
+        is_unproven=True,
+        is_cut_off=True,
     )
     members = (*first_state().members, entry)
     return TakeoverState(members, is_entry_known=is_known)
--- a/redwingpost/verify/takeover_writers.py
+++ b/redwingpost/verify/takeover_writers.py
@@ -10,7 +10,6 @@
 from redwingpost.core.positions import Position
 from redwingpost.groups.confirmation import (
     FAILS_ELSEWHERE_S,
-    HELD_UP_S,
     SETTLED_S,
     CommitStatus,
     ReplicaAnswer,
@@ -19,9 +18,9 @@
     needs_confirmation,
 )
 from redwingpost.groups.confirmation import Commit as CheckedCommit
+from redwingpost.groups.evidence import accepts_commits
 from redwingpost.ports.database import StatusReport
 from redwingpost.verify.takeover_state import (
-    Commit,
     Faults,
     Member,
     Pending,
@@ -58,13 +57,14 @@
         )
         known = {item.commit for item in state.pending} | state.acknowledged
         is_stale = state.newest_primary().term > primary.term
+        needs_holder = self._needs_holder(state)
         new_commits = frozenset(
-            Pending(commit, number, is_stale, position)
+            Pending(commit, number, is_stale, position, needs_holder)
             for position, commit in enumerate(primary.log, start=1)
             if commit not in known
             and not (self._faults.no_old_acks and commit[1] < primary.term)
         )
-        if self._needs_confirmation(following, primary):
+        if needs_holder or self._needs_confirmation(following, primary):
             return following._replace(pending=state.pending | new_commits)
         for item in new_commits:
             following = _acknowledge(following, item)
@@ -79,9 +79,6 @@
         """
         if not self._rules.confirms_commits:
             return False
-        if self._rules.vouches_proven and state.is_entry_known:
-            if any(member.is_unproven for member in state.members):
-                return True
         is_failing = not (primary.is_reachable or self._faults.may_be_unheard)
         signs = TakeoverSigns(
             any(member.is_known_restarted for member in state.members),
@@ -91,6 +88,14 @@
         )
         return needs_confirmation(signs)
 
+    def _needs_holder(self, state: TakeoverState) -> bool:
+        """Return whether VMs know of a member that has never answered."""
+        return (
+            self._rules.vouches_proven
+            and state.is_entry_known
+            and any(member.is_unproven for member in state.members)
+        )
+
     def _is_kept(self, state: TakeoverState, item: Pending) -> bool:
         """Return whether answers that a VM may get confirm a commit."""
         members = self._answering(state, item.primary)
@@ -103,16 +108,19 @@
         self, state: TakeoverState, item: Pending, members: list[Member]
     ) -> bool:
         is_failing = not state.members[item.primary].is_reachable
-        answers = [
-            self._answer(member, item.commit, is_failing) for member in members
-        ]
+        if item.needs_holder:
+            members = [m for m in members if item.commit in m.log]
+        if not self._rules.heeds_pauses:
+            members = [m for m in members if _accepts(m, item.commit[1])]
+        answers = [self._answer(member, is_failing) for member in members]
         silent = len(state.rostered()) - 1 - len(members)
         answers += [ReplicaAnswer(None, is_trusted=False)] * silent
-        position = Position(item.commit[1], item.position)
+        position = None
+        if self._rules.held_by_voucher:
+            position = Position(item.commit[1], item.position)
         commit = CheckedCommit(
             item.commit[1],
             position,
-            held_up_s=HELD_UP_S if self._rules.heeds_pauses else 0.0,
             is_failing_elsewhere=is_failing and self._rules.doubts_restarts,
         )
         return check_commit(commit, answers) is CommitStatus.KEPT
@@ -126,13 +134,11 @@
             if number != primary
             and not member.is_down
             and not member.is_absent
-            and not member.is_unproven
+            and not member.is_cut_off
             and member.is_partitioned == is_partitioned
         ]
 
-    def _answer(
-        self, member: Member, commit: Commit, is_failing: bool
-    ) -> ReplicaAnswer:
+    def _answer(self, member: Member, is_failing: bool) -> ReplicaAnswer:
         """Return a replica's answer, and whether it counts as proof.
 
         ``is_failing``: the coordinator doesn't reach the primary.
@@ -141,14 +147,16 @@
         is_trusted = not (
             member.is_known_restarted or member.has_joined and distrusts
         )
-        if self._rules.held_by_voucher and commit not in member.log:
-            is_trusted = False
         is_running_on = not (
             member.has_restarted or member.has_joined or self._rules.asks_all
         )
         return ReplicaAnswer(report(member), is_trusted, is_running_on)
 
 
+def _accepts(member: Member, term: int) -> bool:
+    return accepts_commits(report(member), term)
+
+
 def report(member: Member) -> StatusReport:
     """Return the report that a member would give."""
     head = Position(*member.head)
--- a/redwingpost/verify/tests/test_takeover_entries.py
+++ b/redwingpost/verify/tests/test_takeover_entries.py
@@ -61,6 +61,7 @@
             ("vouches_proven", {}, _KNOWN),
             ("waits_for_holders", {}, _UNKNOWN),
             ("inherits_proof", {"may_take_place": True}, _KNOWN),
+            ("doubts_newcomers", {"may_answer_late": True}, _KNOWN),
         )
         for guard, faults, first in cases:
             with self.subTest(guard):
