Search of takeovers: a primary that is reached again beside an order

While an order may still take effect nobody waits for it: its coordinator has given up, and resumed the ordered member alone. If the old primary is reached again, VMs have no sign of a takeover. A replica that joins, or restarts, isn't paused and confirms commits that the ordered member then leads without.

Rules: always_held, a replica that confirms a commit must hold it whatever the signs; counts_joined, a member that joined lately is a sign and confirms nothing, like one that has restarted. The running code has neither.

--- a/redwingpost/verify/takeover.py
+++ b/redwingpost/verify/takeover.py
@@ -251,6 +251,11 @@
                 yield "0 is hidden from the coordinator", state.with_member(
                     0, hidden
                 )
+        if member.is_hidden and self._faults.may_come_back:
+            found = member._replace(is_hidden=False)
+            yield f"{number} is reached again", state.with_member(
+                number, found
+            )
         if member.term < state.newest_primary().term:
             # Ordered by the coordinator, or by the new primary.
             yield (
--- a/redwingpost/verify/takeover_state.py
+++ b/redwingpost/verify/takeover_state.py
@@ -81,6 +81,11 @@
         as one that has restarted.
     inherits_proof : bool
         An entry at the address of a proven member counts as proven.
+    counts_joined : bool
+        A member that joined lately is a sign of a takeover, and confirms
+        nothing, like one that has restarted.
+    always_held : bool
+        A replica that confirms a commit must hold it, whatever the signs.
     pauses_next : bool
         Members are paused for the term after the newest reported one, also
         if they are paused for a later one.
@@ -115,6 +120,8 @@
     vouches_proven: bool = True
     doubts_newcomers: bool = True
     inherits_proof: bool = True
+    counts_joined: bool = False
+    always_held: bool = False
     pauses_next: bool = False
     asks_all: bool = False
 
@@ -159,6 +166,8 @@
         Commands that it sent before may arrive later.
     arrives_before_order : bool
         They arrive before the next coordinator's order, or never.
+    may_come_back : bool
+        The coordinator may reach the hidden primary again.
     may_answer_late : bool
         A member that reaches no VM may answer one at any step.
     may_take_place : bool
@@ -189,6 +198,7 @@
     may_lose_duty: bool = False
     may_arrive_late: bool = False
     arrives_before_order: bool = False
+    may_come_back: bool = False
     may_answer_late: bool = False
     may_take_place: bool = False
     views: tuple[tuple[int, ...], ...] = ()
--- a/redwingpost/verify/takeover_writers.py
+++ b/redwingpost/verify/takeover_writers.py
@@ -81,7 +81,12 @@
             return False
         is_failing = not (primary.is_reachable or self._faults.may_be_unheard)
         signs = TakeoverSigns(
-            any(member.is_known_restarted for member in state.members),
+            any(
+                member.is_known_restarted
+                or member.has_joined
+                and self._rules.counts_joined
+                for member in state.members
+            ),
             FAILS_ELSEWHERE_S if is_failing else 0.0,
             is_suspect=False,
             heard_half_s=SETTLED_S,
@@ -108,11 +113,17 @@
         self, state: TakeoverState, item: Pending, members: list[Member]
     ) -> bool:
         is_failing = not state.members[item.primary].is_reachable
-        if item.needs_holder:
-            members = [m for m in members if item.commit in m.log]
         if not self._rules.heeds_pauses:
             members = [m for m in members if _accepts(m, item.commit[1])]
-        answers = [self._answer(member, is_failing) for member in members]
+        must_hold = item.needs_holder or self._rules.always_held
+        answers = [
+            self._answer(
+                member,
+                is_failing,
+                may_vouch=not must_hold or item.commit in member.log,
+            )
+            for member in members
+        ]
         silent = len(state.rostered()) - 1 - len(members)
         answers += [ReplicaAnswer(None, is_trusted=False)] * silent
         position = None
@@ -138,13 +149,17 @@
             and member.is_partitioned == is_partitioned
         ]
 
-    def _answer(self, member: Member, is_failing: bool) -> ReplicaAnswer:
+    def _answer(
+        self, member: Member, is_failing: bool, may_vouch: bool
+    ) -> ReplicaAnswer:
         """Return a replica's answer, and whether it counts as proof.
 
         ``is_failing``: the coordinator doesn't reach the primary.
         """
-        distrusts = self._rules.distrusts_joined and is_failing
-        is_trusted = not (
+        distrusts = self._rules.counts_joined or (
+            self._rules.distrusts_joined and is_failing
+        )
+        is_trusted = may_vouch and not (
             member.is_known_restarted or member.has_joined and distrusts
         )
         is_running_on = not (
--- a/redwingpost/verify/tests/test_takeover_orders.py
+++ b/redwingpost/verify/tests/test_takeover_orders.py
@@ -13,13 +13,15 @@
 
 _LATE = {"may_order_late": True, "no_reads": True}
 _HIDDEN = {**_LATE, "may_be_hidden": True, "restarts": 1}
+_BACK = {**_LATE, "may_be_hidden": True, "may_come_back": True}
 _OWN = {**_LATE, "no_old_acks": True}
 _REPEATED = {**_LATE, "may_repeat_orders": True}
 
 
 def _search(rules: dict, faults: dict, limits: Limits) -> Found:
     model = TakeoverModel(TakeoverRules(**rules), limits=limits, **faults)
-    return search(first_state(), model.steps, find_violation)
+    first = first_state(may_join=faults.get("may_join", False))
+    return search(first, model.steps, find_violation)
 
 
 class LateOrderSearchTest(TestCase):
@@ -47,6 +49,28 @@
                 self.assertEqual("", found.violation, found.trace)
                 self.assertTrue(found.complete)
 
+    def test_nothing_is_lost_when_a_primary_comes_back(self) -> None:
+        """Guards against commits beside an order that nobody waits for.
+
+        A replica that joins or restarts isn't paused, and no VM has a sign of
+        the takeover any more.
+        """
+        limits = Limits(1, 1)
+        cases = (
+            ("joins", {**_BACK, "may_join": True}, "counts_joined"),
+            ("joins", {**_BACK, "may_join": True}, "always_held"),
+            ("restarts", {**_BACK, "restarts": 1}, "always_held"),
+        )
+        both = {"counts_joined": True, "always_held": True}
+        for name, faults, guard in cases:
+            with self.subTest(name, guard=guard):
+                found = _search(both, faults, limits)
+                print(f"searched {found.states} states: comes back, {name}")
+                self.assertEqual("", found.violation, found.trace)
+                self.assertTrue(found.complete)
+                found = _search({**both, guard: False}, faults, limits)
+                self.assertIn("lost", found.violation)
+
     def test_each_guard_against_late_orders_is_needed(self) -> None:
         cases = (
             ("one_order", _LATE, Limits(commits=1)),
