Tests of an old primary that goes on beside a new one

A VM that was killed after its order starts again and ends the takeover. It doesn't know who led, so it stops nobody, and resumes a replica that can't reach the new primary. The new primary crashes and its entry is removed. The VMs forget its report, and with it the newest term: from term 3 back to 2. The old primary counts as the leader again and is sent writes.

--- a/redwingpost/groups/tests/test_evidence.py
+++ b/redwingpost/groups/tests/test_evidence.py
@@ -50,6 +50,12 @@
         self.evidence.note_report("q", _report(True, 4, 9), 2.1)
         self.assertEqual("q", self.evidence.leader)
 
+    def test_the_newest_primary_is_removed(self) -> None:
+        """Guards against an old primary that leads again for this VM."""
+        self.evidence.note_report("q", _report(True, 4, 9), 2.0)
+        self.evidence.forget("q")
+        self.assertEqual((None, 4), (self.evidence.leader, self.evidence.term))
+
     def test_a_late_report_is_ignored(self) -> None:
         self.evidence.note_report("p", _report(False, 3, 9), 5.0)
         self.evidence.note_report("p", _report(True, 3, 9), 4.0)
--- a/redwingpost/node/tests/test_coordinator.py
+++ b/redwingpost/node/tests/test_coordinator.py
@@ -206,6 +206,28 @@
         self.assertEqual([True], group.stopped_before_order)
         self.assertIn("pause", group.all_by_name["a"].commands)
 
+    async def test_an_unknown_old_primary_is_stopped(self) -> None:
+        """Guards against replicas resumed for a primary that was replaced.
+
+        This VM has just started, and the old primary returns after the order.
+        """
+        group = FakeGroup()
+        old = group.all_by_name["p"]
+        old.is_silent = True
+        was_primary: list[bool] = []
+
+        def note(command: str) -> None:
+            if command == "resume":
+                was_primary.append(old.is_primary)
+
+        for name in "ab":
+            replica = group.all_by_name[name]
+            replica.on_command, replica.paused_for = note, 2
+        group.on_record = lambda: setattr(old, "is_silent", False)
+        outcome = await self._coordinator(group).run(Reason.NONE_LEADS)
+        self.assertEqual("done", outcome)
+        self.assertEqual([False], was_primary)
+
     async def test_two_silent_members(self) -> None:
         """The primary and another member are silent: no promotion.
 
