--- a/redwingpost/bench/takeovers.py
+++ b/redwingpost/bench/takeovers.py
@@ -238,25 +238,27 @@
         self, group: ReplicatedGroup, promotion: Promotion, lost: set[str]
     ) -> None:
         """Compare a promoted member's log with what was acknowledged."""
-        lines_by_rule: dict[str, list[str]] = {"LOST": [], "LOST-UNTOLD": []}
+        lines_by_rule: dict[str, list[str]] = {}
         for entry in promotion.missing:
             values = set(entry.writes.values())
             at, member = group.acknowledged_by[entry.position]
             told = [self.told_at[v] for v in values if v in self.told_at]
             told_at = f"{told[0]:.3f}" if told else "never"
-            lines_by_rule["LOST" if told else "LOST-UNTOLD"].append(
+            rule = "LOST" if told else "LOST-UNTOLD"
+            if told and _is_outdated(group, entry.position.term, at):
+                rule = "ONE"
+            lines_by_rule.setdefault(rule, []).append(
                 f"{_text_of(entry.position)} ({', '.join(sorted(values))}),"
                 f" acknowledged by {member} at {at:.3f}, told at {told_at}"
             )
             lost -= values
         for rule, lines in lines_by_rule.items():
-            if lines:
-                more = f", and {len(lines) - 1} more" if lines[1:] else ""
-                self.violations.append(
-                    f"{rule}: {lines[0]}{more}; {promotion.member} led term"
-                    f" {promotion.term} at {promotion.at:.3f}"
-                    f"{self._describe_before(group, promotion)}"
-                )
+            more = f", and {len(lines) - 1} more" if lines[1:] else ""
+            self.violations.append(
+                f"{rule}: {lines[0]}{more}; {promotion.member} led term"
+                f" {promotion.term} at {promotion.at:.3f}"
+                f"{self._describe_before(group, promotion)}"
+            )
 
     def _describe_before(
         self, group: ReplicatedGroup, promotion: Promotion
@@ -526,6 +528,14 @@
         await self.end_node(vm, how)
 
 
+def _is_outdated(group: ReplicatedGroup, term: int, at: float) -> bool:
+    """Return whether a newer term had a primary at a Unix time."""
+    return any(
+        promotion.term > term and promotion.at < at
+        for promotion in group.promotions
+    )
+
+
 def _configuration() -> dict[str, Any]:
     """Return a configuration with a second group's database."""
     value = configuration(1)
