Evidence: a primary that was seen to lead outlasts its entry

Cause: the newest term was that of the reports that a VM has. A primary that crashed and was removed took its term with it, and the one that it had replaced counted as the primary again.

Change: the newest term at which a primary was known stays.

--- a/redwingpost/groups/evidence.py
+++ b/redwingpost/groups/evidence.py
@@ -79,6 +79,7 @@
         self.leader: str | None = None
         self.term = 0
         self.proven_at = float("-inf")
+        self._led_term = 0
         self._start_term = 0
         self._start_position = ZERO_POSITION
         self._acknowledged = ZERO_POSITION
@@ -240,7 +241,10 @@
             (last.report.term, member, last.report.is_primary)
             for member, last in self._report_by_member.items()
         ]
+        # A primary that was seen to lead has replaced those of earlier terms,
+        # also after it has been removed.
         newest = max((term for term, _, _ in reports), default=0)
+        newest = max(newest, self._led_term)
         claims = [
             member
             for term, member, is_primary in reports
@@ -254,3 +258,5 @@
             self.proven_at = float("-inf")
         self.leader = leader
         self.term = newest
+        if leader is not None:
+            self._led_term = newest
