Takeover: all old primaries that answer are stopped at its end

Cause: a VM that was killed after its order starts again and ends the takeover. It doesn't know who led, so it stopped nobody, and resumed a replica that can't reach the new primary and confirmed the old one's commits.

Change: whoever else reports that it leads is stopped before members are resumed.

--- a/redwingpost/node/takeover/coordinator.py
+++ b/redwingpost/node/takeover/coordinator.py
@@ -571,14 +571,23 @@
     # After the promotion -------------------------------------------------
 
     async def _finish(self, chosen: MemberStatus, old: str | None) -> None:
-        """Demote the old primary and resume the paused replicas."""
+        """Demote old primaries and resume the paused replicas.
+
+        A VM that has started since the order doesn't know who led.
+        """
         term = self._group.evidence.term
         self._orders.note_term(term)
         self.members.follow_directory()
         others = self._clients_except([chosen.entry.member])
-        replaced = {name: others[name] for name in others if name == old}
-        await self._send_to_all(replaced, "step_down", term)
         statuses = await self._send_to_all(others, "status")
+        replaced = {
+            item.entry.member: others[item.entry.member]
+            for item in statuses
+            if not item.is_silent and item.report.is_primary
+        }
+        if old in others:
+            replaced[old] = others[old]
+        await self._send_to_all(replaced, "step_down", term)
         paused = {
             item.entry.member: others[item.entry.member]
             for item in statuses
