--- a/redwingpost/verify/takeover_duty.py
+++ b/redwingpost/verify/takeover_duty.py
@@ -68,8 +68,8 @@
             Command("PAUSE", number, coordinator.term) for number in replicas
         )
         if coordinator.old is not None:
-            command = Command("STEPDOWN", coordinator.old, coordinator.term)
-            yield "STEPDOWN", frozenset({command})
+            command = Command("step_down", coordinator.old, coordinator.term)
+            yield "step_down", frozenset({command})
 
 
 def _apply(state: TakeoverState, command: Command) -> TakeoverState:
@@ -83,7 +83,7 @@
 
 def _obey(member: Member, command: Command) -> Member:
     """Return the member after a command."""
-    if command.word == "STEPDOWN":
+    if command.word == "step_down":
         steps_down = member.is_primary and member.term < command.term
         return member._replace(is_primary=False) if steps_down else member
     if member.is_primary:
