--- a/review/4/case.py
+++ b/review/4/case.py
@@ -6,32 +6,18 @@
 """
 
 from asyncio import create_task, run, sleep
-from operator import attrgetter
 from os import environ
 from pathlib import Path
 from signal import SIGCONT, SIGSTOP
 from sys import exit as sys_exit
 
-from redwingpost.membership.heartbeat import VmAddress
-from redwingpost.node.tests.line_site import NodeProcess, configuration
-from redwingpost.routing.homes import (
-    choose_ranked_homes,
-    count_homes,
-    order_homes,
-    rank_for_homes,
-)
+from redwingpost.node.tests.line_site import configuration
+from fleet_2 import NODES, choose_home_and_other, tenants
 from site_2 import DeployedSite, NotingSite, Record
 
-NODES = 14
-
 #: Exit code after which ``run.sh`` ends with 1. An exception ends with 1.
 BROKEN = 10
 
-#: Tenants of a small deployment, connections and slots of its members.
-TENANTS = 8
-CONNECTIONS = 32
-SLOTS = 5
-
 #: Seconds for which the home stands still (``node_freeze``).
 FREEZE_S = 3.5
 
@@ -41,38 +27,10 @@
 
 def _configuration() -> dict:
     value = configuration(1)
-    value["tenants"] = [
-        {
-            "name": f"tenant-{number}",
-            "apiKeys": [f"key-{number}"],
-            "ratePerS": 100,
-            "burst": 100,
-        }
-        for number in range(TENANTS)
-    ]
+    value["tenants"] = tenants()
     return value
 
 
-def _choose(site: DeployedSite) -> tuple[NodeProcess, NodeProcess]:
-    """Return the first home of tenant-1's statements, and a VM that is none.
-
-    The project's own functions say which they are; what the members see
-    shows that they are right.
-    """
-    addresses = [
-        VmAddress(node.vm, node.ip, 1, "dc-a", 1.0) for node in site.nodes
-    ]
-    homes = choose_ranked_homes(
-        iter(rank_for_homes("g1", addresses, attrgetter("capacity"))),
-        {"dc-a"},
-        count_homes(CONNECTIONS, SLOTS, TENANTS),
-    )
-    names = {home.vm for home in homes}
-    first = order_homes("g1", "tenant-1", homes)[0].vm
-    other = next(node for node in site.nodes if node.vm not in names)
-    return site.find(first), other
-
-
 async def _play(record: Record, has_trouble: bool) -> int:
     standins = NotingSite(record)
     site = DeployedSite(standins)
@@ -80,7 +38,7 @@
     try:
         await site.start(NODES)
         await sleep(3.0)
-        home, entry = _choose(site)
+        home, entry = choose_home_and_other(site)
         record.note(f"the caller is at {entry.vm}, its home is {home.vm}")
         caller = await entry.caller("own", "key-1")
 
--- a/review/standins-2/site_2.py
+++ b/review/standins-2/site_2.py
@@ -220,6 +220,24 @@
                 stderr=PIPE,
             )
 
+    async def start(self, nodes: int = 2) -> None:
+        """Start all; write to the record what kept a node from starting."""
+        try:
+            await super().start(nodes)
+        except AssertionError:
+            for node in self.nodes:
+                await self._note_state(node)
+            raise
+
+    async def _note_state(self, node: NodeProcess) -> None:
+        record = self.standins.record
+        code = node.process.returncode
+        lines = node.log.read_text().splitlines()[-3:]
+        record.note(f"{node.vm} {node.ports}: exit code {code}, {lines}")
+        if code is not None:
+            errors = (await node.process.stderr.read()).decode()
+            record.note(f"{node.vm}: {errors.splitlines()[-1:]}")
+
     def use_inner_ports(self) -> None:
         """Choose the nodes' inner ports, for nodes that are added alone."""
         first_ip = f"{self._prefix}.1"
