A statement that was given up no longer runs at a home that stood still

Cause: a home counted the time limit from reading the message; the time in the socket wasn't in waitedMs. A withdrawal is a frame behind the statement.

Change: a message carries the limit as a moment of the home's clock, computed from a reading of that clock which came with an earlier message, so that the limit is never too late (routing/peer_clock.py). The home checks it on reading and, with all else that a send relies on, right before the send (SendGuard). A session whose statement is in doubt before its limit, as the connection ended, waits before the next SET, PREPARE, CLOSE, write or COMMIT. A new connection is used once the home has answered with a reading.

--- a/redwingpost/node/forwarding/channel.py
+++ b/redwingpost/node/forwarding/channel.py
@@ -1,6 +1,7 @@
 """Persistent connections to homes on other VMs."""
 
 from asyncio import (
+    Event,
     Future,
     IncompleteReadError,
     Lock,
@@ -29,6 +30,7 @@
 )
 from redwingpost.node.forwarding.load_reports import LoadReports
 from redwingpost.node.forwarding.messages import (
+    AskClock,
     Busy,
     Done,
     Load,
@@ -39,8 +41,10 @@
 from redwingpost.node.forwarding.silence import MAX_LATE_S, SilenceWatch
 from redwingpost.observability.journal import log_event
 from redwingpost.ports.clock import Clock
+from redwingpost.routing.peer_clock import PeerClock
 from redwingpost.wire.work import (
     MessageError,
+    pack_ask_clock,
     pack_resume,
     pack_work,
     unpack,
@@ -53,6 +57,10 @@
 #: Seconds for a home's answer to a request to resume a connection.
 RESUME_TIMEOUT_S = 0.5
 
+#: Seconds for a reading of a home's clock. A home that doesn't answer in this
+#: time stands still or is overloaded; the system accepts connections for it.
+CLOCK_TIMEOUT_S = 0.5
+
 #: Shortest time between checks for silence (seconds).
 MIN_CHECK_S = 0.02
 
@@ -60,7 +68,7 @@
 #: in one moment.
 MAX_RESUMING = 8
 
-Message = Busy | Done | Resume | Resumed | Work
+Message = AskClock | Busy | Done | Resume | Resumed | Work
 
 #: Opens another connection to a home.
 Reopen = Callable[[], Awaitable[tuple[StreamReader, StreamWriter]]]
@@ -136,6 +144,8 @@
         #: Messages that the home has not answered, to be sent again if they
         #: never reached it.
         self._body_by_number: dict[int, bytes] = {}
+        self._peer_clock = PeerClock()
+        self._has_reading = Event()
         self._silence = SilenceWatch(clock.now())
         self._silence_timer: TimerHandle | None = None
         self._resuming: Task | None = None
@@ -147,6 +157,29 @@
         """Return when the home's last message came (seconds)."""
         return self._silence.last_received_at
 
+    async def ensure_clock(self) -> None:
+        """Ask for a reading of the home's clock, unless one is recent.
+
+        Raises
+        ------
+        HomeLost
+            If the home doesn't answer in ``CLOCK_TIMEOUT_S``.
+        """
+        if self._peer_clock.is_known(self._clock.now()):
+            return
+        if not self.is_open:
+            raise HomeLost("closed", sent=False)
+        self._has_reading.clear()
+        write_frame(self._writer, pack_ask_clock())
+        try:
+            await wait_for(self._has_reading.wait(), CLOCK_TIMEOUT_S)
+        except TimeoutError as error:
+            raise HomeLost("no reading of its clock", sent=False) from error
+
+    def to_home_clock(self, at: float) -> float:
+        """Return the least that the home's clock shows at ``at`` (seconds)."""
+        return self._peer_clock.to_peer(at, self._clock.now())
+
     def next_number(self) -> int:
         """Return a new message number, unique on this connection."""
         return next(self._numbers)
@@ -236,6 +269,8 @@
                 self.close()
 
     def _receive(self, message: Message) -> None:
+        if isinstance(message, Busy | Done):
+            self._note_reading(message.clock_s)
         if isinstance(message, Busy):
             self._note_received()
             self._note_loads(message.loads)
@@ -256,6 +291,12 @@
         if future is not None and not future.done():
             future.set_exception(lost)
 
+    def _note_reading(self, reading: float) -> None:
+        now = self._clock.now()
+        self._peer_clock.note_reading(reading, now)
+        if self._peer_clock.is_known(now):
+            self._has_reading.set()
+
     def _note_received(self) -> None:
         is_pending = bool(self._body_by_number)
         self._silence.note_received(self._clock.now(), is_pending)
@@ -384,6 +425,7 @@
         self.reports = LoadReports()
         self._channel_by_ip: dict[tuple[str, int], HomeChannel] = {}
         self._lock_by_ip: dict[tuple[str, int], Lock] = {}
+        self._failed_at_by_ip: dict[tuple[str, int], float] = {}
         self._resuming = Semaphore(MAX_RESUMING)
 
     async def get(self, home: VmAddress) -> HomeChannel:
@@ -395,11 +437,29 @@
             If it can't be opened.
         """
         key = (home.ip, home.port)
+        requested_at = self._clock.now()
         async with self._lock_by_ip.setdefault(key, Lock()):
-            existing = self._channel_by_ip.get(key)
-            if existing is None or not existing.is_open:
-                existing = self._channel_by_ip[key] = await self._open(home)
-            return existing
+            if self._failed_at_by_ip.get(key, float("-inf")) > requested_at:
+                raise HomeLost("just not reached", sent=False)
+            try:
+                return await self._get(key, home)
+            except HomeLost:
+                self._failed_at_by_ip[key] = self._clock.now()
+                raise
+
+    async def _get(self, key: tuple[str, int], home: VmAddress) -> HomeChannel:
+        channel = self._channel_by_ip.get(key)
+        if channel is None or not channel.is_open:
+            channel = self._channel_by_ip[key] = await self._open(home)
+        try:
+            await channel.ensure_clock()
+        except HomeLost as lost:
+            # Nothing has come from the home for long: the connection may be
+            # silent.
+            channel.close()
+            log_event("home-out-of-reach", home=home.vm, detail=lost.detail)
+            raise
+        return channel
 
     def close(self) -> None:
         """Close all connections."""
--- a/redwingpost/node/forwarding/forwarder.py
+++ b/redwingpost/node/forwarding/forwarder.py
@@ -73,6 +73,14 @@
     sync_replicas: int
     arrived_at: float
 
+    @property
+    def deadline(self) -> float:
+        """When the route's timeout ends (seconds).
+
+        From then on no home sends the statement to a member.
+        """
+        return self.arrived_at + self.route.timeout_s
+
 
 class Forwarder:
     """Sends statements to homes; shared by all sessions of a node."""
@@ -138,6 +146,7 @@
                 if not lost.sent:
                     continue
                 task.caller.state.trace.note_sent()
+                task.caller.state.note_in_doubt(task.deadline, is_write)
                 if is_write:
                     return Refusal(Code.OUTCOME_UNKNOWN, lost.detail)
                 continue
@@ -145,7 +154,7 @@
             if not may_retry_elsewhere(done):
                 return done.result
             last_refusal = self._note_refused(home, task, placed, done)
-        is_late = task.arrived_at + task.route.timeout_s <= self._clock.now()
+        is_late = task.deadline <= self._clock.now()
         if last_refusal is not None or not is_late:
             return last_refusal
         if task.caller.state.trace.may_have_run:
@@ -264,7 +273,7 @@
             task.route,
             task.caller.organisation,
             requires_primary(task.route, is_write, begin),
-            task.arrived_at + task.route.timeout_s - self._clock.now(),
+            task.deadline - self._clock.now(),
         )
 
     async def _channels_for(
@@ -409,11 +418,11 @@
             state.values_by_name,
             state.written,
             self._clock.now() - task.arrived_at,
+            expires_at=channel.to_home_clock(task.deadline),
         )
 
     def _timeout_s(self, task: ForwardedStatement) -> float:
-        until = task.arrived_at + task.route.timeout_s
-        return max(0.0, until - self._clock.now()) + ANSWER_MARGIN_S
+        return max(0.0, task.deadline - self._clock.now()) + ANSWER_MARGIN_S
 
 
 def may_retry_elsewhere(done: Done) -> bool:
--- a/redwingpost/node/forwarding/messages.py
+++ b/redwingpost/node/forwarding/messages.py
@@ -35,7 +35,9 @@
     received the statement (seconds). ``withdrawn`` is the number of a read
     that the sender has given up: the home doesn't send it to a member any
     more. Such a message orders nothing else. ``channel`` is the number by
-    which the sender can resume the connection, 0 if it can't.
+    which the sender can resume the connection, 0 if it can't. From
+    ``expires_at`` of the home's clock on (seconds), the home sends the
+    statement to no member any more; 0 if its sender set no limit.
     """
 
     number: int
@@ -52,6 +54,11 @@
     waited_s: float
     withdrawn: int = 0
     channel: int = 0
+    expires_at: float = 0.0
+
+
+class AskClock(NamedTuple):
+    """Asks a home for a reading of its clock, which ``Busy`` brings."""
 
 
 class Resume(NamedTuple):
@@ -100,18 +107,21 @@
 class Busy(NamedTuple):
     """Sign of life of a home, with its number of running statements.
 
-    ``loads`` are those of the groups of which it is a home.
+    ``loads`` are those of the groups of which it is a home. ``clock_s`` is
+    the reading of its clock when it was sent (seconds).
     """
 
     statements: int
     loads: tuple[Load, ...] = ()
+    clock_s: float = 0.0
 
 
 class Done(NamedTuple):
     """Outcome of a statement.
 
     ``is_over`` tells whether its transaction has ended. ``load`` is that of
-    the statement's group, if the home has one.
+    the statement's group, if the home has one. ``clock_s`` is the reading of
+    the home's clock when it was sent (seconds).
     """
 
     number: int
@@ -120,3 +130,4 @@
     is_over: bool
     parts: RunParts
     load: Load | None = None
+    clock_s: float = 0.0
--- a/redwingpost/node/forwarding/peer.py
+++ b/redwingpost/node/forwarding/peer.py
@@ -94,6 +94,10 @@
 _NO_TRANSACTION = Refusal(
     Code.TRANSACTION_ROLLED_BACK, "the home doesn't hold it", 50
 )
+_TOO_LATE = Refusal(Code.TARGET_LOST, "its time ended before it was read", 100)
+_TOO_LATE_IN_TRANSACTION = _TOO_LATE._replace(
+    code=Code.TRANSACTION_ROLLED_BACK
+)
 _STOPPING = Refusal(Code.TRANSACTION_ROLLED_BACK, "its home is stopping", 50)
 
 
@@ -189,12 +193,19 @@
             idle_s > REPORT_AFTER_USE_S or not loads
         ):
             return
-        busy = Busy(len(self._task_by_number), loads)
+        now = self.dependencies.clock.now()
+        busy = Busy(len(self._task_by_number), loads, now)
         write_frame(self._writer, pack_busy(busy))
         self._send_busy_within(
             BUSY_INTERVAL_S if self._task_by_number else REPORT_INTERVAL_S
         )
 
+    def tell_clock(self) -> None:
+        """Send a reading of this VM's clock."""
+        now = self.dependencies.clock.now()
+        busy = Busy(len(self._task_by_number), (), now)
+        write_frame(self._writer, pack_busy(busy))
+
     def _send_busy_within(self, seconds: float) -> None:
         """Send the next busy message in ``seconds``, or as planned before."""
         loop = get_running_loop()
@@ -254,7 +265,8 @@
             )
         if not self._writer.is_closing():
             load = self._loads.of_group(work.route.group)
-            frame = pack_done(done._replace(load=load))
+            now = self.dependencies.clock.now()
+            frame = pack_done(done._replace(load=load, clock_s=now))
             if self.channel:
                 self._keep(work.number, frame)
             write_frame(self._writer, frame)
@@ -311,19 +323,32 @@
     return None
 
 
+def _expires_at(work: Work) -> float:
+    """Return when this VM may no longer send it to a member (seconds).
+
+    Its sender tells its caller only after that that the outcome is unknown.
+    Then the caller may set other session values, or write again.
+    """
+    return work.expires_at or float("inf")
+
+
 @HANDLERS.register(Action.ALONE.value)
 async def _run_alone(peer: Peer, work: Work) -> Done:
+    dependencies = peer.dependencies
+    if dependencies.clock.now() >= _expires_at(work):
+        return _done(work, _TOO_LATE)
     refused = _refuse_if_unready(peer, work)
     if refused is not None:
         return _done(work, refused)
-    dependencies = peer.dependencies
     state = _make_state(work)
     group = dependencies.group_by_name[work.route.group]
     group.note_use()
     caller = Caller(work.organisation, state, work.route.priority)
     # The other VM received it at this time or earlier.
     arrived_at = dependencies.clock.now() - work.waited_s
-    request = ReadRequest(work.statement, caller, work.route, arrived_at)
+    request = ReadRequest(
+        work.statement, caller, work.route, arrived_at, _expires_at(work)
+    )
     if state.writes(work.statement):
         result = await dependencies.writes.run(
             group, request, work.sync_replicas
@@ -336,14 +361,20 @@
 @HANDLERS.register(Action.RUN.value)
 async def _run_in_transaction(peer: Peer, work: Work) -> Done:
     return await _in_transaction(
-        peer, work, lambda held: held.transaction.run(work.statement)
+        peer,
+        work,
+        lambda held: held.transaction.run(work.statement, _expires_at(work)),
     )
 
 
 @HANDLERS.register(Action.COMMIT.value)
 async def _commit(peer: Peer, work: Work) -> Done:
     return await _in_transaction(
-        peer, work, lambda held: held.transaction.commit(work.statement)
+        peer,
+        work,
+        lambda held: held.transaction.commit(
+            work.statement, _expires_at(work)
+        ),
     )
 
 
@@ -362,6 +393,10 @@
     held = peer.held_by_number.get(work.transaction)
     if held is None and work.begin is None:
         return _done(work, _NO_TRANSACTION)
+    if peer.dependencies.clock.now() >= _expires_at(work):
+        await peer.abandon(work.transaction)
+        refused = _TOO_LATE if held is None else _TOO_LATE_IN_TRANSACTION
+        return _done(work, refused)
     if held is None:
         refused = _refuse_if_unready(peer, work)
         if refused is not None:
--- a/redwingpost/node/forwarding/server.py
+++ b/redwingpost/node/forwarding/server.py
@@ -19,7 +19,12 @@
     write_frame,
 )
 from redwingpost.node.forwarding.local_loads import LocalLoads
-from redwingpost.node.forwarding.messages import Resume, Resumed, Work
+from redwingpost.node.forwarding.messages import (
+    AskClock,
+    Resume,
+    Resumed,
+    Work,
+)
 from redwingpost.node.forwarding.peer import HomeDependencies, Peer
 from redwingpost.observability.journal import log_event
 from redwingpost.wire.work import MessageError, pack_resumed, unpack
@@ -82,6 +87,8 @@
                         self._peer_by_channel[message.channel] = peer
                         peer.channel = message.channel
                     peer.start(message)
+                elif isinstance(message, AskClock):
+                    peer.tell_clock()
                 else:
                     raise MessageError("no statement")
         except (OSError, IncompleteReadError):
--- a/redwingpost/node/forwarding/transaction.py
+++ b/redwingpost/node/forwarding/transaction.py
@@ -123,6 +123,10 @@
         if self._channel is not None and self._last is not None:
             self._forwarder.roll_back(self._channel, self._last, self._number)
         self._is_over = True
-        if action is Action.COMMIT and self._has_written and lost.sent:
+        may_commit = action is Action.COMMIT and self._has_written
+        if lost.sent:
+            deadline = self._last.deadline
+            self._caller.state.note_in_doubt(deadline, may_commit)
+        if may_commit and lost.sent:
             return Refusal(Code.COMMIT_UNKNOWN, lost.detail)
         return Refusal(Code.TRANSACTION_ROLLED_BACK, lost.detail, 50)
--- a/redwingpost/node/request/attempt.py
+++ b/redwingpost/node/request/attempt.py
@@ -37,7 +37,7 @@
 LOST_RETRY_MS = 100
 
 
-def _is_always_entitled() -> bool:
+def _always() -> bool:
     return True
 
 
@@ -52,7 +52,7 @@
     organisation: str
     state: SessionState
     priority: int
-    is_entitled: Callable[[], bool] = _is_always_entitled
+    is_entitled: Callable[[], bool] = _always
 
 
 class NotSent(NamedTuple):
@@ -82,6 +82,54 @@
 Outcome = Reply | NotSent | NoAnswer
 
 
+class SendGuard(NamedTuple):
+    """What must hold at the moment a statement is sent to a member.
+
+    It may have waited for seconds since the member was chosen: for a
+    connection, its opening, the session's values.
+
+    Parameters
+    ----------
+    caller : Caller
+        The caller that sent the statement.
+    deadline : float
+        Once it has passed (seconds), the statement isn't sent.
+    clock : Clock
+        Tells the time.
+    is_wanted : callable
+        Asked last; the statement is sent only if it returns True.
+    """
+
+    caller: Caller
+    deadline: float
+    clock: Clock
+    is_wanted: Callable[[], bool] = _always
+
+    def refuse(self, client: MemberClient) -> NotSent | None:
+        """Return why nothing may be sent for the statement, or None."""
+        if self.clock.now() >= self.deadline:
+            return NotSent("no time was left")
+        if not client.may_be_sent_work:
+            return NotSent("no statements may be sent there")
+        if not self.caller.is_entitled():
+            return NotSent("the key is no longer the organisation's")
+        return None
+
+    def refuse_statement(self, client: MemberClient) -> NotSent | None:
+        """Return why the statement may not be sent now, or None."""
+        refused = self.refuse(client)
+        if refused is not None:
+            return refused
+        cold = client.refuse_cold()
+        if cold is not None:
+            return NotSent(cold.detail, cold, client.entry.member)
+        if not self.is_wanted():
+            # The session may already run its next statement with other
+            # session values: this statement would run with those.
+            return NotSent("another answer came first")
+        return None
+
+
 async def run_standalone(
     client: MemberClient,
     caller: Caller,
@@ -89,7 +137,7 @@
     after: Position | None,
     deadline: float,
     clock: Clock,
-    is_wanted: Callable[[], bool] = lambda: True,
+    is_wanted: Callable[[], bool] = _always,
 ) -> Outcome:
     """Run a statement outside a transaction on a pooled connection.
 
@@ -109,9 +157,10 @@
     clock : Clock
         Measures waiting and running times.
     is_wanted : callable, optional
-        Called once a connection is claimed; the statement is sent only if
-        it returns True.
+        Called right before the statement is sent, which it is only if it
+        returns True.
     """
+    guard = SendGuard(caller, deadline, clock, is_wanted)
     shape = caller.state.shape_of(statement.name)
     # Kept in a local: a hedged attempt that came second may end while the
     # session runs its next statement, whose trace it must not change.
@@ -119,36 +168,28 @@
     client.statements_in_flight += 1
     try:
         pooled = await claim_connection(
-            client, caller, shape, deadline, clock, statement.request
+            guard, client, shape, statement.request
         )
         if isinstance(pooled, NotSent):
             return pooled
-        if not client.may_be_sent_work:
-            client.release(pooled)
-            return NotSent("no statements may be sent there")
-        if clock.now() >= deadline:
-            client.release(pooled)
-            return NotSent("no time was left")
-        if not is_wanted():
-            # The session may already run its next statement with other
-            # session values: this statement would run with those.
-            client.release(pooled)
-            return NotSent("another answer came first")
         started_at = clock.now()
+        outcome: Outcome | None = None
         trace.note_sent()
         try:
             outcome = await run_until(
-                deadline, client, pooled, statement, after, shape, clock
+                guard, client, pooled, statement, after, shape
             )
         finally:
-            trace.note_run(client.entry.member, clock.now() - started_at)
+            if isinstance(outcome, NotSent):
+                trace.note_not_run()
+            else:
+                trace.note_run(client.entry.member, clock.now() - started_at)
     finally:
         client.statements_in_flight -= 1
     if isinstance(outcome, NoAnswer):
         client.discard(pooled)
         return outcome
     if isinstance(outcome, NotSent):
-        trace.note_not_run()
         client.release(pooled)
         return outcome
     if outcome.failure is None:
@@ -167,11 +208,9 @@
 
 
 async def claim_connection(
+    guard: SendGuard,
     client: MemberClient,
-    caller: Caller,
     shape: Shape | None,
-    deadline: float,
-    clock: Clock,
     request: str,
     is_transaction: bool = False,
 ) -> PooledLink | NotSent:
@@ -180,6 +219,7 @@
     ``request`` is the statement's id, for the log. ``is_transaction`` says
     that a transaction will hold the connection.
     """
+    caller, deadline, clock = guard.caller, guard.deadline, guard.clock
     trace = caller.state.trace
     requested_at = clock.now()
     try:
@@ -203,6 +243,10 @@
         return NotSent(lost.detail)
     finally:
         trace.note_wait(client.entry.member, clock.now() - requested_at)
+    not_sent = guard.refuse(client)
+    if not_sent is not None:
+        client.release(pooled)
+        return not_sent
     try:
         async with timeout(max(deadline - clock.now(), MIN_EXCHANGE_S)):
             is_ready = await make_ready(client, pooled, caller.state)
@@ -211,9 +255,6 @@
         return NotSent("set-up not answered in time")
     if not is_ready:
         return NotSent("set-up failed")
-    if not caller.is_entitled():
-        client.release(pooled)
-        return NotSent("the key is no longer the organisation's")
     return pooled
 
 
@@ -255,29 +296,30 @@
 
 
 async def run_until(
-    deadline: float,
+    guard: SendGuard,
     client: MemberClient,
     pooled: PooledLink,
     statement: Statement,
     after: Position | None,
     shape: Shape | None,
-    clock: Clock,
-) -> Reply | NoAnswer:
-    """Run a statement on a claimed connection, until a time (seconds).
+) -> Outcome:
+    """Run a statement on a claimed connection, until the guard's deadline.
 
     Without an answer by then the connection is discarded.
     """
+    remaining_s = guard.deadline - guard.clock.now()
     try:
-        async with timeout(max(deadline - clock.now(), MIN_EXCHANGE_S)):
+        async with timeout(max(remaining_s, MIN_EXCHANGE_S)):
             return await run_on_connection(
-                client, pooled, statement, after, shape
+                guard, client, pooled, statement, after, shape
             )
     except TimeoutError:
-        client.failed_at = clock.now()
+        client.failed_at = guard.clock.now()
         return NoAnswer("no answer in time")
 
 
 async def run_on_connection(
+    guard: SendGuard,
     client: MemberClient,
     pooled: PooledLink,
     statement: Statement,
@@ -286,7 +328,7 @@
 ) -> Outcome:
     """Run a statement on a claimed connection that is set up.
 
-    It is not sent if the member is cold and may get no statement now.
+    It is sent only if the guard allows it.
 
     The connection stays claimed, unless the call is cancelled: then it is
     discarded, as the late answer would be read as that of the next
@@ -294,9 +336,9 @@
     """
     prepared_as = prepared_name(shape) if shape is not None else ""
     missing = prepare_step(pooled.contents, shape)
-    refused = client.refuse_cold()
-    if refused is not None:
-        return NotSent(refused.detail, refused, client.entry.member)
+    not_sent = guard.refuse_statement(client)
+    if not_sent is not None:
+        return not_sent
     client.note_sent()
     try:
         reply = await pooled.link.run(statement, after, prepared_as, missing)
--- a/redwingpost/node/request/reads.py
+++ b/redwingpost/node/request/reads.py
@@ -46,18 +46,21 @@
 class ReadRequest(NamedTuple):
     """A statement outside a transaction, its caller and route.
 
-    ``arrived_at`` is in seconds.
+    ``arrived_at`` is in seconds: on another VM than the caller's an upper
+    bound, since a read's age counts from it. ``expires_at`` is the limit
+    that the caller's VM set there (seconds).
     """
 
     statement: Statement
     caller: Caller
     route: RouteRule
     arrived_at: float
+    expires_at: float = float("inf")
 
     @property
     def deadline(self) -> float:
-        """When the route's timeout ends (seconds)."""
-        return self.arrived_at + self.route.timeout_s
+        """When the route's timeout ends, or the limit (seconds)."""
+        return min(self.arrived_at + self.route.timeout_s, self.expires_at)
 
 
 Result = Answer | MemberFailure | Refusal
--- a/redwingpost/node/request/session.py
+++ b/redwingpost/node/request/session.py
@@ -1,6 +1,6 @@
 """One caller's session: dispatches each statement to its handler."""
 
-from asyncio import TimerHandle, create_task, get_running_loop
+from asyncio import TimerHandle, create_task, get_running_loop, sleep
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -101,6 +101,7 @@
         self._stop_idle_timer()
         self.state.trace = StatementTrace()
         started_at = self.services.clock.now()
+        await self._await_settled(statement)
         result = await self._refuse_if_stopping(statement)
         if result is None:
             handler = HANDLERS.get(statement.kind.value)
@@ -111,6 +112,18 @@
             self._start_idle_timer()
         return result
 
+    async def _await_settled(self, statement: Statement) -> None:
+        """Wait while an earlier statement in doubt may still run."""
+        until = self.state.waits_until(statement)
+        wait_s = until - self.services.clock.now()
+        if wait_s > 0.0:
+            log_event(
+                "awaits-doubt",
+                request=statement.request,
+                seconds=round(wait_s, 4),
+            )
+            await sleep(wait_s)
+
     def interrupt(self, statement: Statement) -> Refusal:
         """Return what is known of a statement whose run was cancelled."""
         refusal = self._describe_interrupted(statement)
--- a/redwingpost/node/request/transaction.py
+++ b/redwingpost/node/request/transaction.py
@@ -22,6 +22,7 @@
     NoAnswer,
     NotSent,
     Outcome,
+    SendGuard,
     claim_connection,
     make_ready,
     run_on_connection,
@@ -103,9 +104,14 @@
         """Whether the transaction is no longer open at a member."""
         return self._is_over
 
-    async def run(self, statement: Statement) -> Result:
-        """Run a read or a write inside the transaction."""
-        deadline = self._clock.now() + self._route.timeout_s
+    async def run(
+        self, statement: Statement, expires_at: float = float("inf")
+    ) -> Result:
+        """Run a read or a write inside the transaction.
+
+        From ``expires_at`` on (seconds) it is sent to no member.
+        """
+        deadline = self._deadline(expires_at)
         refused = await self._prepare_connection(statement, deadline)
         if refused is not None:
             return refused
@@ -126,9 +132,14 @@
             client.rest(pooled, self._evict)
         return Answer(outcome.rows, outcome.proof)
 
-    async def commit(self, statement: Statement) -> Result:
-        """Commit; the transaction has ended whatever the result."""
-        deadline = self._clock.now() + self._route.timeout_s
+    async def commit(
+        self, statement: Statement, expires_at: float = float("inf")
+    ) -> Result:
+        """Commit; the transaction has ended whatever the result.
+
+        From ``expires_at`` on (seconds) COMMIT is sent to no member.
+        """
+        deadline = self._deadline(expires_at)
         refused = await self._prepare_connection(statement, deadline)
         if refused is not None:
             return refused
@@ -183,6 +194,13 @@
             return
         self._release_connection(reply)
 
+    def _deadline(self, expires_at: float) -> float:
+        """Return when the time of a statement that arrives now ends."""
+        return min(self._clock.now() + self._route.timeout_s, expires_at)
+
+    def _guard(self, deadline: float) -> SendGuard:
+        return SendGuard(self._caller, deadline, self._clock)
+
     async def _prepare_connection(
         self, statement: Statement, deadline: float
     ) -> Result | None:
@@ -288,26 +306,23 @@
     async def _begin_at(
         self, client: MemberClient, after: Position | None, deadline: float
     ) -> Result | None:
+        guard = self._guard(deadline)
         pooled = await claim_connection(
+            guard,
             client,
-            self._caller,
             None,
-            deadline,
-            self._clock,
             self._begin.request,
             is_transaction=True,
         )
         if isinstance(pooled, NotSent):
             return pooled.as_refusal()
-        if not client.may_be_sent_work:
-            client.release(pooled)
-            reason = "no statements may be sent there"
-            return Refusal(Code.TARGET_LOST, reason, 100)
         remaining_s = max(deadline - self._clock.now(), 0.01)
         timeout_s = min(remaining_s, BEGIN_TIMEOUT_S)
         try:
             outcome = await wait_for(
-                run_on_connection(client, pooled, self._begin, after, None),
+                run_on_connection(
+                    guard, client, pooled, self._begin, after, None
+                ),
                 timeout_s,
             )
         except TimeoutError:
@@ -340,7 +355,14 @@
         started_at = self._clock.now()
         try:
             outcome = await wait_for(
-                run_on_connection(client, pooled, statement, None, shape),
+                run_on_connection(
+                    self._guard(deadline),
+                    client,
+                    pooled,
+                    statement,
+                    None,
+                    shape,
+                ),
                 remaining_s,
             )
         except TimeoutError:
--- a/redwingpost/statements/session.py
+++ b/redwingpost/statements/session.py
@@ -19,6 +19,11 @@
 _PLAIN_READS = frozenset({StatementKind.READ})
 _PLAIN_WRITES = frozenset({StatementKind.WRITE})
 
+#: Statements that change what others of the session run with.
+_CHANGE_SET_UP = frozenset(
+    {StatementKind.SET_VALUE, StatementKind.PREPARE, StatementKind.CLOSE}
+)
+
 
 class Phase(Enum):
     """Transaction state of a session between statements."""
@@ -51,6 +56,49 @@
         self.shapes_by_name: dict[str, Shape] = {}
         self.written = ZERO_POSITION
         self.trace = StatementTrace()
+        self._in_doubt_until = float("-inf")
+        self._write_in_doubt_until = float("-inf")
+
+    def note_in_doubt(self, until: float, is_write: bool) -> None:
+        """Note a statement that a home may still send to a member.
+
+        Parameters
+        ----------
+        until : float
+            When it can't any more (seconds).
+        is_write : bool
+            Whether it may change what is stored.
+        """
+        self._in_doubt_until = max(self._in_doubt_until, until)
+        if is_write:
+            self._write_in_doubt_until = max(self._write_in_doubt_until, until)
+
+    def waits_until(self, statement: Statement) -> float:
+        """Return until when a statement must wait for those in doubt.
+
+        One in doubt would run with the values from before a SET that was
+        acknowledged, or overwrite a later write.
+
+        Returns
+        -------
+        float
+            Seconds; in the past if it need not wait.
+
+        Examples
+        --------
+        >>> state = SessionState()
+        >>> state.note_in_doubt(7.5, is_write=False)
+        >>> change = Statement("1", StatementKind.SET_VALUE, "SET tone low")
+        >>> state.waits_until(change)
+        7.5
+        >>> state.waits_until(Statement("2", StatementKind.WRITE, "WRITE a 1"))
+        -inf
+        """
+        if statement.kind in _CHANGE_SET_UP:
+            return self._in_doubt_until
+        if statement.kind is StatementKind.COMMIT or self.writes(statement):
+            return self._write_in_doubt_until
+        return float("-inf")
 
     def set_value(self, name: str, value: str) -> bool:
         """Set a value; return False if the session has too many."""
--- a/redwingpost/wire/work.capnp
+++ b/redwingpost/wire/work.capnp
@@ -10,6 +10,8 @@
     busy @2 :Busy;
     resume @3 :Resume;
     resumed @4 :Resumed;
+    askClock @5 :Void;
+    # Asks for a message with a reading of the receiver's clock.
   }
 }
 
@@ -34,6 +36,8 @@
   # The sender is alive, and this many statements are running there.
   statements @0 :UInt32;
   loads @1 :List(Load);
+  clockS @2 :Float64;
+  # Reading of the sender's clock when it was sent; 0 from VMs without it.
 }
 
 struct Load {
@@ -63,6 +67,9 @@
   # this field has nothing to roll back.
   channel @12 :UInt64;
   # Number of the connection, for Resume; 0 from VMs that don't resume.
+  expiresAt @13 :Float64;
+  # Reading of the receiver's clock from which on it sends the statement to no
+  # member; 0: no limit but the route's.
 }
 
 struct Route {
@@ -117,6 +124,8 @@
   ranS @10 :Float64;
   load @11 :Load;
   # Of the statement's group; its name is empty if the home doesn't know it.
+  clockS @12 :Float64;
+  # Reading of the sender's clock when it was sent; 0 from VMs without it.
 }
 
 struct Answer {
--- a/redwingpost/wire/work.py
+++ b/redwingpost/wire/work.py
@@ -18,6 +18,7 @@
 )
 from redwingpost.node.forwarding.messages import (
     Action,
+    AskClock,
     Busy,
     Done,
     Load,
@@ -47,7 +48,7 @@
     >>> work = Work(
     ...     7, Action.RUN, 2, "o", route, 1, read, Shape(False, "q2"),
     ...     Statement("0", StatementKind.BEGIN, "BEGIN"), {"tone": "b"},
-    ...     Position(3, 9), 0.25, withdrawn=6,
+    ...     Position(3, 9), 0.25, withdrawn=6, expires_at=12.5,
     ... )
     >>> unpack(pack_work(work)) == work
     True
@@ -78,6 +79,7 @@
     body.waitedMs = int(work.waited_s * 1000)
     body.withdrawn = work.withdrawn
     body.channel = work.channel
+    body.expiresAt = work.expires_at
     return message.to_bytes()
 
 
@@ -108,6 +110,7 @@
     body.mayHaveRun = parts.may_have_run
     if done.load is not None:
         _fill_load(body.init("load"), done.load)
+    body.clockS = done.clock_s
     return message.to_bytes()
 
 
@@ -116,19 +119,34 @@
 
     Examples
     --------
-    >>> busy = Busy(2, (Load("g", 0.0, 0.125), Load("h", 1.5, float("inf"))))
+    >>> loads = Load("g", 0.0, 0.125), Load("h", 1.5, float("inf"))
+    >>> busy = Busy(2, loads, clock_s=12.5)
     >>> unpack(pack_busy(busy)) == busy
     True
     """
     message = SCHEMA.Message.new_message()
     body = message.init("busy")
     body.statements = busy.statements
+    body.clockS = busy.clock_s
     loads = body.init("loads", len(busy.loads))
     for sent, load in zip(loads, busy.loads, strict=True):
         _fill_load(sent, load)
     return message.to_bytes()
 
 
+def pack_ask_clock() -> bytes:
+    """Return the bytes of a request for a reading of the home's clock.
+
+    Examples
+    --------
+    >>> unpack(pack_ask_clock())
+    AskClock()
+    """
+    message = SCHEMA.Message.new_message()
+    message.askClock = None
+    return message.to_bytes()
+
+
 def pack_resume(resume: Resume) -> bytes:
     """Return the bytes of a request to resume a connection.
 
@@ -163,7 +181,7 @@
     return message.to_bytes()
 
 
-def unpack(body: bytes) -> Work | Done | Busy | Resume | Resumed:
+def unpack(body: bytes) -> Work | Done | Busy | Resume | Resumed | AskClock:
     """Decode a message.
 
     Raises
@@ -182,8 +200,11 @@
                 body = message.resumed
                 return Resumed(body.isKnown, body.last, tuple(body.numbers))
             if message.which() == "busy":
-                loads = map(_read_load, message.busy.loads)
-                return Busy(message.busy.statements, tuple(loads))
+                body = message.busy
+                loads = map(_read_load, body.loads)
+                return Busy(body.statements, tuple(loads), body.clockS)
+            if message.which() == "askClock":
+                return AskClock()
             return _read_done(message.done)
     except (KjException, *UNREADABLE) as error:
         raise MessageError(str(error)) from error
@@ -254,6 +275,7 @@
         body.waitedMs / 1000.0,
         body.withdrawn,
         body.channel,
+        body.expiresAt,
     )
 
 
@@ -324,4 +346,5 @@
             body.mayHaveRun,
         ),
         _read_load(body.load) if body.load.group else None,
+        body.clockS,
     )
