What a choice of member relied on is checked right before the send

Cause: the drain was checked when the member was chosen. The wait for a connection, its opening and the session's values lie between that and the send, up to the whole time limit; the check after it knew of evacuations alone.

Change: SendGuard, right before each send, asks for all that the choice relied on: drain, listing, evacuation, cold rate, the primary's role and term, the key, the time limit, the caller's presence. What waits for a member that takes no new work leaves the queue within 0.1 s and moves on to another member; a read at a primary that changed meanwhile is planned again.

Why it works: between the guard and the bytes lies no await.

--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -16,7 +16,7 @@
 from redwingpost.core.positions import Position
 from redwingpost.core.requests import Refusal
 from redwingpost.groups.confirmation import needs_confirmation
-from redwingpost.groups.directory import Directory
+from redwingpost.groups.directory import Directory, ListedMember
 from redwingpost.groups.evidence import GroupEvidence
 from redwingpost.groups.probing import (
     ALERT_INTERVAL_S,
@@ -166,6 +166,9 @@
             client.work_ends_at = self._directory.evacuations.work_ends_at(
                 entry.data_centre
             )
+            client.new_work_ends_at = self._new_work_ends_at(
+                self._directory.get(member)
+            )
             if self._places is not None:
                 client.cold_guard = self._places.guard_for(
                     self.name, self._directory.get(member)
@@ -178,10 +181,13 @@
         listed = self._directory.get(client.entry.member)
         if listed is None or not client.may_be_sent_work:
             return False
+        return self._clock.now() < self._new_work_ends_at(listed)
+
+    def _new_work_ends_at(self, listed: ListedMember) -> float:
+        """Return when a member may get no new work any more (seconds)."""
         if listed.draining_since is None:
-            return True
-        draining_s = self._clock.now() - listed.draining_since
-        return draining_s < self._drain_s * DRAIN_WORK_FRACTION
+            return float("inf")
+        return listed.draining_since + self._drain_s * DRAIN_WORK_FRACTION
 
     def leader(self) -> MemberClient | None:
         """Return the primary if it may get new work."""
@@ -190,6 +196,11 @@
             return None
         return client
 
+    def is_leader(self, client: MemberClient) -> bool:
+        """Return whether a client is that of the present primary."""
+        is_named = client.entry.member == self.evidence.leader
+        return is_named and not self.is_term_replaced
+
     def can_use_primary(self) -> bool:
         """Return whether this VM can serve callers from the primary.
 
--- a/redwingpost/node/member.py
+++ b/redwingpost/node/member.py
@@ -21,6 +21,7 @@
 from redwingpost.groups.latency import LatencyTracker
 from redwingpost.membership.centres import MemberHealth
 from redwingpost.node.member_admission import (
+    NO_NEW_WORK,
     MemberAdmission,
     MemberLoad,
     MemberRules,
@@ -111,12 +112,15 @@
             clock,
             Counter() if refusals is None else refusals,
             self.pool.has_idle,
+            lambda: self.takes_new_work,
         )
         self.latency = LatencyTracker()
         self.statements_in_flight = 0
         self.lagging_until = float("-inf")
         #: When statements may no longer be sent there (seconds).
         self.work_ends_at = float("inf")
+        #: The same for statements that don't continue a transaction.
+        self.new_work_ends_at = float("inf")
         #: Limits statements while the member is cold; None: no limit.
         self.cold_guard: ColdGuard | None = None
         self.answered_at = clock.now()
@@ -199,6 +203,12 @@
         """Whether statements may be sent to the member now."""
         return self._clock.now() < self.work_ends_at
 
+    @property
+    def takes_new_work(self) -> bool:
+        """Whether a statement may be sent that continues no transaction."""
+        is_over = self._clock.now() >= self.new_work_ends_at
+        return self.may_be_sent_work and not is_over
+
     def accepts_reads(self, now: float) -> bool:
         """Return whether a read may be sent to the member.
 
@@ -320,7 +330,8 @@
         MemberRefused
             If the member refused a new connection.
         LinkLost
-            If a new connection could not be opened.
+            If a new connection could not be opened, or the member takes no
+            new work.
         """
         ticket = await self.admission.enter(
             organisation, priority, deadline, is_transaction
@@ -346,6 +357,8 @@
     ) -> PooledLink:
         requested_at = self._clock.now()
         while True:
+            if not self.takes_new_work:
+                raise LinkLost(NO_NEW_WORK, sent=False)
             now = self._clock.now()
             taken = self.pool.take(organisation, values_by_name, shape, now)
             if isinstance(taken, PooledLink):
@@ -457,6 +470,7 @@
 
     def close(self) -> None:
         """Close all idle connections of a member that was removed."""
+        self.new_work_ends_at = float("-inf")
         self.admission.fail_waiting("the member was removed")
         self.close_idle(close_all=True)
         self._close_control()
--- a/redwingpost/node/member_admission.py
+++ b/redwingpost/node/member_admission.py
@@ -34,6 +34,9 @@
 #: stalled: no answer wakes it then.
 STALL_CHECK_S = 0.1
 
+#: Why a statement that waited for a member wasn't sent there.
+NO_NEW_WORK = "the member takes no new work"
+
 #: Statements that an organisation may run before its turn where it has an
 #: idle connection. A new connection occupies a slot for 12 ms, longer than
 #: most statements, so that strict turns would halve the member's capacity.
@@ -114,7 +117,8 @@
     """Tickets of the statements that run at, or wait for, one member.
 
     Inactive until ``follow`` gives it weights: until then ``enter`` returns
-    at once, without a ticket. Refusals are counted in ``refusals``.
+    at once, without a ticket. Refusals are counted in ``refusals``. What
+    waits fails as not sent once ``takes_new_work`` returns False.
     """
 
     def __init__(
@@ -123,8 +127,10 @@
         clock: Clock,
         refusals: Counter[RefusalKey],
         has_connection: Callable[[str], bool],
+        takes_new_work: Callable[[], bool] = lambda: True,
     ) -> None:
         self._has_connection = has_connection
+        self._takes_new_work = takes_new_work
         self._member = member
         self._refusals = refusals
         self._clock = clock
@@ -208,7 +214,7 @@
         AdmissionRefused
             If it can't be served in time.
         LinkLost
-            If the member was removed meanwhile.
+            If the member was removed meanwhile, or takes no new work.
         """
         if self._rules is None:
             return None
@@ -364,6 +370,8 @@
             await wait({future}, timeout=pause_s)
             if future.done():
                 break
+            if not self._takes_new_work():
+                raise LinkLost(NO_NEW_WORK, sent=False)
             refused = gate.refuse_waiting(self._clock.now(), arrival.ticket)
             if refused is not None:
                 raise self._refused(gate, arrival, *refused)
--- a/redwingpost/node/request/attempt.py
+++ b/redwingpost/node/request/attempt.py
@@ -13,7 +13,7 @@
     MemberRefused,
     NoConnectionFree,
 )
-from redwingpost.node.member_admission import AdmissionRefused
+from redwingpost.node.member_admission import NO_NEW_WORK, AdmissionRefused
 from redwingpost.observability.journal import log_event
 from redwingpost.pools.pool import PooledLink
 from redwingpost.ports.clock import Clock
@@ -41,6 +41,11 @@
     return True
 
 
+def any_member(client: MemberClient) -> bool:
+    """Return True: the statement may be sent to any member."""
+    return True
+
+
 class Caller(NamedTuple):
     """The caller's organisation, session state and priority.
 
@@ -98,12 +103,18 @@
         Tells the time.
     is_wanted : callable
         Asked last; the statement is sent only if it returns True.
+    is_new : bool
+        Whether it doesn't continue a transaction at the member.
+    may_use : callable
+        Whether the member may still get the statement, by its role.
     """
 
     caller: Caller
     deadline: float
     clock: Clock
     is_wanted: Callable[[], bool] = _always
+    is_new: bool = True
+    may_use: Callable[[MemberClient], bool] = any_member
 
     def refuse(self, client: MemberClient) -> NotSent | None:
         """Return why nothing may be sent for the statement, or None."""
@@ -111,6 +122,10 @@
             return NotSent("no time was left")
         if not client.may_be_sent_work:
             return NotSent("no statements may be sent there")
+        if self.is_new and not client.takes_new_work:
+            return NotSent(NO_NEW_WORK)
+        if not self.may_use(client):
+            return NotSent("it no longer leads")
         if not self.caller.is_entitled():
             return NotSent("the key is no longer the organisation's")
         return None
@@ -138,6 +153,7 @@
     deadline: float,
     clock: Clock,
     is_wanted: Callable[[], bool] = _always,
+    may_use: Callable[[MemberClient], bool] = any_member,
 ) -> Outcome:
     """Run a statement outside a transaction on a pooled connection.
 
@@ -159,8 +175,10 @@
     is_wanted : callable, optional
         Called right before the statement is sent, which it is only if it
         returns True.
+    may_use : callable, optional
+        Whether the member may still get the statement, by its role.
     """
-    guard = SendGuard(caller, deadline, clock, is_wanted)
+    guard = SendGuard(caller, deadline, clock, is_wanted, may_use=may_use)
     shape = caller.state.shape_of(statement.name)
     # Kept in a local: a hedged attempt that came second may end while the
     # session runs its next statement, whose trace it must not change.
--- a/redwingpost/node/request/reads.py
+++ b/redwingpost/node/request/reads.py
@@ -7,6 +7,7 @@
     wait,
     wait_for,
 )
+from collections.abc import Callable
 from typing import NamedTuple
 
 from redwingpost.configuration.routes import RouteRule
@@ -23,6 +24,7 @@
     NoAnswer,
     NotSent,
     Outcome,
+    any_member,
     run_standalone,
 )
 from redwingpost.ports.clock import Clock
@@ -73,11 +75,15 @@
 class HedgeState:
     """State shared by the hedged attempts at one read.
 
-    ``is_over`` is set once the caller has its answer.
+    ``is_over`` is set once the caller has its answer. ``may_use`` tells
+    whether a member may still get the read, by its role.
     """
 
     is_over = False
 
+    def __init__(self, may_use: Callable[[MemberClient], bool]) -> None:
+        self.may_use = may_use
+
 
 class ReadRunner:
     """Runs the reads of one VM."""
@@ -119,7 +125,12 @@
         if refused is not None:
             return refused
         proof = create_task(group.prove())
-        outcome = await self._run_hedged(read, [leader, leader], None)
+        outcome = await self._run_hedged(
+            read, [leader, leader], None, group.is_leader
+        )
+        if isinstance(outcome, NotSent) and group.leader() is not leader:
+            proof.cancel()
+            return None
         result = self._to_result(group, leader, outcome)
         if not isinstance(result, Answer):
             proof.cancel()
@@ -163,6 +174,7 @@
         read: ReadRequest,
         clients: list[MemberClient],
         after: Position | None,
+        may_use: Callable[[MemberClient], bool] = any_member,
     ) -> Outcome:
         """Try members in turn; hedge an attempt that takes too long.
 
@@ -171,7 +183,7 @@
         it would occupy the member's slot just as long and cost this VM the
         connection. One that still waits for a connection is never sent.
         """
-        hedge = HedgeState()
+        hedge = HedgeState(may_use)
         try:
             return await self._run_hedged_attempts(hedge, read, clients, after)
         finally:
@@ -242,6 +254,7 @@
             read.deadline,
             self._clock,
             lambda: not hedge.is_over,
+            hedge.may_use,
         )
         if isinstance(outcome, Reply) and outcome.failure is not None:
             if outcome.failure.kind is FailureKind.BEHIND:
--- a/redwingpost/node/request/transaction.py
+++ b/redwingpost/node/request/transaction.py
@@ -6,6 +6,7 @@
 """
 
 from asyncio import Task, create_task, wait_for
+from collections.abc import Callable
 from typing import NamedTuple
 
 from redwingpost.configuration.routes import Consistency, RouteRule
@@ -23,6 +24,7 @@
     NotSent,
     Outcome,
     SendGuard,
+    any_member,
     claim_connection,
     make_ready,
     run_on_connection,
@@ -198,9 +200,6 @@
         """Return when the time of a statement that arrives now ends."""
         return min(self._clock.now() + self._route.timeout_s, expires_at)
 
-    def _guard(self, deadline: float) -> SendGuard:
-        return SendGuard(self._caller, deadline, self._clock)
-
     async def _prepare_connection(
         self, statement: Statement, deadline: float
     ) -> Result | None:
@@ -285,7 +284,9 @@
             return refused
         if self._needs_proof():
             self._proof = create_task(self._group.prove())
-        result = await self._begin_at(leader, None, deadline)
+        result = await self._begin_at(
+            leader, None, deadline, self._group.is_leader
+        )
         if _is_kind(result, FailureKind.NOT_PRIMARY):
             self._group.note_refused_as_replica(leader)
             await self._group.fresh_round()
@@ -308,9 +309,13 @@
         return not self._group.evidence.covers(needs)
 
     async def _begin_at(
-        self, client: MemberClient, after: Position | None, deadline: float
+        self,
+        client: MemberClient,
+        after: Position | None,
+        deadline: float,
+        may_use: Callable[[MemberClient], bool] = any_member,
     ) -> Result | None:
-        guard = self._guard(deadline)
+        guard = SendGuard(self._caller, deadline, self._clock, may_use=may_use)
         pooled = await claim_connection(
             guard,
             client,
@@ -360,7 +365,9 @@
         try:
             outcome = await wait_for(
                 run_on_connection(
-                    self._guard(deadline),
+                    SendGuard(
+                        self._caller, deadline, self._clock, is_new=False
+                    ),
                     client,
                     pooled,
                     statement,
--- a/redwingpost/node/request/writes.py
+++ b/redwingpost/node/request/writes.py
@@ -99,6 +99,7 @@
                 write.deadline,
                 self._clock,
                 note_sending,
+                group.is_leader,
             )
         finally:
             if write_number is not None:
--- a/redwingpost/node/tests/test_attempt.py
+++ b/redwingpost/node/tests/test_attempt.py
@@ -25,7 +25,7 @@
         self.entry = SimpleNamespace(member="m1")
         self.latency = SimpleNamespace(observe=lambda seconds, now: None)
         self.statements_in_flight = 0
-        self.may_be_sent_work = True
+        self.may_be_sent_work = self.takes_new_work = True
         self.link = self
 
     async def acquire(self, *wanted) -> SimpleNamespace:
