redwing-proxy: a home runs no forwarded statement after its limit

A home counted the deadline from reading the call, so that a statement, BEGIN or COMMIT that had lain while it stood still ran after its caller had been told that the outcome is unknown.

The home refuses what it reads after the limit, or rolls the transaction back. A statement whose time ended while it waited for a connection isn't sent: with a time limit of 0 the driver sends it first and is cancelled then.

A home of an earlier version sends no readings and is used as before.

--- a/redwingpost/adapters/mysql_target.py
+++ b/redwingpost/adapters/mysql_target.py
@@ -95,6 +95,11 @@
         """Run one statement; see ``ports.TargetConnection``."""
         if not self.usable:
             raise TargetLost(sent=False, reason="connection was closed")
+        if timeout is not None and timeout <= 0.0:
+            # A time limit that has passed ends the call only after it has
+            # sent the statement.
+            await self.close()
+            raise TargetLost(sent=False, reason="no time was left")
         try:
             async with time_limit(timeout):
                 return await self._run(sql)
--- a/redwingpost/proxy/forward_server.py
+++ b/redwingpost/proxy/forward_server.py
@@ -11,6 +11,7 @@
 
 from loguru import logger
 
+from redwingpost.ports import Clock
 from redwingpost.proxy.session import StatementSession
 from redwingpost.wire.schema import SCHEMA
 from redwingpost.wire.forwarding import (
@@ -35,10 +36,13 @@
     ----------
     session : StatementSession
         Runs the statements.
+    clock : Clock
+        This VM's clock, by which forwarding VMs limit statements.
     """
 
-    def __init__(self, session: StatementSession) -> None:
+    def __init__(self, session: StatementSession, clock: Clock) -> None:
         self._session = session
+        self._clock = clock
 
     async def run(self, statement: Any, _context: Any, **kwargs: Any) -> None:
         """Run one statement."""
@@ -50,14 +54,24 @@
             decode_positions(statement.positions), statement.whole
         )
         sql = statement.sql.decode(errors="surrogateescape")
-        answer = await session.handle(sql, marks, statement.sentMs / 1000)
+        answer = await session.handle(
+            sql,
+            marks,
+            statement.sentMs / 1000,
+            statement.expiresAt or float("inf"),
+        )
         current = session.caller.state(session.caller.current_session)
         struct = encode_answer(answer)
         struct["inTransaction"] = session.in_transaction
         struct["positions"] = encode_positions(current.positions.by_group)
         struct["whole"] = current.positions.whole
+        struct["clockS"] = self._clock.now()
         _context.results.answer = struct
 
+    async def readClock(self, _context: Any, **kwargs: Any) -> float:
+        """Return a reading of this VM's clock (seconds)."""
+        return self._clock.now()
+
     async def end(self, _context: Any, **kwargs: Any) -> None:
         """Roll back an open transaction: the caller has disconnected."""
         await self._session.close()
@@ -72,11 +86,16 @@
         Creates a statement session of this proxy.
     spawn : callable
         Schedules a coroutine.
+    clock : Clock
+        This VM's clock.
     """
 
-    def __init__(self, make_session: SessionFactory, spawn: Spawn) -> None:
+    def __init__(
+        self, make_session: SessionFactory, spawn: Spawn, clock: Clock
+    ) -> None:
         self._make_session = make_session
         self._spawn = spawn
+        self._clock = clock
 
     async def open(
         self,
@@ -86,17 +105,17 @@
         connection: int,
         _context: Any,
         **kwargs: Any,
-    ) -> ForwardedSessionServer:
+    ) -> tuple[ForwardedSessionServer, float]:
         """Open a connection for a caller of another VM."""
         session = self._make_session(organisation, keyHash, group, connection)
         session.is_forwarded = True
-        server = ForwardedSessionServer(session)
+        server = ForwardedSessionServer(session, self._clock)
         # A forwarding VM that crashes can't end its sessions. Its RPC
         # connection breaks and the library releases the server object.
         # Without the finalizer, open transactions would then hold their
         # locks until the member's own timeout.
         finalize(server, self._on_released, session)
-        return server
+        return server, self._clock.now()
 
     def _on_released(self, session: StatementSession) -> None:
         logger.debug("forwarded connection {} ended", session.connection_id)
--- a/redwingpost/proxy/forwarder.py
+++ b/redwingpost/proxy/forwarder.py
@@ -28,6 +28,7 @@
     choose_forward_targets,
     choose_homes,
 )
+from redwingpost.routing.peer_clock import PeerClock
 from redwingpost.scheduling.long_jobs import LONG_JOB_HOMES
 from redwingpost.wire.forwarding import (
     decode_answer,
@@ -151,11 +152,16 @@
 
 
 class _OpenSession(NamedTuple):
-    """An open forwarded connection: its home VM, group and capability."""
+    """An open forwarded connection: its home VM, group and capability.
+
+    ``home_clock`` tells what the home's clock shows; None if the home sends
+    no readings, as its version is an earlier one.
+    """
 
     address: PeerAddress
     group: str
     session: Any
+    home_clock: PeerClock | None
 
 
 class Forwarder:
@@ -258,7 +264,7 @@
     ) -> Result[None, Refusal]:
         wanted = (address, opening["group"])
         if self._open_session is not None and self._open_session[:2] == wanted:
-            return Ok(None)
+            return await self._ensure_clock()
         await self.close()
         opened = await self._clients.call(
             address,
@@ -267,9 +273,33 @@
         )
         if opened.is_error():
             return Error(opened.error)
+        home_clock = PeerClock() if opened.ok.clockS else None
         self._open_session = _OpenSession(
-            address, opening["group"], opened.ok.session
+            address, opening["group"], opened.ok.session, home_clock
+        )
+        self._note_reading(opened.ok.clockS)
+        return Ok(None)
+
+    def _note_reading(self, reading: float) -> None:
+        if self._open_session.home_clock is not None:
+            now = self._clock.now()
+            self._open_session.home_clock.note_reading(reading, now)
+
+    async def _ensure_clock(self) -> Result[None, Refusal]:
+        """Ask for a reading of the home's clock, unless one is recent."""
+        home_clock = self._open_session.home_clock
+        if home_clock is None or home_clock.is_known(self._clock.now()):
+            return Ok(None)
+        session = self._open_session.session
+        answered = await self._clients.call(
+            self._open_session.address,
+            lambda _node: session.readClock(),
+            OPEN_TIMEOUT_S,
         )
+        if answered.is_error():
+            self._open_session = None
+            return Error(answered.error)
+        self._note_reading(answered.ok.clockS)
         return Ok(None)
 
     async def _run_once(
@@ -284,6 +314,10 @@
             "whole": call.whole,
             "sentMs": int(max(0.0, now - call.arrived_at) * 1000),
         }
+        if self._open_session.home_clock is not None:
+            statement["expiresAt"] = self._open_session.home_clock.to_peer(
+                call.deadline_at, now
+            )
         session = self._open_session.session
         answered = await self._clients.call(
             self._open_session.address,
@@ -294,6 +328,7 @@
             self._open_session = None
             return Error(answered.error)
         reader = answered.ok.answer
+        self._note_reading(reader.clockS)
         self.in_transaction = reader.inTransaction
         return Ok(
             ForwardOutcome(
--- a/redwingpost/proxy/reads.py
+++ b/redwingpost/proxy/reads.py
@@ -176,7 +176,6 @@
     ) -> ReadAnswer | Failed:
         """Run a read on a member; ``term`` is set for the primary."""
         known_position = self._status_poller.applied(address.member)
-        remaining = request.deadline_at - self._clock.now()
         try:
             connection = await self._pool.acquire(
                 address, request, shape_of(sql)
@@ -185,6 +184,11 @@
             return failed_from_error(error)
         except TargetLost:
             return Failed(Failure.NOT_SENT)
+        # It may have waited for the connection for seconds.
+        remaining = request.deadline_at - self._clock.now()
+        if remaining <= 0.0:
+            await self._pool.release(connection, clean=True)
+            return Failed(Failure.NOT_SENT)
         abort_guard = nullcontext()
         if term is not None:
             abort_guard = self._views.guard(connection, request.group, term)
--- a/redwingpost/proxy/service.py
+++ b/redwingpost/proxy/service.py
@@ -196,7 +196,7 @@
         )
         self.interfaces = NodeInterfaces()
         self.interfaces.forward = ForwardServer(
-            self._make_session, self.add_future
+            self._make_session, self.add_future, self.clock
         )
         self.interfaces.lending = LendingServer(
             self.rate_limiter, self.directory
--- a/redwingpost/proxy/session.py
+++ b/redwingpost/proxy/session.py
@@ -93,7 +93,11 @@
         return self.caller.last_insert_id
 
     async def handle(
-        self, sql: str, attributes: dict[str, str], spent_s: float = 0.0
+        self,
+        sql: str,
+        attributes: dict[str, str],
+        spent_s: float = 0.0,
+        expires_at: float = float("inf"),
     ) -> Answer:
         """Run one statement.
 
@@ -105,6 +109,9 @@
             Query attributes.
         spent_s : float, optional
             Seconds of its time that the forwarding VM has used.
+        expires_at : float, optional
+            When it may no longer be sent to a member (seconds): its caller
+            is told after that that the outcome is unknown.
         """
         arrived_at = self._components.clock.now() - spent_s
         kind = classify("")
@@ -113,7 +120,9 @@
             answer = Error(marked.error)
         else:
             kind = classify(marked.ok.sql)
-            answer = await self._handle_marked(marked.ok, arrived_at)
+            answer = await self._handle_marked(
+                marked.ok, arrived_at, expires_at
+            )
         self._request = None
         if self._termination is not None:
             # The session was terminated while this statement ran. Its
@@ -124,7 +133,7 @@
         return answer
 
     async def _handle_marked(
-        self, marked: MarkedStatement, arrived_at: float
+        self, marked: MarkedStatement, arrived_at: float, expires_at: float
     ) -> Answer:
         refusal = await self._check_key()
         if refusal is not None:
@@ -145,9 +154,13 @@
         request = self._make_request(
             marked, classified.statement_class, arrived_at
         )
+        deadline_at = min(request.deadline_at, expires_at)
+        request = request._replace(deadline_at=deadline_at)
         refusal = self._check_group(request)
         if refusal is None:
             refusal = await self._refuse_if_stopping(request)
+        if refusal is None and self.is_forwarded:
+            refusal = await self._refuse_if_late(request)
         if refusal is not None:
             return Error(refusal)
         self._request = request
@@ -225,6 +238,17 @@
         await self._abandon_transaction()
         return Refusal(Code.TRANSACTION_ROLLED_BACK, "this VM is stopping")
 
+    async def _refuse_if_late(self, request: Request) -> Refusal | None:
+        """Refuse what has lain on its way here until its time ended."""
+        is_rollback = request.statement_class is StatementKind.ROLLBACK
+        is_late = self._components.clock.now() >= request.deadline_at
+        if is_rollback or not is_late:
+            return None
+        if not self.in_transaction:
+            return Refusal(Code.DEADLINE_PASSED)
+        await self._abandon_transaction()
+        return Refusal(Code.TRANSACTION_ROLLED_BACK, "its time had ended")
+
     def _answer_locally(self, marked: MarkedStatement) -> Answer | None:
         # Without a mark, a query about the session, mainly for its token,
         # means the session of the last statement.
--- a/redwingpost/wire/node.capnp
+++ b/redwingpost/wire/node.capnp
@@ -143,6 +143,9 @@
   positions @3 :List(GroupPosition);
   whole @4 :Bool;
   sentMs @5 :UInt32;
+  expiresAt @6 :Float64;
+  # Reading of the home's clock from which on the home sends the statement to
+  # no member; 0: no limit but the deadline.
 }
 
 struct ForwardedAnswer {
@@ -154,6 +157,8 @@
   inTransaction @4 :Bool;
   positions @5 :List(GroupPosition);
   whole @6 :Bool;
+  clockS @7 :Float64;
+  # Reading of the home's clock when it answered; 0 from VMs without it.
 }
 
 interface ForwardedSession {
@@ -161,12 +166,14 @@
   # the capability ends it, and an open transaction is rolled back.
   run @0 (statement :ForwardedStatement) -> (answer :ForwardedAnswer);
   end @1 () -> ();
+  readClock @2 () -> (clockS :Float64);
 }
 
 interface Forward {
   # Forwards statements from the caller's VM to a home of the group.
   open @0 (organisation :Text, keyHash :Text, group :Text,
-           connection :UInt64) -> (session :ForwardedSession);
+           connection :UInt64) ->
+          (session :ForwardedSession, clockS :Float64);
 }
 
 interface Node {
