redwing-proxy: a read that waited isn't sent to a member that drains

A read that waited for a slot or a connection was sent to a replica that the configuration had set to drain meanwhile.

Change: what waits for a member fails as not sent once the configuration says that it drains, and moves on; a read checks again once it has its connection.

Evidence: test_a_replica_that_drains_while_a_read_waits fails on (the read ran at the drained member).

--- a/redwingpost/proxy/reads.py
+++ b/redwingpost/proxy/reads.py
@@ -186,7 +186,8 @@
             return Failed(Failure.NOT_SENT)
         # It may have waited for the connection for seconds.
         remaining = request.deadline_at - self._clock.now()
-        if remaining <= 0.0:
+        is_draining = self._directory.is_draining(address.member)
+        if remaining <= 0.0 or (is_draining and term is None):
             await self._pool.release(connection, clean=True)
             return Failed(Failure.NOT_SENT)
         abort_guard = nullcontext()
--- a/redwingpost/proxy/service.py
+++ b/redwingpost/proxy/service.py
@@ -246,6 +246,11 @@
     def _on_configured(self) -> None:
         self._configured_at = min(self._configured_at, self.clock.now())
         self.rate_limiter.configure()
+        for member in self.directory.configuration.draining_members:
+            # What waits for it goes to another member.
+            address = self.directory.address(member)
+            if address is not None:
+                self.pool.fail_waiting(address)
 
     def _make_forwarder(self) -> Forwarder:
         return Forwarder(self.homes, self.forward_clients, self.clock)
--- a/redwingpost/proxy/tests/test_late_statements.py
+++ b/redwingpost/proxy/tests/test_late_statements.py
@@ -1,4 +1,4 @@
-"""Statements whose time ends before they are sent."""
+"""Statements whose time or whose member's time ends before they are sent."""
 
 from contextlib import contextmanager
 from unittest import TestCase
@@ -9,6 +9,7 @@
 
 from redwingpost.core import Code
 from redwingpost.ports import TargetLost
+from redwingpost.proxy.reads import Reader
 from redwingpost.proxy.tests.small_site import GROUP, SmallSite
 from redwingpost.routing.peer_clock import PeerClock
 
@@ -112,3 +113,34 @@
 
         self.assertFalse(self.site.call(execute()))
         self.assertEqual([], self._notes("no time"))
+
+    def test_a_replica_that_drains_while_a_read_waits(self):
+        """Guards against reads at a member that takes no new work."""
+        proxy = self.site.proxies[self.home]
+        drained, used = [], []
+
+        async def connect_late(pool):
+            if not drained:
+                drained.append(pool.address.member)
+            return await in_time(pool)
+
+        async def execute(reads, connection, sql, timeout):
+            checkout = proxy.pool._checkouts_by_connection[connection]
+            used.append(checkout.member_pool.address.member)
+            return await run(reads, connection, sql, timeout)
+
+        in_time, run = proxy.pool._connect, Reader._execute
+        with (
+            patch.object(proxy.pool, "_connect", connect_late),
+            patch.object(Reader, "_execute", execute),
+            patch.object(
+                proxy.directory, "is_draining", lambda name: name in drained
+            ),
+            self._connect(self.home) as connection,
+        ):
+            cursor = connection.cursor()
+            cursor.execute(
+                "/* redwing: max_staleness_ms=60000 */ SELECT note FROM notes"
+            )
+        self.assertEqual(1, len(used))
+        self.assertNotIn(used[0], drained)
