A home runs no statement for a key's former holder, and no rows go to the new

Cause: a home was told the organisation, and had no key to ask for; the VM that forwarded the statement didn't look again before it handed the answer on.

Change: the message has the key and the version of the configuration that the caller was admitted by; a home with a newer one asks whether the organisation still holds the key, while the statement waits and right before it is sent (SendGuard). A session withholds rows that were read for the former holder; answers of writes and COMMITs are handed on, as they have run. The same check now ends the wait of any statement whose member may not get it any more, instead of one for drains.

--- a/redwingpost/node/forwarding/forwarder.py
+++ b/redwingpost/node/forwarding/forwarder.py
@@ -422,6 +422,8 @@
             state.written_in(task.route.group),
             self._clock.now() - task.arrived_at,
             expires_at=channel.to_home_clock(task.deadline),
+            key=task.caller.key,
+            rules_version=task.caller.version,
         )
 
     def _timeout_s(self, task: ForwardedStatement) -> float:
--- a/redwingpost/node/forwarding/messages.py
+++ b/redwingpost/node/forwarding/messages.py
@@ -37,7 +37,9 @@
     more. Such a message orders nothing else. ``channel`` is the number by
     which the sender can resume the connection, 0 if it can't. From
     ``expires_at`` of the home's clock on (seconds), the home sends the
-    statement to no member any more; 0 if its sender set no limit.
+    statement to no member any more; 0 if its sender set no limit. ``key`` is
+    the caller's, which was the organisation's by the configuration of version
+    ``rules_version``; 0 if the sender doesn't tell.
     """
 
     number: int
@@ -55,6 +57,8 @@
     withdrawn: int = 0
     channel: int = 0
     expires_at: float = 0.0
+    key: str = ""
+    rules_version: int = 0
 
 
 class AskClock(NamedTuple):
--- a/redwingpost/node/forwarding/peer.py
+++ b/redwingpost/node/forwarding/peer.py
@@ -68,7 +68,9 @@
     """What a home uses to run statements.
 
     ``stop_gate`` tells what is still taken while this VM stops;
-    ``reports_load`` returns whether to report the load of a group.
+    ``reports_load`` returns whether to report the load of a group;
+    ``is_holder`` whether an organisation still holds a key that it held by a
+    version of the configuration.
     """
 
     group_by_name: dict[str, GroupClient]
@@ -77,6 +79,7 @@
     clock: Clock
     stop_gate: StopGate
     reports_load: Callable[[str], bool]
+    is_holder: Callable[[str, str, int], bool]
 
 
 class _HeldTransaction(NamedTuple):
@@ -315,6 +318,15 @@
     return Done(work.number, result, written, is_over, parts)
 
 
+def _caller(peer: Peer, work: Work, state: SessionState) -> Caller:
+    def is_entitled() -> bool:
+        return peer.dependencies.is_holder(
+            work.organisation, work.key, work.rules_version
+        )
+
+    return Caller(work.organisation, state, work.route.priority, is_entitled)
+
+
 def _refuse_if_unready(peer: Peer, work: Work) -> Refusal | None:
     """Return why no new statement can begin here, or None."""
     if peer.dependencies.stop_gate.is_stopping:
@@ -345,7 +357,7 @@
     group = dependencies.group_by_name[work.route.group]
     group.note_use()
     group.note_term(work.written.term)
-    caller = Caller(work.organisation, state, work.route.priority)
+    caller = _caller(peer, work, state)
     # The other VM received it at this time or earlier.
     arrived_at = dependencies.clock.now() - work.waited_s
     request = ReadRequest(
@@ -424,7 +436,7 @@
     group.note_term(work.written.term)
     transaction = Transaction(
         work.begin,
-        Caller(work.organisation, state, work.route.priority),
+        _caller(peer, work, state),
         work.route,
         group,
         work.sync_replicas,
--- a/redwingpost/node/member.py
+++ b/redwingpost/node/member.py
@@ -21,11 +21,12 @@
 from redwingpost.groups.latency import LatencyTracker
 from redwingpost.membership.centres import MemberHealth
 from redwingpost.node.member_admission import (
-    NO_NEW_WORK,
+    WAIT_ENDED,
     MemberAdmission,
     MemberLoad,
     MemberRules,
     RefusalKey,
+    always,
 )
 from redwingpost.node.places import ColdGuard
 from redwingpost.observability.journal import log_event
@@ -112,7 +113,6 @@
             clock,
             Counter() if refusals is None else refusals,
             self.pool.has_idle,
-            lambda: self.takes_new_work,
         )
         self.latency = LatencyTracker()
         self.statements_in_flight = 0
@@ -303,6 +303,7 @@
         priority: int,
         deadline: float,
         is_transaction: bool = False,
+        may_wait: Callable[[], bool] = always,
     ) -> PooledLink:
         """Claim a connection for one organisation.
 
@@ -320,6 +321,8 @@
             When to stop waiting (seconds).
         is_transaction : bool, optional
             Whether a transaction will hold the connection.
+        may_wait : callable, optional
+            Whether the statement may still wait.
 
         Raises
         ------
@@ -330,15 +333,20 @@
         MemberRefused
             If the member refused a new connection.
         LinkLost
-            If a new connection could not be opened, or the member takes no
-            new work.
+            If a new connection could not be opened, or the statement may
+            wait no longer.
         """
         ticket = await self.admission.enter(
-            organisation, priority, deadline, is_transaction
+            organisation, priority, deadline, is_transaction, may_wait
         )
         try:
             pooled = await self._claim(
-                organisation, values_by_name, shape, priority, deadline
+                organisation,
+                values_by_name,
+                shape,
+                priority,
+                deadline,
+                may_wait,
             )
         except BaseException:
             self.admission.leave(ticket, None)
@@ -354,11 +362,12 @@
         shape: Shape | None,
         priority: int,
         deadline: float,
+        may_wait: Callable[[], bool],
     ) -> PooledLink:
         requested_at = self._clock.now()
         while True:
-            if not self.takes_new_work:
-                raise LinkLost(NO_NEW_WORK, sent=False)
+            if not may_wait():
+                raise LinkLost(WAIT_ENDED, sent=False)
             now = self._clock.now()
             taken = self.pool.take(organisation, values_by_name, shape, now)
             if isinstance(taken, PooledLink):
--- a/redwingpost/node/member_admission.py
+++ b/redwingpost/node/member_admission.py
@@ -34,8 +34,14 @@
 #: stalled: no answer wakes it then.
 STALL_CHECK_S = 0.1
 
-#: Why a statement that waited for a member wasn't sent there.
-NO_NEW_WORK = "the member takes no new work"
+#: Why a statement no longer waits whose ``may_wait`` has returned False.
+WAIT_ENDED = "it may wait no longer"
+
+
+def always() -> bool:
+    """Return True: a statement may wait until its deadline."""
+    return True
+
 
 #: Statements that an organisation may run before its turn where it has an
 #: idle connection. A new connection occupies a slot for 12 ms, longer than
@@ -117,8 +123,7 @@
     """Tickets of the statements that run at, or wait for, one member.
 
     Inactive until ``follow`` gives it weights: until then ``enter`` returns
-    at once, without a ticket. Refusals are counted in ``refusals``. What
-    waits fails as not sent once ``takes_new_work`` returns False.
+    at once, without a ticket. Refusals are counted in ``refusals``.
     """
 
     def __init__(
@@ -127,10 +132,8 @@
         clock: Clock,
         refusals: Counter[RefusalKey],
         has_connection: Callable[[str], bool],
-        takes_new_work: Callable[[], bool] = lambda: True,
     ) -> None:
         self._has_connection = has_connection
-        self._takes_new_work = takes_new_work
         self._member = member
         self._refusals = refusals
         self._clock = clock
@@ -195,6 +198,7 @@
         priority: int,
         deadline: float,
         is_transaction: bool = False,
+        may_wait: Callable[[], bool] = always,
     ) -> int | None:
         """Wait for a slot; return its ticket, or None if none is needed.
 
@@ -208,13 +212,15 @@
             When its time ends (seconds).
         is_transaction : bool, optional
             Whether it begins a transaction, which needs a place, too.
+        may_wait : callable, optional
+            Whether it may still wait; asked every ``STALL_CHECK_S``.
 
         Raises
         ------
         AdmissionRefused
             If it can't be served in time.
         LinkLost
-            If the member was removed meanwhile, or takes no new work.
+            If the member was removed, or the statement may wait no longer.
         """
         if self._rules is None:
             return None
@@ -227,10 +233,10 @@
         )
         try:
             if is_transaction:
-                await self._pass(self._places, arrival)
+                await self._pass(self._places, arrival, may_wait)
             # Admission may have ended meanwhile.
             if self._controller is not None:
-                await self._pass(self._controller, arrival)
+                await self._pass(self._controller, arrival, may_wait)
         except BaseException:
             # It may have been started and cancelled at the same time.
             self.leave(ticket, None)
@@ -336,7 +342,10 @@
         self._wake(tickets)
 
     async def _pass(
-        self, gate: AdmissionController | TransactionPlaces, arrival: Arrival
+        self,
+        gate: AdmissionController | TransactionPlaces,
+        arrival: Arrival,
+        may_wait: Callable[[], bool],
     ) -> None:
         """Wait until a gate lets a statement start."""
         decision = gate.arrive(self._clock.now(), arrival)
@@ -352,7 +361,7 @@
         if decision.evicted is not None:
             self._refuse_evicted(gate, *decision.evicted, decision.wait_s)
         try:
-            await self._await_start(gate, arrival, future)
+            await self._await_start(gate, arrival, future, may_wait)
         finally:
             del self._waiter_by_ticket[ticket]
 
@@ -361,6 +370,7 @@
         gate: AdmissionController | TransactionPlaces,
         arrival: Arrival,
         future: Future,
+        may_wait: Callable[[], bool],
     ) -> None:
         while not future.done():
             self._evict_if_pressed()
@@ -370,8 +380,8 @@
             await wait({future}, timeout=pause_s)
             if future.done():
                 break
-            if not self._takes_new_work():
-                raise LinkLost(NO_NEW_WORK, sent=False)
+            if not may_wait():
+                raise LinkLost(WAIT_ENDED, sent=False)
             refused = gate.refuse_waiting(self._clock.now(), arrival.ticket)
             if refused is not None:
                 raise self._refused(gate, arrival, *refused)
--- a/redwingpost/node/request/admission.py
+++ b/redwingpost/node/request/admission.py
@@ -131,6 +131,23 @@
         """
         return (self.rules.organisation_of(key) or _NO_LIMIT).name
 
+    def is_holder(self, organisation: str, key: str, version: int) -> bool:
+        """Return whether a key is still an organisation's.
+
+        Parameters
+        ----------
+        organisation : str
+            Its name.
+        key : str
+            The key.
+        version : int
+            That of a configuration by which it was. Rules that aren't newer
+            can't tell of a change.
+        """
+        if not version or self.rules.version <= version:
+            return True
+        return self.holder_of(key) == organisation
+
     def sync_replicas(self, group: str) -> int:
         """Return how many replicas hold a commit before it is acknowledged."""
         rule = self.rules.groups_by_name.get(group)
--- a/redwingpost/node/request/attempt.py
+++ b/redwingpost/node/request/attempt.py
@@ -13,7 +13,7 @@
     MemberRefused,
     NoConnectionFree,
 )
-from redwingpost.node.member_admission import NO_NEW_WORK, AdmissionRefused
+from redwingpost.node.member_admission import AdmissionRefused, always
 from redwingpost.observability.journal import log_event
 from redwingpost.pools.pool import PooledLink
 from redwingpost.ports.clock import Clock
@@ -37,10 +37,6 @@
 LOST_RETRY_MS = 100
 
 
-def _always() -> bool:
-    return True
-
-
 def any_member(client: MemberClient) -> bool:
     """Return True: the statement may be sent to any member."""
     return True
@@ -51,13 +47,17 @@
 
     ``is_entitled`` returns whether its key is still the organisation's. A
     statement may wait for a connection for seconds, in which a configuration
-    can take the key away or pass it on.
+    can take the key away or pass it on. ``key`` and ``version``, that of the
+    configuration by which the key was the organisation's, let another VM
+    check the same; it can't if the version is 0.
     """
 
     organisation: str
     state: SessionState
     priority: int
-    is_entitled: Callable[[], bool] = _always
+    is_entitled: Callable[[], bool] = always
+    key: str = ""
+    version: int = 0
 
 
 class NotSent(NamedTuple):
@@ -112,7 +112,7 @@
     caller: Caller
     deadline: float
     clock: Clock
-    is_wanted: Callable[[], bool] = _always
+    is_wanted: Callable[[], bool] = always
     is_new: bool = True
     may_use: Callable[[MemberClient], bool] = any_member
 
@@ -120,10 +120,14 @@
         """Return why nothing may be sent for the statement, or None."""
         if self.clock.now() >= self.deadline:
             return NotSent("no time was left")
+        return self.refuse_member(client)
+
+    def refuse_member(self, client: MemberClient) -> NotSent | None:
+        """Return why it need not wait for the member any more, or None."""
         if not client.may_be_sent_work:
             return NotSent("no statements may be sent there")
         if self.is_new and not client.takes_new_work:
-            return NotSent(NO_NEW_WORK)
+            return NotSent("the member takes no new work")
         if not self.may_use(client):
             return NotSent("it no longer leads")
         if not self.caller.is_entitled():
@@ -152,7 +156,7 @@
     after: Position | None,
     deadline: float,
     clock: Clock,
-    is_wanted: Callable[[], bool] = _always,
+    is_wanted: Callable[[], bool] = always,
     may_use: Callable[[MemberClient], bool] = any_member,
 ) -> Outcome:
     """Run a statement outside a transaction on a pooled connection.
@@ -248,6 +252,7 @@
             caller.priority,
             deadline,
             is_transaction,
+            lambda: guard.refuse_member(client) is None,
         )
     except AdmissionRefused as refused:
         _log_refused(client, caller, request, refused)
@@ -258,7 +263,7 @@
     except MemberRefused as refused:
         return NotSent(refused.failure.keyword)
     except LinkLost as lost:
-        return NotSent(lost.detail)
+        return guard.refuse_member(client) or NotSent(lost.detail)
     finally:
         trace.note_wait(client.entry.member, clock.now() - requested_at)
     not_sent = guard.refuse(client)
--- a/redwingpost/node/request/session.py
+++ b/redwingpost/node/request/session.py
@@ -52,6 +52,7 @@
 )
 
 _NO_TRANSACTION = Refusal(Code.UNSUPPORTED, "no transaction is open")
+_PASSED_ON = Refusal(Code.TARGET_LOST, "the key was passed on", 50)
 _TRANSACTION_FAILED = Refusal(
     Code.UNSUPPORTED, "the transaction failed; roll it back"
 )
@@ -180,11 +181,14 @@
     def caller(self, admitted: Admitted) -> Caller:
         """Return the caller's organisation, session state and priority."""
         name = admitted.organisation.name
+        admission = self.services.admission
         return Caller(
             name,
             self.state,
             admitted.route.priority,
-            lambda: self.services.admission.holder_of(self._key) == name,
+            lambda: admission.holder_of(self._key) == name,
+            self._key,
+            admission.rules.version,
         )
 
     def begin_transaction(
@@ -422,7 +426,9 @@
         if not session.transaction.is_over:
             await session.transaction.roll_back()
         session.end_transaction(Phase.FAILED)
-    return result
+        return result
+    # What was read is the former holder's.
+    return await session.refuse_changed_key(Phase.FAILED) or result
 
 
 async def _run_standalone(
@@ -449,6 +455,10 @@
         result = await services.forwarder.run_alone(task)
     if result is None:
         result = await _run_locally(session, group, request, admitted)
+    if isinstance(result, Answer) and result.rows:
+        # What was read is the former holder's.
+        if not request.caller.is_entitled():
+            result = _PASSED_ON
     if _is_refundable(result, session.state.trace):
         services.admission.refund_operation(admitted.organisation)
         services.metrics.note_given_back(
--- a/redwingpost/node/service.py
+++ b/redwingpost/node/service.py
@@ -225,6 +225,7 @@
                 clock,
                 self._stop_gate,
                 self._homes.places_by_load,
+                self._admission.is_holder,
             ),
         )
         self._copies = CopyPage(
--- a/redwingpost/node/tests/test_changed_keys.py
+++ b/redwingpost/node/tests/test_changed_keys.py
@@ -1,5 +1,6 @@
 """Open transactions whose key a configuration withdraws or passes on."""
 
+from asyncio import Event, create_task, sleep
 from unittest import IsolatedAsyncioTestCase
 
 from redwingpost.node.tests.line_site import (
@@ -58,6 +59,43 @@
                     self.assertEqual(code, answer.code)
                     caller.close()
 
+    async def test_rows_that_come_after_the_key_has_passed_on(self) -> None:
+        """Guards against rows of a key's former holder.
+
+        The member answers a read only after the key is another
+        organisation's.
+        """
+        passed = [
+            {"name": "diocese", "apiKeys": ["key-1", "key-3"], **_RATES},
+            _PARISH,
+        ]
+        goes_on = Event()
+
+        async def wait(connection, request: str) -> None:
+            if request.startswith("late"):
+                await goes_on.wait()
+
+        for server in self.site.standins.server_by_member.values():
+            server.before_answer = wait
+        version = 1
+        for begin, code in (("", "BUSY"), ("BEGIN", "ABORTED")):
+            with self.subTest(begin=begin):
+                version += 2
+                await self._configure(configuration(version))
+                caller = await self.node.caller("own")
+                if begin:
+                    await caller.run(begin)
+                goes_on.clear()
+                read = create_task(caller.run_as(f"late-{version}", "READ k"))
+                await sleep(0.1)
+                await self._configure(
+                    configuration(version + 1, tenants=passed)
+                )
+                goes_on.set()
+                answer = await read
+                self.assertEqual((code, ()), (answer.code, answer.rows))
+                caller.close()
+
     async def _configure(self, value: dict) -> None:
         self.site.standins.configure(value)
         await until_in_force(self.node, value["configVersion"])
--- a/redwingpost/node/tests/test_forwarding.py
+++ b/redwingpost/node/tests/test_forwarding.py
@@ -8,7 +8,7 @@
 
 from redwingpost.configuration.routes import Consistency, RouteRule
 from redwingpost.admission.stopping import StopGate, StopPlan
-from redwingpost.core.codes import Code
+from redwingpost.core.codes import Code, Outcome
 from redwingpost.core.positions import Position
 from redwingpost.core.statements import (
     Answer,
@@ -141,6 +141,9 @@
 
     route = _ROUTE
 
+    #: Whether the callers' key is still their organisation's.
+    is_key_held = True
+
     async def asyncSetUp(self) -> None:
         self.clock = MonotonicClock()
         self.members = GroupOfThree()
@@ -193,6 +196,7 @@
             self.clock,
             self.stop_gates[number],
             lambda group: self.homes.places_by_load(group),
+            lambda organisation, key, version: self.is_key_held,
         )
         server = HomeServer(_IP, 0, dependencies)
         await server.start()
@@ -246,6 +250,36 @@
         self.assertEqual(["r", "w", "e"], self.members.ran)
         self.assertEqual([Shape(False, "q2")], self.members.shapes)
 
+    async def test_a_key_is_passed_on_while_a_statement_waits(self) -> None:
+        """Guards against statements that run for a key's former holder.
+
+        A statement waits at its home for a connection while a configuration
+        gives its caller's key to another organisation.
+        """
+        cases = (
+            ("alone", read("r")),
+            ("alone", write("w")),
+            ("transaction", write("first")),
+        )
+        client = self.groups[0].member_by_name["m1"]
+        client.budget.share = 1
+        for how, statement in cases:
+            with self.subTest(how, kind=statement.kind):
+                self.is_key_held = True
+                self.members.ran.clear()
+                held = await client.acquire("other", {}, None, 0, 9e9)
+                if how == "alone":
+                    run = self.forwarder.run_alone(self.task(statement))
+                else:
+                    run = self.transaction().run(statement)
+                waiting = create_task(run)
+                await self.until(lambda: client._waiting)
+                self.is_key_held = False
+                client.release(held)
+                result = await waiting
+                self.assertIs(Outcome.NOT_RUN, result.code.outcome)
+                self.assertEqual([], self.members.ran)
+
     async def test_a_transaction_stays_at_its_home(self) -> None:
         transaction = self.transaction()
         for statement in (read("1"), write("2")):
--- a/redwingpost/wire/work.capnp
+++ b/redwingpost/wire/work.capnp
@@ -70,6 +70,10 @@
   expiresAt @13 :Float64;
   # Reading of the receiver's clock from which on it sends the statement to no
   # member; 0: no limit but the route's.
+  key @14 :Text;
+  rulesVersion @15 :UInt64;
+  # The caller's key, which was the organisation's by the configuration of
+  # this version; 0 from VMs that don't tell.
 }
 
 struct Route {
--- a/redwingpost/wire/work.py
+++ b/redwingpost/wire/work.py
@@ -49,6 +49,7 @@
     ...     7, Action.RUN, 2, "o", route, 1, read, Shape(False, "q2"),
     ...     Statement("0", StatementKind.BEGIN, "BEGIN"), {"tone": "b"},
     ...     Position(3, 9), 0.25, withdrawn=6, expires_at=12.5,
+    ...     key="k", rules_version=4,
     ... )
     >>> unpack(pack_work(work)) == work
     True
@@ -80,6 +81,8 @@
     body.withdrawn = work.withdrawn
     body.channel = work.channel
     body.expiresAt = work.expires_at
+    body.key = work.key
+    body.rulesVersion = work.rules_version
     return message.to_bytes()
 
 
@@ -276,6 +279,8 @@
         body.withdrawn,
         body.channel,
         body.expiresAt,
+        body.key,
+        body.rulesVersion,
     )
 
 
