--- a/redwingpost/cli/tests/test_node_imports.py
+++ b/redwingpost/cli/tests/test_node_imports.py
@@ -4,7 +4,7 @@
 from sys import executable
 from unittest import TestCase
 
-_PROGRAM = "import sys, redwingpost.cli.node; print(*sys.modules)"
+_PROGRAM = "import sys, redwingpost.cli.node_program; print(*sys.modules)"
 
 #: Modules that a node doesn't use; each costs start-up time or memory.
 _UNWANTED = (
