Session values and answers are bounded in bytes, each caller's for itself

What callers would have seen: a session with more than 4 MiB of values ended the connection between its VM and a home, and all statements on it had an unknown outcome; an answer with as many rows did the same.

Cause: values are bounded in number only and travel with each statement; a message above 4 MiB ends the connection.

Change: 2 MiB of values and of prepared statements a session, refused to the caller that goes beyond; messages up to 8 MiB, in which these fit with any statement; a home answers a read whose rows don't fit as too large.

--- a/redwingpost/node/forwarding/frames.py
+++ b/redwingpost/node/forwarding/frames.py
@@ -5,9 +5,10 @@
 #: Size of the length before each message, in bytes.
 _LENGTH_BYTES = 4
 
-#: Maximum size of a message in bytes: the largest statement or row, and the
-#: other fields.
-MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+#: Maximum size of a message in bytes: a session's values
+#: (``statements.session.MAX_BYTES``), a statement with its argument and its
+#: prepared text (1 MiB each), and the other fields.
+MAX_MESSAGE_BYTES = 8 * 1024 * 1024
 
 
 class FrameError(Exception):
--- a/redwingpost/node/forwarding/peer.py
+++ b/redwingpost/node/forwarding/peer.py
@@ -16,7 +16,10 @@
 from redwingpost.core.codes import Code
 from redwingpost.core.registry import Registry
 from redwingpost.core.requests import Refusal
-from redwingpost.node.forwarding.frames import write_frame
+from redwingpost.node.forwarding.frames import (
+    MAX_MESSAGE_BYTES,
+    write_frame,
+)
 from redwingpost.node.forwarding.local_loads import LocalLoads
 from redwingpost.node.forwarding.messages import (
     Action,
@@ -269,7 +272,17 @@
         if not self._writer.is_closing():
             load = self._loads.of_group(work.route.group)
             now = self.dependencies.clock.now()
-            frame = pack_done(done._replace(load=load, clock_s=now))
+            done = done._replace(load=load, clock_s=now)
+            frame = pack_done(done)
+            if len(frame) > MAX_MESSAGE_BYTES:
+                # Sent, it would end the connection and all that runs on it.
+                log_event(
+                    "answer-too-large",
+                    request=work.statement.request,
+                    size=len(frame),
+                )
+                refusal = Refusal(Code.TOO_LARGE, f"{len(frame)} bytes")
+                frame = pack_done(done._replace(result=refusal))
             if self.channel:
                 self._keep(work.number, frame)
             write_frame(self._writer, frame)
--- a/redwingpost/node/request/session.py
+++ b/redwingpost/node/request/session.py
@@ -40,7 +40,9 @@
 
 _STOPPING = "this VM is stopping"
 _DONE = Answer()
-_TOO_MANY_NAMES = Refusal(Code.UNSUPPORTED, "too many session values or names")
+_TOO_MANY_NAMES = Refusal(
+    Code.UNSUPPORTED, "too many or too large session values or names"
+)
 #: Statements that this VM answers itself; they can't be cut by a stop.
 _ANSWERED_HERE = frozenset(
     {
--- a/redwingpost/node/tests/test_forwarding.py
+++ b/redwingpost/node/tests/test_forwarding.py
@@ -61,6 +61,7 @@
 
     def __init__(self) -> None:
         self.ran: list[str] = []
+        self.rows: tuple[str, ...] = ("1",)
         self.rolled_back = 0
         self.shapes: list[Shape] = []
         self.may_answer = Event()
@@ -81,6 +82,8 @@
             statement: Statement, after=None, prepared_as="", first=None
         ) -> Reply:
             self.ran.append(statement.request)
+            is_read = statement.kind is StatementKind.READ
+            rows = self.rows if is_read else ("1",)
             if first is not None:
                 self.shapes.append(first.shape)
             await self.may_answer.wait()
@@ -88,16 +91,20 @@
                 raise LinkLost("closed", sent=True)
             is_open = statement.kind is not StatementKind.COMMIT
             in_transaction = is_open and self._in_transaction(link, statement)
-            return Reply(("1",), "1.p", None, Position(1, 10), in_transaction)
+            return Reply(rows, "1.p", None, Position(1, 10), in_transaction)
 
         async def roll_back() -> Reply:
             self.rolled_back += 1
             return Reply()
 
+        async def set_up(steps: tuple) -> tuple[Reply, ...]:
+            return tuple(Reply(proof="1.p") for _ in steps)
+
         def close() -> None:
             link.is_open = False
 
         link.status, link.run, link.close = status, run, close
+        link.set_up = set_up
         link.roll_back = roll_back
         return link
 
@@ -250,6 +257,35 @@
         self.assertEqual(["r", "w", "e"], self.members.ran)
         self.assertEqual([Shape(False, "q2")], self.members.shapes)
 
+    async def test_large_sessions_and_answers(self) -> None:
+        """Guards against one caller's data that end others' statements.
+
+        A message that doesn't fit ends the connection to its home, and all
+        statements of the VM that run there have an unknown outcome.
+        """
+        self.route = self.route._replace(timeout_s=10.0)
+        self.members.may_answer.clear()
+        other = create_task(self.forwarder.run_alone(self.task(write("w"))))
+        await self.until(lambda: self.members.ran == ["w"])
+        self.state = SessionState()
+        while self.state.set_value(
+            f"value-{len(self.state.values_by_name)}", "x" * 700_000
+        ):
+            pass
+        text = "WRITE a " + "y" * 1_000_000
+        large = Statement("l", StatementKind.EXECUTE, text, "s", text)
+        self.state.prepare("s", Shape(True, "z" * 1_000_000))
+        runs = create_task(self.forwarder.run_alone(self.task(large)))
+        await self.until(lambda: self.members.ran == ["w", "l"])
+        self.members.rows = ("r" * 1_000_000,) * 9
+        rows = create_task(self.forwarder.run_alone(self.task(read("r"))))
+        await self.until(lambda: len(self.members.ran) == 3)
+        self.members.may_answer.set()
+        refused = await rows
+        self.assertEqual(Code.TOO_LARGE.name, refused.code.name)
+        self.assertIsInstance(await other, Answer)
+        self.assertIsInstance(await runs, Answer)
+
     async def test_a_key_is_passed_on_while_a_statement_waits(self) -> None:
         """Guards against statements that run for a key's former holder.
 
--- a/redwingpost/statements/session.py
+++ b/redwingpost/statements/session.py
@@ -5,7 +5,9 @@
 connection runs the next statement (``redwingpost.statements.setup``).
 """
 
+from collections.abc import Callable
 from enum import Enum
+from typing import TypeVar
 
 from redwingpost.core.positions import ZERO_POSITION, Position
 from redwingpost.core.statements import Shape, Statement, StatementKind
@@ -16,6 +18,10 @@
 #: memory.
 MAX_NAMES = 1000
 
+#: Bytes of the values, and of the prepared statements, that one session may
+#: hold. The values travel with each statement that another VM runs.
+MAX_BYTES = 2 * 1024 * 1024
+
 _PLAIN_READS = frozenset({StatementKind.READ})
 _PLAIN_WRITES = frozenset({StatementKind.WRITE})
 
@@ -25,6 +31,9 @@
 )
 
 
+_Stored = TypeVar("_Stored")
+
+
 class Phase(Enum):
     """Transaction state of a session between statements."""
 
@@ -104,11 +113,16 @@
 
     def set_value(self, name: str, value: str) -> bool:
         """Set a value; return False if the session has too many."""
-        return _store(self.values_by_name, name, value)
+        return _store(self.values_by_name, name, value, _count_bytes)
 
     def prepare(self, name: str, shape: Shape) -> bool:
         """Add a prepared statement; return False if there are too many."""
-        return _store(self.shapes_by_name, name, shape)
+        return _store(
+            self.shapes_by_name,
+            name,
+            shape,
+            lambda item: _count_bytes(item.text),
+        )
 
     def close(self, name: str) -> None:
         """Remove a prepared statement."""
@@ -144,8 +158,24 @@
         return None if shape is None else shape.writes
 
 
-def _store(by_name: dict, name: str, value: object) -> bool:
+def _store(
+    by_name: dict[str, _Stored],
+    name: str,
+    value: _Stored,
+    count_bytes: Callable[[_Stored], int],
+) -> bool:
     if name not in by_name and len(by_name) >= MAX_NAMES:
         return False
+    others = sum(
+        _count_bytes(other) + count_bytes(item)
+        for other, item in by_name.items()
+        if other != name
+    )
+    if others + _count_bytes(name) + count_bytes(value) > MAX_BYTES:
+        return False
     by_name[name] = value
     return True
+
+
+def _count_bytes(text: str) -> int:
+    return len(text.encode(errors="surrogateescape"))
--- a/redwingpost/statements/tests/test_session.py
+++ b/redwingpost/statements/tests/test_session.py
@@ -15,7 +15,7 @@
     prepared_name,
     setup_steps,
 )
-from redwingpost.statements.session import MAX_NAMES
+from redwingpost.statements.session import MAX_BYTES, MAX_NAMES
 from redwingpost.statements.setup import MAX_PREPARED
 
 READS = Shape(False, "q1")
@@ -120,6 +120,25 @@
         self.assertFalse(kept[-1])
         self.assertTrue(state.set_value("v0", "2"))
 
+    def test_bytes_are_bounded(self) -> None:
+        """Guards against one caller that uses up the memory.
+
+        Values that don't fit into a message would also end the connection to
+        a home, with the statements of all other callers on it.
+        """
+        for store in (
+            SessionState().set_value,
+            lambda name, text, state=SessionState(): state.prepare(
+                name, Shape(False, text)
+            ),
+        ):
+            part = MAX_BYTES // 2 - 10
+            self.assertTrue(store("a", "x" * part))
+            self.assertTrue(store("b", "é" * (part // 2)))
+            self.assertFalse(store("c", "x" * 100))
+            self.assertTrue(store("b", "x" * part))
+            self.assertFalse(store("d", "x" * (MAX_BYTES + 1)))
+
     def test_written_position_never_decreases(self) -> None:
         state = SessionState()
         for position in (Position(2, 5), Position(1, 9), None):
