Statements don't wait for a newer primary that this VM can't reach

Change: after 2 s in vain they are refused at once, and the home reports that it can't run them, so that callers' VMs choose others.

Evidence: test_a_new_primary_that_stays_out_of_reach.

--- a/redwingpost/node/group.py
+++ b/redwingpost/node/group.py
@@ -73,6 +73,10 @@
 DRAIN_WORK_FRACTION = 0.6
 
 
+#: Seconds after which no statement waits any more for a newer primary that
+#: this VM doesn't find: it is probably cut off from it.
+NEW_TERM_TIMEOUT_S = 2.0
+
 #: Milliseconds after which a caller may come back that was refused because
 #: of an evacuation: operators withdraw one after minutes, but a member
 #: elsewhere may become able to lead.
@@ -108,6 +112,7 @@
         self.refusals: Counter[RefusalKey] = Counter()
         self._writes_term = 0
         self._named_term = 0
+        self._named_at = float("-inf")
         self.stalled_s = 0.0
         self.leaderless_since: float | None = clock.now()
         self.paused_since: float | None = None
@@ -280,7 +285,11 @@
         """
         if not needs_primary:
             clients = self._readable(now)
-        elif self.is_primary_unreachable() or not self.can_use_primary():
+        elif (
+            self.is_term_replaced
+            or self.is_primary_unreachable()
+            or not self.can_use_primary()
+        ):
             clients = []
         else:
             clients = [self.leader()]
@@ -508,6 +517,8 @@
 
     def note_term(self, term: int) -> None:
         """Record that a commit of a term was acknowledged somewhere."""
+        if term > max(self._named_term, self.evidence.term):
+            self._named_at = self._clock.now()
         self._named_term = max(self._named_term, term)
 
     @property
@@ -515,6 +526,12 @@
         """Whether there is a newer primary than the one that is known."""
         return self._named_term > self.evidence.term
 
+    @property
+    def is_new_term_out_of_reach(self) -> bool:
+        """Whether a newer primary was looked for in vain for long."""
+        looked_s = self._clock.now() - self._named_at
+        return self.is_term_replaced and looked_s > NEW_TERM_TIMEOUT_S
+
     def look_for_new_term(self) -> None:
         """Query the members now if there is a newer primary."""
         is_due = self._clock.now() - self.round_at >= ALERT_INTERVAL_S
--- a/redwingpost/node/request/reads.py
+++ b/redwingpost/node/request/reads.py
@@ -373,10 +373,12 @@
         can be expected.
     """
     group.note_term(term)
+    group.look_for_new_term()
     until = min(deadline, clock.now() + LEADER_TIMEOUT_S)
     while (
         (group.leader() is None or group.is_term_replaced)
         and group.is_primary_expected()
+        and not group.is_new_term_out_of_reach
         and clock.now() < until
     ):
         pause_s = until - clock.now()
--- a/redwingpost/node/tests/test_replaced_primary.py
+++ b/redwingpost/node/tests/test_replaced_primary.py
@@ -1,5 +1,6 @@
 """Statements at a VM that takes a replaced primary for the present one."""
 
+from asyncio import sleep
 from unittest import TestCase
 
 from redwingpost.adapters.tests.virtual_loop import run_in_virtual_time
@@ -84,6 +85,32 @@
                 self.assertEqual(Code.NO_PRIMARY.name, result.code.name)
                 self.assertEqual([], members.sent)
 
+    def test_a_new_primary_that_stays_out_of_reach(self) -> None:
+        """Guards against statements that wait for it in vain, one by one.
+
+        A home that can't find it also reports that it can't run them.
+        """
+
+        async def run():
+            members = FakeMembers()
+            group = await make_group(members, max_connections=8)
+            clock = LoopClock()
+            self.assertLess(group.wait_s(True, clock.now()), 1.0)
+            waits_s = []
+            for number in range(6):
+                request = make_request(number, StatementKind.WRITE)
+                request.caller.state.note_commit("g", _WRITTEN)
+                started_at = clock.now()
+                await WriteRunner(clock).run(group, request, 1)
+                waits_s.append(clock.now() - started_at)
+                await sleep(0.5)
+            return waits_s, group.wait_s(True, clock.now())
+
+        waits_s, wait_s = run_in_virtual_time(run())
+        self.assertGreater(waits_s[0], 0.1)
+        self.assertEqual([0.0, 0.0], waits_s[-2:])
+        self.assertEqual(float("inf"), wait_s)
+
     def test_a_proof_covers_both_the_time_and_the_term(self) -> None:
         cases = (
             (0.0, Position(1, 99), True),
