--- a/redwingpost/node/forwarding/channel.py
+++ b/redwingpost/node/forwarding/channel.py
@@ -175,6 +175,8 @@
             await wait_for(self._has_reading.wait(), CLOCK_TIMEOUT_S)
         except TimeoutError as error:
             raise HomeLost("no reading of its clock", sent=False) from error
+        if not self.is_open:
+            raise HomeLost("closed", sent=False)
 
     def to_home_clock(self, at: float) -> float:
         """Return the least that the home's clock shows at ``at`` (seconds)."""
@@ -240,6 +242,7 @@
         if not self.is_open:
             return
         self.is_open = False
+        self._has_reading.set()
         self._writer.close()
         self._task.cancel()
         if self._silence_timer is not None:
--- a/redwingpost/node/request/session.py
+++ b/redwingpost/node/request/session.py
@@ -121,7 +121,7 @@
         wait_s = until - self.services.clock.now()
         if wait_s > 0.0:
             log_event(
-                "awaits-doubt",
+                "statement-held",
                 request=statement.request,
                 seconds=round(wait_s, 4),
             )
