redwing-proxy: a statement that waited doesn't run for a withdrawn key

A key was checked where a statement was taken and as its home read it, not after the wait for a slot and a connection.

Change: the pool asks again once a request has its connection; reads, writes and BEGIN all pass there.

--- a/redwingpost/core/requests.py
+++ b/redwingpost/core/requests.py
@@ -33,7 +33,8 @@
     Times are seconds on the clock of the process that handles it.
     ``after`` is the position that a read must reach. None means that
     nothing is known about the session, so the read must go to the
-    primary.
+    primary. ``key_hash`` is that of the caller's key; empty for requests of
+    the proxy's own.
     """
 
     request: int
@@ -47,6 +48,7 @@
     after: Position | None
     cost: float
     in_transaction: bool
+    key_hash: str = ""
 
 
 class MemberError(NamedTuple):
--- a/redwingpost/proxy/service.py
+++ b/redwingpost/proxy/service.py
@@ -27,7 +27,7 @@
 from redwingpost.configuration.keys import KeyRing
 from redwingpost.configuration.model import Withdrawal
 from redwingpost.configuration.parse import parse_configuration
-from redwingpost.core import Code, GroupView, Refusal, VmAddress
+from redwingpost.core import Code, GroupView, Refusal, Request, VmAddress
 from redwingpost.ports import Clock, MonotonicClock
 from redwingpost.proxy.caller import Caller
 from redwingpost.proxy.confirm import Confirmer
@@ -125,6 +125,7 @@
             dialler,
             self.clock,
             lambda _group: settings.proxy.homes,
+            self._refuse_changed_key,
         )
         self.directory.view_listeners.append(self._fail_waiting_at_replicas)
         self.confirmer = Confirmer(
@@ -237,6 +238,13 @@
             loop=self.loop,
         )
 
+    def _refuse_changed_key(self, request: Request) -> Refusal | None:
+        if not request.key_hash:
+            return None
+        return self.keys.check(
+            request.organisation, request.key_hash, self.clock.now()
+        )
+
     def _fail_waiting_at_replicas(self, view: GroupView) -> None:
         if not view.primary:
             return
--- a/redwingpost/proxy/session.py
+++ b/redwingpost/proxy/session.py
@@ -306,6 +306,7 @@
             after=self._required_position(marked),
             cost=kind.cost,
             in_transaction=self.in_transaction,
+            key_hash=self.caller.key_hash,
         )
 
     def _required_position(self, marked: MarkedStatement) -> Any:
--- a/redwingpost/proxy/targets.py
+++ b/redwingpost/proxy/targets.py
@@ -43,6 +43,10 @@
 _EXPIRED_RETRY_MS = 100
 
 
+def _refuse_nothing(request: Request) -> None:
+    """Refuse no request."""
+
+
 class AdmissionRefused(Exception):
     """A request was refused a slot; nothing was sent to a member.
 
@@ -92,6 +96,9 @@
         Source of time.
     count_vms : callable
         Returns how many VMs serve a group.
+    refuse : callable, optional
+        Returns why a request may not be sent any more, or None; called once
+        it has a connection, for which it may have waited for seconds.
     """
 
     def __init__(
@@ -100,7 +107,9 @@
         dialler: TargetDialler,
         clock: Clock,
         count_vms: Callable[[str], int],
+        refuse: Callable[[Request], Refusal | None] = _refuse_nothing,
     ) -> None:
+        self._refuse = refuse
         self._directory = directory
         self._dialler = dialler
         self._clock = clock
@@ -147,7 +156,8 @@
         Raises
         ------
         AdmissionRefused
-            If the request can't be served before its deadline.
+            If the request can't be served before its deadline, or may no
+            longer be sent.
         TargetLost
             If no connection could be opened; nothing was sent.
         TargetError
@@ -170,6 +180,10 @@
         self._checkouts_by_connection[connection] = _Checkout(
             member_pool, ticket, shape, self._clock.now(), pinned=False
         )
+        refusal = self._refuse(request)
+        if refusal is not None:
+            await self.release(connection, clean=True)
+            raise AdmissionRefused(refusal)
         return connection
 
     def pin(self, connection: TargetConnection) -> None:
--- a/redwingpost/proxy/tests/test_withdrawal.py
+++ b/redwingpost/proxy/tests/test_withdrawal.py
@@ -1,7 +1,10 @@
 """Tests of withdrawn keys and planned stops with connected callers."""
 
+from asyncio import Event
+from threading import Event as ThreadEvent
 from threading import Thread
 from unittest import TestCase
+from unittest.mock import patch
 
 from pymysql import Error as PyMySQLError
 from pymysql import connect
@@ -68,6 +71,41 @@
                 caught.exception.args[0], Code.KEY_WITHDRAWN.number
             )
 
+    def test_a_key_is_withdrawn_while_a_statement_waits(self):
+        """Guards against statements that run for a withdrawn key.
+
+        The statement waits for a connection to its member meanwhile.
+        """
+        setup = self.connect(CUSCO)
+        setup.cursor().execute("CREATE TABLE waits (id INT PRIMARY KEY)")
+        connect_to_member = self.proxy.pool._connect
+        is_waiting, goes_on = ThreadEvent(), Event()
+
+        async def connect_late(pool):
+            is_waiting.set()
+            await goes_on.wait()
+            return await connect_to_member(pool)
+
+        caller = self.connect()
+        codes = []
+
+        def run():
+            with self.assertRaises(PyMySQLError) as caught:
+                caller.cursor().execute("INSERT INTO waits VALUES (1)")
+            codes.append(caught.exception.args[0])
+
+        with patch.object(self.proxy.pool, "_connect", connect_late):
+            thread = Thread(target=run)
+            thread.start()
+            is_waiting.wait()
+            self.withdraw(PUNO)
+            self.site.loop.call_soon_threadsafe(goes_on.set)
+            thread.join()
+        self.assertEqual([Code.KEY_WITHDRAWN.number], codes)
+        cursor = setup.cursor()
+        cursor.execute("SELECT id FROM waits")
+        self.assertEqual((), cursor.fetchall())
+
     def test_a_drained_proxy_serves_until_it_is_stopped(self):
         """Guards against callers cut because a drain began long ago."""
         connection = self.connect()
