A write that ran for a key's former holder isn't answered as not run

Cause: a session withholds rows that were read for the former holder of its key, with a refusal that says "not run". Rows in the answer decided that, so a member that answers a write with rows would have had a committed write refused as not run.

Change: only reads are withheld. Found by reading the diff; the test now has writes outside of transactions and inside.

--- a/redwingpost/node/request/session.py
+++ b/redwingpost/node/request/session.py
@@ -457,8 +457,10 @@
         result = await services.forwarder.run_alone(task)
     if result is None:
         result = await _run_locally(session, group, request, admitted)
-    if isinstance(result, Answer) and result.rows:
-        # What was read is the former holder's.
+    is_read = not session.state.writes(statement)
+    if is_read and isinstance(result, Answer):
+        # What was read is the former holder's. A write has run: its answer
+        # is handed on.
         if not request.caller.is_entitled():
             result = _PASSED_ON
     if _is_refundable(result, session.state.trace):
--- a/redwingpost/node/tests/test_changed_keys.py
+++ b/redwingpost/node/tests/test_changed_keys.py
@@ -62,8 +62,8 @@
     async def test_rows_that_come_after_the_key_has_passed_on(self) -> None:
         """Guards against rows of a key's former holder.
 
-        The member answers a read only after the key is another
-        organisation's.
+        The member answers only after the key is another organisation's. A
+        write's answer is handed on: it has run.
         """
         passed = [
             {"name": "diocese", "apiKeys": ["key-1", "key-3"], **_RATES},
@@ -78,21 +78,27 @@
         for server in self.site.standins.server_by_member.values():
             server.before_answer = wait
         version = 1
-        for begin, code in (("", "BUSY"), ("BEGIN", "ABORTED")):
-            with self.subTest(begin=begin):
+        cases = (
+            ("", "READ k", "BUSY"),
+            ("BEGIN", "READ k", "ABORTED"),
+            ("BEGIN", "WRITE k v", "ABORTED"),
+            ("", "WRITE k v", ""),
+        )
+        for begin, text, code in cases:
+            with self.subTest(begin=begin, text=text):
                 version += 2
                 await self._configure(configuration(version))
                 caller = await self.node.caller("own")
                 if begin:
                     await caller.run(begin)
                 goes_on.clear()
-                read = create_task(caller.run_as(f"late-{version}", "READ k"))
+                late = create_task(caller.run_as(f"late-{version}", text))
                 await sleep(0.1)
                 await self._configure(
                     configuration(version + 1, tenants=passed)
                 )
                 goes_on.set()
-                answer = await read
+                answer = await late
                 self.assertEqual((code, ()), (answer.code, answer.rows))
                 caller.close()
 
